--- /dev/null
+++ b/base/clock.cc
@@ -0,0 +1,36 @@
+#include "base/clock.h"
+
+namespace rattanramp {
+
+TimePoint SystemClock::now() const { return std::chrono::steady_clock::now(); }
+
+std::int64_t SystemClock::unix_ms() const {
+  return std::chrono::duration_cast<Milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+TimePoint ManualClock::now() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return now_;
+}
+
+std::int64_t ManualClock::unix_ms() const {
+  return std::chrono::duration_cast<Milliseconds>(now().time_since_epoch()).count();
+}
+
+void ManualClock::Advance(Duration step) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  now_ += step;
+}
+
+const Clock& DefaultClock() {
+  static const SystemClock clock;
+  return clock;
+}
+
+double ToMs(Duration duration) {
+  return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+}  // namespace rattanramp
--- /dev/null
+++ b/base/hash.h
@@ -0,0 +1,14 @@
+// 64-bit hashes (XXH64) for fingerprints, prefix blocks and rendezvous weights. Not for security.
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace rattanramp {
+
+std::uint64_t Hash64(std::string_view data, std::uint64_t seed = 0);
+
+/// Hash as the signed integer that Thrift and JSON carry.
+std::int64_t SignedHash64(std::string_view data, std::uint64_t seed = 0);
+
+}  // namespace rattanramp
--- /dev/null
+++ b/base/http_server.cc
@@ -0,0 +1,282 @@
+#include "base/http_server.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <charconv>
+#include <functional>
+#include <utility>
+
+namespace rattanramp {
+namespace {
+
+constexpr int kListenBacklog = 1024;
+constexpr std::size_t kReadBufferBytes = 16 * 1024;
+constexpr int kPollStepMs = 200;
+
+thread_local int current_socket = -1;
+
+bool WaitFor(int socket, std::int16_t events, int timeout_ms) {
+  pollfd entry{socket, events, 0};
+  int result = 0;
+  do {
+    result = poll(&entry, 1, timeout_ms);
+  } while (result < 0 && errno == EINTR);
+  return result > 0 && (entry.revents & events) != 0;
+}
+
+/// Stream over an accepted socket. httplib's own socket stream is not part of its public interface.
+class SocketStream : public httplib::Stream {
+ public:
+  SocketStream(int socket, int read_timeout_ms, int write_timeout_ms)
+      : socket_(socket), read_timeout_ms_(read_timeout_ms), write_timeout_ms_(write_timeout_ms) {}
+
+  bool is_readable() const override {
+    return used_ < filled_ || WaitFor(socket_, POLLIN, read_timeout_ms_);
+  }
+
+  bool is_writable() const override {
+    return !HttpServer::CallerHasLeft() && WaitFor(socket_, POLLOUT, write_timeout_ms_);
+  }
+
+  ssize_t read(char* data, size_t size) override {
+    if (used_ == filled_) {
+      if (!WaitFor(socket_, POLLIN, read_timeout_ms_)) {
+        return -1;
+      }
+      const ssize_t received = Receive(buffer_.data(), buffer_.size());
+      if (received <= 0) {
+        return received;
+      }
+      used_ = 0;
+      filled_ = static_cast<std::size_t>(received);
+    }
+    const std::size_t count = std::min(size, filled_ - used_);
+    std::copy_n(buffer_.data() + used_, count, data);
+    used_ += count;
+    return static_cast<ssize_t>(count);
+  }
+
+  ssize_t write(const char* data, size_t size) override {
+    if (!WaitFor(socket_, POLLOUT, write_timeout_ms_)) {
+      return -1;
+    }
+    ssize_t sent = 0;
+    do {
+      sent = send(socket_, data, size, MSG_NOSIGNAL);
+    } while (sent < 0 && errno == EINTR);
+    return sent;
+  }
+
+  void get_remote_ip_and_port(std::string& ip, int& port) const override {
+    ip = "unknown";
+    port = 0;
+  }
+
+  void get_local_ip_and_port(std::string& ip, int& port) const override {
+    ip = "unknown";
+    port = 0;
+  }
+
+  socket_t socket() const override { return socket_; }
+
+ private:
+  ssize_t Receive(char* data, std::size_t size) const {
+    ssize_t received = 0;
+    do {
+      received = recv(socket_, data, size, 0);
+    } while (received < 0 && errno == EINTR);
+    return received;
+  }
+
+  int socket_;
+  int read_timeout_ms_;
+  int write_timeout_ms_;
+  std::array<char, kReadBufferBytes> buffer_{};
+  std::size_t used_ = 0;
+  std::size_t filled_ = 0;
+};
+
+}  // namespace
+
+/// Starts a thread for each connection up to a limit and closes connections above it.
+class HttpServer::OnDemandThreads : public httplib::TaskQueue {
+ public:
+  OnDemandThreads(std::size_t limit, std::shared_ptr<std::atomic<std::size_t>> open)
+      : limit_(limit), open_(std::move(open)) {}
+
+  void enqueue(std::function<void()> task) override {
+    std::unique_lock<std::mutex> lock(mutex_);
+    // Waits in the accept thread: further callers stay in the listen backlog until a thread is
+    // free.
+    idle_.wait(lock, [this] { return open_->load() < limit_; });
+    open_->fetch_add(1);
+    std::thread([this, task = std::move(task)] {
+      task();
+      const std::lock_guard<std::mutex> done_lock(mutex_);
+      open_->fetch_sub(1);
+      idle_.notify_all();
+    }).detach();
+  }
+
+  void shutdown() override {
+    std::unique_lock<std::mutex> lock(mutex_);
+    idle_.wait(lock, [this] { return open_->load() == 0; });
+  }
+
+ private:
+  std::size_t limit_;
+  std::shared_ptr<std::atomic<std::size_t>> open_;
+  std::mutex mutex_;
+  std::condition_variable idle_;
+};
+
+/// Serves each socket through SocketStream, so that handlers can ask whether the caller has left.
+class HttpServer::WatchedServer : public httplib::Server {
+ public:
+  std::atomic<bool> stopping{false};
+
+ private:
+  bool process_and_close_socket(socket_t socket) override {
+    current_socket = socket;
+    SocketStream stream(socket, ToMilliseconds(read_timeout_sec_, read_timeout_usec_),
+                        ToMilliseconds(write_timeout_sec_, write_timeout_usec_));
+    bool ok = true;
+    bool connection_closed = false;
+    for (std::size_t left = keep_alive_max_count_; left > 0; --left) {
+      if (!WaitForRequest(stream)) {
+        break;
+      }
+      ok = process_request(stream, left == 1 || stopping.load(), connection_closed, nullptr);
+      if (!ok || connection_closed) {
+        break;
+      }
+    }
+    current_socket = -1;
+    shutdown(socket, SHUT_RDWR);
+    close(socket);
+    return ok;
+  }
+
+  bool WaitForRequest(const SocketStream& stream) const {
+    for (std::int64_t waited = 0; waited < keep_alive_timeout_sec_ * 1000; waited += kPollStepMs) {
+      if (stopping.load()) {
+        return WaitFor(stream.socket(), POLLIN, 0);
+      }
+      if (WaitFor(stream.socket(), POLLIN, kPollStepMs)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  static int ToMilliseconds(time_t seconds, time_t microseconds) {
+    return static_cast<int>(seconds * 1000 + microseconds / 1000);
+  }
+};
+
+HttpServer::HttpServer() : open_(std::make_shared<std::atomic<std::size_t>>(0)) {}
+
+Result<std::unique_ptr<HttpServer>> HttpServer::Create(const HttpServerOptions& options) {
+  BOOST_OUTCOME_TRY(address, ParseHostPort(options.address));
+  std::unique_ptr<HttpServer> server(new HttpServer());
+  server->server_ = std::make_unique<WatchedServer>();
+  httplib::Server& routes = *server->server_;
+  std::shared_ptr<int> listen_socket = std::make_shared<int>(-1);
+  const int user_timeout_ms = options.user_timeout_ms;
+  // The library's default sets SO_REUSEPORT, which would let two processes share a port unnoticed.
+  // TCP options set on the listening socket are inherited by accepted sockets.
+  routes.set_socket_options([listen_socket, user_timeout_ms](socket_t socket) {
+    const int on = 1;
+    setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+    setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout_ms, sizeof(user_timeout_ms));
+    *listen_socket = socket;
+  });
+  routes.set_keep_alive_max_count(1'000'000);
+  routes.set_keep_alive_timeout(options.keep_alive_seconds);
+  routes.set_payload_max_length(options.max_body_bytes);
+  routes.set_read_timeout(30, 0);
+  routes.set_write_timeout(30, 0);
+  const std::size_t max_connections = options.max_connections;
+  const std::shared_ptr<std::atomic<std::size_t>> open = server->open_;
+  routes.new_task_queue = [max_connections, open] {
+    return new OnDemandThreads(max_connections, open);
+  };
+  if (address.port == 0) {
+    server->port_ = routes.bind_to_any_port(address.host);
+  } else {
+    server->port_ = routes.bind_to_port(address.host, address.port) ? address.port : -1;
+  }
+  if (server->port_ <= 0) {
+    return Error{ErrorKind::kIo, "cannot listen on " + options.address,
+                 "choose a free port or stop the process that holds it"};
+  }
+  // The library listens with a backlog of 5; a burst of callers would wait for a SYN retry.
+  if (listen(*listen_socket, kListenBacklog) != 0) {
+    return Error{ErrorKind::kIo, "cannot raise the listen backlog of " + options.address,
+                 "check the socket limits of the VM"};
+  }
+  return server;
+}
+
+HttpServer::~HttpServer() { Stop(); }
+
+httplib::Server& HttpServer::routes() { return *server_; }
+
+void HttpServer::Start() {
+  accept_thread_ = std::thread([this] { server_->listen_after_bind(); });
+  while (!server_->is_running()) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+}
+
+void HttpServer::Stop() {
+  if (!accept_thread_.joinable()) {
+    return;
+  }
+  server_->stopping.store(true);
+  server_->stop();
+  accept_thread_.join();
+}
+
+std::size_t HttpServer::open_connections() const { return open_->load(); }
+
+bool HttpServer::CallerHasLeft() {
+  if (current_socket < 0) {
+    return false;
+  }
+  pollfd entry{current_socket, POLLIN | POLLRDHUP, 0};
+  if (poll(&entry, 1, 0) <= 0) {
+    return false;
+  }
+  return (entry.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
+Result<HostPort> ParseHostPort(const std::string& address) {
+  const std::size_t colon = address.rfind(':');
+  HostPort parsed;
+  bool ok = colon != std::string::npos && colon > 0;
+  if (ok) {
+    parsed.host = address.substr(0, colon);
+    const char* begin = address.data() + colon + 1;
+    const char* end = address.data() + address.size();
+    const std::from_chars_result result = std::from_chars(begin, end, parsed.port);
+    constexpr int kMaxPort = 65535;
+    ok = result.ec == std::errc() && result.ptr == end && parsed.port >= 0 &&
+         parsed.port <= kMaxPort;
+  }
+  if (!ok) {
+    return Error{ErrorKind::kInvalidArgument, "bad address '" + address + "'",
+                 "write it as HOST:PORT, for example 127.0.0.1:8080"};
+  }
+  return parsed;
+}
+
+}  // namespace rattanramp
--- /dev/null
+++ b/base/log.cc
@@ -0,0 +1,65 @@
+#include "base/log.h"
+
+#include <spdlog/async.h>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <memory>
+
+namespace rattanramp {
+namespace {
+
+constexpr std::size_t kLogRingEntries = 8192;
+constexpr const char* kLinePrefix = R"({"time":"%Y-%m-%dT%H:%M:%S.%e%z","level":"%l","process":")";
+
+spdlog::level::level_enum ToSpdlog(LogLevel level) {
+  switch (level) {
+    case LogLevel::kDebug:
+      return spdlog::level::debug;
+    case LogLevel::kInfo:
+      return spdlog::level::info;
+    case LogLevel::kWarning:
+      return spdlog::level::warn;
+    case LogLevel::kError:
+      return spdlog::level::err;
+  }
+  return spdlog::level::info;
+}
+
+}  // namespace
+
+Result<void> InitLogging(std::string_view process_id, std::string_view level) {
+  const spdlog::level::level_enum parsed = spdlog::level::from_str(std::string(level));
+  if (parsed == spdlog::level::off && level != "off") {
+    return Error{ErrorKind::kInvalidArgument, "unknown log level '" + std::string(level) + "'",
+                 "use debug, info, warning, error or off"};
+  }
+  spdlog::init_thread_pool(kLogRingEntries, 1);
+  // A full log ring drops the oldest line, so that logging never blocks a request.
+  std::shared_ptr<spdlog::logger> logger = std::make_shared<spdlog::async_logger>(
+      "rattanramp", std::make_shared<spdlog::sinks::stderr_sink_mt>(), spdlog::thread_pool(),
+      spdlog::async_overflow_policy::overrun_oldest);
+  logger->set_pattern(kLinePrefix + std::string(process_id) + "\",%v}");
+  logger->set_level(parsed);
+  logger->flush_on(spdlog::level::warn);
+  spdlog::set_default_logger(logger);
+  spdlog::flush_every(std::chrono::seconds(1));
+  return Success();
+}
+
+void ShutdownLogging() { spdlog::shutdown(); }
+
+void Log(LogLevel level, std::string_view event, const nlohmann::json& fields) {
+  spdlog::logger* logger = spdlog::default_logger_raw();
+  if (logger == nullptr || !logger->should_log(ToSpdlog(level))) {
+    return;
+  }
+  nlohmann::json line = {{"event", event}};
+  line.update(fields);
+  const std::string text = line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  // The pattern supplies the outer braces.
+  const std::string_view members = std::string_view(text).substr(1, text.size() - 2);
+  logger->log(ToSpdlog(level), members);
+}
+
+}  // namespace rattanramp
--- /dev/null
+++ b/control/settings_replica.cc
@@ -0,0 +1,90 @@
+#include "control/settings_replica.h"
+
+#include <utility>
+#include <vector>
+
+namespace rattanramp::control {
+namespace {
+
+/// Changes kept for peers that are slightly behind; a day has about 3,100 changes.
+constexpr std::size_t kKeptChanges = 256;
+
+Result<settings::SettingsTree> ApplyChange(const settings::SettingsTree& tree,
+                                           const wire::SettingsChange& change) {
+  const nlohmann::json array = nlohmann::json::parse(change.operations_json, nullptr, false);
+  BOOST_OUTCOME_TRY(operations, settings::ParseOperations(array));
+  return tree.Apply(operations);
+}
+
+}  // namespace
+
+SettingsReplica::SettingsReplica() : current_(std::make_shared<VersionedSettings>()) {}
+
+std::shared_ptr<const VersionedSettings> SettingsReplica::current() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return current_;
+}
+
+std::int64_t SettingsReplica::version() const { return current()->version; }
+
+bool SettingsReplica::ApplySnapshot(std::int64_t version, settings::SettingsTree tree) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  if (version <= current_->version) {
+    return false;
+  }
+  current_ = std::make_shared<VersionedSettings>(VersionedSettings{version, std::move(tree)});
+  changes_.clear();
+  return true;
+}
+
+Result<bool> SettingsReplica::Apply(const wire::SettingsPush& push) {
+  if (push.__isset.snapshot_json) {
+    BOOST_OUTCOME_TRY(tree, settings::SettingsTree::Parse(push.snapshot_json));
+    return ApplySnapshot(push.version, std::move(tree));
+  }
+  const std::lock_guard<std::mutex> lock(mutex_);
+  VersionedSettings next = *current_;
+  std::vector<wire::SettingsChange> applied;
+  for (const wire::SettingsChange& change : push.changes) {
+    if (change.version <= next.version) {
+      continue;
+    }
+    if (change.version != next.version + 1) {
+      return Error{ErrorKind::kNotFound,
+                   "settings change " + std::to_string(change.version) + " follows version " +
+                       std::to_string(next.version),
+                   "pull a snapshot with have_version 0"};
+    }
+    BOOST_OUTCOME_TRY(tree, ApplyChange(next.tree, change));
+    next = VersionedSettings{change.version, std::move(tree)};
+    applied.push_back(change);
+  }
+  if (applied.empty()) {
+    return false;
+  }
+  current_ = std::make_shared<VersionedSettings>(std::move(next));
+  changes_.insert(changes_.end(), applied.begin(), applied.end());
+  while (changes_.size() > kKeptChanges) {
+    changes_.pop_front();
+  }
+  return true;
+}
+
+wire::SettingsPush SettingsReplica::PushFor(std::int64_t have_version) const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  wire::SettingsPush push;
+  push.version = current_->version;
+  const bool connected = !changes_.empty() && changes_.front().version <= have_version + 1;
+  if (have_version < current_->version && !connected) {
+    push.__set_snapshot_json(current_->tree.json().dump());
+    return push;
+  }
+  for (const wire::SettingsChange& change : changes_) {
+    if (change.version > have_version) {
+      push.changes.push_back(change);
+    }
+  }
+  return push;
+}
+
+}  // namespace rattanramp::control
--- /dev/null
+++ b/link/event_loop.h
@@ -0,0 +1,40 @@
+// Asio loop run by one thread. All links and timers of a process live on it.
+#pragma once
+
+#include <asio.hpp>
+#include <functional>
+#include <memory>
+#include <thread>
+
+#include "base/clock.h"
+
+namespace rattanramp::link {
+
+class EventLoop {
+ public:
+  EventLoop();
+  ~EventLoop();
+  EventLoop(const EventLoop&) = delete;
+  EventLoop& operator=(const EventLoop&) = delete;
+
+  asio::io_context& context() { return context_; }
+
+  void Start();
+  /// Stops the loop and joins its thread; pending work is dropped.
+  void Stop();
+
+  /// Runs task on the loop's thread.
+  void Post(std::function<void()> task);
+  /// Runs task on the loop's thread every period until the loop stops.
+  void Every(Duration period, std::function<void()> task);
+
+ private:
+  void Schedule(const std::shared_ptr<asio::steady_timer>& timer, Duration period,
+                const std::shared_ptr<std::function<void()>>& task);
+
+  asio::io_context context_;
+  asio::executor_work_guard<asio::io_context::executor_type> work_;
+  std::thread thread_;
+};
+
+}  // namespace rattanramp::link
--- /dev/null
+++ b/tests/base/http_server_test.cc
@@ -0,0 +1,66 @@
+#include "base/http_server.h"
+
+#include <criterion/criterion.h>
+
+#include <atomic>
+#include <chrono>
+#include <thread>
+
+using rattanramp::HttpServer;
+using rattanramp::HttpServerOptions;
+using rattanramp::Result;
+
+namespace {
+
+std::unique_ptr<HttpServer> MakeServer() {
+  HttpServerOptions options;
+  options.address = "127.0.0.1:0";
+  Result<std::unique_ptr<HttpServer>> server = HttpServer::Create(options);
+  cr_assert(server.has_value());
+  return std::move(server.value());
+}
+
+}  // namespace
+
+// Guards against two processes sharing a port through SO_REUSEPORT without an error.
+Test(http_server, second_bind_of_a_port_fails) {
+  const std::unique_ptr<HttpServer> first = MakeServer();
+  HttpServerOptions options;
+  options.address = "127.0.0.1:" + std::to_string(first->port());
+  cr_assert(!HttpServer::Create(options).has_value());
+}
+
+// Guards against a handler that keeps working for a caller whose connection is closed.
+Test(http_server, handler_sees_that_caller_has_left) {
+  const std::unique_ptr<HttpServer> server = MakeServer();
+  std::atomic<bool> left{false};
+  server->routes().Get("/wait", [&left](const httplib::Request&, httplib::Response&) {
+    for (int i = 0; i < 500 && !HttpServer::CallerHasLeft(); ++i) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    left.store(HttpServer::CallerHasLeft());
+  });
+  server->Start();
+  {
+    httplib::Client client("127.0.0.1", server->port());
+    client.set_read_timeout(0, 200'000);
+    cr_assert(!client.Get("/wait"));
+  }
+  server->Stop();
+  cr_assert(left.load());
+}
+
+// Guards against a kept-alive connection being closed after a few requests.
+Test(http_server, keeps_a_connection_for_many_requests) {
+  const std::unique_ptr<HttpServer> server = MakeServer();
+  server->routes().Post("/echo", [](const httplib::Request& request, httplib::Response& response) {
+    response.set_content(request.body, "text/plain");
+  });
+  server->Start();
+  httplib::Client client("127.0.0.1", server->port());
+  client.set_keep_alive(true);
+  for (int i = 0; i < 50; ++i) {
+    const httplib::Result result = client.Post("/echo", std::string(20'000, 'x'), "text/plain");
+    cr_assert(result && result->body.size() == 20'000);
+  }
+}
--- /dev/null
+++ b/wire/rattanramp.thrift
@@ -0,0 +1,260 @@
+// Messages between rattanramp processes. Encoded with TCompactProtocol, one Frame per length-prefixed frame.
+// Durations are in milliseconds and relative to the time of sending, so that clocks need not agree.
+// After a change run scripts/generate-wire and commit the result.
+namespace cpp rattanramp.wire
+
+enum ProcessRole { ENTRY = 1, AGENT = 2 }
+
+enum WorkKind { PREFILL = 1, DECODE = 2, GENERATE = 3, CALL = 4 }
+
+/** What is known about the execution of a request at the time of the answer. */
+enum Outcome { NOT_RUN = 1, RAN = 2, UNKNOWN = 3 }
+
+enum EngineRole { PREFILL = 1, DECODE = 2, BOTH = 3, SERVICE = 4 }
+
+enum UpstreamState { STARTING = 1, READY = 2, LEAVING = 3, DOWN = 4 }
+
+enum RefusalKind {
+  NO_ROOM = 1, QUEUE_FULL = 2, LEAVING = 3, WRONG_MODEL = 4, DEADLINE = 5, KEY_REUSED = 6,
+  OWNED_ELSEWHERE = 7, KEY_EXPIRED = 8, STORE_UNAVAILABLE = 9, SUSPECT = 10, NOT_READY = 11,
+  MALFORMED = 12, UPSTREAM_DOWN = 13, ABANDONED = 14, OWNER_GONE = 15, UPSTREAM_CRASHED = 16,
+  LEASE_EXPIRED = 17, KV_GONE = 18, TRANSFER_STALLED = 19, CANCELLED = 20, UPSTREAM_ERROR = 21
+}
+
+struct Hello {
+  1: i32 protocol_version
+  2: string process_id
+  3: ProcessRole role
+  /** Unique for each start of a process. */
+  4: i64 incarnation
+  5: string failure_domain
+  6: string region
+  7: i64 settings_version
+}
+
+struct Heartbeat {
+  1: i64 sequence
+  2: i64 settings_version
+}
+
+struct PrefixEvent {
+  1: i64 sequence
+  2: i64 block_hash
+  /** False when the block was evicted. */
+  3: bool stored
+}
+
+struct CrashCount {
+  1: i64 fingerprint
+  2: string upstream
+  3: i64 upstream_incarnation
+  4: i64 age_ms
+  /** True when the fingerprint has since completed a run and is no longer suspected. */
+  5: bool cleared
+}
+
+struct LoadReport {
+  1: i64 sequence
+  2: UpstreamState state
+  3: string service_name
+  4: string model
+  5: EngineRole role
+  /** Pieces of 2,048 tokens. */
+  6: i32 total_pieces
+  7: i32 free_pieces
+  8: i32 max_running
+  9: i32 running
+  10: i32 queued
+  11: i64 queued_prefill_tokens
+  12: double prefill_tokens_per_s
+  13: double decode_token_ms
+  14: i64 link_queue_bytes
+  15: double link_bytes_per_s
+  16: i64 engine_incarnation
+  17: list<PrefixEvent> prefix_events
+  18: list<CrashCount> crashes
+  /** URL of the upstream, used as the source of KV imports. */
+  19: string upstream_url
+  20: double kv_bytes_per_token
+}
+
+struct Submit {
+  1: string attempt_id
+  2: string request_id
+  3: WorkKind kind
+  4: string service_name
+  5: string model
+  6: string customer
+  /** Prompt of a generation or body of a call. */
+  7: string body
+  8: i32 prompt_tokens
+  9: i32 max_output_tokens
+  10: i32 expected_output_tokens
+  /** Time left until the caller stops waiting. */
+  11: i64 deadline_ms
+  /** Smaller is served first. */
+  12: i32 priority
+  /** How long room is held for a DECODE whose KV has not been produced yet. */
+  13: i64 hold_ms
+  /** Output already delivered to the caller; generation continues after it. */
+  14: string already_sent
+  15: string method
+  16: string path
+  17: string content_type
+  18: string idempotency_key
+  19: i64 body_hash
+  20: i64 fingerprint
+  21: i32 crash_count
+  22: bool repeatable
+  23: bool patient
+  24: list<i64> prefix_hashes
+}
+
+struct Granted {
+  1: string attempt_id
+  /** Estimated wait before the work starts. */
+  2: i64 wait_ms
+}
+
+struct Refused {
+  1: string attempt_id
+  2: RefusalKind kind
+  3: Outcome outcome
+  4: string message
+  5: string remedy
+  /** Negative when a retry makes no sense. */
+  6: i64 retry_after_ms
+  7: string owner_agent
+  8: i64 owner_incarnation
+  9: optional LoadReport load
+}
+
+struct PrefillDone {
+  1: string attempt_id
+  2: string kv_handle
+  3: string source_url
+  4: i64 kv_bytes
+  5: i32 prefill_tokens
+  6: i32 cached_tokens
+}
+
+struct StartDecode {
+  1: string attempt_id
+  2: string kv_handle
+  3: string source_url
+  4: i64 kv_bytes
+}
+
+struct Chunk {
+  1: string attempt_id
+  /** Position of data[0] in the output of this attempt, in bytes. */
+  2: i64 offset
+  3: binary data
+  4: i32 tokens
+}
+
+struct End {
+  1: string attempt_id
+  2: Outcome outcome
+  /** True only when the upstream finished the answer; total_bytes is then final. */
+  3: bool complete
+  /** HTTP status of a call. */
+  4: i32 status
+  5: i64 total_bytes
+  6: i32 output_tokens
+  7: i32 prefill_tokens
+  8: i32 cached_tokens
+  9: optional RefusalKind error
+  10: string message
+  11: string remedy
+  12: string content_type
+  /** True when the result is a recorded one and the call did not run again. */
+  13: bool replayed
+  14: list<CrashCount> crashes
+}
+
+struct Cancel {
+  1: string attempt_id
+  2: string reason
+}
+
+struct Resume {
+  1: string attempt_id
+  2: i64 offset
+}
+
+struct IssueKey {
+  1: string request_id
+  2: string service_name
+}
+
+struct KeyIssued {
+  1: string request_id
+  2: string key
+  3: string error
+}
+
+struct SettingsPull {
+  1: i64 have_version
+}
+
+struct SettingsChange {
+  1: i64 version
+  2: string change_id
+  3: string author
+  4: i64 at_unix_ms
+  /** JSON array of {"op":"set"|"unset","path","key","value"}. */
+  5: string operations_json
+}
+
+struct SettingsPush {
+  1: i64 version
+  /** Present when the receiver is too far behind for changes alone. */
+  2: optional string snapshot_json
+  3: list<SettingsChange> changes
+}
+
+struct VmRecord {
+  1: string id
+  2: ProcessRole role
+  3: string link_address
+  4: string failure_domain
+  5: string region
+  6: bool leaving
+}
+
+struct VmListPull {
+  1: i64 have_version
+}
+
+struct VmListPush {
+  1: i64 version
+  2: list<VmRecord> vms
+}
+
+struct SuspicionNotice {
+  1: list<CrashCount> crashes
+}
+
+/** Exactly one member is set. */
+union Frame {
+  1: Hello hello
+  2: Heartbeat heartbeat
+  3: LoadReport load_report
+  4: Submit submit
+  5: Granted granted
+  6: Refused refused
+  7: PrefillDone prefill_done
+  8: StartDecode start_decode
+  9: Chunk chunk
+  10: End attempt_end
+  11: Cancel cancel
+  12: Resume resume
+  13: IssueKey issue_key
+  14: KeyIssued key_issued
+  15: SettingsPull settings_pull
+  16: SettingsPush settings_push
+  17: VmListPull vm_list_pull
+  18: VmListPush vm_list_push
+  19: SuspicionNotice suspicion_notice
+}
