Let a handler break its caller's connection

Cause: the stand-ins have to lose replies on purpose, and the socket of a request is private to base/http_server.

Change: HttpServer::BreakConnection shuts down the connection of the request that the calling thread handles.

Conclusion: fault injection needs no second HTTP server.

--- a/base/http_server.cc
+++ b/base/http_server.cc
@@ -259,6 +259,12 @@
   return (entry.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
+void HttpServer::BreakConnection() {
+  if (current_socket >= 0) {
+    shutdown(current_socket, SHUT_RDWR);
+  }
+}
+
 Result<HostPort> ParseHostPort(const std::string& address) {
   const std::size_t colon = address.rfind(':');
   HostPort parsed;
--- a/base/http_server.h
+++ b/base/http_server.h
@@ -47,6 +47,10 @@
   /// connection. Only valid inside a handler or content provider.
   static bool CallerHasLeft();
 
+  /// Breaks the connection of the request handled by this thread, so that its caller gets no
+  /// answer. For fault injection; only valid inside a handler or content provider.
+  static void BreakConnection();
+
  private:
   class WatchedServer;
   class OnDemandThreads;
