Add thin versions of settings service, settings exchange and VM directory

Cause: the entry program waits for the parts of control/ that it connects: settings from the platform and from operators, settings messages between processes, and the VM list.

Change: control/settings_store (rows, catching up, commit with read-back and a row per change_id), control/settings_service (poll thread, operator routes, push callback), control/settings_exchange (frames to send for a peer's version, a pull and a push), control/vm_directory (poll thread, list from peers, listener), control/poll_thread, tests/support/fake_platform.h.

Conclusion: the entry can be written against these headers.

--- /dev/null
+++ b/control/poll_thread.cc
@@ -0,0 +1,53 @@
+#include "control/poll_thread.h"
+
+#include <utility>
+
+#include "base/ids.h"
+
+namespace rattanramp::control {
+namespace {
+
+/// Intervals vary by this share, so that processes started together do not poll together.
+constexpr double kJitter = 0.2;
+
+}  // namespace
+
+PollThread::PollThread(std::function<void()> task, std::function<Milliseconds()> interval)
+    : task_(std::move(task)),
+      interval_(std::move(interval)),
+      random_(static_cast<std::uint32_t>(NewIncarnation())) {}
+
+PollThread::~PollThread() { Stop(); }
+
+void PollThread::Start() {
+  if (!thread_.joinable()) {
+    thread_ = std::thread([this] { Run(); });
+  }
+}
+
+void PollThread::Stop() {
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    stopping_ = true;
+  }
+  wake_.notify_all();
+  if (thread_.joinable()) {
+    thread_.join();
+  }
+}
+
+void PollThread::Run() {
+  for (bool stop = false; !stop;) {
+    task_();
+    const Duration wait = JitteredInterval();
+    std::unique_lock<std::mutex> lock(mutex_);
+    stop = wake_.wait_for(lock, wait, [this] { return stopping_; });
+  }
+}
+
+Duration PollThread::JitteredInterval() {
+  std::uniform_real_distribution<double> factor(1.0 - kJitter, 1.0 + kJitter);
+  return std::chrono::duration_cast<Duration>(interval_() * factor(random_));
+}
+
+}  // namespace rattanramp::control
--- /dev/null
+++ b/control/poll_thread.h
@@ -0,0 +1,39 @@
+// Thread that repeats a task at a jittered interval until it is stopped.
+#pragma once
+
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+#include <random>
+#include <thread>
+
+#include "base/clock.h"
+
+namespace rattanramp::control {
+
+class PollThread {
+ public:
+  /// task runs at once and then after every interval; interval is asked again after each run.
+  PollThread(std::function<void()> task, std::function<Milliseconds()> interval);
+  ~PollThread();
+  PollThread(const PollThread&) = delete;
+  PollThread& operator=(const PollThread&) = delete;
+
+  void Start();
+  /// Waits for a running task.
+  void Stop();
+
+ private:
+  void Run();
+  Duration JitteredInterval();
+
+  std::function<void()> task_;
+  std::function<Milliseconds()> interval_;
+  std::minstd_rand random_;
+  std::mutex mutex_;
+  std::condition_variable wake_;
+  bool stopping_ = false;
+  std::thread thread_;
+};
+
+}  // namespace rattanramp::control
--- a/control/settings_replica.cc
+++ b/control/settings_replica.cc
@@ -87,4 +87,9 @@
   return push;
 }
 
+std::vector<wire::SettingsChange> SettingsReplica::RecentChanges() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return {changes_.begin(), changes_.end()};
+}
+
 }  // namespace rattanramp::control
--- a/control/settings_replica.h
+++ b/control/settings_replica.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <vector>
 
 #include "base/result.h"
 #include "settings/settings_tree.h"
@@ -39,6 +40,9 @@
   /// What a peer at have_version needs: the changes since then, or a snapshot.
   wire::SettingsPush PushFor(std::int64_t have_version) const;
 
+  /// The changes that led to the present version and are still kept, oldest first.
+  std::vector<wire::SettingsChange> RecentChanges() const;
+
  private:
   mutable std::mutex mutex_;
   std::shared_ptr<const VersionedSettings> current_;
--- /dev/null
+++ b/control/settings_service.h
@@ -0,0 +1,55 @@
+// Settings in an entry: polls the platform, accepts operators' changes and serves /settings.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <mutex>
+
+#include "base/clock.h"
+#include "base/http_server.h"
+#include "base/result.h"
+#include "control/poll_thread.h"
+#include "control/settings_replica.h"
+#include "control/settings_store.h"
+#include "platform/platform_store.h"
+
+namespace rattanramp::control {
+
+/// Safe from any thread.
+class SettingsService {
+ public:
+  /// Called with a SettingsPush frame after this process accepted a change and applied it, for the
+  /// caller to send over all its links. Runs on an HTTP thread.
+  using PushCallback = std::function<void(const wire::Frame&)>;
+
+  /// store, replica and clock must outlive the service.
+  SettingsService(platform::PlatformStore& store, SettingsReplica& replica, const Clock& clock,
+                  PushCallback push);
+
+  /// Polls the platform every settings_poll_ms, with jitter, on a thread of its own.
+  void Start();
+  void Stop();
+
+  /// Reads what the replica lacks. Returns whether it moved. Errors: those of CatchUp.
+  Result<bool> PollOnce();
+
+  /// Commits a change; on acceptance applies it here and calls the push callback.
+  ChangeResult Change(const ChangeRequest& request);
+
+  /// Registers GET /settings, /settings/history and /settings/explain and POST /settings/changes.
+  /// The service must outlive the server.
+  void RegisterRoutes(HttpServer& server);
+
+ private:
+  Milliseconds PollInterval() const;
+
+  platform::PlatformStore& store_;
+  SettingsReplica& replica_;
+  const Clock& clock_;
+  PushCallback push_;
+  std::mutex mutex_;
+  bool poll_failed_ = false;
+  PollThread thread_;
+};
+
+}  // namespace rattanramp::control
--- /dev/null
+++ b/control/settings_store.cc
@@ -0,0 +1,405 @@
+#include "control/settings_store.h"
+
+#include <spdlog/fmt/fmt.h>
+
+#include <algorithm>
+#include <cctype>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace rattanramp::control {
+namespace {
+
+using nlohmann::json;
+
+constexpr const char* kHeadKey = "settings/head";
+constexpr const char* kSnapshotKey = "settings/snapshot";
+constexpr std::size_t kMaxChangeIdBytes = 128;
+constexpr std::size_t kMaxAuthorBytes = 256;
+/// A replica that is further behind reads the snapshot instead of single log rows.
+constexpr std::int64_t kMaxLogReads = 32;
+/// A snapshot travels in one frame of at most wire::kMaxFrameBytes.
+constexpr std::size_t kMaxSnapshotBytes = 4 * 1024 * 1024;
+/// Commits of one request, including those after a lost reply.
+constexpr int kMaxCommits = 3;
+
+std::string LogKey(std::int64_t version) { return fmt::format("settings/log/{}", version); }
+
+std::string ChangeKey(const std::string& change_id) { return "settings/changes/" + change_id; }
+
+Error Malformed(const std::string& key) {
+  return {ErrorKind::kProtocol, fmt::format("platform row {} is malformed", key),
+          "restore the row from the settings log"};
+}
+
+Result<std::int64_t> ParseVersion(const platform::Row& row) {
+  const json parsed = json::parse(row.value, nullptr, false);
+  if (!parsed.is_object() || !parsed.contains("version") ||
+      !parsed["version"].is_number_integer()) {
+    return Malformed(row.key);
+  }
+  return parsed["version"].get<std::int64_t>();
+}
+
+json ChangeToRow(const wire::SettingsChange& change) {
+  return {{"version", change.version},
+          {"change_id", change.change_id},
+          {"author", change.author},
+          {"at_unix_ms", change.at_unix_ms},
+          {"operations", json::parse(change.operations_json, nullptr, false)}};
+}
+
+Result<wire::SettingsChange> ParseChangeRow(const platform::Row& row) {
+  const json parsed = json::parse(row.value, nullptr, false);
+  const bool ok = parsed.is_object() && parsed.contains("operations") &&
+                  parsed.value("version", json()).is_number_integer() &&
+                  parsed.value("at_unix_ms", json()).is_number_integer() &&
+                  parsed.value("change_id", json()).is_string() &&
+                  parsed.value("author", json()).is_string();
+  if (!ok) {
+    return Malformed(row.key);
+  }
+  wire::SettingsChange change;
+  change.version = parsed["version"].get<std::int64_t>();
+  change.change_id = parsed["change_id"].get<std::string>();
+  change.author = parsed["author"].get<std::string>();
+  change.at_unix_ms = parsed["at_unix_ms"].get<std::int64_t>();
+  change.operations_json = parsed["operations"].dump();
+  return change;
+}
+
+Result<std::optional<wire::SettingsChange>> ReadLog(platform::PlatformStore& store,
+                                                    std::int64_t version) {
+  BOOST_OUTCOME_TRY(row, store.Read(LogKey(version)));
+  if (!row) {
+    return std::optional<wire::SettingsChange>();
+  }
+  BOOST_OUTCOME_TRY(change, ParseChangeRow(*row));
+  return std::optional<wire::SettingsChange>(std::move(change));
+}
+
+/// Version that change_id got; empty when it was not accepted so far.
+Result<std::optional<std::int64_t>> ReadChangeVersion(platform::PlatformStore& store,
+                                                      const std::string& change_id) {
+  BOOST_OUTCOME_TRY(row, store.Read(ChangeKey(change_id)));
+  if (!row) {
+    return std::optional<std::int64_t>();
+  }
+  BOOST_OUTCOME_TRY(version, ParseVersion(*row));
+  return std::optional<std::int64_t>(version);
+}
+
+Result<void> ApplySnapshotRow(platform::PlatformStore& store, SettingsReplica& replica) {
+  BOOST_OUTCOME_TRY(row, store.Read(kSnapshotKey));
+  const json parsed = row ? json::parse(row->value, nullptr, false) : json();
+  if (!row || !parsed.is_object() || !parsed.contains("tree")) {
+    return Malformed(kSnapshotKey);
+  }
+  BOOST_OUTCOME_TRY(version, ParseVersion(*row));
+  BOOST_OUTCOME_TRY(tree, settings::SettingsTree::FromJson(parsed["tree"]));
+  replica.ApplySnapshot(version, std::move(tree));
+  return Success();
+}
+
+/// Reads single log rows. Returns false when the snapshot is needed instead.
+Result<bool> ApplyLogRows(platform::PlatformStore& store, SettingsReplica& replica,
+                          std::int64_t head) {
+  wire::SettingsPush push;
+  push.version = head;
+  for (std::int64_t version = replica.version() + 1; version <= head; ++version) {
+    BOOST_OUTCOME_TRY(change, ReadLog(store, version));
+    if (!change) {
+      return false;
+    }
+    push.changes.push_back(std::move(*change));
+  }
+  return replica.Apply(push).has_value();
+}
+
+ChangeResult Refuse(ChangeOutcome outcome, Error error) {
+  ChangeResult result;
+  result.outcome = outcome;
+  result.error = std::move(error);
+  return result;
+}
+
+ChangeResult Unknown(const ChangeRequest& request, const std::string& detail) {
+  return Refuse(
+      ChangeOutcome::kUnknown,
+      {ErrorKind::kReplyLost, "it is not known whether the change was accepted: " + detail,
+       "repeat the request with change_id " + request.change_id + " and \"repeat\": true"});
+}
+
+/// The platform failed before this request wrote anything.
+ChangeResult NothingWritten(const ChangeRequest& request, const Error& error) {
+  if (request.repeat) {
+    return Unknown(request, error.message);
+  }
+  const bool down = error.kind == ErrorKind::kUnavailable || error.kind == ErrorKind::kReplyLost;
+  return Refuse(ChangeOutcome::kNotRun,
+                {error.kind, "nothing was changed: " + error.message,
+                 down ? "repeat the request when the platform is up again" : error.remedy});
+}
+
+/// Answers a request whose change is in the log already. logged is that change when it is known.
+ChangeResult Repeated(const ChangeRequest& request, std::int64_t version,
+                      const std::optional<wire::SettingsChange>& logged) {
+  if (logged && json::parse(logged->operations_json, nullptr, false) !=
+                    settings::ToJson(request.operations)) {
+    return Refuse(ChangeOutcome::kInvalid,
+                  {ErrorKind::kInvalidArgument,
+                   fmt::format("change_id {} was used for other operations (version {})",
+                               request.change_id, version),
+                   "send these operations with a new change_id"});
+  }
+  ChangeResult result;
+  result.outcome = ChangeOutcome::kAccepted;
+  result.version = version;
+  result.repeated = true;
+  return result;
+}
+
+/// As above, for a change of which only the version is known.
+ChangeResult ReadRepeated(platform::PlatformStore& store, SettingsReplica& replica,
+                          const ChangeRequest& request, std::int64_t version) {
+  const Result<std::optional<wire::SettingsChange>> logged = ReadLog(store, version);
+  // A failure here leaves the replica behind until the next poll.
+  static_cast<void>(CatchUp(store, replica));
+  return Repeated(request, version, logged ? logged.value() : std::nullopt);
+}
+
+/// The request's change when it is among the recent changes of the replica.
+std::optional<wire::SettingsChange> FindInReplica(const SettingsReplica& replica,
+                                                  const ChangeRequest& request) {
+  for (wire::SettingsChange& change : replica.RecentChanges()) {
+    if (change.change_id == request.change_id) {
+      return std::move(change);
+    }
+  }
+  return std::nullopt;
+}
+
+/// The settings have another version than the request expects.
+ChangeResult Conflict(platform::PlatformStore& store, const ChangeRequest& request,
+                      std::int64_t present_version) {
+  Result<std::optional<wire::SettingsChange>> winner = ReadLog(store, request.expected_version + 1);
+  if (!winner && request.repeat) {
+    return Unknown(request, winner.error().message);
+  }
+  ChangeResult result;
+  result.outcome = ChangeOutcome::kConflict;
+  result.version = present_version;
+  if (winner) {
+    result.winner = std::move(winner.value());
+  }
+  if (result.winner && result.winner->change_id == request.change_id) {
+    // An earlier request with this change_id took effect after the check for repeats.
+    return Repeated(request, result.winner->version, result.winner);
+  }
+  const std::string by = result.winner ? fmt::format(" by {} (change_id {})", result.winner->author,
+                                                     result.winner->change_id)
+                                       : "";
+  result.error = {ErrorKind::kConflict,
+                  fmt::format("expected_version is {}, but the settings were changed{} and have "
+                              "version {}",
+                              request.expected_version, by, present_version),
+                  "look at the newer changes, then send the change with that version and a new "
+                  "change_id"};
+  return result;
+}
+
+platform::Transaction MakeTransaction(const wire::SettingsChange& change,
+                                      const std::string& snapshot, std::int64_t head_row_version) {
+  const json version = {{"version", change.version}};
+  platform::Transaction transaction;
+  transaction.conditions = {
+      {ChangeKey(change.change_id), 0}, {kHeadKey, head_row_version}, {LogKey(change.version), 0}};
+  transaction.writes = {{ChangeKey(change.change_id), version.dump()},
+                        {kHeadKey, version.dump()},
+                        {LogKey(change.version), ChangeToRow(change).dump()},
+                        {kSnapshotKey, snapshot}};
+  return transaction;
+}
+
+/// Sends the transaction until its effect is known. A lost transaction may still arrive after the
+/// read-back; the next one has the same conditions, so that only one of them can take effect.
+ChangeResult Settle(platform::PlatformStore& store, SettingsReplica& replica,
+                    const ChangeRequest& request, const wire::SettingsChange& change,
+                    const platform::Transaction& transaction) {
+  bool may_have_run = false;
+  for (int commits = 0; commits < kMaxCommits; ++commits) {
+    const Result<platform::CommitResult> committed = store.Commit(transaction);
+    if (committed && committed.value().committed) {
+      wire::SettingsPush push;
+      push.version = change.version;
+      push.changes.push_back(change);
+      if (!replica.Apply(push)) {
+        static_cast<void>(CatchUp(store, replica));
+      }
+      ChangeResult result;
+      result.outcome = ChangeOutcome::kAccepted;
+      result.version = change.version;
+      return result;
+    }
+    if (!committed && committed.error().kind == ErrorKind::kUnavailable) {
+      return may_have_run ? Unknown(request, committed.error().message)
+                          : NothingWritten(request, committed.error());
+    }
+    may_have_run = may_have_run || !committed;
+    const Result<std::optional<std::int64_t>> version = ReadChangeVersion(store, request.change_id);
+    if (!version) {
+      return Unknown(request, version.error().message);
+    }
+    if (version.value()) {
+      return ReadRepeated(store, replica, request, *version.value());
+    }
+    if (committed) {
+      // The head moved past the condition of every transaction sent so far.
+      static_cast<void>(CatchUp(store, replica));
+      return Conflict(store, request, replica.version());
+    }
+  }
+  return Unknown(request, "the platform's replies were lost");
+}
+
+bool IsValidChangeId(const std::string& id) {
+  return !id.empty() && id.size() <= kMaxChangeIdBytes &&
+         std::all_of(id.begin(), id.end(), [](unsigned char c) {
+           return std::isalnum(c) != 0 || c == '.' || c == '_' || c == '-';
+         });
+}
+
+}  // namespace
+
+Result<ChangeRequest> ParseChangeRequest(const std::string& body) {
+  const json parsed = json::parse(body, nullptr, false);
+  const auto invalid = [](const std::string& message, const std::string& remedy) {
+    return Error{ErrorKind::kInvalidArgument, message, remedy};
+  };
+  if (!parsed.is_object()) {
+    return invalid("the change is not a JSON object",
+                   "send {\"change_id\",\"author\",\"expected_version\",\"operations\"}");
+  }
+  const json change_id = parsed.value("change_id", json());
+  if (!change_id.is_string() || !IsValidChangeId(change_id.get<std::string>())) {
+    return invalid("change_id is missing or malformed",
+                   "use 1 to 128 letters, digits, '.', '_' or '-', unique for each change");
+  }
+  const json author = parsed.value("author", json());
+  if (!author.is_string() || author.get<std::string>().empty() ||
+      author.get<std::string>().size() > kMaxAuthorBytes) {
+    return invalid("author is missing or longer than 256 bytes", "name who makes the change");
+  }
+  const json expected = parsed.value("expected_version", json());
+  if (!expected.is_number_integer() || expected.get<std::int64_t>() < 0) {
+    return invalid("expected_version is missing or malformed",
+                   "send the version from GET /settings, 0 when there are no settings yet");
+  }
+  const json repeat = parsed.value("repeat", json(false));
+  if (!repeat.is_boolean()) {
+    return invalid("repeat is not a boolean", "send true or false, or leave it out");
+  }
+  BOOST_OUTCOME_TRY(operations,
+                    settings::ParseOperations(parsed.value("operations", json::array())));
+  return ChangeRequest{change_id.get<std::string>(), author.get<std::string>(),
+                       expected.get<std::int64_t>(), std::move(operations), repeat.get<bool>()};
+}
+
+Result<SettingsHead> CatchUp(platform::PlatformStore& store, SettingsReplica& replica) {
+  BOOST_OUTCOME_TRY(row, store.Read(kHeadKey));
+  if (!row) {
+    return SettingsHead{};
+  }
+  BOOST_OUTCOME_TRY(version, ParseVersion(*row));
+  const SettingsHead head{version, row->version};
+  const std::int64_t behind = version - replica.version();
+  if (behind <= 0) {
+    return head;
+  }
+  bool applied = false;
+  if (behind <= kMaxLogReads) {
+    BOOST_OUTCOME_TRY(connected, ApplyLogRows(store, replica, version));
+    applied = connected;
+  }
+  if (!applied) {
+    BOOST_OUTCOME_TRYV(ApplySnapshotRow(store, replica));
+  }
+  return head;
+}
+
+ChangeResult CommitChange(platform::PlatformStore& store, SettingsReplica& replica,
+                          const ChangeRequest& request, const Clock& clock) {
+  const std::optional<wire::SettingsChange> known = FindInReplica(replica, request);
+  if (known) {
+    return Repeated(request, known->version, known);
+  }
+  const Result<std::optional<std::int64_t>> accepted = ReadChangeVersion(store, request.change_id);
+  if (!accepted) {
+    return NothingWritten(request, accepted.error());
+  }
+  if (accepted.value()) {
+    return ReadRepeated(store, replica, request, *accepted.value());
+  }
+  const Result<SettingsHead> head = CatchUp(store, replica);
+  if (!head) {
+    return NothingWritten(request, head.error());
+  }
+  const std::shared_ptr<const VersionedSettings> base = replica.current();
+  if (request.expected_version != base->version) {
+    return Conflict(store, request, base->version);
+  }
+  if (head.value().version < base->version) {
+    // Either the head has just moved, or the platform lost changes that are in force. A change
+    // above its head would have a version that the processes ignore.
+    return NothingWritten(request,
+                          {ErrorKind::kUnavailable,
+                           fmt::format("settings/head has version {}, but version {} is in force",
+                                       head.value().version, base->version),
+                           ""});
+  }
+  Result<settings::SettingsTree> tree = base->tree.Apply(request.operations);
+  if (!tree) {
+    return Refuse(ChangeOutcome::kInvalid, tree.error());
+  }
+  const json snapshot = {{"version", base->version + 1}, {"tree", tree.value().json()}};
+  const std::string snapshot_text = snapshot.dump();
+  if (snapshot_text.size() > kMaxSnapshotBytes) {
+    return Refuse(ChangeOutcome::kInvalid,
+                  {ErrorKind::kInvalidArgument,
+                   fmt::format("the settings would have {} bytes", snapshot_text.size()),
+                   fmt::format("keep them below {} bytes", kMaxSnapshotBytes)});
+  }
+  wire::SettingsChange change;
+  change.version = base->version + 1;
+  change.change_id = request.change_id;
+  change.author = request.author;
+  change.at_unix_ms = clock.unix_ms();
+  change.operations_json = settings::ToJson(request.operations).dump();
+  return Settle(store, replica, request, change,
+                MakeTransaction(change, snapshot_text, head.value().row_version));
+}
+
+std::vector<wire::SettingsChange> ReadHistory(platform::PlatformStore& store,
+                                              const SettingsReplica& replica, std::size_t limit) {
+  const std::int64_t newest = replica.version();
+  std::vector<wire::SettingsChange> recent = replica.RecentChanges();
+  std::vector<wire::SettingsChange> history;
+  for (std::int64_t version = newest; version > 0 && history.size() < limit; --version) {
+    const auto known = std::find_if(
+        recent.begin(), recent.end(),
+        [version](const wire::SettingsChange& change) { return change.version == version; });
+    if (known != recent.end()) {
+      history.push_back(*known);
+      continue;
+    }
+    Result<std::optional<wire::SettingsChange>> change = ReadLog(store, version);
+    if (!change || !change.value()) {
+      break;
+    }
+    history.push_back(std::move(*change.value()));
+  }
+  std::reverse(history.begin(), history.end());
+  return history;
+}
+
+}  // namespace rattanramp::control
--- /dev/null
+++ b/control/vm_directory.cc
@@ -0,0 +1,168 @@
+#include "control/vm_directory.h"
+
+#include <map>
+#include <string_view>
+#include <utility>
+
+#include "base/log.h"
+
+namespace rattanramp::control {
+namespace {
+
+/// Poll interval until the first list is known.
+constexpr Milliseconds kBootPoll{1000};
+
+using VmsById = std::map<std::string_view, const platform::Vm*>;
+
+VmsById IndexById(const platform::VmList& list) {
+  VmsById index;
+  for (const platform::Vm& vm : list.vms) {
+    index.emplace(vm.id, &vm);
+  }
+  return index;
+}
+
+bool IsSamePlace(const platform::Vm& a, const platform::Vm& b) {
+  return a.role == b.role && a.link_address == b.link_address &&
+         a.failure_domain == b.failure_domain && a.region == b.region;
+}
+
+wire::VmRecord ToRecord(const platform::Vm& vm) {
+  wire::VmRecord record;
+  record.id = vm.id;
+  record.role = vm.role == "agent" ? wire::ProcessRole::AGENT : wire::ProcessRole::ENTRY;
+  record.link_address = vm.link_address;
+  record.failure_domain = vm.failure_domain;
+  record.region = vm.region;
+  record.leaving = vm.leaving;
+  return record;
+}
+
+platform::Vm FromRecord(const wire::VmRecord& record) {
+  return {record.id,           record.role == wire::ProcessRole::AGENT ? "agent" : "entry",
+          record.link_address, record.failure_domain,
+          record.region,       record.leaving};
+}
+
+}  // namespace
+
+VmChanges CompareVmLists(const platform::VmList& before, const platform::VmList& after) {
+  const VmsById old_vms = IndexById(before);
+  const VmsById new_vms = IndexById(after);
+  VmChanges changes;
+  for (const auto& [id, vm] : old_vms) {
+    const VmsById::const_iterator next = new_vms.find(id);
+    if (next == new_vms.end() || !IsSamePlace(*vm, *next->second)) {
+      changes.removed.push_back(*vm);
+    }
+  }
+  for (const auto& [id, vm] : new_vms) {
+    const VmsById::const_iterator previous = old_vms.find(id);
+    const bool known = previous != old_vms.end() && IsSamePlace(*previous->second, *vm);
+    const bool was_leaving = known && previous->second->leaving;
+    if (!known || (was_leaving && !vm->leaving)) {
+      changes.added.push_back(*vm);
+    }
+    if (vm->leaving && !was_leaving) {
+      changes.leaving.push_back(*vm);
+    }
+  }
+  return changes;
+}
+
+VmDirectory::VmDirectory(platform::PlatformStore& store, const SettingsReplica& replica,
+                         Listener listener)
+    : store_(store),
+      replica_(replica),
+      listener_(std::move(listener)),
+      current_(std::make_shared<platform::VmList>()),
+      thread_([this] { static_cast<void>(PollOnce()); }, [this] { return PollInterval(); }) {}
+
+void VmDirectory::Start() { thread_.Start(); }
+
+void VmDirectory::Stop() { thread_.Stop(); }
+
+Result<bool> VmDirectory::PollOnce() {
+  Result<platform::VmList> list = store_.ListVms();
+  const bool failed = !list.has_value();
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (failed != platform_failed_) {
+      Log(failed ? LogLevel::kWarning : LogLevel::kInfo,
+          failed ? "vm_list_unavailable" : "vm_list_available",
+          {{"version", current_->version}, {"error", failed ? list.error().message : ""}});
+    }
+    platform_failed_ = failed;
+  }
+  if (failed) {
+    return list.error();
+  }
+  return Apply(std::move(list.value()));
+}
+
+bool VmDirectory::Apply(platform::VmList list) {
+  const std::lock_guard<std::mutex> apply_lock(apply_mutex_);
+  const std::shared_ptr<const platform::VmList> before = current();
+  if (list.version <= before->version) {
+    return false;
+  }
+  const std::shared_ptr<const platform::VmList> after =
+      std::make_shared<platform::VmList>(std::move(list));
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    current_ = after;
+  }
+  const VmChanges changes = CompareVmLists(*before, *after);
+  const bool any = !changes.added.empty() || !changes.removed.empty() || !changes.leaving.empty();
+  if (any && listener_) {
+    listener_(changes);
+  }
+  return true;
+}
+
+std::shared_ptr<const platform::VmList> VmDirectory::current() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return current_;
+}
+
+std::vector<wire::Frame> VmDirectory::OnPeerUp() const {
+  if (current()->version > 0) {
+    return {};
+  }
+  wire::VmListPull pull;
+  pull.have_version = 0;
+  wire::Frame frame;
+  frame.__set_vm_list_pull(pull);
+  return {frame};
+}
+
+std::vector<wire::Frame> VmDirectory::OnVmListPull(const wire::VmListPull& pull) const {
+  const std::shared_ptr<const platform::VmList> list = current();
+  if (list->version <= pull.have_version) {
+    return {};
+  }
+  wire::VmListPush push;
+  push.version = list->version;
+  for (const platform::Vm& vm : list->vms) {
+    push.vms.push_back(ToRecord(vm));
+  }
+  wire::Frame frame;
+  frame.__set_vm_list_push(push);
+  return {frame};
+}
+
+bool VmDirectory::OnVmListPush(const wire::VmListPush& push) {
+  platform::VmList list;
+  list.version = push.version;
+  for (const wire::VmRecord& record : push.vms) {
+    list.vms.push_back(FromRecord(record));
+  }
+  return Apply(std::move(list));
+}
+
+Milliseconds VmDirectory::PollInterval() const {
+  const Milliseconds interval(replica_.current()->tree.Resolve("", "", "").vm_poll_ms);
+  return current()->version == 0 ? std::min(interval, kBootPoll) : interval;
+}
+
+}  // namespace rattanramp::control
--- /dev/null
+++ b/tests/control/settings_service_test.cc
@@ -0,0 +1,147 @@
+#include "control/settings_service.h"
+
+#include <criterion/criterion.h>
+
+#include "control/settings_exchange.h"
+#include "tests/support/fake_platform.h"
+
+using nlohmann::json;
+using rattanramp::HttpServer;
+using rattanramp::HttpServerOptions;
+using rattanramp::ManualClock;
+using rattanramp::control::SettingsPullState;
+using rattanramp::control::SettingsReplica;
+using rattanramp::control::SettingsService;
+using rattanramp::platform::FakePlatform;
+namespace control = rattanramp::control;
+namespace wire = rattanramp::wire;
+
+namespace {
+
+/// An entry's settings with its operator port, on a platform that several entries share.
+class TestEntry {
+ public:
+  explicit TestEntry(FakePlatform& platform)
+      : service_(platform, replica, clock_,
+                 [this](const wire::Frame& frame) { pushed.push_back(frame); }) {
+    HttpServerOptions options;
+    options.address = "127.0.0.1:0";
+    server_ = std::move(HttpServer::Create(options).value());
+    service_.RegisterRoutes(*server_);
+    server_->Start();
+  }
+
+  int Post(const json& body, json& answer) {
+    httplib::Client client("127.0.0.1", server_->port());
+    const httplib::Result result =
+        client.Post("/settings/changes", body.dump(), "application/json");
+    cr_assert(result);
+    answer = json::parse(result->body);
+    return result->status;
+  }
+
+  json Get(const std::string& path) {
+    httplib::Client client("127.0.0.1", server_->port());
+    const httplib::Result result = client.Get(path);
+    cr_assert(result && result->status == 200);
+    return json::parse(result->body);
+  }
+
+  SettingsService& service() { return service_; }
+
+  SettingsReplica replica;
+  std::vector<wire::Frame> pushed;
+
+ private:
+  ManualClock clock_;
+  SettingsService service_;
+  std::unique_ptr<HttpServer> server_;
+};
+
+json SetHeartbeat(const std::string& id, std::int64_t expected, int value) {
+  const json operation = {{"op", "set"}, {"path", "/"}, {"key", "heartbeat_ms"}, {"value", value}};
+  return {{"change_id", id},
+          {"author", "ana"},
+          {"expected_version", expected},
+          {"operations", json::array({operation})}};
+}
+
+}  // namespace
+
+// Guards against a first change that fails on an empty store, and against a change that waits for
+// the next poll before it is in force at the accepting entry.
+Test(settings_service, first_change_is_in_force_at_once) {
+  FakePlatform platform;
+  TestEntry entry(platform);
+  json answer;
+  cr_assert(entry.Post(SetHeartbeat("c1", 0, 400), answer) == 200);
+  cr_assert(answer["version"] == 1);
+  cr_assert(entry.replica.current()->tree.Resolve("", "", "").heartbeat_ms == 400);
+  cr_assert(entry.pushed.size() == 1);
+  SettingsReplica agent;
+  SettingsPullState state;
+  cr_assert(control::OnSettingsPush(agent, state, entry.pushed[0].settings_push, {}).moved);
+  cr_assert(agent.version() == 1);
+}
+
+// Guards against a repeat that is applied twice or refused, at the same or another entry.
+Test(settings_service, repeat_returns_the_first_version) {
+  FakePlatform platform;
+  TestEntry first(platform);
+  TestEntry second(platform);
+  json answer;
+  cr_assert(first.Post(SetHeartbeat("c1", 0, 400), answer) == 200);
+  cr_assert(first.Post(SetHeartbeat("c2", 1, 300), answer) == 200);
+  for (TestEntry* entry : {&first, &second}) {
+    cr_assert(entry->Post(SetHeartbeat("c1", 0, 400), answer) == 200);
+    cr_assert(answer["version"] == 1 && answer["repeated"] == true);
+  }
+  cr_assert(second.replica.current()->tree.Resolve("", "", "").heartbeat_ms == 300);
+  cr_assert(first.Post(SetHeartbeat("c1", 0, 401), answer) == 400);
+}
+
+// Guards against an operator who overwrites a change that he has not seen.
+Test(settings_service, conflict_names_the_winner) {
+  FakePlatform platform;
+  TestEntry first(platform);
+  TestEntry second(platform);
+  json answer;
+  cr_assert(first.Post(SetHeartbeat("c1", 0, 400), answer) == 200);
+  cr_assert(second.Post(SetHeartbeat("c2", 0, 300), answer) == 409);
+  cr_assert(answer["error"]["winner"]["change_id"] == "c1");
+  cr_assert(answer["error"]["outcome"] == "not_run" && answer["error"]["current_version"] == 1);
+}
+
+// Guards against a claim that nothing was run when that is not known.
+Test(settings_service, says_not_run_and_unknown_truthfully) {
+  FakePlatform platform;
+  TestEntry entry(platform);
+  json answer;
+  platform.SetFault(FakePlatform::Fault::kDown);
+  json change = SetHeartbeat("c1", 0, 400);
+  cr_assert(entry.Post(change, answer) == 503);
+  cr_assert(answer["error"]["outcome"] == "not_run");
+  change["repeat"] = true;
+  cr_assert(entry.Post(change, answer) == 503);
+  cr_assert(answer["error"]["outcome"] == "unknown" && answer["error"]["change_id"] == "c1");
+}
+
+// Guards against an entry that is far behind and never catches up, and against a lost history.
+Test(settings_service, poll_catches_up_by_log_and_snapshot) {
+  FakePlatform platform;
+  TestEntry first(platform);
+  TestEntry late(platform);
+  json answer;
+  for (int i = 0; i < 3; ++i) {
+    cr_assert(first.Post(SetHeartbeat("c" + std::to_string(i), i, 100 + i), answer) == 200);
+  }
+  cr_assert(late.service().PollOnce().value());
+  cr_assert(late.Get("/settings/history?limit=2")["changes"].size() == 2);
+  for (int i = 3; i < 60; ++i) {
+    cr_assert(first.Post(SetHeartbeat("c" + std::to_string(i), i, 100 + i), answer) == 200);
+  }
+  cr_assert(late.service().PollOnce().value());
+  cr_assert(late.Get("/settings")["version"] == 60);
+  cr_assert(late.Get("/settings")["tree"]["values"]["heartbeat_ms"] == 159);
+  cr_assert(late.Get("/settings/history?limit=60")["changes"].size() == 60);
+}
