Check rules between settings keys and bound what parsers accept

Cause: a tree with lease_ms below link_dead_ms, or a language service without a model, was accepted. Deeply nested JSON would have exhausted the stack of the recursive checks. Names with '/' could not be addressed, and a node below one of the same kind could be written but never reached. A process with an older program would have stopped following the settings after the first key that it did not know. A push of many large changes could exceed the frame size.

Change: settings/rules (rules on effective values at every node), settings/bounded_json (64 levels), settings/settings_path (escapes, nearest valid path, each kind once), TreeCheck::kReplicated for accepted settings, Difference between trees, explanations with hidden values, errors that name the nearest key, member, node or path. The boot file checks addresses, URLs and object members. Property tests against a naive resolver, random input, rules.

Conclusion: what an operator sends is checked as a whole; what was accepted is followed by every process.

--- a/control/settings_replica.cc
+++ b/control/settings_replica.cc
@@ -3,17 +3,21 @@
 #include <utility>
 #include <vector>
 
+#include "settings/bounded_json.h"
+
 namespace rattanramp::control {
 namespace {
 
 /// Changes kept for peers that are slightly behind; a day has about 3,100 changes.
 constexpr std::size_t kKeptChanges = 256;
+/// A snapshot is sent instead of more bytes of changes, which would not fit into one frame.
+constexpr std::size_t kMaxChangeBytes = 1024 * 1024;
 
 Result<settings::SettingsTree> ApplyChange(const settings::SettingsTree& tree,
                                            const wire::SettingsChange& change) {
-  const nlohmann::json array = nlohmann::json::parse(change.operations_json, nullptr, false);
-  BOOST_OUTCOME_TRY(operations, settings::ParseOperations(array));
-  return tree.Apply(operations);
+  const std::optional<nlohmann::json> array = settings::ParseBoundedJson(change.operations_json);
+  BOOST_OUTCOME_TRY(operations, settings::ParseOperations(array.value_or(nlohmann::json())));
+  return tree.Apply(operations, settings::TreeCheck::kReplicated);
 }
 
 }  // namespace
@@ -39,7 +43,8 @@
 
 Result<bool> SettingsReplica::Apply(const wire::SettingsPush& push) {
   if (push.__isset.snapshot_json) {
-    BOOST_OUTCOME_TRY(tree, settings::SettingsTree::Parse(push.snapshot_json));
+    BOOST_OUTCOME_TRY(
+        tree, settings::SettingsTree::Parse(push.snapshot_json, settings::TreeCheck::kReplicated));
     return ApplySnapshot(push.version, std::move(tree));
   }
   const std::lock_guard<std::mutex> lock(mutex_);
@@ -74,8 +79,16 @@
   const std::lock_guard<std::mutex> lock(mutex_);
   wire::SettingsPush push;
   push.version = current_->version;
-  const bool connected = !changes_.empty() && changes_.front().version <= have_version + 1;
-  if (have_version < current_->version && !connected) {
+  if (have_version >= current_->version) {
+    return push;
+  }
+  bool use_changes = !changes_.empty() && changes_.front().version <= have_version + 1;
+  std::size_t bytes = 0;
+  for (const wire::SettingsChange& change : changes_) {
+    bytes += change.version > have_version ? change.operations_json.size() : 0;
+  }
+  use_changes = use_changes && bytes <= kMaxChangeBytes;
+  if (!use_changes) {
     push.__set_snapshot_json(current_->tree.json().dump());
     return push;
   }
--- a/control/settings_service.cc
+++ b/control/settings_service.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "base/log.h"
+#include "settings/schema.h"
 
 namespace rattanramp::control {
 namespace {
@@ -94,14 +95,33 @@
   json values = json::array();
   for (const settings::Explanation& explanation :
        settings.tree.Explain(service, failure_domain, model)) {
-    values.push_back(
-        {{"key", explanation.key}, {"value", explanation.value}, {"origin", explanation.origin}});
+    json overridden = json::array();
+    for (const settings::OriginValue& hidden : explanation.overridden) {
+      overridden.push_back({{"origin", hidden.origin}, {"value", hidden.value}});
+    }
+    const settings::KeySpec* spec = settings::FindKey(explanation.key);
+    values.push_back({{"key", explanation.key},
+                      {"value", explanation.value},
+                      {"unit", spec->unit},
+                      {"origin", explanation.origin},
+                      {"overridden", overridden},
+                      {"description", spec->description}});
+  }
+  json answer = {{"version", settings.version},
+                 {"service", service},
+                 {"failure_domain", failure_domain},
+                 {"model", model},
+                 {"paths", settings.tree.ResolvedPaths(service, failure_domain, model)},
+                 {"values", values}};
+  if (!service.empty() && !settings.tree.has_service(service)) {
+    const std::vector<std::string> services = settings.tree.services();
+    const std::vector<std::string_view> names(services.begin(), services.end());
+    answer["note"] = "there is no service '" + service + "'" +
+                     (names.empty() ? ""
+                                    : "; the nearest is '" +
+                                          std::string(settings::NearestName(service, names)) + "'");
   }
-  return {{"version", settings.version},
-          {"service", service},
-          {"failure_domain", failure_domain},
-          {"model", model},
-          {"values", values}};
+  return answer;
 }
 
 }  // namespace
--- a/control/settings_store.cc
+++ b/control/settings_store.cc
@@ -7,6 +7,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "settings/bounded_json.h"
+
 namespace rattanramp::control {
 namespace {
 
@@ -33,7 +35,7 @@
 }
 
 Result<std::int64_t> ParseVersion(const platform::Row& row) {
-  const json parsed = json::parse(row.value, nullptr, false);
+  const json parsed = settings::ParseBoundedJson(row.value).value_or(json());
   if (!parsed.is_object() || !parsed.contains("version") ||
       !parsed["version"].is_number_integer()) {
     return Malformed(row.key);
@@ -50,7 +52,7 @@
 }
 
 Result<wire::SettingsChange> ParseChangeRow(const platform::Row& row) {
-  const json parsed = json::parse(row.value, nullptr, false);
+  const json parsed = settings::ParseBoundedJson(row.value).value_or(json());
   const bool ok = parsed.is_object() && parsed.contains("operations") &&
                   parsed.value("version", json()).is_number_integer() &&
                   parsed.value("at_unix_ms", json()).is_number_integer() &&
@@ -91,12 +93,13 @@
 
 Result<void> ApplySnapshotRow(platform::PlatformStore& store, SettingsReplica& replica) {
   BOOST_OUTCOME_TRY(row, store.Read(kSnapshotKey));
-  const json parsed = row ? json::parse(row->value, nullptr, false) : json();
+  const json parsed = row ? settings::ParseBoundedJson(row->value).value_or(json()) : json();
   if (!row || !parsed.is_object() || !parsed.contains("tree")) {
     return Malformed(kSnapshotKey);
   }
   BOOST_OUTCOME_TRY(version, ParseVersion(*row));
-  BOOST_OUTCOME_TRY(tree, settings::SettingsTree::FromJson(parsed["tree"]));
+  BOOST_OUTCOME_TRY(
+      tree, settings::SettingsTree::FromJson(parsed["tree"], settings::TreeCheck::kReplicated));
   replica.ApplySnapshot(version, std::move(tree));
   return Success();
 }
@@ -272,7 +275,7 @@
 }  // namespace
 
 Result<ChangeRequest> ParseChangeRequest(const std::string& body) {
-  const json parsed = json::parse(body, nullptr, false);
+  const json parsed = settings::ParseBoundedJson(body).value_or(json());
   const auto invalid = [](const std::string& message, const std::string& remedy) {
     return Error{ErrorKind::kInvalidArgument, message, remedy};
   };
--- a/settings/boot_config.cc
+++ b/settings/boot_config.cc
@@ -5,26 +5,53 @@
 #include <nlohmann/json.hpp>
 #include <sstream>
 
+#include "base/http_server.h"
+#include "settings/bounded_json.h"
+#include "settings/schema.h"
+
 namespace rattanramp::settings {
 namespace {
 
 using nlohmann::json;
 
+Error Invalid(const std::string& message, const std::string& remedy) {
+  return {ErrorKind::kInvalidArgument, "boot file: " + message, remedy};
+}
+
 Result<void> CheckMembers(const json& object, const std::string& path,
                           std::initializer_list<std::string_view> known) {
   for (const auto& [name, value] : object.items()) {
     if (std::find(known.begin(), known.end(), name) == known.end()) {
-      std::string list;
-      for (const std::string_view member : known) {
-        list += (list.empty() ? "" : ", ") + std::string(member);
-      }
-      return Error{ErrorKind::kInvalidArgument, "boot file: unknown member " + path + name,
-                   "use one of " + list};
+      const std::vector<std::string_view> names(known);
+      return Invalid("unknown member " + path + name,
+                     "did you mean '" + path + std::string(NearestName(name, names)) + "'?");
     }
   }
   return Success();
 }
 
+Result<void> CheckAddress(const std::string& name, const std::string& address) {
+  if (!address.empty() && !ParseHostPort(address)) {
+    return Invalid("'" + name + "' has the value " + ShortText(address),
+                   "write HOST:PORT, for example 127.0.0.1:7000");
+  }
+  return Success();
+}
+
+Result<void> CheckUrl(const std::string& name, const std::string& url) {
+  if (!url.empty() && !url.starts_with("http://")) {
+    return Invalid("'" + name + "' has the value " + ShortText(url), "write http://HOST:PORT");
+  }
+  return Success();
+}
+
+Result<void> CheckObject(const json& object, const std::string& name) {
+  if (!object.is_object()) {
+    return Invalid("'" + name + "' must be an object", "write \"" + name + "\": {...}");
+  }
+  return Success();
+}
+
 Result<void> ReadString(const json& object, const std::string& name, std::string& target) {
   if (!object.contains(name)) {
     return Success();
@@ -56,6 +83,7 @@
 }
 
 Result<void> ReadUpstream(const json& object, UpstreamConfig& upstream) {
+  BOOST_OUTCOME_TRYV(CheckObject(object, "upstream"));
   BOOST_OUTCOME_TRYV(CheckMembers(object, "upstream.",
                                   {"url", "kind", "service", "model", "role", "checks_fencing"}));
   BOOST_OUTCOME_TRYV(ReadString(object, "url", upstream.url));
@@ -80,21 +108,30 @@
     return Error{ErrorKind::kInvalidArgument, "boot file: upstream.role is '" + upstream.role + "'",
                  "use prefill, decode or both"};
   }
-  return Success();
+  if (upstream.kind == "service" && upstream.service.empty()) {
+    return Invalid("upstream.service is missing",
+                   "name the plain service that the upstream serves");
+  }
+  return CheckUrl("upstream.url", upstream.url);
 }
 
 Result<void> ReadListen(const json& object, ListenAddresses& listen) {
+  BOOST_OUTCOME_TRYV(CheckObject(object, "listen"));
   BOOST_OUTCOME_TRYV(CheckMembers(object, "listen.", {"caller", "operator", "link", "lock"}));
   BOOST_OUTCOME_TRYV(ReadString(object, "caller", listen.caller));
   BOOST_OUTCOME_TRYV(ReadString(object, "operator", listen.operator_address));
   BOOST_OUTCOME_TRYV(ReadString(object, "link", listen.link));
-  return ReadString(object, "lock", listen.lock);
+  BOOST_OUTCOME_TRYV(ReadString(object, "lock", listen.lock));
+  BOOST_OUTCOME_TRYV(CheckAddress("listen.caller", listen.caller));
+  BOOST_OUTCOME_TRYV(CheckAddress("listen.operator", listen.operator_address));
+  BOOST_OUTCOME_TRYV(CheckAddress("listen.link", listen.link));
+  return CheckAddress("listen.lock", listen.lock);
 }
 
 }  // namespace
 
 Result<BootConfig> BootConfig::Parse(std::string_view text) {
-  const json root = json::parse(text, nullptr, false);
+  const json root = ParseBoundedJson(text).value_or(json());
   if (!root.is_object()) {
     return Error{ErrorKind::kInvalidArgument, "boot file is not a JSON object",
                  "check the text with a JSON validator"};
@@ -113,6 +150,13 @@
     return Error{ErrorKind::kInvalidArgument, "boot file: 'id' is missing",
                  "give the process a name that no other process has"};
   }
+  BOOST_OUTCOME_TRYV(CheckUrl("platform_url", config.platform_url));
+  for (const std::string& address : config.peers) {
+    BOOST_OUTCOME_TRYV(CheckAddress("peers", address));
+  }
+  for (const std::string& address : config.upstreams) {
+    BOOST_OUTCOME_TRYV(CheckAddress("upstreams", address));
+  }
   if (root.contains("listen")) {
     BOOST_OUTCOME_TRYV(ReadListen(root["listen"], config.listen));
   }
--- a/settings/schema.cc
+++ b/settings/schema.cc
@@ -6,6 +6,9 @@
 #include <array>
 #include <numeric>
 
+#include "settings/bounded_json.h"
+#include "settings/settings.h"
+
 namespace rattanramp::settings {
 namespace {
 
@@ -122,21 +125,8 @@
          fmt::format("|{}|", choices).find(fmt::format("|{}|", value)) != std::string::npos;
 }
 
-std::string Allowed(const KeySpec& spec) {
-  switch (spec.type) {
-    case ValueType::kBoolean:
-      return "true or false";
-    case ValueType::kInteger:
-      return fmt::format("an integer from {} to {} {}", spec.min, spec.max, spec.unit);
-    case ValueType::kNumber:
-      return fmt::format("a number from {} to {} {}", spec.min, spec.max, spec.unit);
-    case ValueType::kString:
-      return "a string";
-    case ValueType::kChoice:
-      return fmt::format("one of {}", spec.choices);
-  }
-  return "";
-}
+/// Longest name that is compared; longer ones come from random input only.
+constexpr std::size_t kMaxComparedBytes = 256;
 
 }  // namespace
 
@@ -148,18 +138,71 @@
   return found == kKeys.end() ? nullptr : found;
 }
 
+std::string_view NearestName(std::string_view name, std::span<const std::string_view> candidates) {
+  const std::string_view compared = name.substr(0, kMaxComparedBytes);
+  std::string_view nearest;
+  std::size_t smallest = std::string_view::npos;
+  for (const std::string_view candidate : candidates) {
+    const std::size_t distance = EditDistance(candidate, compared);
+    if (distance < smallest) {
+      smallest = distance;
+      nearest = candidate;
+    }
+  }
+  return nearest;
+}
+
 std::string_view NearestKey(std::string_view name) {
-  return std::min_element(kKeys.begin(), kKeys.end(),
-                          [name](const KeySpec& a, const KeySpec& b) {
-                            return EditDistance(a.name, name) < EditDistance(b.name, name);
-                          })
-      ->name;
+  std::array<std::string_view, kKeys.size()> names;
+  std::transform(kKeys.begin(), kKeys.end(), names.begin(),
+                 [](const KeySpec& spec) { return spec.name; });
+  return NearestName(name, names);
+}
+
+bool HasKeyType(std::string_view key, const nlohmann::json& value) {
+  const KeySpec* spec = FindKey(key);
+  return spec != nullptr && HasType(*spec, value);
+}
+
+std::string AllowedValues(const KeySpec& spec) {
+  switch (spec.type) {
+    case ValueType::kBoolean:
+      return "true or false";
+    case ValueType::kInteger:
+      return fmt::format("an integer from {:.0f} to {:.0f}", spec.min, spec.max);
+    case ValueType::kNumber:
+      return fmt::format("a number from {} to {}", spec.min, spec.max);
+    case ValueType::kString:
+      return "a string";
+    case ValueType::kChoice: {
+      std::string text(spec.choices);
+      for (std::size_t bar = text.find('|'); bar != std::string::npos; bar = text.find('|')) {
+        text.replace(bar, 1, " or ");
+      }
+      return text;
+    }
+  }
+  return "";
+}
+
+std::string KeysAsMarkdown() {
+  const nlohmann::json defaults = Settings();
+  std::string text = "| key | unit | default | allowed | meaning |\n|---|---|---|---|---|\n";
+  for (const KeySpec& spec : kKeys) {
+    const nlohmann::json& value = defaults.at(std::string(spec.name));
+    const bool is_empty_text = value.is_string() && value.get_ref<const std::string&>().empty();
+    const std::string shown = is_empty_text ? "" : fmt::format("`{}`", value.dump());
+    text += fmt::format("| `{}` | {} | {} | {} | {} |\n", spec.name, spec.unit, shown,
+                        AllowedValues(spec), spec.description);
+  }
+  return text;
 }
 
 Result<void> CheckValue(std::string_view path, std::string_view key, const nlohmann::json& value) {
   const KeySpec* spec = FindKey(key);
   if (spec == nullptr) {
-    return Error{ErrorKind::kInvalidArgument, fmt::format("{}: unknown key '{}'", path, key),
+    return Error{ErrorKind::kInvalidArgument,
+                 fmt::format("{}: unknown key '{}'", path, key.substr(0, kMaxComparedBytes)),
                  fmt::format("did you mean '{}'?", NearestKey(key))};
   }
   bool ok = HasType(*spec, value);
@@ -172,8 +215,9 @@
   }
   if (!ok) {
     return Error{ErrorKind::kInvalidArgument,
-                 fmt::format("{}: {} has the value {}", path, key, value.dump()),
-                 fmt::format("set it to {}", Allowed(*spec))};
+                 fmt::format("{}: {} has the value {}", path, key, ShortText(value)),
+                 fmt::format("set it to {}{}{}", AllowedValues(*spec),
+                             spec->unit.empty() ? "" : " ", spec->unit)};
   }
   return Success();
 }
--- a/settings/schema.h
+++ b/settings/schema.h
@@ -31,9 +31,22 @@
 /// nullptr when the key does not exist.
 const KeySpec* FindKey(std::string_view name);
 
+/// Candidate with the smallest edit distance to name; the first of equals, empty without
+/// candidates.
+std::string_view NearestName(std::string_view name, std::span<const std::string_view> candidates);
+
 /// Existing key with the smallest edit distance to name.
 std::string_view NearestKey(std::string_view name);
 
+/// Whether the value of an existing key has the JSON type of that key. Ranges are not checked.
+bool HasKeyType(std::string_view key, const nlohmann::json& value);
+
+/// Values that a key allows, in words and without the unit, for example "an integer from 1 to 20".
+std::string AllowedValues(const KeySpec& spec);
+
+/// Markdown table of all keys with unit, default, allowed values and description.
+std::string KeysAsMarkdown();
+
 /// Checks one value. The error names path, key, value, what is allowed and, for an unknown key, the
 /// nearest valid one. Error: kInvalidArgument.
 Result<void> CheckValue(std::string_view path, std::string_view key, const nlohmann::json& value);
--- a/settings/settings_tree.cc
+++ b/settings/settings_tree.cc
@@ -5,47 +5,44 @@
 #include <array>
 #include <utility>
 
+#include "settings/bounded_json.h"
+#include "settings/rules.h"
 #include "settings/schema.h"
+#include "settings/settings_path.h"
 
 namespace rattanramp::settings {
 namespace {
 
-constexpr std::array<std::string_view, 3> kChildKinds = {"services", "failure_domains", "models"};
+using nlohmann::json;
 
 struct Step {
   std::string path;
-  const nlohmann::json* node;
+  const json* node;
 };
 
-bool IsChildKind(std::string_view name) {
-  return std::find(kChildKinds.begin(), kChildKinds.end(), name) != kChildKinds.end();
-}
-
-const nlohmann::json* FindChild(const nlohmann::json& node, std::string_view kind,
-                                std::string_view name) {
+const json* FindChild(const json& node, std::string_view kind, std::string_view name) {
   if (name.empty()) {
     return nullptr;
   }
-  const auto children = node.find(std::string(kind));
+  const json::const_iterator children = node.find(std::string(kind));
   if (children == node.end()) {
     return nullptr;
   }
-  const auto child = children->find(std::string(name));
+  const json::const_iterator child = children->find(std::string(name));
   return child == children->end() ? nullptr : &*child;
 }
 
-std::vector<Step> Walk(const nlohmann::json& root, std::string_view service,
-                       std::string_view failure_domain, std::string_view model) {
+std::vector<Step> Walk(const json& root, std::string_view service, std::string_view failure_domain,
+                       std::string_view model) {
   const std::array<std::string_view, 3> names = {service, failure_domain, model};
   std::vector<Step> steps = {{"/", &root}};
   for (bool moved = true; moved;) {
     moved = false;
     const Step current = steps.back();
     for (std::size_t i = 0; i < kChildKinds.size() && !moved; ++i) {
-      const nlohmann::json* child = FindChild(*current.node, kChildKinds[i], names[i]);
+      const json* child = FindChild(*current.node, kChildKinds[i], names[i]);
       if (child != nullptr) {
-        const std::string prefix = current.path == "/" ? "" : current.path;
-        steps.push_back({fmt::format("{}/{}/{}", prefix, kChildKinds[i], names[i]), child});
+        steps.push_back({JoinPath(current.path, kChildKinds[i], names[i]), child});
         moved = true;
       }
     }
@@ -53,104 +50,273 @@
   return steps;
 }
 
-Result<void> CheckNode(const nlohmann::json& node, const std::string& path) {
+/// Calls visit(path, node) for a node and all nodes below it, parents first.
+template <typename Visitor>
+void ForEachNode(const json& node, const std::string& path, const Visitor& visit) {
+  visit(path, node);
+  for (const std::string_view kind : kChildKinds) {
+    const json::const_iterator children = node.find(std::string(kind));
+    if (children == node.end()) {
+      continue;
+    }
+    for (const auto& [name, child] : children->items()) {
+      ForEachNode(child, JoinPath(path, kind, name), visit);
+    }
+  }
+}
+
+/// Place of a node in the tree and what it inherits.
+struct NodeContext {
+  std::string path;
+  /// Values of all nodes above.
+  json inherited = json::object();
+  /// Kinds of the steps of the path.
+  std::vector<std::string> kinds;
+};
+
+Result<void> CheckNode(const json& node, const NodeContext& context, TreeCheck check);
+
+Result<void> CheckValues(const json& values, const NodeContext& context, TreeCheck check) {
+  for (const auto& [key, value] : values.items()) {
+    const bool known = FindKey(key) != nullptr;
+    if (check == TreeCheck::kFull || (known && !HasKeyType(key, value))) {
+      BOOST_OUTCOME_TRYV(CheckValue(context.path, key, value));
+    }
+  }
+  return Success();
+}
+
+Result<void> CheckChildren(const std::string& kind, const json& children,
+                           const NodeContext& context, TreeCheck check) {
+  if (std::find(context.kinds.begin(), context.kinds.end(), kind) != context.kinds.end()) {
+    return Error{
+        ErrorKind::kInvalidArgument,
+        fmt::format("{}: '{}' is used again below a node of the same kind", context.path, kind),
+        "name each kind once on the way from the root"};
+  }
+  for (const auto& [name, child] : children.items()) {
+    if (name.empty()) {
+      return Error{ErrorKind::kInvalidArgument,
+                   fmt::format("{}: a name in '{}' is empty", context.path, kind),
+                   "give the node a name"};
+    }
+    NodeContext below = context;
+    below.path = JoinPath(context.path, kind, name);
+    below.kinds.push_back(kind);
+    BOOST_OUTCOME_TRYV(CheckNode(child, below, check));
+  }
+  return Success();
+}
+
+Result<void> CheckNode(const json& node, const NodeContext& context, TreeCheck check) {
   if (!node.is_object()) {
-    return Error{ErrorKind::kInvalidArgument, path + ": a node must be an object",
+    return Error{ErrorKind::kInvalidArgument, context.path + ": a node must be an object",
                  "write {\"values\": {...}}"};
   }
   for (const auto& [member, content] : node.items()) {
-    if (!content.is_object()) {
-      return Error{ErrorKind::kInvalidArgument, path + ": '" + member + "' must be an object",
-                   "use values, services, failure_domains or models with an object each"};
-    }
-    if (member == "values") {
-      for (const auto& [key, value] : content.items()) {
-        BOOST_OUTCOME_TRYV(CheckValue(path, key, value));
-      }
+    const bool known = member == "values" || IsChildKind(member);
+    if (!known && check == TreeCheck::kReplicated) {
       continue;
     }
-    if (!IsChildKind(member)) {
-      return Error{ErrorKind::kInvalidArgument, path + ": unknown member '" + member + "'",
-                   "use values, services, failure_domains or models"};
+    if (!known) {
+      constexpr std::array<std::string_view, 4> kMembers = {"values", "services", "failure_domains",
+                                                            "models"};
+      const std::string remedy =
+          FindKey(member) != nullptr
+              ? fmt::format("write the key into \"values\" of {}", context.path)
+              : fmt::format("did you mean '{}'?", NearestName(member, kMembers));
+      return Error{ErrorKind::kInvalidArgument,
+                   fmt::format("{}: unknown member '{}'", context.path, member), remedy};
     }
-    for (const auto& [name, child] : content.items()) {
-      const std::string prefix = path == "/" ? "" : path;
-      BOOST_OUTCOME_TRYV(CheckNode(child, fmt::format("{}/{}/{}", prefix, member, name)));
+    if (!content.is_object()) {
+      return Error{ErrorKind::kInvalidArgument,
+                   fmt::format("{}: '{}' must be an object", context.path, member),
+                   fmt::format("write \"{}\": {{...}}", member)};
+    }
+  }
+  NodeContext below = context;
+  if (node.contains("values")) {
+    BOOST_OUTCOME_TRYV(CheckValues(node["values"], context, check));
+    below.inherited.update(node["values"]);
+  }
+  if (check == TreeCheck::kFull) {
+    const bool is_service =
+        std::find(context.kinds.begin(), context.kinds.end(), "services") != context.kinds.end();
+    BOOST_OUTCOME_TRYV(CheckRules(context.path, below.inherited.get<Settings>(), is_service));
+  }
+  for (const std::string_view kind : kChildKinds) {
+    const std::string member(kind);
+    if (node.contains(member)) {
+      BOOST_OUTCOME_TRYV(CheckChildren(member, node[member], below, check));
     }
   }
   return Success();
 }
 
-/// Splits "/services/verdicts" into its parts. The root has none.
-Result<std::vector<std::string>> SplitPath(const std::string& path) {
-  std::vector<std::string> parts;
-  std::size_t begin = 1;
-  bool ok = !path.empty() && path.front() == '/';
-  while (ok && begin < path.size()) {
-    const std::size_t slash = std::min(path.find('/', begin), path.size());
-    parts.push_back(path.substr(begin, slash - begin));
-    ok = !parts.back().empty();
-    begin = slash + 1;
+/// Removes empty member objects, so that equal settings have equal trees. Nodes stay, also empty
+/// ones: a service without values exists.
+void Normalise(json& node) {
+  for (const std::string_view kind : kChildKinds) {
+    const json::iterator children = node.find(std::string(kind));
+    if (children == node.end()) {
+      continue;
+    }
+    for (json& child : *children) {
+      Normalise(child);
+    }
+    if (children->empty()) {
+      node.erase(children);
+    }
   }
-  ok = ok && parts.size() % 2 == 0;
-  for (std::size_t i = 0; ok && i < parts.size(); i += 2) {
-    ok = IsChildKind(parts[i]);
+  const json::iterator values = node.find("values");
+  if (values != node.end() && values->empty()) {
+    node.erase(values);
   }
-  if (!ok) {
-    return Error{ErrorKind::kInvalidArgument, "bad settings path '" + path + "'",
-                 "write / or pairs such as /services/NAME/failure_domains/NAME/models/NAME"};
+}
+
+std::string NearestPath(const json& root, const std::string& path) {
+  std::vector<std::string> paths;
+  ForEachNode(root, "/", [&paths](const std::string& found, const json&) {
+    if (found != "/") {
+      paths.push_back(found);
+    }
+  });
+  if (paths.empty()) {
+    return "the tree has no nodes below /";
   }
-  return parts;
+  const std::vector<std::string_view> views(paths.begin(), paths.end());
+  return fmt::format("did you mean '{}'?", NearestName(path, views));
 }
 
-Result<void> ApplyOne(nlohmann::json& root, const Operation& operation) {
-  BOOST_OUTCOME_TRY(parts, SplitPath(operation.path));
-  nlohmann::json* node = &root;
-  for (std::size_t i = 0; i < parts.size(); i += 2) {
-    if (operation.unset && FindChild(*node, parts[i], parts[i + 1]) == nullptr) {
+Result<void> Unset(json& root, const std::vector<PathStep>& steps, const Operation& operation) {
+  if (steps.empty() && operation.key.empty()) {
+    return Error{ErrorKind::kInvalidArgument, "the root node cannot be removed",
+                 "name a key or a node below the root"};
+  }
+  json* node = &root;
+  for (const PathStep& step : steps) {
+    if (FindChild(*node, step.kind, step.name) == nullptr) {
       return Error{ErrorKind::kNotFound, "no settings node " + operation.path,
-                   "check the path with 'settings get'"};
+                   NearestPath(root, operation.path)};
     }
-    if (operation.unset && operation.key.empty() && i + 2 == parts.size()) {
-      (*node)[parts[i]].erase(parts[i + 1]);
+    if (operation.key.empty() && &step == &steps.back()) {
+      (*node)[step.kind].erase(step.name);
       return Success();
     }
-    node = &(*node)[parts[i]][parts[i + 1]];
+    node = &(*node)[step.kind][step.name];
+  }
+  if (node->contains("values") && (*node)["values"].erase(operation.key) > 0) {
+    return Success();
+  }
+  const std::string remedy = FindKey(operation.key) != nullptr
+                                 ? "use 'settings explain' to see which node sets it"
+                                 : fmt::format("did you mean '{}'?", NearestKey(operation.key));
+  return Error{ErrorKind::kNotFound,
+               fmt::format("'{}' is not set at {}", operation.key, operation.path), remedy};
+}
+
+void Set(json& root, const std::vector<PathStep>& steps, const Operation& operation) {
+  json* node = &root;
+  for (const PathStep& step : steps) {
+    node = &(*node)[step.kind][step.name];
     if (node->is_null()) {
-      *node = nlohmann::json::object();
+      *node = json::object();
     }
   }
-  if (operation.unset) {
-    if (operation.key.empty()) {
-      return Error{ErrorKind::kInvalidArgument, "the root node cannot be removed",
-                   "name a key or a node below the root"};
+  if (!operation.key.empty()) {
+    (*node)["values"][operation.key] = operation.value;
+  }
+}
+
+/// Appends the edits that turn the node at path, which exists in both trees, from one into the
+/// other.
+void AppendDifference(const json& from, const json& to, const std::string& path,
+                      std::vector<Operation>& operations) {
+  const json no_values = json::object();
+  const json& old_values = from.contains("values") ? from["values"] : no_values;
+  const json& new_values = to.contains("values") ? to["values"] : no_values;
+  for (const auto& [key, value] : old_values.items()) {
+    if (!new_values.contains(key)) {
+      operations.push_back({path, key, json(), true});
     }
-    if (!node->contains("values") || (*node)["values"].erase(operation.key) == 0) {
-      return Error{ErrorKind::kNotFound, "'" + operation.key + "' is not set at " + operation.path,
-                   "use 'settings explain' to see which node sets it"};
+  }
+  for (const auto& [key, value] : new_values.items()) {
+    if (!old_values.contains(key) || old_values[key] != value) {
+      operations.push_back({path, key, value, false});
     }
-    return Success();
   }
-  if (!operation.key.empty()) {
-    BOOST_OUTCOME_TRYV(CheckValue(operation.path, operation.key, operation.value));
-    (*node)["values"][operation.key] = operation.value;
+  for (const std::string_view kind : kChildKinds) {
+    const std::string member(kind);
+    const json& old_children = from.contains(member) ? from[member] : no_values;
+    const json& new_children = to.contains(member) ? to[member] : no_values;
+    for (const auto& [name, child] : old_children.items()) {
+      if (!new_children.contains(name)) {
+        operations.push_back({JoinPath(path, kind, name), "", json(), true});
+      }
+    }
+    for (const auto& [name, child] : new_children.items()) {
+      const std::string child_path = JoinPath(path, kind, name);
+      const bool existed = old_children.contains(name);
+      if (!existed) {
+        operations.push_back({child_path, "", json(), false});
+      }
+      AppendDifference(existed ? old_children[name] : no_values, child, child_path, operations);
+    }
   }
-  return Success();
+}
+
+Result<Operation> ParseOperation(const json& item, std::size_t index) {
+  const auto malformed = [index](const std::string& problem) {
+    return Error{ErrorKind::kInvalidArgument, fmt::format("operation {}: {}", index + 1, problem),
+                 "write {\"op\":\"set\"|\"unset\",\"path\",\"key\",\"value\"}"};
+  };
+  if (!item.is_object()) {
+    return malformed("it is not an object");
+  }
+  constexpr std::array<std::string_view, 4> kMembers = {"op", "path", "key", "value"};
+  for (const auto& [member, value] : item.items()) {
+    if (std::find(kMembers.begin(), kMembers.end(), member) == kMembers.end()) {
+      return malformed(fmt::format("unknown member '{}'; did you mean '{}'?", member,
+                                   NearestName(member, kMembers)));
+    }
+  }
+  const json op = item.value("op", json());
+  if (op != "set" && op != "unset") {
+    return malformed("'op' must be set or unset");
+  }
+  const json path = item.value("path", json());
+  if (!path.is_string()) {
+    return malformed("'path' must be a string");
+  }
+  const json key = item.value("key", json(""));
+  if (!key.is_string()) {
+    return malformed("'key' must be a string");
+  }
+  const bool is_unset = op == "unset";
+  const bool has_key = !key.get_ref<const std::string&>().empty();
+  if (!is_unset && has_key && !item.contains("value")) {
+    return malformed("'value' is missing");
+  }
+  if (!is_unset && !has_key && item.contains("value") && !item["value"].is_null()) {
+    return malformed("'value' needs a 'key'");
+  }
+  return Operation{path, key, item.value("value", json()), is_unset};
 }
 
 }  // namespace
 
-Result<SettingsTree> SettingsTree::Parse(std::string_view text) {
-  nlohmann::json root = nlohmann::json::parse(text, nullptr, false);
-  if (root.is_discarded()) {
-    return Error{ErrorKind::kInvalidArgument, "settings are not valid JSON",
+Result<SettingsTree> SettingsTree::Parse(std::string_view text, TreeCheck check) {
+  std::optional<nlohmann::json> root = ParseBoundedJson(text);
+  if (!root) {
+    return Error{ErrorKind::kInvalidArgument, "settings are not valid JSON, or nest too deep",
                  "check the text with a JSON validator"};
   }
-  return FromJson(std::move(root));
+  return FromJson(std::move(*root), check);
 }
 
-Result<SettingsTree> SettingsTree::FromJson(nlohmann::json root) {
-  BOOST_OUTCOME_TRYV(CheckNode(root, "/"));
+Result<SettingsTree> SettingsTree::FromJson(nlohmann::json root, TreeCheck check) {
+  BOOST_OUTCOME_TRYV(CheckNode(root, {"/", nlohmann::json::object(), {}}, check));
+  Normalise(root);
   SettingsTree tree;
   tree.root_ = std::move(root);
   return tree;
@@ -175,9 +341,11 @@
   std::vector<Explanation> explanations;
   for (const KeySpec& spec : Keys()) {
     const std::string key(spec.name);
-    Explanation explanation{key, defaults.at(key), "default"};
+    Explanation explanation{key, defaults.at(key), "default", {}};
     for (const Step& step : steps) {
       if (step.node->contains("values") && (*step.node)["values"].contains(key)) {
+        explanation.overridden.insert(explanation.overridden.begin(),
+                                      {explanation.origin, explanation.value});
         explanation.value = (*step.node)["values"][key];
         explanation.origin = step.path;
       }
@@ -187,6 +355,16 @@
   return explanations;
 }
 
+std::vector<std::string> SettingsTree::ResolvedPaths(std::string_view service,
+                                                     std::string_view failure_domain,
+                                                     std::string_view model) const {
+  std::vector<std::string> paths;
+  for (const Step& step : Walk(root_, service, failure_domain, model)) {
+    paths.push_back(step.path);
+  }
+  return paths;
+}
+
 std::vector<std::string> SettingsTree::services() const {
   std::vector<std::string> names;
   if (root_.contains("services")) {
@@ -201,32 +379,42 @@
   return FindChild(root_, "services", name) != nullptr;
 }
 
-Result<SettingsTree> SettingsTree::Apply(const std::vector<Operation>& operations) const {
+std::vector<std::string> SettingsTree::Paths() const {
+  std::vector<std::string> paths;
+  ForEachNode(root_, "/",
+              [&paths](const std::string& path, const nlohmann::json&) { paths.push_back(path); });
+  return paths;
+}
+
+Result<SettingsTree> SettingsTree::Apply(const std::vector<Operation>& operations,
+                                         TreeCheck check) const {
   nlohmann::json root = root_;
   for (const Operation& operation : operations) {
-    BOOST_OUTCOME_TRYV(ApplyOne(root, operation));
+    BOOST_OUTCOME_TRY(steps, SplitPath(operation.path));
+    if (operation.unset) {
+      BOOST_OUTCOME_TRYV(Unset(root, steps, operation));
+    } else {
+      Set(root, steps, operation);
+    }
   }
-  return FromJson(std::move(root));
+  return FromJson(std::move(root), check);
+}
+
+std::vector<Operation> Difference(const SettingsTree& from, const SettingsTree& to) {
+  std::vector<Operation> operations;
+  AppendDifference(from.json(), to.json(), "/", operations);
+  return operations;
 }
 
 Result<std::vector<Operation>> ParseOperations(const nlohmann::json& array) {
-  const Error malformed{ErrorKind::kInvalidArgument, "operations are malformed",
-                        "send an array of {\"op\":\"set\"|\"unset\",\"path\",\"key\",\"value\"}"};
   if (!array.is_array() || array.empty()) {
-    return malformed;
+    return Error{ErrorKind::kInvalidArgument, "operations must be a non-empty array",
+                 "send an array of {\"op\":\"set\"|\"unset\",\"path\",\"key\",\"value\"}"};
   }
   std::vector<Operation> operations;
-  for (const nlohmann::json& item : array) {
-    if (!item.is_object() || !item.contains("path") || !item["path"].is_string()) {
-      return malformed;
-    }
-    const nlohmann::json op = item.value("op", nlohmann::json());
-    const nlohmann::json key = item.value("key", nlohmann::json(""));
-    if ((op != "set" && op != "unset") || !key.is_string() ||
-        (op == "set" && !key.get<std::string>().empty() && !item.contains("value"))) {
-      return malformed;
-    }
-    operations.push_back({item["path"], key, item.value("value", nlohmann::json()), op == "unset"});
+  for (std::size_t i = 0; i < array.size(); ++i) {
+    BOOST_OUTCOME_TRY(operation, ParseOperation(array[i], i));
+    operations.push_back(std::move(operation));
   }
   return operations;
 }
@@ -237,7 +425,7 @@
     nlohmann::json item = {{"op", operation.unset ? "unset" : "set"},
                            {"path", operation.path},
                            {"key", operation.key}};
-    if (!operation.unset) {
+    if (!operation.unset && !operation.key.empty()) {
       item["value"] = operation.value;
     }
     array.push_back(std::move(item));
--- a/settings/settings_tree.h
+++ b/settings/settings_tree.h
@@ -16,7 +16,8 @@
 
 namespace rattanramp::settings {
 
-/// One edit of a tree. Without a value the key is unset; without a key the whole node is removed.
+/// One edit of a tree. Without a value the key is unset; without a key the whole node is created or
+/// removed.
 struct Operation {
   std::string path;
   std::string key;
@@ -24,11 +25,29 @@
   bool unset = false;
 };
 
-/// Effective value of a key and the node that it comes from ("default" for the built-in one).
+/// Value of a key at one node ("default" for the built-in one).
+struct OriginValue {
+  std::string origin;
+  nlohmann::json value;
+};
+
+/// Effective value of a key, the node that it comes from and the values that it hides.
 struct Explanation {
   std::string key;
   nlohmann::json value;
   std::string origin;
+  /// Values of the nodes above the origin, nearest first; the last one is the default.
+  std::vector<OriginValue> overridden;
+};
+
+/// How much of a tree is checked.
+enum class TreeCheck {
+  /// For what operators send: keys, types, ranges, rules between keys.
+  kFull,
+  /// For accepted settings that arrive from the platform or a peer. An entry with a newer program
+  /// may have accepted keys, choices and ranges that this program does not know; they are kept and
+  /// have no effect here.
+  kReplicated,
 };
 
 class SettingsTree {
@@ -36,8 +55,9 @@
   SettingsTree() = default;
 
   /// Parses and checks a tree. Error: kInvalidArgument with path, key, value and remedy.
-  static Result<SettingsTree> Parse(std::string_view text);
-  static Result<SettingsTree> FromJson(nlohmann::json root);
+  static Result<SettingsTree> Parse(std::string_view text, TreeCheck check = TreeCheck::kFull);
+  /// Empty "values", "services", "failure_domains" and "models" objects are left out.
+  static Result<SettingsTree> FromJson(nlohmann::json root, TreeCheck check = TreeCheck::kFull);
 
   /// Effective settings. From the root on, each step goes to the child for the service, else the
   /// failure domain, else the model, as long as one exists. Empty names match nothing.
@@ -48,12 +68,21 @@
   std::vector<Explanation> Explain(std::string_view service, std::string_view failure_domain,
                                    std::string_view model) const;
 
+  /// Paths of the nodes that Resolve takes values from, the root first.
+  std::vector<std::string> ResolvedPaths(std::string_view service, std::string_view failure_domain,
+                                         std::string_view model) const;
+
   /// Names of the services below the root.
   std::vector<std::string> services() const;
   bool has_service(std::string_view name) const;
 
-  /// Tree with the edits applied in order and checked. Errors: kInvalidArgument, kNotFound.
-  Result<SettingsTree> Apply(const std::vector<Operation>& operations) const;
+  /// Paths of all nodes, parents before children.
+  std::vector<std::string> Paths() const;
+
+  /// Tree with the edits applied in order; the result is checked as a whole. Errors:
+  /// kInvalidArgument, kNotFound (an unset names nothing that exists).
+  Result<SettingsTree> Apply(const std::vector<Operation>& operations,
+                             TreeCheck check = TreeCheck::kFull) const;
 
   const nlohmann::json& json() const { return root_; }
 
@@ -61,6 +90,9 @@
   nlohmann::json root_ = nlohmann::json::object();
 };
 
+/// Edits that turn one tree into another.
+std::vector<Operation> Difference(const SettingsTree& from, const SettingsTree& to);
+
 /// Reads operations from a JSON array of {"op","path","key","value"}. Error: kInvalidArgument.
 Result<std::vector<Operation>> ParseOperations(const nlohmann::json& array);
 nlohmann::json ToJson(const std::vector<Operation>& operations);
--- /dev/null
+++ b/tests/settings/schema_test.cc
@@ -0,0 +1,34 @@
+#include "settings/schema.h"
+
+#include <criterion/criterion.h>
+
+#include "settings/settings.h"
+
+using nlohmann::json;
+namespace settings = rattanramp::settings;
+
+// Guards against a key without a member in Settings (it would have no effect), a member without a
+// key (it could not be set), and a default that operators could not set again.
+Test(schema, keys_and_members_agree) {
+  const json defaults = settings::Settings();
+  cr_assert(defaults.size() == settings::Keys().size());
+  for (const settings::KeySpec& spec : settings::Keys()) {
+    const std::string key(spec.name);
+    cr_assert(defaults.contains(key), "%s", key.c_str());
+    cr_assert(settings::CheckValue("/", key, defaults[key]).has_value(), "%s", key.c_str());
+  }
+}
+
+// Guards against values of a wrong type, out of range or not among the choices being accepted.
+Test(schema, refuses_bad_values) {
+  const std::vector<std::pair<std::string, json>> bad = {
+      {"heartbeat_ms", 9},   {"heartbeat_ms", 60'001},     {"heartbeat_ms", 100.5},
+      {"heartbeat_ms", "a"}, {"heartbeat_ms", UINT64_MAX}, {"transfer_slack", 0.5},
+      {"repeatable", 1},     {"kind", "planned"},          {"kind", "language|plain"},
+      {"kind", ""},          {"model", json::object()},    {"model", nullptr}};
+  for (const auto& [key, value] : bad) {
+    const rattanramp::Result<void> checked = settings::CheckValue("/services/a", key, value);
+    cr_assert(!checked.has_value(), "%s", key.c_str());
+    cr_assert(checked.error().message.find("/services/a: " + key) != std::string::npos);
+  }
+}
--- /dev/null
+++ b/tests/settings/settings_tree_test.cc
@@ -0,0 +1,228 @@
+#include "settings/settings_tree.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+#include <map>
+
+#include "settings/bounded_json.h"
+#include "settings/settings_path.h"
+
+using nlohmann::json;
+using rattanramp::Error;
+using rattanramp::Result;
+using rattanramp::settings::Explanation;
+using rattanramp::settings::Operation;
+using rattanramp::settings::SettingsTree;
+namespace settings = rattanramp::settings;
+
+namespace {
+
+/// Names include the characters that paths escape.
+const std::vector<std::string> kNames = {"a", "b", "x/y", "~1"};
+const std::vector<std::string> kKinds = {"services", "failure_domains", "models"};
+const std::vector<std::string> kKeys = {"priority", "crash_limit", "max_attempts"};
+
+/// Naive form of a tree: the steps of each node, joined by newlines, and its values.
+using NaiveTree = std::map<std::string, std::map<std::string, int>>;
+
+rc::Gen<Operation> AnyOperation() {
+  return rc::gen::exec([] {
+    std::string path;
+    std::vector<std::string> kinds = kKinds;
+    const int depth = *rc::gen::inRange(0, 4);
+    for (int i = 0; i < depth; ++i) {
+      const std::size_t at = *rc::gen::inRange<std::size_t>(0, kinds.size());
+      path = settings::JoinPath(path, kinds[at], *rc::gen::elementOf(kNames));
+      kinds.erase(kinds.begin() + static_cast<std::ptrdiff_t>(at));
+    }
+    Operation operation;
+    operation.path = path.empty() ? "/" : path;
+    operation.unset = *rc::gen::weightedElement<bool>({{4, false}, {1, true}});
+    operation.key = *rc::gen::weightedOneOf<std::string>(
+        {{4, rc::gen::elementOf(kKeys)}, {1, rc::gen::just(std::string())}});
+    if (!operation.key.empty() && !operation.unset) {
+      operation.value = *rc::gen::inRange(1, 20);
+    }
+    return operation;
+  });
+}
+
+/// Applies what it can; the naive tree mirrors only operations that the tree accepted.
+SettingsTree BuildTree(const std::vector<Operation>& operations, NaiveTree& naive) {
+  SettingsTree tree = SettingsTree().Apply({{"/", "kind", "plain", false}}).value();
+  naive[""];
+  for (const Operation& operation : operations) {
+    Result<SettingsTree> next = tree.Apply({operation});
+    if (!next) {
+      RC_ASSERT(operation.unset);
+      continue;
+    }
+    tree = std::move(next.value());
+    std::string id;
+    const std::vector<settings::PathStep> steps = settings::SplitPath(operation.path).value();
+    for (const settings::PathStep& step : steps) {
+      id += "\n" + step.kind + "\n" + step.name;
+      if (!operation.unset) {
+        naive[id];
+      }
+    }
+    if (operation.unset && operation.key.empty()) {
+      std::erase_if(naive, [&id](const auto& node) {
+        return node.first == id || node.first.starts_with(id + "\n");
+      });
+    } else if (operation.unset) {
+      naive[id].erase(operation.key);
+    } else if (!operation.key.empty()) {
+      naive[id][operation.key] = operation.value.get<int>();
+    }
+  }
+  return tree;
+}
+
+std::map<std::string, int> ResolveNaively(const NaiveTree& naive,
+                                          const std::vector<std::string>& names) {
+  std::map<std::string, int> values = {{"priority", 0}, {"crash_limit", 2}, {"max_attempts", 3}};
+  std::string id;
+  for (bool moved = true; moved;) {
+    for (const auto& [key, value] : naive.at(id)) {
+      values[key] = value;
+    }
+    moved = false;
+    for (std::size_t i = 0; i < names.size() && !moved; ++i) {
+      const std::string child = id + "\n" + kKinds[i] + "\n" + names[i];
+      if (naive.contains(child)) {
+        id = child;
+        moved = true;
+      }
+    }
+  }
+  return values;
+}
+
+std::string MessageAndRemedy(const Error& error) { return error.message + " " + error.remedy; }
+
+void AssertMentions(const Error& error, const std::string& text) {
+  cr_assert(MessageAndRemedy(error).find(text) != std::string::npos, "%s lacks %s",
+            MessageAndRemedy(error).c_str(), text.c_str());
+}
+
+}  // namespace
+
+// Guards against inheritance that differs from the definition, and explanations that differ from
+// what is in force.
+Test(settings_tree, resolves_like_the_naive_resolver) {
+  cr_assert(rc::check([] {
+    NaiveTree naive;
+    const SettingsTree tree =
+        BuildTree(*rc::gen::container<std::vector<Operation>>(AnyOperation()), naive);
+    const std::vector<std::string> names = {
+        *rc::gen::elementOf(kNames), *rc::gen::elementOf(kNames), *rc::gen::elementOf(kNames)};
+    const std::map<std::string, int> expected = ResolveNaively(naive, names);
+    const json resolved = tree.Resolve(names[0], names[1], names[2]);
+    for (const auto& [key, value] : expected) {
+      RC_ASSERT(resolved[key] == value);
+    }
+    for (const Explanation& explanation : tree.Explain(names[0], names[1], names[2])) {
+      RC_ASSERT(explanation.value == resolved[explanation.key]);
+      RC_ASSERT((explanation.origin == "default") == explanation.overridden.empty());
+    }
+    RC_ASSERT(tree.Paths().size() == naive.size());
+  }));
+}
+
+// Guards against an edit list that does not lead to the wanted tree, and text that changes a tree.
+Test(settings_tree, difference_leads_to_the_other_tree) {
+  cr_assert(rc::check([] {
+    NaiveTree naive;
+    const SettingsTree from =
+        BuildTree(*rc::gen::container<std::vector<Operation>>(AnyOperation()), naive);
+    const SettingsTree to =
+        BuildTree(*rc::gen::container<std::vector<Operation>>(AnyOperation()), naive);
+    const std::vector<Operation> operations = settings::Difference(from, to);
+    RC_ASSERT(operations.empty() == (from.json() == to.json()));
+    RC_ASSERT(from.Apply(operations).value().json() == to.json());
+    RC_ASSERT(SettingsTree::Parse(to.json().dump()).value().json() == to.json());
+    if (!operations.empty()) {
+      const std::vector<Operation> parsed =
+          settings::ParseOperations(settings::ToJson(operations)).value();
+      RC_ASSERT(from.Apply(parsed).value().json() == to.json());
+    }
+  }));
+}
+
+// Guards against errors that leave the operator to guess the right name.
+Test(settings_tree, errors_name_the_nearest_valid_name) {
+  const SettingsTree tree =
+      SettingsTree::Parse(R"({"services":{"verdicts":{"values":{"kind":"plain"}}}})").value();
+  AssertMentions(tree.Apply({{"/", "heartbeat", 5, false}}).error(), "heartbeat_ms");
+  AssertMentions(tree.Apply({{"/service/verdicts", "kind", "plain", false}}).error(),
+                 "'/services/verdicts'");
+  AssertMentions(tree.Apply({{"/services/verdict", "kind", json(), true}}).error(),
+                 "'/services/verdicts'");
+  AssertMentions(tree.Apply({{"/services/verdicts", "knd", json(), true}}).error(), "'kind'");
+  AssertMentions(SettingsTree::Parse(R"({"service":{}})").error(), "'services'");
+  AssertMentions(SettingsTree::Parse(R"({"lease_ms":3000})").error(), "\"values\"");
+  AssertMentions(settings::ParseOperations(json::parse(R"([{"op":"set","pth":"/"}])")).error(),
+                 "'path'");
+}
+
+// Guards against settings that cancel healthy work or route to no model, also when each value is
+// valid alone and only inheritance brings them together.
+Test(settings_tree, rules_hold_after_inheritance) {
+  const std::vector<std::string> bad = {
+      R"({"values":{"heartbeat_ms":2000}})",
+      R"({"values":{"lease_ms":2000}})",
+      R"({"values":{"lease_ms":5000},"failure_domains":{"f":{"values":{"link_dead_ms":5000}}}})",
+      R"({"services":{"a":{}}})",
+      R"({"services":{"a":{"failure_domains":{"f":{"values":{"model":"m"}}}}}})",
+      R"({"services":{"a":{"services":{"b":{}}}}})"};
+  for (const std::string& text : bad) {
+    cr_assert(!SettingsTree::Parse(text).has_value(), "%s", text.c_str());
+  }
+  cr_assert(SettingsTree::Parse(R"({"values":{"model":"m"},"services":{"a":{}}})").has_value());
+  cr_assert(
+      SettingsTree::Parse(R"({"values":{"lease_ms":9000,"link_dead_ms":7000,"heartbeat_ms":5000}})")
+          .has_value());
+  AssertMentions(SettingsTree::Parse(bad[2]).error(), "/failure_domains/f: lease_ms (5000)");
+}
+
+// Guards against a process with an older program that stops following the settings because an
+// entry with a newer program accepted a key, choice or range that it does not know.
+Test(settings_tree, replicated_settings_keep_unknown_keys) {
+  const std::string text =
+      R"({"values":{"new_key":1,"policy":"newer","priority":1000,"crash_limit":4},"zones":{}})";
+  cr_assert(!SettingsTree::Parse(text).has_value());
+  const SettingsTree tree = SettingsTree::Parse(text, settings::TreeCheck::kReplicated).value();
+  cr_assert(tree.Resolve("", "", "").crash_limit == 4);
+  cr_assert(tree.json()["values"]["new_key"] == 1);
+  cr_assert(
+      !SettingsTree::Parse(R"({"values":{"crash_limit":"4"}})", settings::TreeCheck::kReplicated)
+           .has_value());
+}
+
+// Guards against a stack overflow on deeply nested text.
+Test(settings_tree, refuses_deep_nesting) {
+  std::string nodes;
+  for (int i = 0; i < 100'000; ++i) {
+    nodes += R"({"services":{"a":)";
+  }
+  cr_assert(!SettingsTree::Parse(nodes).has_value());
+  cr_assert(!settings::ParseBoundedJson(std::string(1'000'000, '[')).has_value());
+  const std::string closed = std::string(100'000, '[') + std::string(100'000, ']');
+  cr_assert(!settings::ParseBoundedJson(closed).has_value());
+}
+
+// Guards against a crash or an exception on random text, paths and operations.
+Test(settings_tree, random_input_does_not_crash) {
+  cr_assert(rc::check([](const std::string& text) {
+    static_cast<void>(SettingsTree::Parse(text));
+    static_cast<void>(settings::SplitPath("/" + text));
+    json node = {{"values", {{text, text}}}, {text, {{text, text}}}};
+    static_cast<void>(SettingsTree::FromJson(node));
+    static_cast<void>(SettingsTree::FromJson(node, settings::TreeCheck::kReplicated));
+    static_cast<void>(SettingsTree().Apply({{text, text, text, false}}));
+    static_cast<void>(SettingsTree().Apply({{text, text, text, true}}));
+    static_cast<void>(settings::ParseOperations(json::array({{{text, text}}, text})));
+  }));
+}
