core/route: choose routes by estimated first-token time

Cause: ChooseRoute was the least-connections baseline.

Change: ChooseRoute minimises the estimated first-token time over all pairs and over prefill in place, subject to room, running limit, pace, suspects and exclusions. One pass keeps the best two engines per failure domain and crowding; only these are combined, without allocation. Types and signatures are unchanged; RouteRequest gains seed, RoutePolicy gains members with defaults. ScoreRoute and IsBetterRoute state what is minimised. Patient requests avoid crowded engines while the target is met.

The time of a decision is not measured yet.

--- a/core/route.cc
+++ b/core/route.cc
@@ -1,21 +1,389 @@
 #include "core/route.h"
 
+// Inlined, because a decision hashes the indexes of many engines.
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
 #include <algorithm>
+#include <array>
+#include <cstddef>
 
 namespace rattanramp::core {
 namespace {
 
-bool IsCandidate(const RouteRequest& request, const EngineView& engine) {
-  const bool excluded = std::find(request.excluded.begin(), request.excluded.end(), engine.index) !=
-                        request.excluded.end();
-  return engine.ready && engine.model == request.model && !excluded;
+constexpr double kMsPerSecond = 1'000;
+
+/// Messages between entry and agent before the first token: Submit and PrefillDone for a prefill
+/// engine; Submit, Granted, StartDecode and the first Chunk for a decode engine; Submit and the
+/// first Chunk for prefill in place.
+constexpr double kPrefillHops = 2;
+constexpr double kDecodeHops = 4;
+constexpr double kInPlaceHops = 2;
+/// Import request and the first byte of the KV cache.
+constexpr double kTransferHops = 2;
+
+/// Failure domains above this share candidate lists; routes stay valid but may be slightly worse.
+constexpr std::uint32_t kMaxDomains = 32;
+
+/// Why a decode engine is less welcome to a patient request.
+enum Crowding : std::uint32_t { kRoomy, kCrowded, kMissesPace, kCrowdingCount };
+
+bool IsExcluded(const RouteRequest& request, std::uint32_t engine) {
+  return std::find(request.excluded.begin(), request.excluded.end(), engine) !=
+         request.excluded.end();
+}
+
+bool Serves(const RouteRequest& request, const EngineView& engine) {
+  return engine.ready && engine.model == request.model;
+}
+
+double DistanceMs(const FleetView& fleet, std::uint32_t from, std::uint32_t to) {
+  const std::size_t at = static_cast<std::size_t>(from) * fleet.domain_count + to;
+  return to < fleet.domain_count && at < fleet.one_way_ms.size() ? fleet.one_way_ms[at] : 0;
+}
+
+/// Uniform in [0, 1).
+double SeededUnit(std::uint64_t seed, std::uint32_t engine) {
+  return static_cast<double>(XXH3_64bits_withSeed(&engine, sizeof(engine), seed) >> 11) * 0x1.0p-53;
+}
+
+double RateOr(double rate, double fallback) { return rate > 0 ? rate : fallback; }
+
+/// Values of a request and a policy that do not depend on the engine.
+struct Job {
+  const RouteRequest& request;
+  const RoutePolicy& policy;
+  std::int32_t pieces;
+  std::int32_t prompt_pieces;
+
+  Job(const RouteRequest& request, const RoutePolicy& policy)
+      : request(request),
+        policy(policy),
+        pieces(PiecesFor(request.prompt_tokens, request.expected_output_tokens)),
+        prompt_pieces(PiecesFor(request.prompt_tokens, 0)) {}
+
+  double UncachedTokens(std::int32_t cached_tokens) const {
+    return std::max(0.0, request.prompt_tokens - policy.cache_confidence * cached_tokens);
+  }
+
+  /// Queue ahead and the uncached tokens of the prompt.
+  double PrefillMs(const EngineView& engine, std::int32_t cached_tokens) const {
+    const double tokens =
+        static_cast<double>(engine.queued_prefill_tokens) + UncachedTokens(cached_tokens);
+    return tokens * kMsPerSecond /
+           RateOr(engine.prefill_tokens_per_s, policy.default_prefill_tokens_per_s);
+  }
+
+  double LinkMs(const EngineView& engine, double bytes) const {
+    return bytes <= 0 ? 0
+                      : bytes * kMsPerSecond /
+                            RateOr(engine.link_bytes_per_s, policy.default_link_bytes_per_s);
+  }
+
+  /// Part of the first-token time that depends on the prefill engine of a transfer.
+  double PrefillSideMs(const EngineView& engine, double distance_ms,
+                       std::int32_t cached_tokens) const {
+    const double bytes = static_cast<double>(engine.link_queue_bytes) +
+                         request.prompt_tokens * engine.kv_bytes_per_token;
+    return kPrefillHops * distance_ms + PrefillMs(engine, cached_tokens) + LinkMs(engine, bytes);
+  }
+
+  /// Wait for the requests queued ahead of the first decode step, and that step. A slot becomes
+  /// free once per answer time divided by the number of slots.
+  double FirstStepMs(const EngineView& engine) const {
+    double wait_ms = engine.decode_token_ms;
+    if (engine.queued > 0) {
+      wait_ms += engine.queued * engine.decode_token_ms * request.expected_output_tokens /
+                 std::max(1, engine.max_running);
+    }
+    return wait_ms;
+  }
+
+  double DecodeSideMs(const EngineView& engine, double distance_ms) const {
+    return kDecodeHops * distance_ms +
+           LinkMs(engine, static_cast<double>(engine.link_queue_bytes)) + FirstStepMs(engine);
+  }
+
+  double InPlaceMs(const EngineView& engine, double distance_ms, std::int32_t cached_tokens) const {
+    return kInPlaceHops * distance_ms + PrefillMs(engine, cached_tokens) + FirstStepMs(engine);
+  }
+
+  double InterferenceMs(const EngineView& engine, std::int32_t cached_tokens) const {
+    const double tokens = UncachedTokens(cached_tokens);
+    if (engine.role != EngineRole::kDecode || tokens <= policy.in_place_prompt_tokens) {
+      return 0;
+    }
+    return policy.in_place_interference * tokens * kMsPerSecond /
+           RateOr(engine.prefill_tokens_per_s, policy.default_prefill_tokens_per_s);
+  }
+
+  double NearEqualMs(std::uint32_t engine) const {
+    return policy.near_equal_ms * SeededUnit(request.seed, engine);
+  }
+
+  bool MeetsPace(const EngineView& engine) const {
+    return request.pace_target_ms <= 0 || engine.decode_token_ms <= request.pace_target_ms;
+  }
+
+  bool CanDecode(const EngineView& engine) const {
+    return engine.free_pieces >= pieces && !SharesSuspect(engine) &&
+           (engine.max_running <= 0 || engine.running + engine.queued < engine.max_running) &&
+           (request.patient || MeetsPace(engine));
+  }
+
+  /// Waits in the engine's queue if there is no room now.
+  bool CanPrefill(const EngineView& engine) const {
+    return engine.total_pieces >= prompt_pieces && !SharesSuspect(engine);
+  }
+
+  bool SharesSuspect(const EngineView& engine) const {
+    return request.suspect && engine.suspects_running > 0;
+  }
+
+  bool IsCrowded(const EngineView& engine, std::int32_t added) const {
+    return request.patient &&
+           engine.free_pieces - added < policy.crowded_free_share * engine.total_pieces;
+  }
+
+  Crowding DecodeCrowding(const EngineView& engine) const {
+    if (request.patient && !MeetsPace(engine)) {
+      return kMissesPace;
+    }
+    return IsCrowded(engine, pieces) ? kCrowded : kRoomy;
+  }
+
+  Crowding PrefillCrowding(const EngineView& engine) const {
+    return IsCrowded(engine, prompt_pieces) ? kCrowded : kRoomy;
+  }
+};
+
+struct Candidate {
+  std::uint32_t engine = 0;
+  double score_ms = 0;
+};
+
+/// The best two engines with the same failure domain and crowding. Two are enough for an exact
+/// answer: the second is needed only where the best prefill engine is also the best decode engine.
+struct BestTwo {
+  std::uint32_t count = 0;
+  std::array<Candidate, 2> best;
+
+  bool Admits(double score_ms) const { return count < 2 || score_ms < best[1].score_ms; }
+
+  /// An engine that is listed already keeps its better score.
+  void Insert(Candidate added) {
+    if (count > 0 && best[0].engine == added.engine) {
+      best[0].score_ms = std::min(best[0].score_ms, added.score_ms);
+      return;
+    }
+    if (count == 2 && best[1].engine != added.engine && added.score_ms >= best[1].score_ms) {
+      return;
+    }
+    if (count == 2 && best[1].engine == added.engine) {
+      best[1].score_ms = std::min(best[1].score_ms, added.score_ms);
+    } else {
+      count = std::min(count + 1, 2U);
+      best[count - 1] = added;
+    }
+    if (count == 2 && best[1].score_ms < best[0].score_ms) {
+      std::swap(best[0], best[1]);
+    }
+  }
+};
+
+/// Candidates by failure domain and crowding, collected in one pass over the engines.
+class Candidates {
+ public:
+  Candidates(const Job& job, const FleetView& fleet) : job_(job), fleet_(fleet) {
+    domains_ = std::clamp(fleet.domain_count, 1U, kMaxDomains);
+    for (std::uint32_t domain = 0; domain < domains_; ++domain) {
+      entry_ms_[domain] = DistanceMs(fleet, job.request.failure_domain, domain);
+    }
+  }
+
+  void Collect() {
+    const auto count = static_cast<std::uint32_t>(fleet_.engines.size());
+    for (std::uint32_t i = 0; i < count; ++i) {
+      const EngineView& engine = fleet_.engines[i];
+      if (Serves(job_.request, engine)) {
+        Offer(i, engine, 0);
+      }
+    }
+    for (const CachedPrefix& cached : job_.request.cached) {
+      if (cached.engine < count && Serves(job_.request, fleet_.engines[cached.engine])) {
+        Offer(cached.engine, fleet_.engines[cached.engine], cached.tokens);
+      }
+    }
+  }
+
+  RouteScore Best() const;
+  bool any_decode() const { return any_decode_; }
+  bool any_large_enough() const { return any_large_enough_; }
+
+ private:
+  void Offer(std::uint32_t index, const EngineView& engine, std::int32_t cached_tokens);
+  void OfferDecode(std::uint32_t index, const EngineView& engine, std::int32_t cached_tokens,
+                   std::uint32_t domain, double distance_ms);
+  void InsertUnlessExcluded(BestTwo& list, std::uint32_t index, double score_ms) const {
+    if (!list.Admits(score_ms)) {
+      return;
+    }
+    const double total_ms = score_ms + job_.NearEqualMs(index);
+    if (list.Admits(total_ms) && !IsExcluded(job_.request, index)) {
+      list.Insert({index, total_ms});
+    }
+  }
+  void Consider(const Candidate& prefill, std::uint32_t prefill_crowding, const Candidate& decode,
+                std::uint32_t decode_crowding, RouteScore& best) const;
+  void CombineWithDecodes(const Candidate& prefill, std::uint32_t prefill_crowding,
+                          RouteScore& best) const;
+  std::int32_t CrowdedPieces(std::uint32_t prefill_crowding, std::uint32_t decode_crowding) const {
+    return (prefill_crowding == kCrowded ? job_.prompt_pieces : 0) +
+           (decode_crowding == kCrowded ? job_.pieces : 0);
+  }
+
+  const Job& job_;
+  const FleetView& fleet_;
+  std::uint32_t domains_ = 1;
+  std::array<double, kMaxDomains> entry_ms_;
+  std::array<std::array<BestTwo, kCrowdingCount>, kMaxDomains> prefill_;
+  std::array<std::array<BestTwo, kCrowdingCount>, kMaxDomains> decode_;
+  std::array<BestTwo, kCrowdingCount> in_place_;
+  bool any_decode_ = false;
+  bool any_large_enough_ = false;
+};
+
+void Candidates::Offer(std::uint32_t index, const EngineView& engine, std::int32_t cached_tokens) {
+  const std::uint32_t domain = engine.failure_domain % domains_;
+  const double distance_ms =
+      engine.failure_domain < domains_
+          ? entry_ms_[domain]
+          : DistanceMs(fleet_, job_.request.failure_domain, engine.failure_domain);
+  if (engine.role != EngineRole::kDecode && job_.CanPrefill(engine)) {
+    InsertUnlessExcluded(prefill_[domain][job_.PrefillCrowding(engine)], index,
+                         job_.PrefillSideMs(engine, distance_ms, cached_tokens));
+  }
+  if (engine.role != EngineRole::kPrefill) {
+    OfferDecode(index, engine, cached_tokens, domain, distance_ms);
+  }
+}
+
+void Candidates::OfferDecode(std::uint32_t index, const EngineView& engine,
+                             std::int32_t cached_tokens, std::uint32_t domain, double distance_ms) {
+  any_decode_ = any_decode_ || !IsExcluded(job_.request, index);
+  any_large_enough_ = any_large_enough_ || engine.total_pieces >= job_.pieces;
+  if (!job_.CanDecode(engine)) {
+    return;
+  }
+  const Crowding crowding = job_.DecodeCrowding(engine);
+  InsertUnlessExcluded(decode_[domain][crowding], index, job_.DecodeSideMs(engine, distance_ms));
+  InsertUnlessExcluded(in_place_[crowding], index,
+                       job_.InPlaceMs(engine, distance_ms, cached_tokens) +
+                           job_.InterferenceMs(engine, cached_tokens));
+}
+
+void Candidates::Consider(const Candidate& prefill, std::uint32_t prefill_crowding,
+                          const Candidate& decode, std::uint32_t decode_crowding,
+                          RouteScore& best) const {
+  RouteScore score;
+  score.feasible = true;
+  score.route.prefill_engine = prefill.engine;
+  score.route.decode_engine = decode.engine;
+  score.misses_pace = decode_crowding == kMissesPace;
+  score.crowded_pieces = CrowdedPieces(prefill_crowding, decode_crowding);
+  score.score_ms = prefill.score_ms + decode.score_ms +
+                   kTransferHops * DistanceMs(fleet_, fleet_.engines[prefill.engine].failure_domain,
+                                              fleet_.engines[decode.engine].failure_domain);
+  if (!best.feasible || IsBetterRoute(job_.request, score, best)) {
+    best = score;
+  }
+}
+
+RouteScore Candidates::Best() const {
+  RouteScore best;
+  for (std::uint32_t crowding = 0; crowding < kCrowdingCount; ++crowding) {
+    if (in_place_[crowding].count == 0) {
+      continue;
+    }
+    RouteScore score;
+    score.feasible = true;
+    score.route.in_place = true;
+    score.route.prefill_engine = score.route.decode_engine = in_place_[crowding].best[0].engine;
+    score.misses_pace = crowding == kMissesPace;
+    score.crowded_pieces = CrowdedPieces(kRoomy, crowding);
+    score.score_ms = in_place_[crowding].best[0].score_ms;
+    if (!best.feasible || IsBetterRoute(job_.request, score, best)) {
+      best = score;
+    }
+  }
+  for (std::uint32_t at = 0; at < domains_ * kCrowdingCount; ++at) {
+    const std::uint32_t crowding = at % kCrowdingCount;
+    const BestTwo& prefills = prefill_[at / kCrowdingCount][crowding];
+    for (std::uint32_t p = 0; p < prefills.count; ++p) {
+      CombineWithDecodes(prefills.best[p], crowding, best);
+    }
+  }
+  return best;
+}
+
+void Candidates::CombineWithDecodes(const Candidate& prefill, std::uint32_t prefill_crowding,
+                                    RouteScore& best) const {
+  for (std::uint32_t domain = 0; domain < domains_; ++domain) {
+    for (std::uint32_t crowding = 0; crowding < kCrowdingCount; ++crowding) {
+      const BestTwo& decodes = decode_[domain][crowding];
+      for (std::uint32_t d = 0; d < decodes.count; ++d) {
+        if (decodes.best[d].engine != prefill.engine) {
+          Consider(prefill, prefill_crowding, decodes.best[d], crowding, best);
+        }
+      }
+    }
+  }
+}
+
+std::int32_t CachedTokens(const RouteRequest& request, std::uint32_t engine) {
+  std::int32_t tokens = 0;
+  for (const CachedPrefix& cached : request.cached) {
+    if (cached.engine == engine) {
+      tokens = std::max(tokens, cached.tokens);
+    }
+  }
+  return tokens;
+}
+
+/// Fills in the estimates of a route whose engines are chosen.
+void Estimate(const Job& job, const FleetView& fleet, Route& route) {
+  const EngineView& prefill = fleet.engines[route.prefill_engine];
+  const EngineView& decode = fleet.engines[route.decode_engine];
+  const std::int32_t cached_tokens = CachedTokens(job.request, route.prefill_engine);
+  const double to_prefill_ms =
+      DistanceMs(fleet, job.request.failure_domain, prefill.failure_domain);
+  const double to_decode_ms = DistanceMs(fleet, job.request.failure_domain, decode.failure_domain);
+  route.pieces = job.pieces;
+  route.token_ms = decode.decode_token_ms;
+  route.prefill_ms = job.PrefillMs(prefill, cached_tokens);
+  if (route.in_place) {
+    route.first_token_ms = job.InPlaceMs(decode, to_decode_ms, cached_tokens);
+    route.hold_ms = route.prefill_ms + job.policy.hold_margin_ms;
+    return;
+  }
+  route.first_token_ms =
+      job.PrefillSideMs(prefill, to_prefill_ms, cached_tokens) +
+      job.DecodeSideMs(decode, to_decode_ms) +
+      kTransferHops * DistanceMs(fleet, prefill.failure_domain, decode.failure_domain);
+  // The hold runs from the grant of the decode agent until StartDecode arrives there.
+  route.hold_ms = 2 * to_decode_ms + kPrefillHops * to_prefill_ms + route.prefill_ms +
+                  job.policy.hold_margin_ms;
+}
+
+bool IsNaiveCandidate(const RouteRequest& request, const EngineView& engine) {
+  return engine.ready && engine.model == request.model && !IsExcluded(request, engine.index);
 }
 
 const EngineView* LeastLoaded(const RouteRequest& request, const FleetView& fleet,
                               EngineRole unwanted) {
   const EngineView* best = nullptr;
   for (const EngineView& engine : fleet.engines) {
-    if (!IsCandidate(request, engine) || engine.role == unwanted) {
+    if (!IsNaiveCandidate(request, engine) || engine.role == unwanted) {
       continue;
     }
     if (best == nullptr || engine.running + engine.queued < best->running + best->queued) {
@@ -25,18 +393,87 @@
   return best;
 }
 
+Error NoDecodeEngine() {
+  return Error{ErrorKind::kUnavailable, "no decode engine is ready for the model",
+               "retry later; check 'upstream list'"};
+}
+
 }  // namespace
 
 std::int32_t PiecesFor(std::int32_t prompt_tokens, std::int32_t output_tokens) {
   return (prompt_tokens + output_tokens + kPieceTokens - 1) / kPieceTokens;
 }
 
+RouteScore ScoreRoute(const RouteRequest& request, const FleetView& fleet,
+                      const RoutePolicy& policy, std::uint32_t prefill, std::uint32_t decode) {
+  const Job job(request, policy);
+  const EngineView& prefill_view = fleet.engines[prefill];
+  const EngineView& decode_view = fleet.engines[decode];
+  RouteScore score;
+  score.route.prefill_engine = prefill;
+  score.route.decode_engine = decode;
+  score.route.in_place = prefill == decode;
+  Estimate(job, fleet, score.route);
+  score.feasible = Serves(request, decode_view) && decode_view.role != EngineRole::kPrefill &&
+                   job.CanDecode(decode_view) && !IsExcluded(request, decode);
+  score.misses_pace = job.DecodeCrowding(decode_view) == kMissesPace;
+  score.crowded_pieces = job.DecodeCrowding(decode_view) == kCrowded ? job.pieces : 0;
+  score.score_ms = score.route.first_token_ms + job.NearEqualMs(decode);
+  if (score.route.in_place) {
+    score.score_ms += job.InterferenceMs(decode_view, CachedTokens(request, decode));
+    return score;
+  }
+  score.feasible = score.feasible && Serves(request, prefill_view) &&
+                   prefill_view.role != EngineRole::kDecode && job.CanPrefill(prefill_view) &&
+                   !IsExcluded(request, prefill);
+  score.crowded_pieces += job.PrefillCrowding(prefill_view) == kCrowded ? job.prompt_pieces : 0;
+  score.score_ms += job.NearEqualMs(prefill);
+  return score;
+}
+
+bool IsBetterRoute(const RouteRequest& request, const RouteScore& a, const RouteScore& b) {
+  if (a.misses_pace != b.misses_pace) {
+    return b.misses_pace;
+  }
+  if (request.patient) {
+    const bool a_meets = a.score_ms <= request.first_output_target_ms;
+    const bool b_meets = b.score_ms <= request.first_output_target_ms;
+    if (a_meets != b_meets) {
+      return a_meets;
+    }
+    if (a_meets && a.crowded_pieces != b.crowded_pieces) {
+      return a.crowded_pieces < b.crowded_pieces;
+    }
+  }
+  return a.score_ms < b.score_ms;
+}
+
+Result<Route> ChooseRoute(const RouteRequest& request, const FleetView& fleet,
+                          const RoutePolicy& policy) {
+  const Job job(request, policy);
+  Candidates candidates(job, fleet);
+  candidates.Collect();
+  RouteScore best = candidates.Best();
+  if (best.feasible) {
+    Estimate(job, fleet, best.route);
+    return best.route;
+  }
+  if (!candidates.any_decode()) {
+    return NoDecodeEngine();
+  }
+  if (!candidates.any_large_enough()) {
+    return Error{ErrorKind::kInvalidArgument, "no engine of the model can hold the request",
+                 "send a shorter prompt or ask for less output"};
+  }
+  return Error{ErrorKind::kOverloaded, "no engine has room for the request",
+               "retry later; check 'upstream list'"};
+}
+
 Result<Route> ChooseRouteNaive(const RouteRequest& request, const FleetView& fleet,
                                const RoutePolicy& policy) {
   const EngineView* decode = LeastLoaded(request, fleet, EngineRole::kPrefill);
   if (decode == nullptr) {
-    return Error{ErrorKind::kUnavailable, "no decode engine is ready for the model",
-                 "retry later; check 'upstream list'"};
+    return NoDecodeEngine();
   }
   const EngineView* prefill = LeastLoaded(request, fleet, EngineRole::kDecode);
   Route route;
@@ -48,9 +485,4 @@
   return route;
 }
 
-Result<Route> ChooseRoute(const RouteRequest& request, const FleetView& fleet,
-                          const RoutePolicy& policy) {
-  return ChooseRouteNaive(request, fleet, policy);
-}
-
 }  // namespace rattanramp::core
--- a/core/route.h
+++ b/core/route.h
@@ -70,11 +70,28 @@
   std::span<const CachedPrefix> cached;
   /// Engines that refused or failed this request.
   std::span<const std::uint32_t> excluded;
+  /// Breaks ties between engines with near-equal estimates. Entries pass the request's hash, so
+  /// that entries with the same stale view spread their requests.
+  std::uint64_t seed = 0;
 };
 
 struct RoutePolicy {
   std::int32_t in_place_prompt_tokens = 512;
   double hold_margin_ms = 500;
+  /// Range of the seeded random term that is added to the score of each engine. A chosen route has
+  /// a score at most twice this above the best.
+  double near_equal_ms = 5;
+  /// Share of the cached tokens that counts as saved, because prefix hints are late.
+  double cache_confidence = 0.9;
+  /// An engine whose free share of memory would fall below this counts as crowded. Patient requests
+  /// avoid crowded engines while their target is met.
+  double crowded_free_share = 0.2;
+  /// Prefill in place delays the streams of an engine in the decode role. Its time counts once more
+  /// with this weight when more than in_place_prompt_tokens are uncached.
+  double in_place_interference = 0.5;
+  /// Stand in for rates that an engine has not reported yet.
+  double default_prefill_tokens_per_s = 10'000;
+  double default_link_bytes_per_s = 1e9;
 };
 
 /// Either prefill in place (prefill_engine == decode_engine) or on a separate engine.
@@ -91,10 +108,36 @@
   std::int32_t pieces = 0;
 };
 
+/// What ChooseRoute weighs for one pair of engines; prefill == decode means prefill in place.
+struct RouteScore {
+  /// Ready, serves the model, has room, meets the pace target, not excluded, no second suspect.
+  bool feasible = false;
+  /// The first-token time plus the interference and near-equal terms of RoutePolicy. Routes with a
+  /// score above the target of a patient request count as missing it.
+  double score_ms = 0;
+  /// Pieces placed on crowded engines. Counted for patient requests only.
+  std::int32_t crowded_pieces = 0;
+  /// The decode engine misses the pace target. Feasible for patient requests only, as last resort.
+  bool misses_pace = false;
+  Route route;
+};
+
+/// Scores one pair of engines given by their indexes.
+RouteScore ScoreRoute(const RouteRequest& request, const FleetView& fleet,
+                      const RoutePolicy& policy, std::uint32_t prefill, std::uint32_t decode);
+
+/// Order of preference of two feasible routes. Patient requests: routes within the target with the
+/// fewest crowded pieces, then by score. Others: by score.
+bool IsBetterRoute(const RouteRequest& request, const RouteScore& a, const RouteScore& b);
+
 /// Pieces of memory for a prompt and its expected output.
 std::int32_t PiecesFor(std::int32_t prompt_tokens, std::int32_t output_tokens);
 
-/// Errors: kUnavailable (no ready engine serves the model), kOverloaded (no engine has room).
+/// The route that IsBetterRoute prefers to all others. One pass over the engines, no allocation.
+/// A cached prefix shortens the estimate of its engine and nothing else, so among equally crowded
+/// routes it never draws a request to one that is slower than the best one without the cache.
+/// Errors: kUnavailable (no ready engine serves the model), kOverloaded (no engine has room now),
+/// kInvalidArgument (no engine of the model could hold the request even when idle).
 Result<Route> ChooseRoute(const RouteRequest& request, const FleetView& fleet,
                           const RoutePolicy& policy);
 
--- /dev/null
+++ b/tests/core/route_test.cc
@@ -0,0 +1,236 @@
+#include "core/route.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <optional>
+#include <vector>
+
+using namespace rattanramp;        // NOLINT
+using namespace rattanramp::core;  // NOLINT
+
+namespace {
+
+struct State {
+  std::vector<EngineView> engines;
+  std::vector<double> one_way_ms;
+  std::vector<CachedPrefix> cached;
+  std::vector<std::uint32_t> excluded;
+  RouteRequest request;
+  RoutePolicy policy;
+
+  FleetView fleet(std::uint32_t domains) const { return {engines, one_way_ms, domains}; }
+};
+
+int In(int low, int high) { return *rc::gen::inRange(low, high + 1); }
+
+EngineView RandomEngine(std::uint32_t index, int domains, int models) {
+  EngineView engine;
+  engine.index = index;
+  engine.failure_domain = static_cast<std::uint32_t>(In(0, domains - 1));
+  engine.model = static_cast<std::uint32_t>(In(0, models - 1));
+  engine.role = static_cast<EngineRole>(In(0, 2));
+  engine.ready = In(0, 9) > 0;
+  engine.total_pieces = In(1, 40);
+  engine.free_pieces = In(0, engine.total_pieces);
+  engine.max_running = In(0, 20);
+  engine.running = In(0, 20);
+  engine.queued = In(0, 2);
+  engine.queued_prefill_tokens = In(0, 3) * 5'000;
+  engine.prefill_tokens_per_s = In(0, 3) * 8'000;
+  engine.decode_token_ms = In(10, 80);
+  engine.link_queue_bytes = In(0, 2) * 50'000'000LL;
+  engine.link_bytes_per_s = In(0, 2) * 1e9;
+  engine.kv_bytes_per_token = In(1, 3) * 50'000.0;
+  engine.suspects_running = In(0, 4) == 0 ? 1 : 0;
+  return engine;
+}
+
+State RandomState(int domains) {
+  State state;
+  const int count = In(0, 25);
+  const int models = In(1, 2);
+  for (int i = 0; i < count; ++i) {
+    state.engines.push_back(RandomEngine(static_cast<std::uint32_t>(i), domains, models));
+  }
+  for (int i = 0; i < domains * domains; ++i) {
+    state.one_way_ms.push_back(i % (domains + 1) == 0 ? 0 : In(0, 20) / 2.0);
+  }
+  for (int i = 0; i < count; i += In(1, 8)) {
+    state.cached.push_back({static_cast<std::uint32_t>(In(0, count - 1)), In(0, 30'000)});
+  }
+  for (int i = In(0, 2); i < count && i < 2; ++i) {
+    state.excluded.push_back(static_cast<std::uint32_t>(In(0, count - 1)));
+  }
+  RouteRequest& request = state.request;
+  request.failure_domain = static_cast<std::uint32_t>(In(0, domains - 1));
+  request.prompt_tokens = In(1, 30'000);
+  request.expected_output_tokens = In(1, 500);
+  request.first_output_target_ms = In(1, 4) * 500;
+  request.pace_target_ms = In(0, 2) * 40;
+  request.patient = In(0, 1) == 1;
+  request.suspect = In(0, 3) == 0;
+  request.seed = static_cast<std::uint64_t>(In(0, 1'000'000));
+  state.policy.near_equal_ms = In(0, 2) * 5;
+  return state;
+}
+
+std::optional<RouteScore> SearchAllPairs(const State& state, const FleetView& fleet) {
+  std::optional<RouteScore> best;
+  const auto count = static_cast<std::uint32_t>(state.engines.size());
+  for (std::uint32_t prefill = 0; prefill < count; ++prefill) {
+    for (std::uint32_t decode = 0; decode < count; ++decode) {
+      const RouteScore score = ScoreRoute(state.request, fleet, state.policy, prefill, decode);
+      if (score.feasible && (!best || IsBetterRoute(state.request, score, *best))) {
+        best = score;
+      }
+    }
+  }
+  return best;
+}
+
+EngineView IdleEngine(std::uint32_t index, EngineRole role) {
+  EngineView engine;
+  engine.index = index;
+  engine.role = role;
+  engine.ready = true;
+  engine.total_pieces = engine.free_pieces = 40;
+  engine.max_running = 20;
+  engine.prefill_tokens_per_s = 10'000;
+  engine.decode_token_ms = 30;
+  engine.link_bytes_per_s = 1e9;
+  engine.kv_bytes_per_token = 100'000;
+  return engine;
+}
+
+State IdlePair() {
+  State state;
+  state.engines = {IdleEngine(0, EngineRole::kPrefill), IdleEngine(1, EngineRole::kDecode)};
+  state.engines[1].failure_domain = 1;
+  state.one_way_ms = {0, 2, 2, 0};
+  state.policy.near_equal_ms = 0;
+  state.request.prompt_tokens = 10'000;
+  state.request.expected_output_tokens = 100;
+  state.request.first_output_target_ms = 10'000;
+  return state;
+}
+
+}  // namespace
+
+// Guards against the candidate lists losing the best pair, breaking feasibility or ranking routes
+// differently from an exhaustive search.
+Test(route, equals_exhaustive_search) {
+  cr_assert(rc::check("ChooseRoute equals exhaustive search", [] {
+    for (int round = 0; round < 20; ++round) {
+      const int domains = In(1, 4);
+      State state = RandomState(domains);
+      state.request.cached = state.cached;
+      state.request.excluded = state.excluded;
+      const FleetView fleet = state.fleet(static_cast<std::uint32_t>(domains));
+      const std::optional<RouteScore> best = SearchAllPairs(state, fleet);
+      const Result<Route> chosen = ChooseRoute(state.request, fleet, state.policy);
+      RC_ASSERT(chosen.has_value() == best.has_value());
+      if (!best) {
+        continue;
+      }
+      const RouteScore score =
+          ScoreRoute(state.request, fleet, state.policy, chosen.value().prefill_engine,
+                     chosen.value().decode_engine);
+      RC_ASSERT(score.feasible);
+      RC_ASSERT(score.misses_pace == best->misses_pace);
+      RC_ASSERT(std::abs(score.score_ms - best->score_ms) < 1e-6);
+      RC_ASSERT(!state.request.patient || best->score_ms > state.request.first_output_target_ms ||
+                score.crowded_pieces == best->crowded_pieces);
+      RC_ASSERT(std::abs(chosen.value().first_token_ms - score.route.first_token_ms) < 1e-6);
+    }
+  }));
+}
+
+// Guards against a cached prefix that draws a request to an engine slower than the best one without
+// the cache.
+Test(route, affinity_is_bounded) {
+  cr_assert(rc::check("affinity is bounded", [] {
+    State state = RandomState(2);
+    state.request.patient = false;
+    const FleetView fleet = state.fleet(2);
+    const Result<Route> uncached = ChooseRoute(state.request, fleet, state.policy);
+    state.request.cached = state.cached;
+    const Result<Route> cached = ChooseRoute(state.request, fleet, state.policy);
+    RC_ASSERT(uncached.has_value() == cached.has_value());
+    if (uncached) {
+      const RouteScore with =
+          ScoreRoute(state.request, fleet, state.policy, cached.value().prefill_engine,
+                     cached.value().decode_engine);
+      state.request.cached = {};
+      const RouteScore without =
+          ScoreRoute(state.request, fleet, state.policy, uncached.value().prefill_engine,
+                     uncached.value().decode_engine);
+      RC_ASSERT(with.score_ms <= without.score_ms + 1e-6);
+    }
+  }));
+}
+
+// Guards against a term missing from the estimate or counted twice: the expected value is added up
+// by hand.
+Test(route, estimate_adds_up) {
+  State state = IdlePair();
+  state.engines[0].queued_prefill_tokens = 1'000;
+  state.engines[0].link_queue_bytes = 100'000'000;
+  state.engines[1].prefill_tokens_per_s = 100;
+  const Route route = ChooseRoute(state.request, state.fleet(2), state.policy).value();
+  cr_assert(!route.in_place);
+  // Prefill 1,100 ms, transfer of 1.1 GB 1,100 ms, four messages of 2 ms to the decode engine, two
+  // between the engines, one decode step of 30 ms.
+  cr_assert_float_eq(route.first_token_ms, 1'100 + 1'100 + 4 * 2 + 2 * 2 + 30, 1e-6);
+  cr_assert_float_eq(route.hold_ms, 1'100 + 2 * 2 + state.policy.hold_margin_ms, 1e-6);
+  cr_assert_eq(route.pieces, 5);
+}
+
+// Guards against short prompts, prompts cached at the decode engine and prompts whose transfer is
+// slow being sent through a transfer.
+Test(route, prefills_in_place_when_that_is_faster) {
+  State state = IdlePair();
+  state.engines[0].kv_bytes_per_token = 20'000;
+  cr_assert(!ChooseRoute(state.request, state.fleet(2), state.policy).value().in_place);
+  state.request.prompt_tokens = 300;
+  cr_assert(ChooseRoute(state.request, state.fleet(2), state.policy).value().in_place);
+  state.request.prompt_tokens = 10'000;
+  const std::vector<CachedPrefix> cached = {{1, 10'000}};
+  state.request.cached = cached;
+  cr_assert(ChooseRoute(state.request, state.fleet(2), state.policy).value().in_place);
+  state.request.cached = {};
+  state.engines[0].link_bytes_per_s = 1e8;
+  cr_assert(ChooseRoute(state.request, state.fleet(2), state.policy).value().in_place);
+}
+
+// Guards against entries with the same stale view all choosing the same engine.
+Test(route, seeds_spread_requests_over_equal_engines) {
+  State state;
+  for (std::uint32_t i = 0; i < 20; ++i) {
+    state.engines.push_back(IdleEngine(i, EngineRole::kBoth));
+  }
+  state.request.prompt_tokens = 1'000;
+  std::vector<int> chosen(20);
+  for (std::uint64_t seed = 0; seed < 2'000; ++seed) {
+    state.request.seed = seed;
+    ++chosen[ChooseRoute(state.request, state.fleet(0), state.policy).value().decode_engine];
+  }
+  // The mean is 100; five standard deviations of a uniform choice are 49.
+  cr_assert_geq(*std::min_element(chosen.begin(), chosen.end()), 51);
+  cr_assert_leq(*std::max_element(chosen.begin(), chosen.end()), 149);
+}
+
+// Guards against refusals that misstate whether waiting can help.
+Test(route, refusals_name_the_cause) {
+  State state = IdlePair();
+  state.engines[1].free_pieces = 1;
+  cr_assert(ChooseRoute(state.request, state.fleet(2), state.policy).error().kind ==
+            ErrorKind::kOverloaded);
+  state.request.prompt_tokens = 41 * kPieceTokens;
+  cr_assert(ChooseRoute(state.request, state.fleet(2), state.policy).error().kind ==
+            ErrorKind::kInvalidArgument);
+  state.request.model = 1;
+  cr_assert(ChooseRoute(state.request, state.fleet(2), state.policy).error().kind ==
+            ErrorKind::kUnavailable);
+}
