core/prefix: index of cached prompt prefixes with gap detection

Cause: routing needs to know which engine holds which blocks, and cache events arrive late, twice or not at all.

PrefixIndex (Boost.MultiIndex) keeps a bounded number of block and engine pairs, drops those with the oldest events, and believes a block only if no eviction of it can be among the missing events. A gap of up to 64 events closes when the late events arrive; wider gaps need new events or Resynchronise.

The protocol has no message that asks for a full list yet, so Resynchronise has no caller.

--- /dev/null
+++ b/core/prefix.h
@@ -0,0 +1,119 @@
+// Which engine is believed to hold which blocks of prompt prefixes. Fed by cache events that arrive
+// late, twice or not at all.
+#pragma once
+
+#include <boost/multi_index/composite_key.hpp>
+#include <boost/multi_index/hashed_index.hpp>
+#include <boost/multi_index/member.hpp>
+#include <boost/multi_index/sequenced_index.hpp>
+#include <boost/multi_index_container.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <string_view>
+#include <vector>
+
+#include "core/route.h"
+
+namespace rattanramp::core {
+
+/// Bytes of text in one block: kPieceTokens tokens of 4 bytes.
+inline constexpr std::size_t kBlockBytes = 8'192;
+
+/// Chained hashes of the full blocks of a prompt: hash n covers the text up to the end of block n.
+/// Text after the last full block has no hash.
+std::vector<std::int64_t> BlockHashes(std::string_view prompt);
+
+struct CacheEvent {
+  /// Increases by one with each event of an engine incarnation.
+  std::int64_t sequence = 0;
+  std::int64_t block_hash = 0;
+  /// False when the block was evicted.
+  bool stored = false;
+};
+
+/// Position in the event stream of one engine.
+struct PrefixHints {
+  std::int64_t incarnation = 0;
+  /// Events of the incarnation before the present one are ignored when they arrive late.
+  std::int64_t previous_incarnation = 0;
+  /// Changes with each incarnation; blocks of older generations are not believed.
+  std::uint32_t generation = 0;
+  bool started = false;
+  std::int64_t last_sequence = 0;
+  /// Blocks whose last event is older are not believed: an event that evicted them may be missing.
+  std::int64_t certain_from = 0;
+  /// A gap was seen and not closed.
+  bool uncertain = false;
+  /// The last gap: its first sequence, the events still missing (bit 0 is the first) and the values
+  /// of certain_from and uncertain before it. The mask is zero when the gap is closed or too wide
+  /// to track.
+  std::int64_t gap_first = 0;
+  std::uint64_t gap_missing = 0;
+  std::int64_t gap_certain_from = 0;
+  bool gap_uncertain = false;
+};
+
+/// Index of believed blocks over all engines. Not thread-safe.
+class PrefixIndex {
+ public:
+  /// Holds at most max_blocks pairs of block and engine; the ones with the oldest events go first.
+  explicit PrefixIndex(std::size_t max_blocks);
+
+  /// Applies events of one engine. A new incarnation drops what was believed of the engine. A gap
+  /// in the sequence makes older blocks uncertain until the missing events arrive, the blocks are
+  /// stored again or the engine is resynchronised.
+  void Apply(std::uint32_t engine, std::int64_t incarnation, std::span<const CacheEvent> events);
+
+  /// Replaces what is believed of the engine by its full list of blocks as of a sequence.
+  void Resynchronise(std::uint32_t engine, std::int64_t incarnation, std::int64_t sequence,
+                     std::span<const std::int64_t> blocks);
+
+  /// Drops what is believed of an engine that is gone.
+  void Forget(std::uint32_t engine);
+
+  /// True after a gap that has not been closed.
+  bool is_uncertain(std::uint32_t engine) const;
+
+  /// Engines believed to hold the first blocks of a prompt, with the tokens of the longest unbroken
+  /// prefix, longest first and at most max_results. `result` is overwritten.
+  void Lookup(std::span<const std::int64_t> block_hashes, std::size_t max_results,
+              std::vector<CachedPrefix>& result) const;
+
+  /// Pairs of block and engine in memory, including those no longer believed.
+  std::size_t size() const { return blocks_.size(); }
+
+ private:
+  struct Block {
+    std::int64_t hash = 0;
+    std::uint32_t engine = 0;
+    std::uint32_t generation = 0;
+    /// Sequence of the last event for this block.
+    std::int64_t sequence = 0;
+  };
+  struct ByAge {};
+  struct ByHash {};
+  struct ByPair {};
+  using HashKey = boost::multi_index::member<Block, std::int64_t, &Block::hash>;
+  using EngineKey = boost::multi_index::member<Block, std::uint32_t, &Block::engine>;
+  using Blocks = boost::multi_index_container<
+      Block, boost::multi_index::indexed_by<
+                 boost::multi_index::sequenced<boost::multi_index::tag<ByAge>>,
+                 boost::multi_index::hashed_non_unique<boost::multi_index::tag<ByHash>, HashKey>,
+                 boost::multi_index::hashed_unique<
+                     boost::multi_index::tag<ByPair>,
+                     boost::multi_index::composite_key<Block, HashKey, EngineKey>>>>;
+
+  PrefixHints& HintsOf(std::uint32_t engine);
+  void ApplyEvent(std::uint32_t engine, PrefixHints& hints, const CacheEvent& event);
+  void Store(std::uint32_t engine, const PrefixHints& hints, const CacheEvent& event);
+  /// Erases the block unless a newer event stored it.
+  void Erase(std::uint32_t engine, const PrefixHints& hints, const CacheEvent& event);
+  bool IsBelieved(const Block& block) const;
+
+  std::size_t max_blocks_;
+  std::vector<PrefixHints> hints_;
+  Blocks blocks_;
+};
+
+}  // namespace rattanramp::core
--- /dev/null
+++ b/tests/core/prefix_test.cc
@@ -0,0 +1,210 @@
+#include "core/prefix.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/hash.h"
+
+using namespace rattanramp;        // NOLINT
+using namespace rattanramp::core;  // NOLINT
+
+namespace {
+
+constexpr std::size_t kAll = 1'000;
+
+int In(int low, int high) { return *rc::gen::inRange(low, high + 1); }
+
+/// An engine's cache and its event stream; contents_at[s] is the cache after event s.
+struct CacheModel {
+  std::vector<CacheEvent> events;
+  std::vector<std::set<std::int64_t>> contents_at = {{}};
+
+  void Step() {
+    std::set<std::int64_t> now = contents_at.back();
+    const std::int64_t block = In(1, 12);
+    const bool stored = now.count(block) == 0;
+    if (stored) {
+      now.insert(block);
+    } else {
+      now.erase(block);
+    }
+    events.push_back({static_cast<std::int64_t>(contents_at.size()), block, stored});
+    contents_at.push_back(now);
+  }
+};
+
+std::set<std::int64_t> Claims(const PrefixIndex& index, std::uint32_t engine) {
+  std::set<std::int64_t> claims;
+  std::vector<CachedPrefix> found;
+  for (std::int64_t block = 1; block <= 12; ++block) {
+    index.Lookup(std::vector<std::int64_t>{block}, kAll, found);
+    if (std::any_of(found.begin(), found.end(),
+                    [engine](const CachedPrefix& cached) { return cached.engine == engine; })) {
+      claims.insert(block);
+    }
+  }
+  return claims;
+}
+
+bool IsSubset(const std::set<std::int64_t>& part, const std::set<std::int64_t>& whole) {
+  return std::includes(whole.begin(), whole.end(), part.begin(), part.end());
+}
+
+}  // namespace
+
+// Guards against hashes that differ from those the engines report.
+Test(prefix, block_hashes_are_chained) {
+  const std::string prompt = std::string(kBlockBytes, 'a') + std::string(kBlockBytes, 'b') + "tail";
+  const std::vector<std::int64_t> hashes = BlockHashes(prompt);
+  cr_assert_eq(hashes.size(), 2);
+  cr_assert_eq(hashes[0], SignedHash64(std::string(kBlockBytes, 'a'), 0));
+  cr_assert_eq(hashes[1],
+               SignedHash64(std::string(kBlockBytes, 'b'), static_cast<std::uint64_t>(hashes[0])));
+  cr_assert(BlockHashes(std::string(kBlockBytes - 1, 'a')).empty());
+}
+
+// Guards against claims of blocks that were evicted before the last known event, when events are
+// lost, late or doubled.
+Test(prefix, claims_only_what_the_last_known_event_allows) {
+  cr_assert(rc::check("claims are a subset of the cache at the last known event", [] {
+    CacheModel model;
+    PrefixIndex index(kAll);
+    std::vector<CacheEvent> held_back;
+    std::int64_t last = 0;
+    const int loss = In(0, 2);
+    for (int step = 0; step < 150; ++step) {
+      model.Step();
+      std::vector<CacheEvent> batch;
+      const int fate = In(0, 9);
+      if (fate >= loss) {
+        batch.push_back(model.events.back());
+      } else if (fate == 0) {
+        held_back.push_back(model.events.back());
+      }
+      if (fate == 8) {
+        batch.push_back(model.events[static_cast<std::size_t>(In(0, step))]);
+      }
+      if (fate == 9 && !held_back.empty()) {
+        batch.push_back(held_back.back());
+        held_back.pop_back();
+      }
+      for (const CacheEvent& event : batch) {
+        last = std::max(last, event.sequence);
+      }
+      index.Apply(3, 7, batch);
+      RC_ASSERT(IsSubset(Claims(index, 3), model.contents_at[static_cast<std::size_t>(last)]));
+    }
+  }));
+}
+
+// Guards against hints lost although all events arrived, in any order within a tracked gap.
+Test(prefix, complete_streams_are_claimed_in_full) {
+  cr_assert(rc::check("claims equal the cache when no event is missing", [] {
+    CacheModel model;
+    PrefixIndex index(kAll);
+    for (int step = 0; step < 60; ++step) {
+      model.Step();
+    }
+    index.Apply(0, 1, model.events);
+    RC_ASSERT(Claims(index, 0) == model.contents_at.back());
+    RC_ASSERT(!index.is_uncertain(0));
+    for (int step = 0; step < 5; ++step) {
+      model.Step();
+    }
+    std::vector<CacheEvent> late(model.events.end() - 5, model.events.end());
+    const CacheEvent newest = late.back();
+    late.pop_back();
+    std::reverse(late.begin(), late.end());
+    index.Apply(0, 1, std::vector<CacheEvent>{newest});
+    RC_ASSERT(index.is_uncertain(0));
+    index.Apply(0, 1, late);
+    RC_ASSERT(!index.is_uncertain(0));
+    RC_ASSERT(IsSubset(Claims(index, 0), model.contents_at.back()));
+    // Blocks that the late events did not touch are claimed again.
+    std::set<std::int64_t> untouched = model.contents_at[60];
+    for (const CacheEvent& event : late) {
+      untouched.erase(event.block_hash);
+    }
+    untouched.erase(newest.block_hash);
+    RC_ASSERT(IsSubset(untouched, Claims(index, 0)));
+  }));
+}
+
+// Guards against hints that outlive the engine process, and against late events of the old one.
+Test(prefix, new_incarnation_drops_hints) {
+  PrefixIndex index(kAll);
+  index.Apply(0, 10, std::vector<CacheEvent>{{1, 5, true}});
+  index.Apply(0, 11, std::vector<CacheEvent>{{1, 6, true}});
+  cr_assert(Claims(index, 0) == std::set<std::int64_t>{6});
+  index.Apply(0, 10, std::vector<CacheEvent>{{2, 7, true}});
+  cr_assert(Claims(index, 0) == std::set<std::int64_t>{6});
+  index.Forget(0);
+  cr_assert(Claims(index, 0).empty());
+  index.Apply(0, 11, std::vector<CacheEvent>{{9, 8, true}});
+  cr_assert(Claims(index, 0) == std::set<std::int64_t>{8});
+}
+
+// Guards against an engine that stays uncertain for ever after a gap.
+Test(prefix, resynchronise_restores_certainty) {
+  PrefixIndex index(kAll);
+  index.Apply(0, 1, std::vector<CacheEvent>{{1, 5, true}, {200, 6, true}});
+  cr_assert(index.is_uncertain(0));
+  cr_assert(Claims(index, 0) == std::set<std::int64_t>{6});
+  index.Resynchronise(0, 1, 201, std::vector<std::int64_t>{5, 6, 7});
+  cr_assert(!index.is_uncertain(0));
+  index.Resynchronise(0, 1, 150, std::vector<std::int64_t>{});
+  index.Apply(0, 1, std::vector<CacheEvent>{{202, 6, false}});
+  cr_assert(Claims(index, 0) == (std::set<std::int64_t>{5, 7}));
+}
+
+// Guards against unbounded memory and against eviction of the newest hints.
+Test(prefix, oldest_blocks_are_evicted) {
+  PrefixIndex index(3);
+  index.Apply(0, 1,
+              std::vector<CacheEvent>{
+                  {1, 1, true}, {2, 2, true}, {3, 3, true}, {4, 1, true}, {5, 4, true}});
+  cr_assert_eq(index.size(), 3);
+  cr_assert(Claims(index, 0) == (std::set<std::int64_t>{1, 3, 4}));
+}
+
+// Guards against prefixes that count blocks after a missing one.
+Test(prefix, lookup_counts_unbroken_prefixes_only) {
+  cr_assert(rc::check("Lookup equals a count per engine", [] {
+    PrefixIndex index(kAll);
+    std::vector<std::set<std::int64_t>> held(6);
+    for (std::uint32_t engine = 0; engine < held.size(); ++engine) {
+      std::int64_t sequence = 0;
+      for (std::int64_t block = 1; block <= 6; ++block) {
+        if (In(0, 3) > 0) {
+          held[engine].insert(block);
+          index.Apply(engine, 1, std::vector<CacheEvent>{{++sequence, block, true}});
+        }
+      }
+    }
+    std::vector<CachedPrefix> found;
+    index.Lookup(std::vector<std::int64_t>{1, 2, 3, 4, 5, 6}, 4, found);
+    std::vector<std::int32_t> expected;
+    for (const std::set<std::int64_t>& blocks : held) {
+      std::int32_t tokens = 0;
+      for (std::int64_t block = 1; blocks.count(block) > 0; ++block) {
+        tokens += kPieceTokens;
+      }
+      if (tokens > 0) {
+        expected.push_back(tokens);
+      }
+    }
+    std::sort(expected.rbegin(), expected.rend());
+    expected.resize(std::min<std::size_t>(expected.size(), 4));
+    std::vector<std::int32_t> tokens;
+    for (const CachedPrefix& cached : found) {
+      RC_ASSERT(cached.engine < held.size());
+      tokens.push_back(cached.tokens);
+    }
+    RC_ASSERT(tokens == expected);
+  }));
+}
