core/route: keep one candidate per failure domain

Cause: the candidate lists kept the best two engines, for the case that the best prefill engine is also the best decode engine. In that case prefill in place costs less than any transfer between the lists, so the second entry was never chosen.

Change: one candidate per failure domain and crowding instead of two.

Conclusion: the choice is unchanged and the combination considers a quarter of the pairs.

--- a/core/route.cc
+++ b/core/route.cc
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <array>
 #include <cstddef>
+#include <limits>
 
 namespace rattanramp::core {
 namespace {
@@ -159,39 +160,14 @@
 
 struct Candidate {
   std::uint32_t engine = 0;
-  double score_ms = 0;
-};
-
-/// The best two engines with the same failure domain and crowding. Two are enough for an exact
-/// answer: the second is needed only where the best prefill engine is also the best decode engine.
-struct BestTwo {
-  std::uint32_t count = 0;
-  std::array<Candidate, 2> best;
-
-  bool Admits(double score_ms) const { return count < 2 || score_ms < best[1].score_ms; }
+  double score_ms = std::numeric_limits<double>::infinity();
 
-  /// An engine that is listed already keeps its better score.
-  void Insert(Candidate added) {
-    if (count > 0 && best[0].engine == added.engine) {
-      best[0].score_ms = std::min(best[0].score_ms, added.score_ms);
-      return;
-    }
-    if (count == 2 && best[1].engine != added.engine && added.score_ms >= best[1].score_ms) {
-      return;
-    }
-    if (count == 2 && best[1].engine == added.engine) {
-      best[1].score_ms = std::min(best[1].score_ms, added.score_ms);
-    } else {
-      count = std::min(count + 1, 2U);
-      best[count - 1] = added;
-    }
-    if (count == 2 && best[1].score_ms < best[0].score_ms) {
-      std::swap(best[0], best[1]);
-    }
-  }
+  bool found() const { return score_ms < std::numeric_limits<double>::infinity(); }
 };
 
-/// Candidates by failure domain and crowding, collected in one pass over the engines.
+/// The best engine of each failure domain and crowding, collected in one pass over the engines. One
+/// is enough for an exact answer: if the best prefill engine of a domain is also the best decode
+/// engine, prefill in place there is better than any transfer between the two lists.
 class Candidates {
  public:
   Candidates(const Job& job, const FleetView& fleet) : job_(job), fleet_(fleet) {
@@ -224,13 +200,13 @@
   void Offer(std::uint32_t index, const EngineView& engine, std::int32_t cached_tokens);
   void OfferDecode(std::uint32_t index, const EngineView& engine, std::int32_t cached_tokens,
                    std::uint32_t domain, double distance_ms);
-  void InsertUnlessExcluded(BestTwo& list, std::uint32_t index, double score_ms) const {
-    if (!list.Admits(score_ms)) {
+  void Replace(Candidate& best, std::uint32_t index, double score_ms) const {
+    if (score_ms >= best.score_ms) {
       return;
     }
     const double total_ms = score_ms + job_.NearEqualMs(index);
-    if (list.Admits(total_ms) && !IsExcluded(job_.request, index)) {
-      list.Insert({index, total_ms});
+    if (total_ms < best.score_ms && !IsExcluded(job_.request, index)) {
+      best = {index, total_ms};
     }
   }
   void Consider(const Candidate& prefill, std::uint32_t prefill_crowding, const Candidate& decode,
@@ -246,9 +222,9 @@
   const FleetView& fleet_;
   std::uint32_t domains_ = 1;
   std::array<double, kMaxDomains> entry_ms_;
-  std::array<std::array<BestTwo, kCrowdingCount>, kMaxDomains> prefill_;
-  std::array<std::array<BestTwo, kCrowdingCount>, kMaxDomains> decode_;
-  std::array<BestTwo, kCrowdingCount> in_place_;
+  std::array<std::array<Candidate, kCrowdingCount>, kMaxDomains> prefill_;
+  std::array<std::array<Candidate, kCrowdingCount>, kMaxDomains> decode_;
+  std::array<Candidate, kCrowdingCount> in_place_;
   bool any_decode_ = false;
   bool any_large_enough_ = false;
 };
@@ -260,8 +236,8 @@
           ? entry_ms_[domain]
           : DistanceMs(fleet_, job_.request.failure_domain, engine.failure_domain);
   if (engine.role != EngineRole::kDecode && job_.CanPrefill(engine)) {
-    InsertUnlessExcluded(prefill_[domain][job_.PrefillCrowding(engine)], index,
-                         job_.PrefillSideMs(engine, distance_ms, cached_tokens));
+    Replace(prefill_[domain][job_.PrefillCrowding(engine)], index,
+            job_.PrefillSideMs(engine, distance_ms, cached_tokens));
   }
   if (engine.role != EngineRole::kPrefill) {
     OfferDecode(index, engine, cached_tokens, domain, distance_ms);
@@ -276,10 +252,10 @@
     return;
   }
   const Crowding crowding = job_.DecodeCrowding(engine);
-  InsertUnlessExcluded(decode_[domain][crowding], index, job_.DecodeSideMs(engine, distance_ms));
-  InsertUnlessExcluded(in_place_[crowding], index,
-                       job_.InPlaceMs(engine, distance_ms, cached_tokens) +
-                           job_.InterferenceMs(engine, cached_tokens));
+  Replace(decode_[domain][crowding], index, job_.DecodeSideMs(engine, distance_ms));
+  Replace(in_place_[crowding], index,
+          job_.InPlaceMs(engine, distance_ms, cached_tokens) +
+              job_.InterferenceMs(engine, cached_tokens));
 }
 
 void Candidates::Consider(const Candidate& prefill, std::uint32_t prefill_crowding,
@@ -302,25 +278,25 @@
 RouteScore Candidates::Best() const {
   RouteScore best;
   for (std::uint32_t crowding = 0; crowding < kCrowdingCount; ++crowding) {
-    if (in_place_[crowding].count == 0) {
+    if (!in_place_[crowding].found()) {
       continue;
     }
     RouteScore score;
     score.feasible = true;
     score.route.in_place = true;
-    score.route.prefill_engine = score.route.decode_engine = in_place_[crowding].best[0].engine;
+    score.route.prefill_engine = score.route.decode_engine = in_place_[crowding].engine;
     score.misses_pace = crowding == kMissesPace;
     score.crowded_pieces = CrowdedPieces(kRoomy, crowding);
-    score.score_ms = in_place_[crowding].best[0].score_ms;
+    score.score_ms = in_place_[crowding].score_ms;
     if (!best.feasible || IsBetterRoute(job_.request, score, best)) {
       best = score;
     }
   }
   for (std::uint32_t at = 0; at < domains_ * kCrowdingCount; ++at) {
     const std::uint32_t crowding = at % kCrowdingCount;
-    const BestTwo& prefills = prefill_[at / kCrowdingCount][crowding];
-    for (std::uint32_t p = 0; p < prefills.count; ++p) {
-      CombineWithDecodes(prefills.best[p], crowding, best);
+    const Candidate& prefill = prefill_[at / kCrowdingCount][crowding];
+    if (prefill.found()) {
+      CombineWithDecodes(prefill, crowding, best);
     }
   }
   return best;
@@ -330,11 +306,9 @@
                                     RouteScore& best) const {
   for (std::uint32_t domain = 0; domain < domains_; ++domain) {
     for (std::uint32_t crowding = 0; crowding < kCrowdingCount; ++crowding) {
-      const BestTwo& decodes = decode_[domain][crowding];
-      for (std::uint32_t d = 0; d < decodes.count; ++d) {
-        if (decodes.best[d].engine != prefill.engine) {
-          Consider(prefill, prefill_crowding, decodes.best[d], crowding, best);
-        }
+      const Candidate& decode = decode_[domain][crowding];
+      if (decode.found() && decode.engine != prefill.engine) {
+        Consider(prefill, prefill_crowding, decode, crowding, best);
       }
     }
   }
