--- /dev/null
+++ b/tests/proofs/settings_proof.cc
@@ -0,0 +1,117 @@
+// Settings changes under failure: in force everywhere, never reverted, operators told the truth.
+
+#include <criterion/criterion.h>
+
+#include <csignal>
+#include <thread>
+
+#include "tests/support/test_fleet.h"
+
+using namespace rattanramp;           // NOLINT(google-build-using-namespace)
+using namespace rattanramp::testing;  // NOLINT(google-build-using-namespace)
+using nlohmann::json;
+
+namespace {
+
+// The target: in force everywhere within 14 s.
+constexpr Milliseconds kEverywhereBound{14'000};
+
+FleetSpec ThreeEntries() {
+  FleetSpec spec;
+  spec.entries = 3;
+  spec.engines = {{"both", {}}, {"both", {}}};
+  spec.settings = {{"services", {{"verdicts", {{"values", {{"model", kTestModel}}}}}}}};
+  return spec;
+}
+
+json Change(const std::string& change_id, std::int64_t expected_version, int target_ms) {
+  return {{"change_id", change_id},
+          {"author", "operator"},
+          {"expected_version", expected_version},
+          {"operations", json::array({{{"op", "set"},
+                                       {"path", "/services/verdicts"},
+                                       {"key", "first_output_target_ms"},
+                                       {"value", target_ms}}})}};
+}
+
+std::pair<int, json> Commit(const TestFleet& fleet, const std::string& entry, const json& change) {
+  return PostJson(fleet.operator_url(entry), "/settings/changes", change);
+}
+
+std::int64_t VersionAt(const TestFleet& fleet, const std::string& process) {
+  const json state = GetJson(fleet.operator_url(process), "/state");
+  return state.is_object() ? state.value("settings_version", std::int64_t{-1}) : -1;
+}
+
+bool AllAt(const TestFleet& fleet, std::int64_t version) {
+  for (const char* name : {"entry-0", "entry-1", "entry-2", "agent-engine-0", "agent-engine-1"}) {
+    if (VersionAt(fleet, name) != version) {
+      return false;
+    }
+  }
+  return true;
+}
+
+}  // namespace
+
+// Guards against an accepted change that is lost because the platform dies right after accepting
+// it.
+Test(settings_proof, platform_dies_after_accepting) {
+  const TestFleet fleet(ThreeEntries());
+  cr_assert_eq(Commit(fleet, "entry-0", Change("c1", 1, 700)).first, 200);
+  fleet.SetPlatformFault("down");
+  cr_assert(WaitUntil([&] { return AllAt(fleet, 2); }, kEverywhereBound));
+}
+
+// Guards against two operators overwriting each other without notice.
+Test(settings_proof, operators_race) {
+  const TestFleet fleet(ThreeEntries());
+  std::pair<int, json> first;
+  std::pair<int, json> second;
+  std::thread a([&] { first = Commit(fleet, "entry-0", Change("a", 1, 700)); });
+  std::thread b([&] { second = Commit(fleet, "entry-1", Change("b", 1, 800)); });
+  a.join();
+  b.join();
+  cr_assert((first.first == 200) != (second.first == 200), "%d %d", first.first, second.first);
+  cr_assert_eq(first.first == 200 ? second.first : first.first, 409);
+  cr_assert(WaitUntil([&] { return AllAt(fleet, 2); }, kEverywhereBound));
+}
+
+// Guards against a change that takes effect twice or is called refused when its reply was lost.
+Test(settings_proof, reply_lost_and_repeated) {
+  const TestFleet fleet(ThreeEntries());
+  fleet.SetPlatformFault("reply_lost");
+  const std::pair<int, json> first = Commit(fleet, "entry-0", Change("c1", 1, 700));
+  cr_assert(
+      first.first == 200 || first.second.value("/error/outcome"_json_pointer, "") == "unknown",
+      "%d %s", first.first, first.second.dump().c_str());
+  fleet.SetPlatformFault("ok");
+  const std::pair<int, json> repeat = Commit(fleet, "entry-1", Change("c1", 1, 700));
+  cr_assert_eq(repeat.first, 200, "%d %s", repeat.first, repeat.second.dump().c_str());
+  cr_assert(WaitUntil([&] { return AllAt(fleet, 2); }, kEverywhereBound));
+}
+
+// Guards against a process that was paused during a change and keeps or spreads the old version.
+Test(settings_proof, paused_entry_catches_up) {
+  TestFleet fleet(ThreeEntries());
+  fleet.process("entry-2").Signal(SIGSTOP);
+  cr_assert_eq(Commit(fleet, "entry-0", Change("c1", 1, 700)).first, 200);
+  fleet.SetPlatformFault("down");
+  std::this_thread::sleep_for(Milliseconds(3'000));
+  fleet.process("entry-2").Signal(SIGCONT);
+  cr_assert(WaitUntil([&] { return AllAt(fleet, 2); }, kEverywhereBound));
+}
+
+// Guards against an entry that boots while the platform is down and serves without settings or
+// with old ones.
+Test(settings_proof, entry_boots_while_platform_is_down) {
+  TestFleet fleet(ThreeEntries());
+  cr_assert_eq(Commit(fleet, "entry-0", Change("c1", 1, 700)).first, 200);
+  fleet.SetPlatformFault("down");
+  fleet.process("entry-1").Kill();
+  fleet.Restart("entry-1");
+  cr_assert(WaitUntil([&] { return AllAt(fleet, 2); }, kEverywhereBound));
+  cr_assert(
+      WaitUntil([&] { return StreamCompletion(fleet.caller(1), "verdicts", "after boot", 5).done; },
+                kEverywhereBound));
+}
--- /dev/null
+++ b/tests/proofs/stream_proof.cc
@@ -0,0 +1,182 @@
+// Streams under failure: answers stay whole, and engine memory of callers that are gone is freed.
+
+#include <criterion/criterion.h>
+
+#include <atomic>
+#include <csignal>
+#include <thread>
+
+#include "standins/expected_output.h"
+#include "tests/support/test_fleet.h"
+
+using namespace rattanramp;           // NOLINT(google-build-using-namespace)
+using namespace rattanramp::testing;  // NOLINT(google-build-using-namespace)
+using nlohmann::json;
+
+namespace {
+
+constexpr int kTokens = 150;
+constexpr Milliseconds kLease{1'500};
+// Stated in docs/design.md 6.1: lease plus two seconds.
+constexpr Milliseconds kFreeBound = kLease + Milliseconds(2'000);
+
+FleetSpec TwoDecodeEngines() {
+  FleetSpec spec;
+  spec.entries = 2;
+  spec.engines = {{"prefill", {}},
+                  {"decode", {"--decode-ms", "20"}},
+                  {"decode", {"--decode-ms", "20"}}};
+  spec.settings = {
+      {"values", {{"lease_ms", kLease.count()}, {"link_dead_ms", 800}, {"heartbeat_ms", 200}}},
+      {"services", {{"verdicts", {{"values", {{"model", kTestModel}, {"patient", true}}}}}}}};
+  return spec;
+}
+
+std::string LongPrompt() { return std::string(12'000, 'p'); }
+
+/// Runs one stream and calls on_start once when a few tokens have arrived.
+StreamedAnswer StreamWithFault(const TestFleet& fleet, const std::string& prompt,
+                               const std::function<void()>& on_start) {
+  std::atomic<bool> started{false};
+  return StreamCompletion(fleet.caller(0), "verdicts", prompt, kTokens,
+                          [&](const std::string& text) {
+                            if (text.size() > 40 && !started.exchange(true)) {
+                              on_start();
+                            }
+                            return true;
+                          });
+}
+
+/// Name of the decode engine that runs a request.
+std::string BusyDecodeEngine(const TestFleet& fleet) {
+  for (const char* name : {"engine-1", "engine-2"}) {
+    const json truth = GetJson(fleet.upstream_url(name), "/v1/truth");
+    if (truth.is_object() && !truth.value("running", json::array()).empty()) {
+      return name;
+    }
+  }
+  return "";
+}
+
+void AssertWhole(const StreamedAnswer& answer, const std::string& prompt) {
+  cr_assert_eq(answer.status, 200, "status %d %s", answer.status, answer.error_kind.c_str());
+  cr_assert(answer.done, "no end mark: %s", answer.error_kind.c_str());
+  cr_assert(answer.text == standins::ExpectedOutput(prompt, 0, kTokens));
+}
+
+}  // namespace
+
+// Guards against engine memory that stays held after the caller has left.
+Test(stream_proof, caller_leaves) {
+  const TestFleet fleet(TwoDecodeEngines());
+  StreamCompletion(fleet.caller(0), "verdicts", LongPrompt(), kTokens,
+                   [](const std::string& text) { return text.size() < 40; });
+  cr_assert(WaitUntil([&] { return fleet.HeldPieces() == 0; }, kFreeBound));
+}
+
+// Guards against engine memory that stays held for an entry that died.
+Test(stream_proof, entry_killed) {
+  TestFleet fleet(TwoDecodeEngines());
+  StreamWithFault(fleet, LongPrompt(), [&] { fleet.process("entry-0").Kill(); });
+  cr_assert(WaitUntil([&] { return fleet.HeldPieces() == 0; }, kFreeBound));
+}
+
+// Guards against engine memory that stays held for a frozen entry, and against a wrong answer when
+// the entry wakes after its lease has lapsed.
+Test(stream_proof, entry_frozen_and_woken) {
+  TestFleet fleet(TwoDecodeEngines());
+  const std::string prompt = LongPrompt();
+  bool freed = false;
+  const StreamedAnswer answer = StreamWithFault(fleet, prompt, [&] {
+    fleet.process("entry-0").Signal(SIGSTOP);
+    freed = WaitUntil([&] { return fleet.HeldPieces() == 0; }, kFreeBound);
+    fleet.process("entry-0").Signal(SIGCONT);
+  });
+  cr_assert(freed);
+  AssertWhole(answer, prompt);
+}
+
+// Guards against a lost or doubled part of the text when the decode engine dies.
+Test(stream_proof, decode_engine_killed) {
+  TestFleet fleet(TwoDecodeEngines());
+  const std::string prompt = LongPrompt();
+  const StreamedAnswer answer =
+      StreamWithFault(fleet, prompt, [&] { fleet.process(BusyDecodeEngine(fleet)).Kill(); });
+  AssertWhole(answer, prompt);
+}
+
+// Guards against a lost or doubled part of the text when the agent dies, and against memory that
+// the dead agent's engine keeps.
+Test(stream_proof, agent_killed) {
+  TestFleet fleet(TwoDecodeEngines());
+  const std::string prompt = LongPrompt();
+  std::string agent;
+  const StreamedAnswer answer = StreamWithFault(fleet, prompt, [&] {
+    agent = "agent-" + BusyDecodeEngine(fleet);
+    fleet.process(agent).Kill();
+  });
+  AssertWhole(answer, prompt);
+  fleet.Restart(agent);
+  cr_assert(WaitUntil([&] { return fleet.HeldPieces() == 0; }, Milliseconds(5'000)));
+}
+
+// Guards against a stream that waits for ever on a connection that is open but silent, and against
+// late chunks of the woken agent reaching the caller.
+Test(stream_proof, agent_frozen_and_woken) {
+  TestFleet fleet(TwoDecodeEngines());
+  const std::string prompt = LongPrompt();
+  std::string agent;
+  const StreamedAnswer answer = StreamWithFault(fleet, prompt, [&] {
+    agent = "agent-" + BusyDecodeEngine(fleet);
+    fleet.process(agent).Signal(SIGSTOP);
+  });
+  fleet.process(agent).Signal(SIGCONT);
+  AssertWhole(answer, prompt);
+  cr_assert(WaitUntil([&] { return fleet.HeldPieces() == 0; }, kFreeBound));
+}
+
+// Guards against a stalled KV transfer that holds a request for ever.
+Test(stream_proof, transfer_stalled) {
+  const TestFleet fleet(TwoDecodeEngines());
+  const std::string prompt = LongPrompt();
+  cr_assert_eq(
+      PostJson(fleet.upstream_url("engine-0"), "/v1/faults", {{"stall_transfers", true}}).first,
+      200);
+  AssertWhole(StreamCompletion(fleet.caller(0), "verdicts", prompt, kTokens), prompt);
+}
+
+// Guards against an engine stream that goes silent without closing.
+Test(stream_proof, engine_connections_silent) {
+  const TestFleet fleet(TwoDecodeEngines());
+  const std::string prompt = LongPrompt();
+  const StreamedAnswer answer = StreamWithFault(fleet, prompt, [&] {
+    PostJson(fleet.upstream_url(BusyDecodeEngine(fleet)), "/v1/faults",
+             {{"silent_connections", true}});
+  });
+  AssertWhole(answer, prompt);
+}
+
+// Guards against answers that are mixed up between callers, with the decode engine dying midway.
+Test(stream_proof, many_callers_get_their_own_answer) {
+  TestFleet fleet(TwoDecodeEngines());
+  std::atomic<int> whole{0};
+  std::atomic<bool> fault{false};
+  std::vector<std::thread> callers;
+  for (int i = 0; i < 12; ++i) {
+    callers.emplace_back([&, i] {
+      const std::string prompt = "caller " + std::to_string(i) + std::string(3'000, 'x');
+      const StreamedAnswer answer = StreamCompletion(
+          fleet.caller(i % 2), "verdicts", prompt, kTokens, [&](const std::string& text) {
+            if (text.size() > 100 && !fault.exchange(true)) {
+              fleet.process("engine-1").Kill();
+            }
+            return true;
+          });
+      whole += answer.done && answer.text == standins::ExpectedOutput(prompt, 0, kTokens) ? 1 : 0;
+    });
+  }
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  cr_assert_eq(whole.load(), 12, "%d of 12 answers were whole", whole.load());
+}
--- /dev/null
+++ b/tests/support/test_fleet.h
@@ -0,0 +1,115 @@
+// Small fleet of real processes on loopback for failure tests.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "tests/support/child_process.h"
+
+namespace rattanramp::testing {
+
+struct EngineSpec {
+  std::string role;
+  std::vector<std::string> arguments;
+};
+
+struct FleetSpec {
+  int entries = 2;
+  std::vector<EngineSpec> engines;
+  /// Names of plain services, one stand-in and agent each.
+  std::vector<std::string> services;
+  nlohmann::json settings;
+};
+
+/// Name of the model that all test engines serve.
+inline constexpr const char* kTestModel = "test-model";
+
+class TestFleet {
+ public:
+  /// Starts all processes and waits until every entry has a ready link to every agent. Fails the
+  /// test otherwise.
+  explicit TestFleet(FleetSpec spec);
+
+  ChildProcess& process(const std::string& name);
+  /// Starts a process again with the same arguments.
+  void Restart(const std::string& name);
+
+  /// "host:port" of the caller interface of entry number index.
+  const std::string& caller(int index) const { return callers_.at(index); }
+  /// Operator address of a process, "http://host:port".
+  const std::string& operator_url(const std::string& name) const { return operators_.at(name); }
+  const std::string& upstream_url(const std::string& name) const { return upstreams_.at(name); }
+  const std::string& platform_url() const { return platform_url_; }
+
+  /// Sum of held_pieces over all engines that answer.
+  std::int64_t HeldPieces() const;
+  /// Largest count of runs of any idempotency key over all services, and the count of one key.
+  std::int64_t MaxRunsPerKey() const;
+  std::int64_t RunsOf(const std::string& key) const;
+
+  void SetPlatformFault(const std::string& mode) const;
+  /// Replaces the state of a VM in the platform's list.
+  void SetVmState(const std::string& id, const std::string& state);
+
+ private:
+  struct Command {
+    std::string program;
+    std::vector<std::string> arguments;
+  };
+
+  void Spawn(const std::string& name, const std::string& program,
+             const std::vector<std::string>& arguments);
+  void SpawnWithConfig(const std::string& name, const std::string& program,
+                       const nlohmann::json& boot);
+  void StartPlatform();
+  void StartEngine(int index, const EngineSpec& engine);
+  void StartService(int index, const std::string& service);
+  void StartAgent(const std::string& name, int index, const nlohmann::json& upstream);
+  void StartEntries();
+  void PublishVms() const;
+  void WaitReady() const;
+
+  FleetSpec spec_;
+  std::string directory_;
+  std::string platform_url_;
+  std::map<std::string, Command> commands_;
+  std::map<std::string, std::unique_ptr<ChildProcess>> processes_;
+  std::vector<std::string> callers_;
+  std::map<std::string, std::string> operators_;
+  std::map<std::string, std::string> upstreams_;
+  std::vector<std::string> engine_names_;
+  std::vector<std::string> service_names_;
+  nlohmann::json vms_ = nlohmann::json::array();
+};
+
+/// JSON answer of a GET, or null.
+nlohmann::json GetJson(const std::string& url, const std::string& path);
+/// Status and JSON answer of a POST.
+std::pair<int, nlohmann::json> PostJson(const std::string& url, const std::string& path,
+                                        const nlohmann::json& body);
+
+/// Polls the condition until it holds or the time is over.
+bool WaitUntil(const std::function<bool()>& condition, Milliseconds limit);
+
+/// Answer to a streamed completion.
+struct StreamedAnswer {
+  int status = 0;
+  std::string text;
+  bool done = false;
+  std::string error_kind;
+  std::string outcome;
+};
+
+/// Sends a streamed completion; on_text is called after each piece and may return false to leave.
+StreamedAnswer StreamCompletion(
+    const std::string& caller, const std::string& service, const std::string& prompt, int tokens,
+    const std::function<bool(const std::string& text)>& on_text = [](const std::string&) {
+      return true;
+    });
+
+}  // namespace rattanramp::testing
