Add thin stand-ins for engine, service and platform

Cause: entry, agent and load are written at the same time and need upstreams and a platform to run against.

No tests yet.

Prefill and KV import were not run.

--- /dev/null
+++ b/standins/cache_event_log.h
@@ -0,0 +1,39 @@
+// Cache events as an engine publishes them: after a delay and with gaps in the sequence.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <random>
+#include <vector>
+
+#include "base/clock.h"
+
+namespace rattanramp::standins {
+
+struct CacheEvent {
+  std::int64_t sequence = 0;
+  std::int64_t block_hash = 0;
+  bool stored = false;
+  TimePoint visible_at;
+};
+
+/// Not thread-safe.
+class CacheEventLog {
+ public:
+  /// A lost event keeps its sequence number, so that readers see a gap.
+  CacheEventLog(Duration delay, double gap_percent, std::uint64_t seed)
+      : delay_(delay), lost_(gap_percent / 100), random_(seed) {}
+
+  void Add(std::int64_t block_hash, bool stored, TimePoint now);
+  /// Visible events with a sequence above after, oldest first.
+  std::vector<CacheEvent> After(std::int64_t after, TimePoint now) const;
+
+ private:
+  Duration delay_;
+  std::bernoulli_distribution lost_;
+  std::mt19937_64 random_;
+  std::int64_t last_sequence_ = 0;
+  std::deque<CacheEvent> events_;
+};
+
+}  // namespace rattanramp::standins
--- /dev/null
+++ b/standins/engine.h
@@ -0,0 +1,153 @@
+// Simulated language-model engine: continuous batching, paged memory, prefix cache, KV export and
+// import.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "standins/cache_event_log.h"
+#include "standins/engine_options.h"
+#include "standins/engine_types.h"
+#include "standins/prefix_cache.h"
+
+namespace rattanramp::standins {
+
+inline constexpr std::int64_t kPieceTokens = 2'048;
+
+/// Methods are safe from any thread. Those that wait call caller_left now and then and give up
+/// when it returns true; the request itself continues.
+class Engine {
+ public:
+  using CallerLeft = std::function<bool()>;
+
+  /// options must have passed FindOptionProblem.
+  explicit Engine(const EngineOptions& options);
+  ~Engine();
+
+  /// Ends all waits; requests fail with 503 stopping.
+  void Stop();
+
+  /// Waits for the prefill. Errors: memory_full, cancelled, wrong_role, duplicate_request,
+  /// stale_fence.
+  EngineResult<PrefillAnswer> Prefill(const EngineCall& call, const CallerLeft& caller_left);
+  /// Waits until the request starts, including the import. Errors as for Prefill, and kv_gone.
+  EngineResult<RequestPtr> Decode(const EngineCall& call, const CallerLeft& caller_left);
+  /// Error: unknown_request.
+  EngineResult<RequestPtr> FindStream(const std::string& request_id) const;
+  /// Waits a short time for output of the request at the byte position.
+  StreamStep NextStep(const RequestPtr& request, std::int64_t offset);
+
+  /// Returns false when the request is not known.
+  bool Cancel(const std::string& request_id);
+  /// Returns the number of cancelled requests.
+  int CancelAll();
+
+  /// Waits for the link. Errors: kv_gone, cancelled.
+  EngineResult<KvExport> Export(const std::string& kv_handle, const CallerLeft& caller_left);
+
+  /// Error: stale_fence. Accepts every number unless the engine checks fencing.
+  EngineResult<void> CheckFence(std::optional<std::int64_t> fence);
+  void SetRole(const std::string& role);
+  void LoadModel(const std::string& name);
+  void UnloadModel(const std::string& name);
+
+  EngineFaults faults() const;
+  void SetFaults(const EngineFaults& faults);
+
+  /// The load as it was load_lag_ms ago.
+  EngineLoad ReportedLoad() const;
+  std::vector<CacheEvent> EventsAfter(std::int64_t sequence) const;
+  EngineTruth Truth();
+
+  const EngineOptions& options() const { return options_; }
+  std::int64_t incarnation() const { return incarnation_; }
+
+ private:
+  struct Transfer {
+    std::uint64_t ticket = 0;
+    std::int64_t bytes = 0;
+    std::optional<TimePoint> done_at;
+  };
+
+  void Run();
+  TimePoint Advance(TimePoint now);
+  void AdvancePrefill(TimePoint now);
+  void AdvanceDecode(TimePoint now);
+  void StartQueued(TimePoint now);
+  void ExpireKv(TimePoint now);
+  void ForgetFinished(TimePoint now);
+  TimePoint NextWake(TimePoint now) const;
+  Duration DecodeStepTime() const;
+
+  EngineResult<RequestPtr> Submit(const EngineCall& call, bool is_prefill);
+  EngineResult<void> Import(const RequestPtr& request, const EngineCall& call);
+  EngineResult<void> TakeLocalKv(const RequestPtr& request, const std::string& kv_handle);
+  /// Returns false when the KV with this seed does not belong to the request.
+  static bool AcceptKv(EngineRequest& request, std::uint64_t seed);
+  void Enqueue(const RequestPtr& request);
+  void FinishPrefill(const RequestPtr& request, TimePoint now);
+  void Finish(const RequestPtr& request, TimePoint now);
+  void Fail(const RequestPtr& request, EngineError error, TimePoint now);
+  void DropKv(const std::string& kv_handle, bool wasted);
+  void CrashIfAsked(const EngineRequest& request) const;
+
+  std::optional<Allocation> Allocate(const EngineRequest& request);
+  void StoreBlocks(const std::vector<std::int64_t>& hashes, Allocation& allocation);
+  void Release(Allocation& allocation);
+  int HeldPieces() const;
+  int FreePieces() const;
+  int RunningCount() const;
+  void AddWaste(double tokens) { wasted_ += tokens; }
+  EngineLoad CurrentLoad() const;
+  void RecordLoad(TimePoint now);
+  void Wake();
+
+  const EngineOptions options_;
+  const std::int64_t incarnation_;
+  mutable std::mutex mutex_;
+  std::condition_variable work_;
+  std::condition_variable transfers_changed_;
+  bool stopping_ = false;
+  bool woken_ = false;
+
+  std::string role_;
+  std::vector<std::string> models_;
+  std::int64_t highest_fence_ = 0;
+  EngineFaults faults_;
+
+  std::uint64_t next_arrival_ = 0;
+  std::uint64_t next_handle_ = 0;
+  std::unordered_map<std::string, RequestPtr> requests_;
+  std::deque<std::pair<TimePoint, RequestPtr>> finished_;
+  /// Keyed by priority and arrival.
+  std::map<std::pair<std::int64_t, std::uint64_t>, RequestPtr> queued_;
+  std::map<std::pair<std::int64_t, std::uint64_t>, RequestPtr> prefilling_;
+  std::vector<RequestPtr> decoding_;
+  std::vector<RequestPtr> importing_;
+  TimePoint prefill_advanced_at_;
+  TimePoint next_decode_step_;
+
+  std::unordered_map<std::string, KvResult> kv_results_;
+  std::deque<Transfer> transfers_;
+  std::uint64_t next_ticket_ = 0;
+
+  CacheEventLog events_;
+  PrefixCache cache_;
+  int own_pieces_ = 0;
+
+  double spent_ = 0;
+  double wasted_ = 0;
+  std::int64_t output_tokens_ = 0;
+  std::int64_t wrong_continuations_ = 0;
+  std::deque<std::pair<TimePoint, EngineLoad>> loads_;
+  std::thread thread_;
+};
+
+}  // namespace rattanramp::standins
--- /dev/null
+++ b/standins/platform_server.h
@@ -0,0 +1,81 @@
+// Stand-in for the platform: table, objects, weights and a lagging VM list over HTTP.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <utility>
+
+#include "base/http_server.h"
+#include "standins/platform_table.h"
+#include "standins/stop_flag.h"
+#include "standins/token_bucket.h"
+
+namespace rattanramp::standins {
+
+struct PlatformOptions {
+  /// How long a new VM list stays invisible.
+  int vm_lag_ms = 0;
+  /// Limits of table and object store together; 0 means no limit.
+  double writes_per_second = 0;
+  double reads_per_second = 0;
+  /// Rate that all downloads of weights share.
+  double weight_bytes_per_s = 50e6;
+  std::int64_t weight_bytes = 1'000'000;
+};
+
+class PlatformServer {
+ public:
+  /// Listens at "host:port". Errors: kInvalidArgument (address), kIo (port in use).
+  static Result<std::unique_ptr<PlatformServer>> Create(const std::string& listen,
+                                                        const PlatformOptions& options);
+  ~PlatformServer();
+
+  int port() const { return server_->port(); }
+  void Stop();
+
+ private:
+  enum class FaultMode { kOk, kDown, kSlow, kReplyLost };
+  enum class Access { kRead, kWrite };
+
+  struct Faults {
+    FaultMode mode = FaultMode::kOk;
+    int slow_ms = 0;
+  };
+
+  PlatformServer(std::unique_ptr<HttpServer> server, const PlatformOptions& options);
+
+  void AddTableRoutes();
+  void AddObjectRoutes();
+  void AddVmRoutes();
+  void AddTestRoutes();
+  /// Wraps a handler with the faults, the limit and the counter of its kind of access.
+  httplib::Server::Handler Guard(Access access, httplib::Server::Handler handler);
+  void HandleTransaction(const httplib::Request& request, httplib::Response& response);
+  void HandleWeights(const httplib::Request& request, httplib::Response& response);
+  void HandleFaults(const httplib::Request& request, httplib::Response& response);
+  Faults faults();
+
+  std::unique_ptr<HttpServer> server_;
+  PlatformOptions options_;
+  StopFlag stop_;
+  PlatformTable table_;
+  TokenBucket writes_;
+  TokenBucket reads_;
+  TokenBucket weights_;
+  std::mutex mutex_;
+  Faults faults_;
+  std::int64_t read_count_ = 0;
+  std::int64_t write_count_ = 0;
+  std::int64_t refused_count_ = 0;
+  std::map<std::string, std::string> objects_;
+  std::int64_t last_vm_version_ = 0;
+  /// Lists with the times at which they become visible, oldest first; never empty.
+  std::deque<std::pair<TimePoint, nlohmann::json>> vm_lists_;
+};
+
+}  // namespace rattanramp::standins
--- /dev/null
+++ b/standins/service_main.cc
@@ -0,0 +1,26 @@
+#include <CLI/CLI.hpp>
+
+#include "standins/program.h"
+#include "standins/service_server.h"
+
+int main(int argc, char** argv) {
+  using rattanramp::standins::ServiceServer;
+  CLI::App app("Stand-in for a plain HTTP service");
+  std::string listen;
+  rattanramp::standins::ServiceOptions options;
+  app.add_option("--listen", listen, "HOST:PORT")->required();
+  app.add_option("--delay-ms", options.delay_ms, "Time that each request takes");
+  app.add_option("--max-running", options.max_running,
+                 "Requests that run at the same time; 0 means no limit");
+  CLI11_PARSE(app, argc, argv);
+  rattanramp::standins::StartProgram("standin-service", listen);
+  const rattanramp::Result<std::unique_ptr<ServiceServer>> server =
+      ServiceServer::Create(listen, options);
+  if (!server) {
+    return rattanramp::standins::ReportStartFailure(server.error());
+  }
+  rattanramp::standins::WaitUntilStopped(server.value()->port());
+  server.value()->Stop();
+  rattanramp::ShutdownLogging();
+  return 0;
+}
