Test the stand-ins' behaviour that other programs rely on

Cause: tests, load runs and the demo judge the router by what the stand-ins say, so a fault in them would look like a fault of the router.

--- /dev/null
+++ b/tests/standins/engine_test.cc
@@ -0,0 +1,422 @@
+#include "standins/engine.h"
+
+#include <criterion/criterion.h>
+
+#include <functional>
+#include <thread>
+
+#include "base/clock.h"
+#include "standins/engine_server.h"
+#include "standins/expected_output.h"
+#include "tests/standins/engine_client.h"
+
+using nlohmann::json;
+using rattanramp::DefaultClock;
+using rattanramp::Milliseconds;
+using rattanramp::TimePoint;
+using rattanramp::standins::EngineClient;
+using rattanramp::standins::EngineOptions;
+using rattanramp::standins::EngineServer;
+using rattanramp::standins::EngineTruth;
+using rattanramp::standins::ExpectedOutput;
+using rattanramp::standins::kBlockBytes;
+using rattanramp::standins::kPieceTokens;
+using rattanramp::standins::StreamResult;
+
+namespace {
+
+/// Prefills at once and decodes a token each millisecond.
+EngineOptions FastOptions() {
+  EngineOptions options;
+  options.prefill_tokens_per_s = 1e9;
+  options.decode_token_ms = 1;
+  options.load_lag_ms = 0;
+  options.event_delay_ms = 0;
+  options.event_gap_percent = 0;
+  return options;
+}
+
+/// Decodes one token in ten minutes, so that requests stay where they are.
+EngineOptions StuckOptions() {
+  EngineOptions options = FastOptions();
+  options.decode_token_ms = 600'000;
+  return options;
+}
+
+std::unique_ptr<EngineServer> Start(const EngineOptions& options) {
+  rattanramp::Result<std::unique_ptr<EngineServer>> server =
+      EngineServer::Create("127.0.0.1:0", options);
+  cr_assert(server.has_value());
+  return std::move(server.value());
+}
+
+bool Eventually(const std::function<bool()>& condition) {
+  const TimePoint deadline = DefaultClock().now() + std::chrono::seconds(10);
+  while (!condition()) {
+    if (DefaultClock().now() > deadline) {
+      return false;
+    }
+    std::this_thread::sleep_for(Milliseconds(2));
+  }
+  return true;
+}
+
+json Call(const std::string& id, const std::string& prompt, int max_tokens) {
+  return {{"request_id", id}, {"prompt", prompt}, {"max_tokens", max_tokens}};
+}
+
+std::string Prompt(int blocks, char letter) {
+  return std::string(static_cast<std::size_t>(blocks) * kBlockBytes, letter) + "tail";
+}
+
+/// Body of a decode that imports the KV of a prefill answer.
+json ImportCall(json call, const json& prefill, const std::string& source_url) {
+  call["kv_handle"] = prefill.at("kv_handle");
+  call["source_url"] = source_url;
+  return call;
+}
+
+}  // namespace
+
+// Guards against output that load tools and tests cannot predict.
+Test(engine, streamed_output_equals_expected_output) {
+  const std::unique_ptr<EngineServer> server = Start(FastOptions());
+  EngineClient client(server->port());
+  const StreamResult stream = client.PostStream("/v1/generate", Call("a", "a prompt", 25));
+  cr_assert_eq(stream.text, ExpectedOutput("a prompt", 0, 25));
+  cr_assert(stream.offsets_in_order);
+  cr_assert_eq(stream.done.at("output_tokens"), 25);
+  cr_assert_eq(stream.done.at("total_bytes"), 100);
+  cr_assert_eq(stream.done.at("prefill_tokens"), 2);
+}
+
+// Guards against a generation that starts over when it continues elsewhere.
+Test(engine, continuation_follows_already_generated_text) {
+  const std::unique_ptr<EngineServer> server = Start(FastOptions());
+  EngineClient client(server->port());
+  json call = Call("a", "a prompt", 5);
+  call["already_generated"] = ExpectedOutput("a prompt", 0, 7);
+  cr_assert_eq(client.PostStream("/v1/generate", call).text, ExpectedOutput("a prompt", 7, 5));
+  cr_assert_eq(server->engine().Truth().wrong_continuations, 0);
+  call["already_generated"] = "not what it said";
+  cr_assert_eq(client.PostStream("/v1/generate", call).status, 200);
+  cr_assert_eq(server->engine().Truth().wrong_continuations, 1);
+}
+
+// Guards against a request that ends with its connection, or a resume that repeats or skips text.
+Test(engine, resumes_a_broken_stream_from_an_offset) {
+  const std::unique_ptr<EngineServer> server = Start(FastOptions());
+  EngineClient client(server->port());
+  client.StartAndLeave("/v1/generate", Call("a", "a prompt", 60));
+  const StreamResult stream = client.Resume("a", 10);
+  cr_assert_eq(stream.text, ExpectedOutput("a prompt", 0, 60).substr(10));
+  cr_assert(stream.offsets_in_order);
+  cr_assert_eq(stream.done.at("total_bytes"), 240);
+  cr_assert_eq(client.Resume("a", 240).text, "");
+  cr_assert_eq(client.Resume("unknown", 0).status, 404);
+}
+
+// Guards against a finished request that stays in memory for good.
+Test(engine, finished_request_is_forgotten) {
+  EngineOptions options = FastOptions();
+  options.finished_keep_ms = 20;
+  const std::unique_ptr<EngineServer> server = Start(options);
+  EngineClient client(server->port());
+  client.PostStream("/v1/generate", Call("a", "a prompt", 1));
+  cr_assert(Eventually([&] { return client.Resume("a", 0).status == 404; }));
+}
+
+// Guards against a split request that prefills twice, or that leaves KV behind at the source.
+Test(engine, decode_after_kv_import) {
+  EngineOptions options = FastOptions();
+  options.kv_lifetime_ms = 60'000;
+  const std::unique_ptr<EngineServer> source = Start(options);
+  const std::unique_ptr<EngineServer> target = Start(options);
+  EngineClient source_client(source->port());
+  EngineClient target_client(target->port());
+  const std::string prompt = Prompt(2, 'p');
+  const json prefill = source_client.Post("/v1/prefill", Call("a", prompt, 0));
+  cr_assert_eq(prefill.at("prompt_tokens"), 4'097);
+  cr_assert_eq(source->engine().Truth().held_pieces, 3);
+  const StreamResult stream = target_client.PostStream(
+      "/v1/decode", ImportCall(Call("a", prompt, 8), prefill, source_client.url()));
+  cr_assert_eq(stream.text, ExpectedOutput(prompt, 0, 8));
+  cr_assert_eq(stream.done.at("prefill_tokens"), 0);
+  for (EngineServer* server : {source.get(), target.get()}) {
+    const EngineTruth truth = server->engine().Truth();
+    cr_assert_eq(truth.held_pieces, 0);
+    cr_assert_eq(truth.prefill_tokens_wasted, 0);
+  }
+  cr_assert_eq(target->engine().Truth().prefill_tokens_spent, 0);
+}
+
+// Guards against an engine in both roles that loses its own KV or transfers it to itself.
+Test(engine, decode_of_local_kv) {
+  EngineOptions options = FastOptions();
+  options.kv_lifetime_ms = 60'000;
+  const std::unique_ptr<EngineServer> server = Start(options);
+  EngineClient client(server->port());
+  const json prefill = client.Post("/v1/prefill", Call("a", Prompt(1, 'p'), 0));
+  const StreamResult stream = client.PostStream(
+      "/v1/decode", ImportCall(Call("a", Prompt(1, 'p'), 4), prefill, client.url()));
+  cr_assert_eq(stream.text, ExpectedOutput(Prompt(1, 'p'), 0, 4));
+  cr_assert_eq(server->engine().Truth().held_pieces, 0);
+}
+
+// Guards against KV that outlives its lifetime, and against waste that is not counted.
+Test(engine, kv_is_gone_after_its_lifetime) {
+  EngineOptions options = FastOptions();
+  options.kv_lifetime_ms = 20;
+  const std::unique_ptr<EngineServer> source = Start(options);
+  const std::unique_ptr<EngineServer> target = Start(options);
+  EngineClient source_client(source->port());
+  EngineClient target_client(target->port());
+  const json prefill = source_client.Post("/v1/prefill", Call("a", Prompt(1, 'p'), 0));
+  cr_assert(Eventually([&] { return source->engine().Truth().held_pieces == 0; }));
+  const StreamResult stream = target_client.PostStream(
+      "/v1/decode", ImportCall(Call("a", Prompt(1, 'p'), 4), prefill, source_client.url()));
+  cr_assert_eq(stream.status, 409);
+  cr_assert_eq(stream.error, "kv_gone");
+  cr_assert_eq(source->engine().Truth().prefill_tokens_wasted, 2'049);
+  cr_assert_eq(target->engine().Truth().held_pieces, 0);
+}
+
+// Guards against memory that stays held after a cancel in any state of a request.
+Test(engine, held_pieces_return_to_zero_after_cancel) {
+  EngineOptions options = StuckOptions();
+  options.max_running = 1;
+  options.kv_lifetime_ms = 60'000;
+  const std::unique_ptr<EngineServer> server = Start(options);
+  const std::unique_ptr<EngineServer> source = Start(options);
+  EngineClient client(server->port());
+  EngineClient source_client(source->port());
+  const json prefill = source_client.Post("/v1/prefill", Call("imported", Prompt(1, 'i'), 0));
+  source_client.Post("/v1/faults", {{"stall_transfers", true}});
+  std::vector<std::thread> callers;
+  std::vector<StreamResult> results(3);
+  const std::vector<json> calls = {
+      Call("decoding", Prompt(2, 'd'), 9), Call("queued", Prompt(2, 'q'), 9),
+      ImportCall(Call("imported", Prompt(1, 'i'), 9), prefill, source_client.url())};
+  for (std::size_t i = 0; i < calls.size(); ++i) {
+    callers.emplace_back([&, i] {
+      EngineClient own(server->port());
+      results[i] = own.PostStream("/v1/decode", calls[i]);
+    });
+    const int known = static_cast<int>(i) + 1;
+    cr_assert(Eventually([&] {
+      const EngineTruth truth = server->engine().Truth();
+      return truth.running + truth.queued == known;
+    }));
+  }
+  cr_assert_eq(server->engine().Truth().held_pieces, 5);
+  cr_assert_eq(client.Delete("/v1/requests/imported").at("status"), 200);
+  cr_assert_eq(client.Delete("/v1/requests").at("cancelled"), 2);
+  const EngineTruth truth = server->engine().Truth();
+  cr_assert_eq(truth.held_pieces, 0);
+  cr_assert_eq(truth.running + truth.queued, 0);
+  cr_assert_eq(truth.prefill_tokens_wasted, 4'097);
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  for (const StreamResult& result : results) {
+    cr_assert_eq(result.error, "cancelled");
+  }
+  // The broken transfer leaves the KV at the source until it is cancelled there too.
+  cr_assert_eq(source_client.Delete("/v1/requests/imported").at("status"), 200);
+  cr_assert_eq(source->engine().Truth().held_pieces, 0);
+  cr_assert_eq(client.Delete("/v1/requests/unknown").at("status"), 404);
+}
+
+// Guards against prefill work of a cancelled request that is not counted as spent and wasted.
+Test(engine, cancelled_prefill_counts_as_waste) {
+  EngineOptions options = FastOptions();
+  options.prefill_tokens_per_s = 100;
+  const std::unique_ptr<EngineServer> server = Start(options);
+  EngineClient client(server->port());
+  json answer;
+  std::thread caller([&] {
+    EngineClient own(server->port());
+    answer = own.Post("/v1/prefill", Call("a", Prompt(1, 'p'), 0));
+  });
+  cr_assert(Eventually([&] { return server->engine().Truth().prefill_tokens_spent > 2; }));
+  client.Delete("/v1/requests/a");
+  caller.join();
+  cr_assert_eq(answer.at("status"), 409);
+  cr_assert_eq(answer.at("error"), "cancelled");
+  const EngineTruth truth = server->engine().Truth();
+  cr_assert_eq(truth.prefill_tokens_wasted, truth.prefill_tokens_spent);
+  cr_assert_lt(truth.prefill_tokens_spent, 2'049);
+}
+
+// Guards against cached blocks that are prefilled again, and against caches that are not announced.
+Test(engine, cached_prefix_costs_no_prefill) {
+  const std::unique_ptr<EngineServer> server = Start(FastOptions());
+  EngineClient client(server->port());
+  client.PostStream("/v1/generate", Call("a", Prompt(2, 'p'), 1));
+  const json again = client.Post("/v1/prefill", Call("b", Prompt(2, 'p') + " more", 0));
+  cr_assert_eq(again.at("cached_tokens"), 2 * kPieceTokens);
+  cr_assert_eq(server->engine().Truth().prefill_tokens_spent, 4'097 + 3);
+  const json events = client.Get("/v1/events?after=1").at("events");
+  cr_assert_eq(events.size(), 1);
+  cr_assert_eq(events[0].at("block_hash"), rattanramp::standins::BlockHashes(Prompt(2, 'p')).at(1));
+  cr_assert(events[0].at("stored").get<bool>());
+}
+
+// Guards against cached blocks that block running requests out of memory.
+Test(engine, cache_gives_way_to_requests) {
+  EngineOptions options = FastOptions();
+  options.total_pieces = 4;
+  options.prefix_cache_pieces = 4;
+  const std::unique_ptr<EngineServer> server = Start(options);
+  EngineClient client(server->port());
+  client.PostStream("/v1/generate", Call("a", Prompt(3, 'a'), 1));
+  cr_assert_eq(server->engine().Truth().cached_pieces, 3);
+  cr_assert_eq(client.Get("/v1/load").at("free_pieces"), 4);
+  cr_assert_eq(client.PostStream("/v1/generate", Call("b", Prompt(3, 'b'), 1)).status, 200);
+  cr_assert_eq(server->engine().Truth().cached_pieces, 3);
+}
+
+// Guards against requests that share memory that is not there.
+Test(engine, refuses_what_does_not_fit) {
+  EngineOptions options = StuckOptions();
+  options.total_pieces = 3;
+  options.memory_wait_ms = 1;
+  const std::unique_ptr<EngineServer> server = Start(options);
+  EngineClient client(server->port());
+  cr_assert_eq(client.PostStream("/v1/generate", Call("huge", Prompt(3, 'a'), 1)).status, 503);
+  std::thread holder([&] {
+    EngineClient own(server->port());
+    own.PostStream("/v1/generate", Call("holder", Prompt(1, 'a'), 1));
+  });
+  cr_assert(Eventually([&] { return server->engine().Truth().held_pieces == 2; }));
+  const StreamResult queued = client.PostStream("/v1/generate", Call("b", Prompt(1, 'b'), 1));
+  cr_assert_eq(queued.error, "memory_full");
+  json import = Call("c", Prompt(1, 'c'), 1);
+  import["kv_handle"] = "kv-elsewhere";
+  import["source_url"] = "http://127.0.0.1:1";
+  cr_assert_eq(client.PostStream("/v1/decode", import).error, "memory_full");
+  client.Delete("/v1/requests");
+  holder.join();
+}
+
+// Guards against an engine that takes orders from an agent that was replaced.
+Test(engine, refuses_a_stale_fence_when_it_checks) {
+  EngineOptions options = FastOptions();
+  for (const bool checks : {true, false}) {
+    options.checks_fencing = checks;
+    const std::unique_ptr<EngineServer> server = Start(options);
+    EngineClient client(server->port());
+    const json order = {{"fence", 7}, {"kind", "load_model"}, {"name", "m2"}};
+    cr_assert_eq(client.Post("/v1/orders", order).at("status"), 200);
+    json call = Call("a", "a prompt", 1);
+    call["fence"] = 6;
+    const StreamResult stream = client.PostStream("/v1/generate", call);
+    cr_assert_eq(stream.status, checks ? 409 : 200);
+    cr_assert_eq(stream.error, checks ? "stale_fence" : "");
+    cr_assert_eq(client.Delete("/v1/requests?fence=6").at("status"), checks ? 409 : 200);
+    cr_assert_eq(client.Get("/v1/load").at("models"), json({"m1", "m2"}));
+  }
+}
+
+// Guards against a role change that cuts requests or does not take effect.
+Test(engine, role_decides_which_work_is_accepted) {
+  const std::unique_ptr<EngineServer> server = Start(FastOptions());
+  EngineClient client(server->port());
+  client.Post("/v1/orders", {{"kind", "set_role"}, {"role", "prefill"}});
+  cr_assert_eq(client.PostStream("/v1/generate", Call("a", "p", 1)).error, "wrong_role");
+  client.Post("/v1/orders", {{"kind", "set_role"}, {"role", "decode"}});
+  cr_assert_eq(client.Post("/v1/prefill", Call("b", "p", 0)).at("error"), "wrong_role");
+  cr_assert_eq(client.Get("/v1/load").at("role"), "decode");
+}
+
+// Guards against an urgent prefill that waits behind work of lower priority.
+Test(engine, smaller_priority_is_served_first) {
+  EngineOptions options = FastOptions();
+  options.prefill_tokens_per_s = 20'000;
+  const std::unique_ptr<EngineServer> server = Start(options);
+  std::thread patient([&] {
+    EngineClient own(server->port());
+    json call = Call("patient", Prompt(20, 'p'), 0);
+    call["priority"] = 5;
+    own.Post("/v1/prefill", call);
+  });
+  cr_assert(Eventually([&] { return server->engine().Truth().running == 1; }));
+  EngineClient client(server->port());
+  cr_assert_eq(client.Post("/v1/prefill", Call("urgent", "p", 0)).at("status"), 200);
+  cr_assert_eq(server->engine().Truth().running, 1);
+  client.Delete("/v1/requests");
+  patient.join();
+}
+
+// Guards against a load report that is fresher than that of a real engine.
+Test(engine, load_lags) {
+  EngineOptions options = StuckOptions();
+  options.load_lag_ms = 600'000;
+  const std::unique_ptr<EngineServer> server = Start(options);
+  std::thread holder([&] {
+    EngineClient own(server->port());
+    own.PostStream("/v1/generate", Call("holder", Prompt(1, 'a'), 1));
+  });
+  cr_assert(Eventually([&] { return server->engine().Truth().held_pieces == 2; }));
+  EngineClient client(server->port());
+  cr_assert_eq(client.Get("/v1/load").at("free_pieces"), 40);
+  client.Delete("/v1/requests");
+  holder.join();
+}
+
+// Guards against a fault that silences new connections too, or that ends the old ones.
+Test(engine, silenced_connection_stays_silent_while_new_ones_work) {
+  const std::unique_ptr<EngineServer> server = Start(FastOptions());
+  httplib::Client old("127.0.0.1", server->port());
+  old.set_keep_alive(true);
+  cr_assert_eq(old.Get("/v1/load")->status, 200);
+  EngineClient client(server->port());
+  client.Post("/v1/faults", {{"silent_connections", true}});
+  old.set_read_timeout(0, 300'000);
+  cr_assert(old.Get("/v1/load").error() == httplib::Error::Read);
+  EngineClient fresh(server->port());
+  cr_assert_eq(fresh.Get("/v1/load").at("status"), 200);
+}
+
+// Guards against frozen streams that lose output, or that stop the request itself.
+Test(engine, frozen_stream_continues_after_the_fault) {
+  const std::unique_ptr<EngineServer> server = Start(FastOptions());
+  EngineClient client(server->port());
+  client.Post("/v1/faults", {{"freeze_streams", true}});
+  StreamResult stream;
+  std::thread caller([&] {
+    EngineClient own(server->port());
+    stream = own.PostStream("/v1/generate", Call("a", "a prompt", 10));
+  });
+  cr_assert(Eventually([&] { return server->engine().Truth().output_tokens == 10; }));
+  client.Post("/v1/faults", {{"freeze_streams", false}});
+  caller.join();
+  cr_assert_eq(stream.text, ExpectedOutput("a prompt", 0, 10));
+}
+
+// Guards against a crash that runs the request first or that ends with another exit code.
+Test(engine, crashes_on_the_given_text, .exit_code = 70) {
+  const std::unique_ptr<EngineServer> server = Start(FastOptions());
+  EngineClient client(server->port());
+  cr_assert_eq(client.PostStream("/v1/generate", Call("a", "harmless", 1)).status, 200);
+  client.Post("/v1/faults", {{"crash_on", "poison"}});
+  client.PostStream("/v1/generate", Call("b", "some poison here", 1));
+}
+
+// Guards against cache events that appear early or that hide their gaps.
+Test(cache_event_log, events_are_late_and_have_gaps) {
+  constexpr Milliseconds kDelay{50};
+  rattanramp::standins::CacheEventLog log(kDelay, 50, 1);
+  const TimePoint start = DefaultClock().now();
+  for (int i = 0; i < 100; ++i) {
+    log.Add(i, true, start);
+  }
+  cr_assert(log.After(0, start + kDelay - Milliseconds(1)).empty());
+  const std::vector<rattanramp::standins::CacheEvent> events = log.After(10, start + kDelay);
+  cr_assert_gt(events.size(), 20);
+  cr_assert_lt(events.size(), 70);
+  for (const rattanramp::standins::CacheEvent& event : events) {
+    cr_assert_gt(event.sequence, 10);
+    cr_assert_eq(event.block_hash, event.sequence - 1);
+  }
+}
