Let a handler close its caller's connection after the response

Change: HttpServer::CloseAfterResponse ends the connection of the request that the calling thread handles once its response is written.

Figures: none measured; the new test waits for open_connections() to reach 0 within 1 s and passes.

Conclusion: callers of a draining entry move on with their next request.

--- a/base/http_server.cc
+++ b/base/http_server.cc
@@ -20,6 +20,7 @@
 constexpr int kPollStepMs = 200;
 
 thread_local int current_socket = -1;
+thread_local bool close_after_response = false;
 
 bool WaitFor(int socket, std::int16_t events, int timeout_ms) {
   pollfd entry{socket, events, 0};
@@ -144,6 +145,7 @@
  private:
   bool process_and_close_socket(socket_t socket) override {
     current_socket = socket;
+    close_after_response = false;
     SocketStream stream(socket, ToMilliseconds(read_timeout_sec_, read_timeout_usec_),
                         ToMilliseconds(write_timeout_sec_, write_timeout_usec_));
     bool ok = true;
@@ -153,7 +155,7 @@
         break;
       }
       ok = process_request(stream, left == 1 || stopping.load(), connection_closed, nullptr);
-      if (!ok || connection_closed) {
+      if (!ok || connection_closed || close_after_response) {
         break;
       }
     }
@@ -259,6 +261,8 @@
   return (entry.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
+void HttpServer::CloseAfterResponse() { close_after_response = true; }
+
 Result<HostPort> ParseHostPort(const std::string& address) {
   const std::size_t colon = address.rfind(':');
   HostPort parsed;
--- a/base/http_server.h
+++ b/base/http_server.h
@@ -47,6 +47,10 @@
   /// connection. Only valid inside a handler or content provider.
   static bool CallerHasLeft();
 
+  /// Closes the connection of the request handled by this thread once the response is written. The
+  /// handler sets the Connection header itself. Only valid inside a handler.
+  static void CloseAfterResponse();
+
  private:
   class WatchedServer;
   class OnDemandThreads;
--- a/tests/base/http_server_test.cc
+++ b/tests/base/http_server_test.cc
@@ -64,3 +64,21 @@
     cr_assert(result && result->body.size() == 20'000);
   }
 }
+
+// Guards against a draining process that keeps its callers' connections open.
+Test(http_server, handler_closes_the_connection_after_its_response) {
+  const std::unique_ptr<HttpServer> server = MakeServer();
+  server->routes().Get("/last", [](const httplib::Request&, httplib::Response& response) {
+    HttpServer::CloseAfterResponse();
+    response.set_content("bye", "text/plain");
+  });
+  server->Start();
+  httplib::Client client("127.0.0.1", server->port());
+  client.set_keep_alive(true);
+  const httplib::Result result = client.Get("/last");
+  cr_assert(result && result->body == "bye");
+  for (int i = 0; i < 200 && server->open_connections() > 0; ++i) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+  cr_assert_eq(server->open_connections(), 0);
+}
