--- /dev/null
+++ b/entry/agent_links.cc
@@ -0,0 +1,439 @@
+#include "entry/agent_links.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/hash.h"
+#include "base/log.h"
+
+namespace rattanramp::entry {
+namespace {
+
+/// Entries of the VM list that one entry dials. Notices and settings spread from entry to entry, so
+/// a few links are enough; a full mesh of 360 entries would exceed 28 KB/s in heartbeats alone.
+constexpr std::size_t kPeerEntries = 8;
+/// A push or pull is repeated after this time when heartbeats show that it had no effect.
+constexpr Milliseconds kSettingsRepeat{2'000};
+/// Cancels held for a link that is down are dropped when the lease has certainly lapsed.
+constexpr Milliseconds kHeldCancelAge{30'000};
+constexpr std::size_t kMaxHeldCancels = 1'000;
+
+bool IsAgent(const link::Link& link) { return link.peer().role == wire::ProcessRole::AGENT; }
+
+template <typename Message>
+RequestEvent MakeEvent(std::string Message::*id, Message& message) {
+  RequestEvent event;
+  event.attempt_id = message.*id;
+  event.body = std::make_unique<Message>(std::move(message));
+  return event;
+}
+
+wire::Frame CancelFrame(const std::string& attempt_id, const std::string& reason) {
+  wire::Cancel cancel;
+  cancel.attempt_id = attempt_id;
+  cancel.reason = reason;
+  wire::Frame frame;
+  frame.__set_cancel(cancel);
+  return frame;
+}
+
+}  // namespace
+
+AgentLinks::AgentLinks(link::EventLoop& loop, const link::LinkOptions& options,
+                       LinkIdentity identity, LinkTargets targets)
+    : loop_(loop), options_(options), identity_(std::move(identity)), targets_(targets) {}
+
+void AgentLinks::SetOptions(const link::LinkOptions& options) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  options_ = options;
+}
+
+void AgentLinks::DialFixed(const std::vector<std::string>& addresses) {
+  for (const std::string& address : addresses) {
+    const Result<void> dialled = Dial(address, true);
+    if (!dialled) {
+      Log(LogLevel::kError, "dial_failed",
+          {{"address", address}, {"message", dialled.error().message}});
+    }
+  }
+}
+
+Result<void> AgentLinks::Dial(const std::string& address, bool fixed) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto found = dialled_.find(address);
+  if (found != dialled_.end()) {
+    found->second.fixed = found->second.fixed || fixed;
+    return Success();
+  }
+  BOOST_OUTCOME_TRY(dialer, link::LinkDialer::Create(loop_, address, options_, weak_from_this()));
+  dialer->Start();
+  dialled_[address] = {std::move(dialer), fixed};
+  return Success();
+}
+
+std::vector<std::string> AgentLinks::WantedAddresses(const platform::VmList& list) const {
+  std::vector<std::string> wanted;
+  std::vector<std::pair<std::uint64_t, std::string>> entries;
+  for (const platform::Vm& vm : list.vms) {
+    if (vm.link_address.empty() || vm.id == identity_.id) {
+      continue;
+    }
+    if (vm.role == "agent") {
+      wanted.push_back(vm.link_address);
+    } else {
+      entries.emplace_back(Hash64(vm.id, Hash64(identity_.id)), vm.link_address);
+    }
+  }
+  std::sort(entries.begin(), entries.end());
+  for (std::size_t i = 0; i < entries.size() && i < kPeerEntries; ++i) {
+    wanted.push_back(entries[i].second);
+  }
+  return wanted;
+}
+
+void AgentLinks::FollowVmList(const platform::VmList& list) {
+  const std::vector<std::string> wanted = WantedAddresses(list);
+  for (const std::string& address : wanted) {
+    const Result<void> dialled = Dial(address, false);
+    if (!dialled) {
+      Log(LogLevel::kWarning, "dial_failed",
+          {{"address", address}, {"message", dialled.error().message}});
+    }
+  }
+  const std::lock_guard<std::mutex> lock(mutex_);
+  vms_ = list;
+  // The list lags: a link that is up is kept, because requests may run over it.
+  std::erase_if(dialled_, [&](const auto& item) {
+    const bool listed = std::find(wanted.begin(), wanted.end(), item.first) != wanted.end();
+    if (listed || item.second.fixed || IsLinked(item.first)) {
+      return false;
+    }
+    item.second.dialer->Stop();
+    return true;
+  });
+}
+
+Result<void> AgentLinks::DialOnDemand(const std::string& agent_id) {
+  std::string address;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    for (const platform::Vm& vm : vms_.vms) {
+      if (vm.id == agent_id) {
+        address = vm.link_address;
+      }
+    }
+  }
+  if (address.empty()) {
+    return Error{ErrorKind::kNotFound, "agent '" + agent_id + "' is not in the VM list",
+                 "retry later with the same key"};
+  }
+  return Dial(address, false);
+}
+
+void AgentLinks::StopAll() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  for (const auto& [address, dialled] : dialled_) {
+    dialled.dialer->Stop();
+  }
+  dialled_.clear();
+}
+
+Result<void> AgentLinks::Send(const std::string& agent_id, const wire::Frame& frame) {
+  std::shared_ptr<link::Link> link;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const auto found = agents_.find(agent_id);
+    if (found != agents_.end()) {
+      link = found->second.link;
+    }
+  }
+  if (!link) {
+    return Error{ErrorKind::kUnavailable, "no link to agent '" + agent_id + "'",
+                 "retry later or check the agent"};
+  }
+  return link->Send(frame);
+}
+
+void AgentLinks::Cancel(const std::string& agent_id, const std::string& attempt_id,
+                        const std::string& reason) {
+  if (Send(agent_id, CancelFrame(attempt_id, reason))) {
+    return;
+  }
+  const std::lock_guard<std::mutex> lock(mutex_);
+  std::vector<HeldCancel>& held = held_cancels_[agent_id];
+  if (held.size() < kMaxHeldCancels) {
+    held.push_back({attempt_id, reason, targets_.clock.now()});
+  }
+}
+
+std::optional<std::int64_t> AgentLinks::IncarnationOf(const std::string& agent_id) const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto found = agents_.find(agent_id);
+  if (found == agents_.end()) {
+    return std::nullopt;
+  }
+  return found->second.link->peer().incarnation;
+}
+
+void AgentLinks::PushSettings() {
+  std::vector<std::pair<std::shared_ptr<link::Link>, std::int64_t>> links;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    for (const std::map<std::string, Peer>* group : {&agents_, &entries_}) {
+      for (const auto& [id, peer] : *group) {
+        links.emplace_back(peer.link, peer.settings_version);
+      }
+    }
+  }
+  for (const auto& [link, version] : links) {
+    NoteSettingsVersion(link, version);
+  }
+}
+
+nlohmann::json AgentLinks::Dump() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  nlohmann::json dump = {{"dialled", nlohmann::json::array()},
+                         {"agents", nlohmann::json::array()},
+                         {"entries", nlohmann::json::array()},
+                         {"vm_list_version", vms_.version}};
+  for (const auto& [address, dialled] : dialled_) {
+    dump["dialled"].push_back(address);
+  }
+  const auto add = [](nlohmann::json& rows, const std::map<std::string, Peer>& group) {
+    for (const auto& [id, peer] : group) {
+      rows.push_back({{"id", id},
+                      {"address", peer.link->remote_address()},
+                      {"incarnation", peer.link->peer().incarnation},
+                      {"settings_version", peer.settings_version}});
+    }
+  };
+  add(dump["agents"], agents_);
+  add(dump["entries"], entries_);
+  return dump;
+}
+
+wire::Hello AgentLinks::LocalHello() {
+  wire::Hello hello;
+  hello.protocol_version = wire::kProtocolVersion;
+  hello.process_id = identity_.id;
+  hello.role = wire::ProcessRole::ENTRY;
+  hello.incarnation = identity_.incarnation;
+  hello.failure_domain = identity_.failure_domain;
+  hello.region = identity_.region;
+  hello.settings_version = targets_.settings.version();
+  return hello;
+}
+
+std::int64_t AgentLinks::SettingsVersion() { return targets_.settings.version(); }
+
+void AgentLinks::OnUp(const std::shared_ptr<link::Link>& link) {
+  const wire::Hello& hello = link->peer();
+  const bool agent = IsAgent(*link);
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    Peer peer;
+    peer.link = link;
+    peer.settings_version = hello.settings_version;
+    (agent ? agents_ : entries_)[hello.process_id] = std::move(peer);
+  }
+  Log(LogLevel::kInfo, "link_up",
+      {{"peer", hello.process_id}, {"address", link->remote_address()}});
+  NoteSettingsVersion(link, hello.settings_version);
+  if (agent) {
+    targets_.fleet.OnLinkUp(hello);
+    SendHeldCancels(link);
+    targets_.attempts.NotifyLinkRestored(hello.process_id, hello.incarnation);
+  }
+}
+
+void AgentLinks::OnDown(const std::shared_ptr<link::Link>& link, const Error& reason) {
+  const std::string& id = link->peer().process_id;
+  const bool agent = IsAgent(*link);
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    std::map<std::string, Peer>& group = agent ? agents_ : entries_;
+    const auto found = group.find(id);
+    // A newer link to the same process may have replaced this one.
+    if (found == group.end() || found->second.link != link) {
+      return;
+    }
+    group.erase(found);
+  }
+  Log(LogLevel::kWarning, "link_down", {{"peer", id}, {"reason", reason.message}});
+  targets_.metrics.Count("links_lost_total");
+  if (agent) {
+    targets_.fleet.OnLinkDown(id);
+    targets_.attempts.NotifyLinkLost(id);
+  }
+}
+
+void AgentLinks::OnFrame(const std::shared_ptr<link::Link>& link, wire::Frame frame) {
+  if (frame.__isset.heartbeat) {
+    NoteSettingsVersion(link, frame.heartbeat.settings_version);
+    return;
+  }
+  if (frame.__isset.settings_pull) {
+    wire::Frame answer;
+    answer.__set_settings_push(targets_.settings.PushFor(frame.settings_pull.have_version));
+    static_cast<void>(link->Send(answer));
+    return;
+  }
+  if (frame.__isset.settings_push) {
+    ApplySettings(link, frame.settings_push);
+    return;
+  }
+  if (frame.__isset.suspicion_notice) {
+    MergeCrashes(link, frame.suspicion_notice.crashes);
+    return;
+  }
+  if (!IsAgent(*link)) {
+    return;
+  }
+  if (frame.__isset.load_report) {
+    MergeCrashes(link, frame.load_report.crashes);
+  } else if (frame.__isset.attempt_end) {
+    MergeCrashes(link, frame.attempt_end.crashes);
+  }
+  OnAgentFrame(link->peer().process_id, std::move(frame));
+}
+
+void AgentLinks::OnAgentFrame(const std::string& agent_id, wire::Frame frame) {
+  if (frame.__isset.load_report) {
+    targets_.fleet.OnReport(agent_id, frame.load_report);
+    return;
+  }
+  RequestEvent event;
+  if (frame.__isset.chunk) {
+    event = MakeEvent(&wire::Chunk::attempt_id, frame.chunk);
+  } else if (frame.__isset.granted) {
+    event = MakeEvent(&wire::Granted::attempt_id, frame.granted);
+  } else if (frame.__isset.refused) {
+    if (frame.refused.__isset.load) {
+      targets_.fleet.OnReport(agent_id, frame.refused.load);
+    }
+    event = MakeEvent(&wire::Refused::attempt_id, frame.refused);
+  } else if (frame.__isset.prefill_done) {
+    event = MakeEvent(&wire::PrefillDone::attempt_id, frame.prefill_done);
+  } else if (frame.__isset.attempt_end) {
+    event = MakeEvent(&wire::End::attempt_id, frame.attempt_end);
+  } else if (frame.__isset.key_issued) {
+    event = MakeEvent(&wire::KeyIssued::request_id, frame.key_issued);
+  } else {
+    return;
+  }
+  static_cast<void>(targets_.attempts.Deliver(std::move(event)));
+}
+
+void AgentLinks::SendHeldCancels(const std::shared_ptr<link::Link>& link) {
+  std::vector<HeldCancel> held;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const auto found = held_cancels_.find(link->peer().process_id);
+    if (found == held_cancels_.end()) {
+      return;
+    }
+    held = std::move(found->second);
+    held_cancels_.erase(found);
+  }
+  const TimePoint now = targets_.clock.now();
+  for (const HeldCancel& cancel : held) {
+    if (now - cancel.at < kHeldCancelAge) {
+      static_cast<void>(link->Send(CancelFrame(cancel.attempt_id, cancel.reason)));
+    }
+  }
+}
+
+void AgentLinks::NoteSettingsVersion(const std::shared_ptr<link::Link>& link,
+                                     std::int64_t version) {
+  const std::int64_t own = targets_.settings.version();
+  const TimePoint now = targets_.clock.now();
+  wire::Frame frame;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    std::map<std::string, Peer>& group = IsAgent(*link) ? agents_ : entries_;
+    const auto found = group.find(link->peer().process_id);
+    if (found == group.end() || found->second.link != link) {
+      return;
+    }
+    Peer& peer = found->second;
+    peer.settings_version = std::max(peer.settings_version, version);
+    if (peer.settings_version < own) {
+      if (peer.pushed_version >= own && now - peer.pushed_at < kSettingsRepeat) {
+        return;
+      }
+      peer.pushed_version = own;
+      peer.pushed_at = now;
+      frame.__set_settings_push(targets_.settings.PushFor(peer.settings_version));
+    } else if (peer.settings_version > own) {
+      if (now - peer.pulled_at < kSettingsRepeat) {
+        return;
+      }
+      peer.pulled_at = now;
+      wire::SettingsPull pull;
+      pull.have_version = own;
+      frame.__set_settings_pull(pull);
+    } else {
+      return;
+    }
+  }
+  static_cast<void>(link->Send(frame));
+}
+
+void AgentLinks::ApplySettings(const std::shared_ptr<link::Link>& link,
+                               const wire::SettingsPush& push) {
+  const Result<bool> applied = targets_.settings.Apply(push);
+  if (applied) {
+    if (applied.value()) {
+      Log(LogLevel::kInfo, "settings_applied",
+          {{"version", targets_.settings.version()}, {"from", link->peer().process_id}});
+      PushSettings();
+    }
+    return;
+  }
+  if (applied.error().kind == ErrorKind::kNotFound) {
+    wire::Frame frame;
+    frame.__set_settings_pull(wire::SettingsPull());
+    static_cast<void>(link->Send(frame));
+    return;
+  }
+  Log(LogLevel::kError, "settings_refused",
+      {{"from", link->peer().process_id}, {"message", applied.error().message}});
+}
+
+void AgentLinks::MergeCrashes(const std::shared_ptr<link::Link>& from,
+                              const std::vector<wire::CrashCount>& crashes) {
+  if (crashes.empty()) {
+    return;
+  }
+  const std::vector<wire::CrashCount> news =
+      targets_.suspicion.Merge(crashes, targets_.clock.now());
+  if (news.empty()) {
+    return;
+  }
+  wire::SuspicionNotice notice;
+  notice.crashes = news;
+  wire::Frame frame;
+  frame.__set_suspicion_notice(notice);
+  std::vector<std::shared_ptr<link::Link>> links;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    for (const auto& [id, peer] : entries_) {
+      if (peer.link != from) {
+        links.push_back(peer.link);
+      }
+    }
+  }
+  for (const std::shared_ptr<link::Link>& link : links) {
+    static_cast<void>(link->Send(frame));
+  }
+}
+
+bool AgentLinks::IsLinked(const std::string& address) const {
+  const auto at_address = [&address](const auto& item) {
+    return item.second.link->remote_address() == address;
+  };
+  return std::any_of(agents_.begin(), agents_.end(), at_address) ||
+         std::any_of(entries_.begin(), entries_.end(), at_address);
+}
+
+}  // namespace rattanramp::entry
--- /dev/null
+++ b/entry/agent_links.h
@@ -0,0 +1,126 @@
+// Links of the entry: to agents, to peer entries, and from peer entries.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/metrics.h"
+#include "control/settings_replica.h"
+#include "entry/attempt_registry.h"
+#include "entry/fleet_table.h"
+#include "entry/suspicion_view.h"
+#include "link/event_loop.h"
+#include "link/link_dialer.h"
+#include "platform/platform_store.h"
+
+namespace rattanramp::entry {
+
+struct LinkIdentity {
+  std::string id;
+  std::int64_t incarnation = 0;
+  std::string failure_domain;
+  std::string region;
+};
+
+/// Parts that link events change. All of them outlive the links.
+struct LinkTargets {
+  const Clock& clock;
+  control::SettingsReplica& settings;
+  FleetTable& fleet;
+  AttemptRegistry& attempts;
+  SuspicionView& suspicion;
+  Metrics& metrics;
+};
+
+/// Safe from any thread; the LinkHandler calls are made by the event loop.
+class AgentLinks : public link::LinkHandler, public std::enable_shared_from_this<AgentLinks> {
+ public:
+  AgentLinks(link::EventLoop& loop, const link::LinkOptions& options, LinkIdentity identity,
+             LinkTargets targets);
+
+  /// Intervals for links that are dialled from now on.
+  void SetOptions(const link::LinkOptions& options);
+
+  /// Addresses from the boot file; these are dialled for the whole life of the process.
+  void DialFixed(const std::vector<std::string>& addresses);
+  /// Dials the agents and some of the entries in the list. Addresses that have left the list are
+  /// dialled no more once their link is down.
+  void FollowVmList(const platform::VmList& list);
+  /// Dials an agent of the VM list that is outside the subset. Errors: kNotFound (not in the
+  /// list), kInvalidArgument (bad address).
+  Result<void> DialOnDemand(const std::string& agent_id);
+  void StopAll();
+
+  /// Errors: kUnavailable (no link), kOverloaded (send queue full), kInvalidArgument (frame too
+  /// large). After an error nothing was sent.
+  Result<void> Send(const std::string& agent_id, const wire::Frame& frame);
+
+  /// Sends Cancel, or keeps it until the link is up again.
+  void Cancel(const std::string& agent_id, const std::string& attempt_id,
+              const std::string& reason);
+
+  /// Empty when there is no link to the agent.
+  std::optional<std::int64_t> IncarnationOf(const std::string& agent_id) const;
+
+  /// Sends the settings to every linked process that is known to have an older version.
+  void PushSettings();
+
+  nlohmann::json Dump() const;
+
+  wire::Hello LocalHello() override;
+  std::int64_t SettingsVersion() override;
+  void OnUp(const std::shared_ptr<link::Link>& link) override;
+  void OnFrame(const std::shared_ptr<link::Link>& link, wire::Frame frame) override;
+  void OnDown(const std::shared_ptr<link::Link>& link, const Error& reason) override;
+
+ private:
+  struct Peer {
+    std::shared_ptr<link::Link> link;
+    std::int64_t settings_version = 0;
+    /// Version and time of the last push, so that heartbeats do not repeat it.
+    std::int64_t pushed_version = 0;
+    TimePoint pushed_at;
+    TimePoint pulled_at;
+  };
+  struct Dialled {
+    std::shared_ptr<link::LinkDialer> dialer;
+    bool fixed = false;
+  };
+  struct HeldCancel {
+    std::string attempt_id;
+    std::string reason;
+    TimePoint at;
+  };
+
+  Result<void> Dial(const std::string& address, bool fixed);
+  std::vector<std::string> WantedAddresses(const platform::VmList& list) const;
+  void OnAgentFrame(const std::string& agent_id, wire::Frame frame);
+  void SendHeldCancels(const std::shared_ptr<link::Link>& link);
+  void NoteSettingsVersion(const std::shared_ptr<link::Link>& link, std::int64_t version);
+  void ApplySettings(const std::shared_ptr<link::Link>& link, const wire::SettingsPush& push);
+  void MergeCrashes(const std::shared_ptr<link::Link>& from,
+                    const std::vector<wire::CrashCount>& crashes);
+  bool IsLinked(const std::string& address) const;
+
+  link::EventLoop& loop_;
+  link::LinkOptions options_;
+  LinkIdentity identity_;
+  LinkTargets targets_;
+
+  mutable std::mutex mutex_;
+  std::map<std::string, Dialled> dialled_;
+  platform::VmList vms_;
+  /// Links by process id.
+  std::map<std::string, Peer> agents_;
+  std::map<std::string, Peer> entries_;
+  std::map<std::string, std::vector<HeldCancel>> held_cancels_;
+};
+
+}  // namespace rattanramp::entry
--- /dev/null
+++ b/entry/call_driver.cc
@@ -0,0 +1,388 @@
+#include "entry/call_driver.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/hash.h"
+#include "base/ids.h"
+
+namespace rattanramp::entry {
+namespace {
+
+/// Longest wait before the socket of the caller is looked at again.
+constexpr Milliseconds kCallerCheck{200};
+/// Longest wait for an agent that is dialled on demand or is dialled again.
+constexpr Milliseconds kLinkWait{2'000};
+constexpr Milliseconds kKeyWait{1'000};
+constexpr Milliseconds kGapWait{1'000};
+constexpr core::BackOff kRetryBackOff{5.0, 500.0};
+constexpr const char* kIssuedKeyPrefix = "rr1.";
+constexpr int kKeyPartsAfterAgent = 3;
+/// Agents that may name another owner of a key one after the other.
+constexpr std::int32_t kMaxOwnerHops = 3;
+
+Refusal MakeRefusal(const char* kind, int status, std::string message, std::string remedy) {
+  Refusal refusal;
+  refusal.kind = kind;
+  refusal.status = status;
+  refusal.message = std::move(message);
+  refusal.remedy = std::move(remedy);
+  return refusal;
+}
+
+Refusal LostRefusal(const std::string& message) {
+  Refusal refusal = MakeRefusal("upstream_lost", kBadGateway, message,
+                                "repeat with the same Idempotency-Key, or check the service");
+  refusal.outcome = core::Outcome::kUnknown;
+  return refusal;
+}
+
+}  // namespace
+
+std::string AgentOfIssuedKey(const std::string& key) {
+  if (!key.starts_with(kIssuedKeyPrefix)) {
+    return "";
+  }
+  // The agent id may contain dots, the parts after it do not.
+  std::size_t end = key.size();
+  for (int i = 0; i < kKeyPartsAfterAgent; ++i) {
+    end = key.rfind('.', end - 1);
+    if (end == std::string::npos || end < 4) {
+      return "";
+    }
+  }
+  const std::size_t begin = std::string_view(kIssuedKeyPrefix).size();
+  return end > begin ? key.substr(begin, end - begin) : "";
+}
+
+CallDriver::CallDriver(const DriverParts& parts, CallRequest request, Milliseconds lease,
+                       std::function<bool()> caller_has_left)
+    : parts_(parts),
+      request_(std::move(request)),
+      lease_(lease),
+      caller_has_left_(std::move(caller_has_left)),
+      deadline_(request_.arrived + Milliseconds(request_.service->settings.deadline_ms)),
+      fingerprint_(Fingerprint(request_.service->name, request_.method + " " + request_.path,
+                               request_.body)),
+      mailbox_(std::make_shared<Mailbox>()) {
+  if (!request_.service->settings.repeatable) {
+    pinned_agent_ = AgentOfIssuedKey(request_.idempotency_key);
+  }
+  parts_.budgets.Count(*request_.service);
+}
+
+CallDriver::~CallDriver() = default;
+
+Checked<CallAnswer> CallDriver::Run() {
+  if (CrashCount() >= request_.service->settings.crash_limit) {
+    return MakeRefusal("suspect", kUnprocessable,
+                       "the request has crashed upstreams and is not tried again",
+                       "change the request; the count lapses after suspicion_ttl_ms");
+  }
+  while (true) {
+    Checked<std::string> agent = ChooseAgent();
+    if (!agent && !excluded_.empty()) {
+      // Upstreams that failed this request are better than none.
+      excluded_.clear();
+      agent = ChooseAgent();
+    }
+    if (!agent) {
+      Refusal refusal = std::move(agent.error());
+      refusal.outcome = outcome_;
+      return refusal;
+    }
+    AttemptResult result = RunAttempt(agent.value());
+    if (result) {
+      return std::move(result.value());
+    }
+    Failure& failure = result.error();
+    if (outcome_ != core::Outcome::kRan && failure.refusal.outcome != core::Outcome::kNotRun) {
+      outcome_ = failure.refusal.outcome;
+    }
+    if (!PrepareRetry(failure, agent.value())) {
+      failure.refusal.outcome = outcome_;
+      return std::move(failure.refusal);
+    }
+  }
+}
+
+Checked<std::string> CallDriver::ChooseAgent() const {
+  if (!named_owner_.empty()) {
+    return named_owner_;
+  }
+  if (!pinned_agent_.empty()) {
+    return pinned_agent_;
+  }
+  Result<std::string> chosen = parts_.fleet.ChooseServiceAgent(request_.service->name, excluded_);
+  if (!chosen) {
+    Refusal refusal = MakeRefusal("no_upstream", kServiceUnavailable, chosen.error().message,
+                                  chosen.error().remedy);
+    refusal.retry_after_ms = kLinkWait.count();
+    return refusal;
+  }
+  return chosen.value();
+}
+
+CallDriver::AttemptResult CallDriver::RunAttempt(const std::string& agent_id) {
+  stream_ = core::StreamAssembler();
+  answer_ = CallAnswer();
+  Failure unreachable;
+  unreachable.kind = core::FailureKind::kUnavailable;
+  unreachable.refusal =
+      MakeRefusal("agent_unreachable", kServiceUnavailable,
+                  "agent '" + agent_id + "' cannot be reached; this request was not sent",
+                  "repeat with the same Idempotency-Key");
+  if (!WaitForLink(agent_id)) {
+    return unreachable;
+  }
+  AttemptLoad load;
+  load.suspect = CrashCount() > 0;
+  Result<Attempt> opened = OpenAttempt(parts_, mailbox_, agent_id, MakeSubmit(), load);
+  if (!opened) {
+    unreachable.refusal.message = opened.error().message;
+    return unreachable;
+  }
+  ++stats_.attempts;
+  Attempt attempt = std::move(opened.value());
+  AttemptResult result = WaitForAnswer(attempt);
+  CancelAttempt(parts_, attempt, "the entry gave up the attempt");
+  return result;
+}
+
+bool CallDriver::WaitForLink(const std::string& agent_id) {
+  if (parts_.links.IncarnationOf(agent_id)) {
+    return true;
+  }
+  // The attempt registry reports the link under a name that no agent sees.
+  const std::string wait_id = NewId("link");
+  parts_.attempts.Add(wait_id, agent_id, mailbox_);
+  bool linked = false;
+  if (parts_.links.DialOnDemand(agent_id)) {
+    const TimePoint until = std::min(deadline_, parts_.clock.now() + kLinkWait);
+    linked = parts_.links.IncarnationOf(agent_id).has_value();
+    while (!linked && parts_.clock.now() < until && !caller_has_left_() && !parts_.cut.load()) {
+      const Duration left = until - parts_.clock.now();
+      static_cast<void>(mailbox_->events.Pop(std::min<Duration>(left, kCallerCheck)));
+      linked = parts_.links.IncarnationOf(agent_id).has_value();
+    }
+  }
+  parts_.attempts.Remove(wait_id);
+  return linked;
+}
+
+CallDriver::AttemptResult CallDriver::WaitForAnswer(Attempt& attempt) {
+  while (true) {
+    const TimePoint now = parts_.clock.now();
+    TimePoint wake = std::min(deadline_, now + kCallerCheck);
+    wake = std::min(wake, LeaseEnd(attempt, lease_));
+    std::optional<RequestEvent> event = mailbox_->events.Pop(std::max(Duration(0), wake - now));
+    std::optional<Failure> failure;
+    if (event && event->attempt_id == attempt.id) {
+      failure = Handle(attempt, std::move(*event));
+    } else if (mailbox_->overflowed.exchange(false)) {
+      SendResume(parts_, attempt, stream_.next_offset);
+    }
+    if (!failure && core::IsComplete(stream_)) {
+      FinishAttempt(parts_, attempt);
+      return std::move(answer_);
+    }
+    if (!failure) {
+      failure = CheckStop(attempt);
+    }
+    if (failure) {
+      return std::move(*failure);
+    }
+  }
+}
+
+std::optional<CallDriver::Failure> CallDriver::Handle(Attempt& attempt, RequestEvent event) {
+  if (std::holds_alternative<LinkLost>(event.body)) {
+    if (!attempt.lost_at) {
+      attempt.lost_at = parts_.clock.now();
+    }
+    return std::nullopt;
+  }
+  if (const LinkRestored* restored = std::get_if<LinkRestored>(&event.body)) {
+    if (restored->incarnation != attempt.incarnation) {
+      return Failure{core::FailureKind::kLost, LostRefusal("the agent has restarted"), ""};
+    }
+    attempt.lost_at.reset();
+    SendResume(parts_, attempt, stream_.next_offset);
+    return std::nullopt;
+  }
+  parts_.fleet.NoteAcknowledged(attempt.agent_id, attempt.id);
+  if (const auto* chunk = std::get_if<std::unique_ptr<wire::Chunk>>(&event.body)) {
+    answer_.body += core::AcceptChunk(stream_, (*chunk)->offset, (*chunk)->data);
+    if (!answer_.body.empty() && !stats_.first_token_ms) {
+      stats_.first_token_ms = ToMs(parts_.clock.now() - request_.arrived);
+    }
+  } else if (const auto* refused = std::get_if<std::unique_ptr<wire::Refused>>(&event.body)) {
+    FinishAttempt(parts_, attempt);
+    Failure failure{FailureKindOf((*refused)->kind), FromWire(**refused), (*refused)->owner_agent};
+    parts_.metrics.Count("agent_refusals_total{kind=\"" + failure.refusal.kind + "\"}");
+    return failure;
+  } else if (const auto* end = std::get_if<std::unique_ptr<wire::End>>(&event.body)) {
+    return OnEnd(attempt, **end);
+  }
+  return std::nullopt;
+}
+
+std::optional<CallDriver::Failure> CallDriver::OnEnd(Attempt& attempt, const wire::End& end) {
+  if (!end.complete) {
+    FinishAttempt(parts_, attempt);
+    const core::FailureKind kind =
+        end.__isset.error ? FailureKindOf(end.error) : core::FailureKind::kUpstreamError;
+    return Failure{kind, FromWire(end), ""};
+  }
+  const Result<void> accepted = core::AcceptEnd(stream_, end.total_bytes);
+  if (!accepted) {
+    FinishAttempt(parts_, attempt);
+    Refusal refusal = LostRefusal(accepted.error().message);
+    refusal.outcome = core::Outcome::kRan;
+    return Failure{core::FailureKind::kUpstreamError, std::move(refusal), ""};
+  }
+  answer_.status = end.status;
+  answer_.content_type = end.content_type;
+  answer_.replayed = end.replayed;
+  if (core::HasGap(stream_)) {
+    SendResume(parts_, attempt, stream_.next_offset);
+    deadline_ = std::min(deadline_, parts_.clock.now() + kGapWait);
+  }
+  return std::nullopt;
+}
+
+std::optional<CallDriver::Failure> CallDriver::CheckStop(Attempt& attempt) {
+  const TimePoint now = parts_.clock.now();
+  Failure failure;
+  failure.kind = core::FailureKind::kRejected;
+  if (caller_has_left_()) {
+    failure.refusal = LostRefusal("the caller has left");
+    failure.refusal.kind = "cancelled";
+    failure.refusal.status = kCallerLeft;
+    return failure;
+  }
+  if (parts_.cut.load()) {
+    failure.refusal = LostRefusal("the entry has stopped before the answer was complete");
+    failure.refusal.kind = "shutting_down";
+    failure.refusal.status = kServiceUnavailable;
+    return failure;
+  }
+  if (now >= deadline_) {
+    failure.refusal = LostRefusal("the call was not finished within its deadline");
+    failure.refusal.kind = "deadline";
+    failure.refusal.status = kGatewayTimeout;
+    return failure;
+  }
+  if (now >= LeaseEnd(attempt, lease_)) {
+    return Failure{core::FailureKind::kLost,
+                   LostRefusal("the link to the agent stayed down for the lease"), ""};
+  }
+  return std::nullopt;
+}
+
+bool CallDriver::PrepareRetry(const Failure& failure, const std::string& agent_id) {
+  const Service& service = *request_.service;
+  if (failure.kind == core::FailureKind::kCrashed) {
+    ++own_crashes_;
+  }
+  core::FailedAttempt failed;
+  failed.kind = failure.kind;
+  failed.outcome = outcome_;
+  failed.repeatable = service.settings.repeatable;
+  failed.pinned = !pinned_agent_.empty() || !named_owner_.empty();
+  failed.crash_count = CrashCount();
+  failed.crash_limit = static_cast<std::int32_t>(service.settings.crash_limit);
+  const core::RetryPlace place = core::PlaceForRetry(failed);
+  ++failures_;
+  if (place == core::RetryPlace::kNamedOwner) {
+    // A redirect is not a repeat: the call has not been accepted anywhere else.
+    named_owner_ = failure.owner_agent;
+    return !named_owner_.empty() && named_owner_ != agent_id && failures_ <= kMaxOwnerHops;
+  }
+  const TimePoint now = parts_.clock.now();
+  if (place == core::RetryPlace::kNowhere || failures_ >= service.settings.max_attempts ||
+      now >= deadline_) {
+    return false;
+  }
+  if (!parts_.budgets.Take(service, now)) {
+    parts_.metrics.Count("retry_budget_spent_total{service=\"" + service.name + "\"}");
+    return false;
+  }
+  parts_.metrics.Count("retries_total{service=\"" + service.name + "\"}");
+  if (place == core::RetryPlace::kElsewhere) {
+    excluded_.push_back(agent_id);
+  }
+  const double wait_ms = core::BackOffMs(kRetryBackOff, failures_, Hash64(request_.request_id));
+  // No attempt is open, so nothing arrives in the mailbox during the back-off.
+  static_cast<void>(mailbox_->events.Pop(
+      std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(wait_ms))));
+  return true;
+}
+
+std::int32_t CallDriver::CrashCount() const {
+  const Milliseconds ttl(request_.service->settings.suspicion_ttl_ms);
+  return std::max(own_crashes_, parts_.suspicion.CrashCount(fingerprint_, ttl, parts_.clock.now()));
+}
+
+wire::Submit CallDriver::MakeSubmit() const {
+  const settings::Settings& settings = request_.service->settings;
+  const double left_ms = ToMs(deadline_ - parts_.clock.now());
+  wire::Submit submit;
+  submit.request_id = request_.request_id;
+  submit.kind = wire::WorkKind::CALL;
+  submit.service_name = request_.service->name;
+  submit.customer = settings.customer;
+  submit.body = request_.body;
+  submit.deadline_ms = std::max<std::int64_t>(1, static_cast<std::int64_t>(left_ms));
+  submit.priority = static_cast<std::int32_t>(settings.priority);
+  submit.method = request_.method;
+  submit.path = request_.path;
+  submit.content_type = request_.content_type;
+  submit.idempotency_key = request_.idempotency_key;
+  submit.body_hash = SignedHash64(request_.body, Hash64(request_.method + " " + request_.path));
+  submit.fingerprint = fingerprint_;
+  submit.crash_count = CrashCount();
+  submit.repeatable = settings.repeatable;
+  submit.patient = settings.patient;
+  return submit;
+}
+
+Checked<std::string> IssueKey(const DriverParts& parts, const Service& service,
+                              const std::string& request_id,
+                              const std::function<bool()>& caller_has_left) {
+  const std::shared_ptr<Mailbox> mailbox = std::make_shared<Mailbox>();
+  std::vector<std::string> excluded;
+  Refusal refusal = MakeRefusal("no_upstream", kServiceUnavailable, "no agent issued a key",
+                                "retry later; nothing was run");
+  refusal.retry_after_ms = kKeyWait.count();
+  for (std::int64_t i = 0; i < service.settings.max_attempts && !caller_has_left(); ++i) {
+    const Result<std::string> agent = parts.fleet.ChooseServiceAgent(service.name, excluded);
+    if (!agent) {
+      break;
+    }
+    excluded.push_back(agent.value());
+    // Each try has its own id, so that a late key of an earlier one is not taken.
+    wire::IssueKey issue;
+    issue.request_id = request_id + "/" + std::to_string(i);
+    issue.service_name = service.name;
+    wire::Frame frame;
+    frame.__set_issue_key(issue);
+    parts.attempts.Add(issue.request_id, agent.value(), mailbox);
+    std::optional<RequestEvent> event;
+    if (parts.links.Send(agent.value(), frame)) {
+      event = mailbox->events.Pop(kKeyWait);
+    }
+    parts.attempts.Remove(issue.request_id);
+    const auto* issued =
+        event ? std::get_if<std::unique_ptr<wire::KeyIssued>>(&event->body) : nullptr;
+    if (issued != nullptr && event->attempt_id == issue.request_id) {
+      if ((*issued)->error.empty()) {
+        return (*issued)->key;
+      }
+      refusal.message = (*issued)->error;
+    }
+  }
+  return refusal;
+}
+
+}  // namespace rattanramp::entry
--- /dev/null
+++ b/entry/call_driver.h
@@ -0,0 +1,103 @@
+// Drives one call to a plain service and the issuing of idempotency keys. Used by one thread.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "core/stream.h"
+#include "entry/attempt.h"
+#include "entry/refusal.h"
+#include "entry/request_stats.h"
+
+namespace rattanramp::entry {
+
+struct CallRequest {
+  std::string request_id;
+  std::shared_ptr<const Service> service;
+  std::string method;
+  /// Path and query at the upstream, with the leading slash.
+  std::string path;
+  std::string content_type;
+  std::string body;
+  std::string idempotency_key;
+  TimePoint arrived;
+};
+
+struct CallAnswer {
+  int status = 0;
+  std::string content_type;
+  std::string body;
+  /// The answer is a recorded one; the call did not run again.
+  bool replayed = false;
+};
+
+/// Agent named in an issued key "rr1.<agent>.<incarnation>.<issued_s>.<nonce>"; empty for any other
+/// key.
+std::string AgentOfIssuedKey(const std::string& key);
+
+class CallDriver {
+ public:
+  /// lease is the time that attempts stay open without a link. caller_has_left is asked a few times
+  /// a second.
+  CallDriver(const DriverParts& parts, CallRequest request, Milliseconds lease,
+             std::function<bool()> caller_has_left);
+  ~CallDriver();
+  CallDriver(const CallDriver&) = delete;
+  CallDriver& operator=(const CallDriver&) = delete;
+
+  Checked<CallAnswer> Run();
+
+  const RequestStats& stats() const { return stats_; }
+  const CallRequest& request() const { return request_; }
+
+ private:
+  /// Why an attempt brought no answer.
+  struct Failure {
+    core::FailureKind kind = core::FailureKind::kLost;
+    Refusal refusal;
+    std::string owner_agent;
+  };
+  using AttemptResult =
+      boost::outcome_v2::basic_result<CallAnswer, Failure, boost::outcome_v2::policy::terminate>;
+
+  Checked<std::string> ChooseAgent() const;
+  AttemptResult RunAttempt(const std::string& agent_id);
+  /// Waits until the agent is linked; dials it when needed.
+  bool WaitForLink(const std::string& agent_id);
+  AttemptResult WaitForAnswer(Attempt& attempt);
+  /// Returns the failure when the event ends the attempt.
+  std::optional<Failure> Handle(Attempt& attempt, RequestEvent event);
+  std::optional<Failure> OnEnd(Attempt& attempt, const wire::End& end);
+  std::optional<Failure> CheckStop(Attempt& attempt);
+  /// Decides about another attempt and waits for its time. False when there is none.
+  bool PrepareRetry(const Failure& failure, const std::string& agent_id);
+  std::int32_t CrashCount() const;
+  wire::Submit MakeSubmit() const;
+
+  DriverParts parts_;
+  CallRequest request_;
+  Milliseconds lease_;
+  std::function<bool()> caller_has_left_;
+  TimePoint deadline_;
+  std::string pinned_agent_;
+  std::int64_t fingerprint_ = 0;
+  std::shared_ptr<Mailbox> mailbox_;
+  core::StreamAssembler stream_;
+  CallAnswer answer_;
+  std::vector<std::string> excluded_;
+  std::string named_owner_;
+  std::int32_t failures_ = 0;
+  std::int32_t own_crashes_ = 0;
+  core::Outcome outcome_ = core::Outcome::kNotRun;
+  RequestStats stats_;
+};
+
+/// Asks an agent of the service for an idempotency key.
+Checked<std::string> IssueKey(const DriverParts& parts, const Service& service,
+                              const std::string& request_id,
+                              const std::function<bool()>& caller_has_left);
+
+}  // namespace rattanramp::entry
--- /dev/null
+++ b/entry/entry.cc
@@ -0,0 +1,154 @@
+#include "entry/entry.h"
+
+#include <thread>
+#include <utility>
+
+#include "base/ids.h"
+#include "base/log.h"
+#include "control/operator_port.h"
+
+namespace rattanramp::entry {
+namespace {
+
+/// An entry carries about 470 streams at the target size; twice that leaves room for idle
+/// connections of the load balancer.
+constexpr std::size_t kMaxCallerConnections = 1'024;
+constexpr Milliseconds kDrainStep{20};
+
+link::LinkOptions OptionsFrom(const settings::Settings& settings) {
+  link::LinkOptions options;
+  options.heartbeat = Milliseconds(settings.heartbeat_ms);
+  options.dead_after = Milliseconds(settings.link_dead_ms);
+  return options;
+}
+
+}  // namespace
+
+Result<std::unique_ptr<Entry>> Entry::Create(const settings::BootConfig& boot,
+                                             std::unique_ptr<platform::PlatformStore> store) {
+  std::unique_ptr<Entry> entry(new Entry(boot, std::move(store)));
+  BOOST_OUTCOME_TRYV(entry->Listen());
+  return entry;
+}
+
+Entry::Entry(const settings::BootConfig& boot, std::unique_ptr<platform::PlatformStore> store)
+    : boot_(boot), store_(std::move(store)), directory_(settings_, boot.failure_domain) {
+  const Clock& clock = DefaultClock();
+  links_ = std::make_shared<AgentLinks>(
+      loop_, link::LinkOptions(),
+      LinkIdentity{boot_.id, NewIncarnation(), boot_.failure_domain, boot_.region},
+      LinkTargets{clock, settings_, fleet_, attempts_, suspicion_, metrics_});
+  poller_ = std::make_unique<ControlPoller>(
+      *store_, settings_, directory_,
+      ControlCallbacks{[this] { OnSettings(); },
+                       [this](const platform::VmList& list) { links_->FollowVmList(list); }});
+  const DriverParts drivers{clock,      fleet_,   *links_,  attempts_,
+                            suspicion_, budgets_, metrics_, cut_};
+  api_ = std::make_unique<CallerApi>(CallerApiParts{
+      drivers, directory_, active_, [this] { return Closed(); }, boot_.failure_domain});
+}
+
+Entry::~Entry() { Stop(); }
+
+Result<void> Entry::Listen() {
+  HttpServerOptions caller_options;
+  caller_options.address = boot_.listen.caller;
+  caller_options.max_connections = kMaxCallerConnections;
+  BOOST_OUTCOME_TRY(caller_server, HttpServer::Create(caller_options));
+  caller_server_ = std::move(caller_server);
+  api_->Register(*caller_server_);
+  if (!boot_.listen.operator_address.empty()) {
+    HttpServerOptions operator_options;
+    operator_options.address = boot_.listen.operator_address;
+    BOOST_OUTCOME_TRY(operator_server, HttpServer::Create(operator_options));
+    operator_server_ = std::move(operator_server);
+    // The settings endpoints of control/settings_service.h are registered here as well.
+    control::RegisterOperatorRoutes(*operator_server_, metrics_,
+                                    {[this] {
+                                       const std::optional<Refusal> closed = Closed();
+                                       return closed ? closed->message : std::string();
+                                     },
+                                     [this] { return State(); }});
+  }
+  if (!boot_.listen.link.empty()) {
+    BOOST_OUTCOME_TRY(listener, link::LinkListener::Create(loop_, boot_.listen.link,
+                                                           link::LinkOptions(), links_));
+    listener_ = std::move(listener);
+  }
+  return Success();
+}
+
+void Entry::Start() {
+  loop_.Start();
+  if (listener_) {
+    listener_->Start();
+  }
+  links_->DialFixed(boot_.upstreams);
+  links_->DialFixed(boot_.peers);
+  poller_->Start();
+  if (operator_server_) {
+    operator_server_->Start();
+  }
+  caller_server_->Start();
+  Log(LogLevel::kInfo, "started", {{"caller_port", caller_port()}, {"link_port", link_port()}});
+}
+
+std::size_t Entry::Drain() {
+  draining_.store(true);
+  const Milliseconds timeout(directory_.current()->process.drain_timeout_ms);
+  Log(LogLevel::kInfo, "draining", {{"in_flight", active_.size()}});
+  const TimePoint until = DefaultClock().now() + timeout;
+  while (active_.size() > 0 && DefaultClock().now() < until) {
+    std::this_thread::sleep_for(kDrainStep);
+  }
+  const std::size_t cut = active_.size();
+  cut_.store(true);
+  Log(LogLevel::kInfo, "drained", {{"cut", cut}});
+  return cut;
+}
+
+void Entry::Stop() {
+  if (stopped_) {
+    return;
+  }
+  stopped_ = true;
+  draining_.store(true);
+  cut_.store(true);
+  if (caller_server_) {
+    caller_server_->Stop();
+  }
+  if (operator_server_) {
+    operator_server_->Stop();
+  }
+  poller_->Stop();
+  links_->StopAll();
+  loop_.Stop();
+}
+
+std::optional<Refusal> Entry::Closed() const {
+  if (draining_.load()) {
+    return NotServing("leaving", "the entry is shutting down");
+  }
+  if (settings_.version() == 0) {
+    return NotServing("no_settings", "the entry has no settings yet");
+  }
+  return std::nullopt;
+}
+
+nlohmann::json Entry::State() const {
+  return {{"id", boot_.id},
+          {"settings_version", settings_.version()},
+          {"draining", draining_.load()},
+          {"requests", active_.Dump(DefaultClock().now())},
+          {"open_attempts", attempts_.size()},
+          {"suspects", suspicion_.size()},
+          {"links", links_->Dump()},
+          {"fleet", fleet_.Dump()}};
+}
+
+void Entry::OnSettings() {
+  links_->SetOptions(OptionsFrom(directory_.current()->process));
+  links_->PushSettings();
+}
+
+}  // namespace rattanramp::entry
--- /dev/null
+++ b/entry/entry.h
@@ -0,0 +1,77 @@
+// The entry process: owns and connects all parts.
+#pragma once
+
+#include <atomic>
+#include <memory>
+#include <string>
+
+#include "base/http_server.h"
+#include "base/metrics.h"
+#include "control/settings_replica.h"
+#include "entry/active_requests.h"
+#include "entry/agent_links.h"
+#include "entry/attempt_registry.h"
+#include "entry/caller_api.h"
+#include "entry/control_poller.h"
+#include "entry/fleet_table.h"
+#include "entry/retry_budgets.h"
+#include "entry/service_directory.h"
+#include "entry/suspicion_view.h"
+#include "link/event_loop.h"
+#include "link/link_listener.h"
+#include "platform/platform_store.h"
+#include "settings/boot_config.h"
+
+namespace rattanramp::entry {
+
+class Entry {
+ public:
+  /// Binds all addresses. Errors: kInvalidArgument (boot file), kIo (port in use).
+  static Result<std::unique_ptr<Entry>> Create(const settings::BootConfig& boot,
+                                               std::unique_ptr<platform::PlatformStore> store);
+  ~Entry();
+
+  void Start();
+
+  /// Refuses new requests and waits for those in flight, at most drain_timeout_ms. Returns the
+  /// number of requests that were cut.
+  std::size_t Drain();
+  /// Stops all threads.
+  void Stop();
+
+  int caller_port() const { return caller_server_->port(); }
+  int operator_port() const { return operator_server_ ? operator_server_->port() : 0; }
+  int link_port() const { return listener_ ? listener_->port() : 0; }
+
+ private:
+  Entry(const settings::BootConfig& boot, std::unique_ptr<platform::PlatformStore> store);
+
+  Result<void> Listen();
+  std::optional<Refusal> Closed() const;
+  nlohmann::json State() const;
+  void OnSettings();
+
+  settings::BootConfig boot_;
+  std::unique_ptr<platform::PlatformStore> store_;
+  Metrics metrics_;
+  control::SettingsReplica settings_;
+  DirectoryCache directory_;
+  FleetTable fleet_;
+  AttemptRegistry attempts_;
+  SuspicionView suspicion_;
+  RetryBudgets budgets_;
+  ActiveRequests active_;
+  std::atomic<bool> draining_{false};
+  std::atomic<bool> cut_{false};
+  bool stopped_ = false;
+
+  link::EventLoop loop_;
+  std::shared_ptr<AgentLinks> links_;
+  std::shared_ptr<link::LinkListener> listener_;
+  std::unique_ptr<ControlPoller> poller_;
+  std::unique_ptr<CallerApi> api_;
+  std::unique_ptr<HttpServer> caller_server_;
+  std::unique_ptr<HttpServer> operator_server_;
+};
+
+}  // namespace rattanramp::entry
--- /dev/null
+++ b/entry/fleet_table.h
@@ -0,0 +1,103 @@
+// What this entry knows about the agents: their last reports, corrected by the work that the entry
+// has sent since. Always somewhat stale; the agents decide.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "base/result.h"
+#include "core/route.h"
+#include "wire/gen-cpp/rattanramp_types.h"
+
+namespace rattanramp::entry {
+
+/// Load that one attempt adds to an agent until the agent's reports contain it.
+struct AttemptLoad {
+  std::int32_t pieces = 0;
+  std::int64_t prefill_tokens = 0;
+  /// The request is suspected of crashing engines; counts until the attempt is finished.
+  bool suspect = false;
+};
+
+/// Request for a route with agents by id instead of by index.
+struct RouteQuery {
+  std::string model;
+  std::string failure_domain;
+  /// Sizes, targets and flags; the indexes are filled in by the table.
+  core::RouteRequest request;
+  core::RoutePolicy policy;
+  bool naive = false;
+  std::span<const std::string> excluded_agents;
+};
+
+struct ChosenRoute {
+  core::Route route;
+  std::string prefill_agent;
+  std::string decode_agent;
+};
+
+/// Safe from any thread.
+class FleetTable {
+ public:
+  void OnLinkUp(const wire::Hello& hello);
+  void OnLinkDown(const std::string& agent_id);
+  void OnReport(const std::string& agent_id, const wire::LoadReport& report);
+
+  /// The attempt is about to be sent.
+  void NoteSubmitted(const std::string& agent_id, const std::string& attempt_id,
+                     const AttemptLoad& load);
+  /// The agent has answered: its next report contains the attempt.
+  void NoteAcknowledged(const std::string& agent_id, const std::string& attempt_id);
+  /// The attempt is over or was refused.
+  void NoteFinished(const std::string& agent_id, const std::string& attempt_id);
+
+  /// Errors: kUnavailable (no ready engine serves the model), kOverloaded (no engine has room).
+  Result<ChosenRoute> Choose(const RouteQuery& query);
+
+  /// Ready agent of a plain service with the fewest requests. Error: kUnavailable.
+  Result<std::string> ChooseServiceAgent(const std::string& service,
+                                         std::span<const std::string> excluded) const;
+
+  /// Models that linked agents have reported.
+  std::vector<std::string> models() const;
+  nlohmann::json Dump() const;
+
+ private:
+  struct PendingLoad {
+    AttemptLoad load;
+    bool acknowledged = false;
+  };
+  struct Agent {
+    std::uint32_t index = 0;
+    std::int64_t incarnation = 0;
+    std::string failure_domain;
+    bool linked = false;
+    std::optional<wire::LoadReport> report;
+    std::map<std::string, PendingLoad> pending;
+    std::set<std::string> suspects;
+  };
+
+  void Refresh(const Agent& agent);
+  std::uint32_t DomainIndex(const std::string& name);
+  std::uint32_t ModelIndex(const std::string& name);
+  static bool IsReady(const Agent& agent);
+  static bool Contains(std::span<const std::string> names, const std::string& name);
+
+  mutable std::mutex mutex_;
+  std::map<std::string, Agent> agents_;
+  /// Engine views and agent ids by Agent::index.
+  std::vector<core::EngineView> views_;
+  std::vector<std::string> ids_;
+  std::map<std::string, std::uint32_t> domains_;
+  std::map<std::string, std::uint32_t> models_;
+  std::vector<double> one_way_ms_;
+};
+
+}  // namespace rattanramp::entry
--- /dev/null
+++ b/entry/generation_driver.cc
@@ -0,0 +1,549 @@
+#include "entry/generation_driver.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/hash.h"
+
+namespace rattanramp::entry {
+namespace {
+
+/// A gap in the output that the agent does not fill within this time ends the attempt.
+constexpr Milliseconds kGapWait{1'000};
+constexpr core::BackOff kRetryBackOff{10.0, 1'000.0};
+/// Patient requests ask again for room at this pace.
+constexpr core::BackOff kRoomBackOff{100.0, 2'000.0};
+constexpr std::int64_t kOverloadRetryAfterMs = 1'000;
+
+Refusal MakeRefusal(const char* kind, int status, std::string message, std::string remedy) {
+  Refusal refusal;
+  refusal.kind = kind;
+  refusal.status = status;
+  refusal.message = std::move(message);
+  refusal.remedy = std::move(remedy);
+  return refusal;
+}
+
+Refusal NoRouteRefusal(const Error& error) {
+  const bool overloaded = error.kind == ErrorKind::kOverloaded;
+  Refusal refusal = MakeRefusal(overloaded ? "overloaded" : "no_upstream", kServiceUnavailable,
+                                error.message, error.remedy);
+  refusal.retry_after_ms = kOverloadRetryAfterMs;
+  return refusal;
+}
+
+}  // namespace
+
+GenerationDriver::GenerationDriver(const DriverParts& parts, GenerationRequest request,
+                                   std::string failure_domain, Milliseconds lease)
+    : parts_(parts),
+      request_(std::move(request)),
+      failure_domain_(std::move(failure_domain)),
+      lease_(lease),
+      deadline_(request_.arrived + Milliseconds(request_.service->settings.deadline_ms)),
+      mailbox_(std::make_shared<Mailbox>()),
+      retry_at_(request_.arrived) {
+  stats_.prompt_tokens = request_.prompt_tokens;
+  parts_.budgets.Count(*request_.service);
+}
+
+GenerationDriver::~GenerationDriver() { CloseRoute("request is over"); }
+
+GenerationOutput GenerationDriver::Next(TimePoint until) {
+  while (true) {
+    if (!ready_text_.empty()) {
+      GenerationOutput output{GenerationOutput::Kind::kText, std::move(ready_text_), {}};
+      ready_text_.clear();
+      return output;
+    }
+    if (phase_ == Phase::kDone) {
+      return {GenerationOutput::Kind::kDone, "", {}};
+    }
+    if (phase_ == Phase::kFailed) {
+      return {GenerationOutput::Kind::kFailed, "", refusal_};
+    }
+    if (parts_.clock.now() >= until) {
+      return {};
+    }
+    Step(until);
+  }
+}
+
+void GenerationDriver::Abandon(const std::string& reason) {
+  CloseRoute(reason);
+  if (phase_ != Phase::kDone) {
+    Fail(MakeRefusal("cancelled", kCallerLeft, reason, "send the request again"));
+  }
+}
+
+void GenerationDriver::Step(TimePoint until) {
+  const TimePoint now = parts_.clock.now();
+  if (parts_.cut.load()) {
+    CloseRoute("entry stops");
+    Fail(NotServing("shutting_down", "the entry has stopped before the answer was complete"));
+    return;
+  }
+  if (now >= deadline_) {
+    CloseRoute("deadline");
+    const int status = outcome_ == core::Outcome::kNotRun ? kServiceUnavailable : kGatewayTimeout;
+    Fail(MakeRefusal("deadline", status, "the request was not finished within its deadline",
+                     "retry later; the service's deadline_ms sets the limit"));
+    return;
+  }
+  if (phase_ == Phase::kUnrouted && now >= retry_at_) {
+    StartRoute();
+    return;
+  }
+  const TimePoint wake = WakeTime(until);
+  std::optional<RequestEvent> event = mailbox_->events.Pop(std::max(Duration(0), wake - now));
+  if (event) {
+    Handle(std::move(*event));
+  } else if (mailbox_->overflowed.exchange(false)) {
+    OnOverflow();
+  }
+  CheckTimeouts(parts_.clock.now());
+}
+
+TimePoint GenerationDriver::WakeTime(TimePoint until) const {
+  TimePoint wake = std::min(until, deadline_);
+  if (phase_ == Phase::kUnrouted) {
+    return std::min(wake, retry_at_);
+  }
+  wake = std::min(wake, LeaseEnd(decode_, lease_));
+  return gap_since_ == TimePoint::max() ? wake : std::min(wake, gap_since_ + kGapWait);
+}
+
+RouteQuery GenerationDriver::MakeQuery() const {
+  const settings::Settings& settings = request_.service->settings;
+  RouteQuery query;
+  query.model = request_.model;
+  query.failure_domain = failure_domain_;
+  query.naive = settings.policy == "naive";
+  query.policy.in_place_prompt_tokens = static_cast<std::int32_t>(settings.in_place_prompt_tokens);
+  query.policy.hold_margin_ms = static_cast<double>(settings.hold_margin_ms);
+  query.request.prompt_tokens = request_.prompt_tokens + delivered_tokens_;
+  query.request.max_output_tokens = std::max(1, request_.max_output_tokens - delivered_tokens_);
+  query.request.expected_output_tokens = std::min(
+      query.request.max_output_tokens, static_cast<std::int32_t>(settings.expected_output_tokens));
+  query.request.first_output_target_ms = static_cast<double>(settings.first_output_target_ms);
+  query.request.pace_target_ms = static_cast<double>(settings.pace_target_ms);
+  query.request.patient = settings.patient;
+  query.request.suspect = CrashCount() > 0;
+  query.excluded_agents = excluded_;
+  return query;
+}
+
+void GenerationDriver::StartRoute() {
+  const settings::Settings& settings = request_.service->settings;
+  if (CrashCount() >= settings.crash_limit) {
+    Fail(MakeRefusal("suspect", kUnprocessable,
+                     "the request has crashed upstreams and is not tried again",
+                     "change the request; the count lapses after suspicion_ttl_ms"));
+    return;
+  }
+  Result<ChosenRoute> chosen = parts_.fleet.Choose(MakeQuery());
+  if (!chosen && !excluded_.empty()) {
+    // Upstreams that failed this request are better than none.
+    excluded_.clear();
+    chosen = parts_.fleet.Choose(MakeQuery());
+  }
+  if (!chosen) {
+    const core::FailureKind kind = chosen.error().kind == ErrorKind::kOverloaded
+                                       ? core::FailureKind::kOverloaded
+                                       : core::FailureKind::kUnavailable;
+    const Refusal refusal = NoRouteRefusal(chosen.error());
+    if (failures_ == 0 && !settings.patient) {
+      Fail(refusal);
+    } else {
+      RetryLater(kind, refusal);
+    }
+    return;
+  }
+  route_ = std::move(chosen.value());
+  prefill_ = Attempt();
+  decode_ = Attempt();
+  started_ = false;
+  gap_since_ = TimePoint::max();
+  route_start_bytes_ = delivered_.size();
+  attempt_base_ = delivered_.size();
+  attempt_base_tokens_ = delivered_tokens_;
+  if (delivered_tokens_ >= request_.max_output_tokens) {
+    // All text is there but its end mark is not. The last piece is generated again to get it.
+    attempt_base_ -= last_piece_bytes_;
+    attempt_base_tokens_ -= last_piece_tokens_;
+  }
+  stream_ = core::StreamAssembler();
+  stream_.next_offset = static_cast<std::int64_t>(delivered_.size() - attempt_base_);
+  phase_ = Phase::kRunning;
+  ++stats_.attempts;
+  if (route_.route.in_place) {
+    started_ = true;
+    SendDecode(wire::WorkKind::GENERATE);
+  } else if (settings.policy == "naive") {
+    SendPrefill();
+  } else {
+    SendDecode(wire::WorkKind::DECODE);
+  }
+}
+
+bool GenerationDriver::SendDecode(wire::WorkKind::type kind) {
+  Result<Attempt> opened = Open(kind, route_.decode_agent);
+  if (!opened) {
+    FailAttempt(route_.decode_agent, core::FailureKind::kUnavailable, core::Outcome::kNotRun,
+                NoRouteRefusal(opened.error()));
+    return false;
+  }
+  decode_ = std::move(opened.value());
+  return true;
+}
+
+bool GenerationDriver::SendPrefill() {
+  Result<Attempt> opened = Open(wire::WorkKind::PREFILL, route_.prefill_agent);
+  if (!opened) {
+    FailAttempt(route_.prefill_agent, core::FailureKind::kUnavailable, core::Outcome::kNotRun,
+                NoRouteRefusal(opened.error()));
+    return false;
+  }
+  prefill_ = std::move(opened.value());
+  return true;
+}
+
+Result<Attempt> GenerationDriver::Open(wire::WorkKind::type kind, const std::string& agent_id) {
+  AttemptLoad load;
+  load.suspect = CrashCount() > 0;
+  if (kind != wire::WorkKind::DECODE) {
+    load.prefill_tokens = request_.prompt_tokens + attempt_base_tokens_;
+  }
+  if (kind == wire::WorkKind::PREFILL) {
+    load.pieces = core::PiecesFor(request_.prompt_tokens + attempt_base_tokens_, 0);
+  } else {
+    load.pieces = route_.route.pieces;
+  }
+  return OpenAttempt(parts_, mailbox_, agent_id, MakeSubmit(kind), load);
+}
+
+wire::Submit GenerationDriver::MakeSubmit(wire::WorkKind::type kind) const {
+  const settings::Settings& settings = request_.service->settings;
+  const Duration left = deadline_ - parts_.clock.now();
+  wire::Submit submit;
+  submit.request_id = request_.request_id;
+  submit.kind = kind;
+  submit.service_name = request_.service->name;
+  submit.model = request_.model;
+  submit.customer = settings.customer;
+  submit.body = request_.prompt;
+  submit.prompt_tokens = request_.prompt_tokens;
+  submit.max_output_tokens = std::max(1, request_.max_output_tokens - attempt_base_tokens_);
+  submit.expected_output_tokens = std::min(
+      submit.max_output_tokens, static_cast<std::int32_t>(settings.expected_output_tokens));
+  submit.deadline_ms = std::max<std::int64_t>(1, static_cast<std::int64_t>(ToMs(left)));
+  submit.priority = static_cast<std::int32_t>(settings.priority);
+  submit.hold_ms = static_cast<std::int64_t>(route_.route.hold_ms);
+  submit.already_sent = delivered_.substr(0, attempt_base_);
+  submit.fingerprint = request_.fingerprint;
+  submit.crash_count = CrashCount();
+  submit.repeatable = settings.repeatable;
+  submit.patient = settings.patient;
+  return submit;
+}
+
+void GenerationDriver::SendStartDecode() {
+  wire::StartDecode start;
+  start.attempt_id = decode_.id;
+  start.kv_handle = prefill_done_.kv_handle;
+  start.source_url = prefill_done_.source_url;
+  start.kv_bytes = prefill_done_.kv_bytes;
+  wire::Frame frame;
+  frame.__set_start_decode(start);
+  started_ = true;
+  const Result<void> sent = parts_.links.Send(decode_.agent_id, frame);
+  if (!sent) {
+    FailLost(decode_, sent.error().message);
+  }
+}
+
+void GenerationDriver::Handle(RequestEvent event) {
+  const bool to_decode = decode_.open && event.attempt_id == decode_.id;
+  const bool to_prefill = prefill_.open && event.attempt_id == prefill_.id;
+  if (phase_ != Phase::kRunning || (!to_decode && !to_prefill)) {
+    return;
+  }
+  Attempt& attempt = to_decode ? decode_ : prefill_;
+  if (std::holds_alternative<LinkLost>(event.body)) {
+    OnLinkLost(attempt);
+    return;
+  }
+  if (const LinkRestored* restored = std::get_if<LinkRestored>(&event.body)) {
+    OnLinkRestored(attempt, restored->incarnation);
+    return;
+  }
+  parts_.fleet.NoteAcknowledged(attempt.agent_id, attempt.id);
+  if (std::holds_alternative<std::unique_ptr<wire::Granted>>(event.body)) {
+    OnGranted(attempt);
+  } else if (const auto* refused = std::get_if<std::unique_ptr<wire::Refused>>(&event.body)) {
+    OnRefused(attempt, **refused);
+  } else if (const auto* done = std::get_if<std::unique_ptr<wire::PrefillDone>>(&event.body)) {
+    if (to_prefill) {
+      OnPrefillDone(**done);
+    }
+  } else if (const auto* chunk = std::get_if<std::unique_ptr<wire::Chunk>>(&event.body)) {
+    if (to_decode) {
+      OnChunk(**chunk);
+    }
+  } else if (const auto* end = std::get_if<std::unique_ptr<wire::End>>(&event.body)) {
+    OnEnd(attempt, **end);
+  }
+}
+
+void GenerationDriver::OnGranted(Attempt& attempt) {
+  const bool reserved = attempt.kind == wire::WorkKind::DECODE && !attempt.granted;
+  attempt.granted = true;
+  // The prefill starts only when its result has a place to go.
+  if (reserved && !started_ && !prefill_.open) {
+    SendPrefill();
+  }
+}
+
+void GenerationDriver::OnRefused(Attempt& attempt, const wire::Refused& refused) {
+  FinishAttempt(parts_, attempt);
+  parts_.metrics.Count("agent_refusals_total{kind=\"" + FromWire(refused).kind + "\"}");
+  FailAttempt(attempt.agent_id, FailureKindOf(refused.kind), FromWire(refused.outcome),
+              FromWire(refused));
+}
+
+void GenerationDriver::OnPrefillDone(const wire::PrefillDone& done) {
+  FinishAttempt(parts_, prefill_);
+  NoteOutcome(core::Outcome::kRan);
+  stats_.prefill_tokens += done.prefill_tokens;
+  unserved_prefill_tokens_ += done.prefill_tokens;
+  prefill_done_ = done;
+  if (!decode_.open && !SendDecode(wire::WorkKind::DECODE)) {
+    return;
+  }
+  SendStartDecode();
+}
+
+void GenerationDriver::OnChunk(const wire::Chunk& chunk) {
+  const std::string text = core::AcceptChunk(stream_, chunk.offset, chunk.data);
+  if (!text.empty()) {
+    const bool whole = text.size() == chunk.data.size() && chunk.tokens > 0;
+    Release(text, whole ? chunk.tokens : EstimateTokens(text.size()));
+  }
+  CheckStream();
+}
+
+void GenerationDriver::OnEnd(Attempt& attempt, const wire::End& end) {
+  const bool decode = attempt.id == decode_.id;
+  stats_.prefill_tokens += end.prefill_tokens;
+  if (!RouteHasOutput()) {
+    unserved_prefill_tokens_ += end.prefill_tokens;
+  }
+  if (!end.complete) {
+    FinishAttempt(parts_, attempt);
+    const core::FailureKind kind =
+        end.__isset.error ? FailureKindOf(end.error) : core::FailureKind::kUpstreamError;
+    FailAttempt(attempt.agent_id, kind, FromWire(end.outcome), FromWire(end));
+    return;
+  }
+  if (!decode) {
+    return;
+  }
+  const Result<void> accepted = core::AcceptEnd(stream_, end.total_bytes);
+  if (!accepted) {
+    FinishAttempt(parts_, attempt);
+    FailAttempt(attempt.agent_id, core::FailureKind::kUpstreamError, core::Outcome::kRan,
+                MakeRefusal("incomplete_stream", kBadGateway, accepted.error().message,
+                            "send the request again"));
+    return;
+  }
+  if (attempt_base_ == 0 && end.output_tokens > 0) {
+    stats_.output_tokens = end.output_tokens;
+  }
+  CheckStream();
+}
+
+void GenerationDriver::CheckStream() {
+  if (core::IsComplete(stream_)) {
+    FinishAttempt(parts_, decode_);
+    phase_ = Phase::kDone;
+    return;
+  }
+  if (!core::HasGap(stream_)) {
+    gap_since_ = TimePoint::max();
+  } else if (gap_since_ == TimePoint::max()) {
+    gap_since_ = parts_.clock.now();
+    SendResume(parts_, decode_, stream_.next_offset);
+  }
+}
+
+void GenerationDriver::OnOverflow() {
+  // Events were dropped. The agents repeat the output; any other lost message ends the route.
+  if (phase_ != Phase::kRunning) {
+    return;
+  }
+  if (!started_) {
+    FailLost(prefill_.open ? prefill_ : decode_, "events of the request were dropped");
+    return;
+  }
+  const std::optional<std::int64_t> incarnation = parts_.links.IncarnationOf(decode_.agent_id);
+  if (incarnation) {
+    OnLinkRestored(decode_, *incarnation);
+  } else {
+    OnLinkLost(decode_);
+  }
+}
+
+void GenerationDriver::OnLinkLost(Attempt& attempt) {
+  // Output can be resumed and a granted hold stays valid. A lost grant or prefill is not worth
+  // waiting for: its KV is evicted in under a second.
+  const bool keep = attempt.id == decode_.id && (started_ || attempt.granted);
+  if (!keep) {
+    FailLost(attempt, "the link to the agent was lost");
+    return;
+  }
+  if (!attempt.lost_at) {
+    attempt.lost_at = parts_.clock.now();
+  }
+}
+
+void GenerationDriver::OnLinkRestored(Attempt& attempt, std::int64_t incarnation) {
+  if (incarnation != attempt.incarnation) {
+    FailLost(attempt, "the agent has restarted");
+    return;
+  }
+  attempt.lost_at.reset();
+  if (attempt.id != decode_.id) {
+    return;
+  }
+  SendResume(parts_, attempt, stream_.next_offset);
+  if (started_ && attempt.kind == wire::WorkKind::DECODE && !RouteHasOutput()) {
+    // The first StartDecode may have been lost with the link; agents ignore a second one.
+    SendStartDecode();
+  }
+}
+
+void GenerationDriver::CheckTimeouts(TimePoint now) {
+  if (phase_ != Phase::kRunning) {
+    return;
+  }
+  if (now >= LeaseEnd(decode_, lease_)) {
+    FailLost(decode_, "the link to the agent stayed down for the lease");
+  } else if (gap_since_ != TimePoint::max() && now >= gap_since_ + kGapWait) {
+    FailLost(decode_, "the agent did not repeat missing output");
+  }
+}
+
+void GenerationDriver::Release(const std::string& text, std::int32_t tokens) {
+  NoteOutcome(core::Outcome::kRan);
+  unserved_prefill_tokens_ = 0;
+  delivered_ += text;
+  ready_text_ += text;
+  delivered_tokens_ += tokens;
+  last_piece_bytes_ = text.size();
+  last_piece_tokens_ = tokens;
+  NoteOutput(stats_, tokens, request_.arrived, parts_.clock.now());
+}
+
+void GenerationDriver::FailLost(Attempt& attempt, const std::string& message) {
+  const std::string agent_id = attempt.agent_id;
+  const core::Outcome outcome = OpenOutcome(attempt);
+  FailAttempt(agent_id, core::FailureKind::kLost, outcome,
+              MakeRefusal("upstream_lost", kBadGateway, message, "send the request again"));
+}
+
+void GenerationDriver::FailAttempt(const std::string& agent_id, core::FailureKind kind,
+                                   core::Outcome outcome, Refusal refusal) {
+  NoteOutcome(outcome);
+  CloseRoute("another attempt of the request failed");
+  if (kind == core::FailureKind::kCrashed) {
+    ++own_crashes_;
+  }
+  const settings::Settings& settings = request_.service->settings;
+  core::FailedAttempt failure;
+  failure.kind = kind;
+  failure.outcome = outcome_;
+  failure.repeatable = settings.repeatable;
+  failure.crash_count = CrashCount();
+  failure.crash_limit = static_cast<std::int32_t>(settings.crash_limit);
+  switch (core::PlaceForRetry(failure)) {
+    case core::RetryPlace::kNowhere:
+    case core::RetryPlace::kNamedOwner:
+      Fail(std::move(refusal));
+      return;
+    case core::RetryPlace::kElsewhere:
+      excluded_.push_back(agent_id);
+      break;
+    case core::RetryPlace::kAnywhere:
+      break;
+  }
+  RetryLater(kind, refusal);
+}
+
+void GenerationDriver::RetryLater(core::FailureKind kind, const Refusal& refusal) {
+  const Service& service = *request_.service;
+  const TimePoint now = parts_.clock.now();
+  const bool waits_for_room = service.settings.patient && (kind == core::FailureKind::kOverloaded ||
+                                                           kind == core::FailureKind::kUnavailable);
+  if (waits_for_room) {
+    // A patient request is queued here, so room refusals do not use up its attempts.
+    excluded_.clear();
+  } else {
+    ++failures_;
+    if (failures_ >= service.settings.max_attempts) {
+      Fail(refusal);
+      return;
+    }
+    if (!parts_.budgets.Take(service, now)) {
+      parts_.metrics.Count("retry_budget_spent_total{service=\"" + service.name + "\"}");
+      Fail(refusal);
+      return;
+    }
+    parts_.metrics.Count("retries_total{service=\"" + service.name + "\"}");
+  }
+  ++retries_;
+  const double wait_ms = core::BackOffMs(waits_for_room ? kRoomBackOff : kRetryBackOff, retries_,
+                                         Hash64(request_.request_id));
+  retry_at_ = now + std::chrono::duration_cast<Duration>(
+                        std::chrono::duration<double, std::milli>(wait_ms));
+  phase_ = Phase::kUnrouted;
+}
+
+void GenerationDriver::Fail(Refusal refusal) {
+  refusal_ = std::move(refusal);
+  refusal_.outcome = outcome_;
+  phase_ = Phase::kFailed;
+}
+
+void GenerationDriver::CloseRoute(const std::string& reason) {
+  for (Attempt* attempt : {&prefill_, &decode_}) {
+    if (attempt->open) {
+      NoteOutcome(OpenOutcome(*attempt));
+      CancelAttempt(parts_, *attempt, reason);
+    }
+  }
+  stats_.wasted_prefill_tokens += unserved_prefill_tokens_;
+  unserved_prefill_tokens_ = 0;
+  gap_since_ = TimePoint::max();
+}
+
+bool GenerationDriver::RouteHasOutput() const { return delivered_.size() > route_start_bytes_; }
+
+core::Outcome GenerationDriver::OpenOutcome(const Attempt& attempt) const {
+  const bool only_holds = attempt.kind == wire::WorkKind::DECODE && !started_;
+  return only_holds ? core::Outcome::kNotRun : core::Outcome::kUnknown;
+}
+
+void GenerationDriver::NoteOutcome(core::Outcome outcome) {
+  if (outcome_ == core::Outcome::kRan || outcome == core::Outcome::kNotRun) {
+    return;
+  }
+  outcome_ = outcome;
+}
+
+std::int32_t GenerationDriver::CrashCount() const {
+  const Milliseconds ttl(request_.service->settings.suspicion_ttl_ms);
+  return std::max(own_crashes_,
+                  parts_.suspicion.CrashCount(request_.fingerprint, ttl, parts_.clock.now()));
+}
+
+}  // namespace rattanramp::entry
--- /dev/null
+++ b/entry/generation_driver.h
@@ -0,0 +1,135 @@
+// Drives one generation request: route, prefill, transfer, decode, retries. Used by one thread.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "core/route.h"
+#include "core/stream.h"
+#include "entry/attempt.h"
+#include "entry/generation_request.h"
+#include "entry/refusal.h"
+#include "entry/request_stats.h"
+
+namespace rattanramp::entry {
+
+/// One step of the answer.
+struct GenerationOutput {
+  enum class Kind {
+    /// Nothing new within the wait.
+    kWaiting,
+    kText,
+    /// The whole text was returned before.
+    kDone,
+    kFailed,
+  };
+  Kind kind = Kind::kWaiting;
+  std::string text;
+  Refusal refusal;
+};
+
+class GenerationDriver {
+ public:
+  /// lease is the time that attempts stay open without a link.
+  GenerationDriver(const DriverParts& parts, GenerationRequest request, std::string failure_domain,
+                   Milliseconds lease);
+  /// Cancels what is still open.
+  ~GenerationDriver();
+  GenerationDriver(const GenerationDriver&) = delete;
+  GenerationDriver& operator=(const GenerationDriver&) = delete;
+
+  /// Waits for the next output, at most until the given time.
+  GenerationOutput Next(TimePoint until);
+
+  /// The caller has left: cancels all attempts at once.
+  void Abandon(const std::string& reason);
+
+  const RequestStats& stats() const { return stats_; }
+  const GenerationRequest& request() const { return request_; }
+  /// Text delivered so far, in bytes.
+  std::size_t delivered_bytes() const { return delivered_.size(); }
+
+ private:
+  enum class Phase { kUnrouted, kRunning, kDone, kFailed };
+
+  void Step(TimePoint until);
+  void StartRoute();
+  RouteQuery MakeQuery() const;
+  bool SendPrefill();
+  bool SendDecode(wire::WorkKind::type kind);
+  void SendStartDecode();
+  Result<Attempt> Open(wire::WorkKind::type kind, const std::string& agent_id);
+  wire::Submit MakeSubmit(wire::WorkKind::type kind) const;
+
+  void Handle(RequestEvent event);
+  void OnGranted(Attempt& attempt);
+  void OnRefused(Attempt& attempt, const wire::Refused& refused);
+  void OnPrefillDone(const wire::PrefillDone& done);
+  void OnChunk(const wire::Chunk& chunk);
+  void OnEnd(Attempt& attempt, const wire::End& end);
+  void OnLinkLost(Attempt& attempt);
+  void OnLinkRestored(Attempt& attempt, std::int64_t incarnation);
+  void OnOverflow();
+  void CheckTimeouts(TimePoint now);
+  TimePoint WakeTime(TimePoint until) const;
+
+  void Release(const std::string& text, std::int32_t tokens);
+  void CheckStream();
+  void FailAttempt(const std::string& agent_id, core::FailureKind kind, core::Outcome outcome,
+                   Refusal refusal);
+  void FailLost(Attempt& attempt, const std::string& message);
+  void RetryLater(core::FailureKind kind, const Refusal& refusal);
+  void Fail(Refusal refusal);
+  void CloseRoute(const std::string& reason);
+  void NoteOutcome(core::Outcome outcome);
+  /// Whether the attempt may have executed something although no result is known.
+  core::Outcome OpenOutcome(const Attempt& attempt) const;
+  bool RouteHasOutput() const;
+  std::int32_t CrashCount() const;
+
+  DriverParts parts_;
+  GenerationRequest request_;
+  std::string failure_domain_;
+  Milliseconds lease_;
+  TimePoint deadline_;
+  std::shared_ptr<Mailbox> mailbox_;
+
+  Phase phase_ = Phase::kUnrouted;
+  TimePoint retry_at_;
+  std::vector<std::string> excluded_;
+  std::int32_t retries_ = 0;
+  /// Failed attempts that count towards max_attempts.
+  std::int32_t failures_ = 0;
+  std::int32_t own_crashes_ = 0;
+
+  ChosenRoute route_;
+  Attempt prefill_;
+  Attempt decode_;
+  wire::PrefillDone prefill_done_;
+  /// Prefill tokens of the present route that have served no text so far.
+  std::int64_t unserved_prefill_tokens_ = 0;
+  /// The decode engine was told to produce output.
+  bool started_ = false;
+  core::StreamAssembler stream_;
+  /// Text sent along with the present attempt; its output continues after it.
+  std::size_t attempt_base_ = 0;
+  std::size_t route_start_bytes_ = 0;
+  std::int32_t attempt_base_tokens_ = 0;
+  /// Time since which a gap is open; max() without one.
+  TimePoint gap_since_ = TimePoint::max();
+
+  /// Text released so far; ready_text_ is its end that Next has not returned yet.
+  std::string delivered_;
+  std::string ready_text_;
+  std::int32_t delivered_tokens_ = 0;
+  std::size_t last_piece_bytes_ = 0;
+  std::int32_t last_piece_tokens_ = 0;
+
+  core::Outcome outcome_ = core::Outcome::kNotRun;
+  Refusal refusal_;
+  RequestStats stats_;
+};
+
+}  // namespace rattanramp::entry
--- /dev/null
+++ b/entry/generation_session.cc
@@ -0,0 +1,162 @@
+#include "entry/generation_session.h"
+
+#include <utility>
+
+#include "entry/openai_format.h"
+
+namespace rattanramp::entry {
+namespace {
+
+/// Longest wait before the socket of the caller is looked at again.
+constexpr Milliseconds kCallerCheck{200};
+/// Comment lines during a wait let a dead connection be noticed (TCP_USER_TIMEOUT) and keep
+/// proxies in front of the entry from closing it. Also the wait before a stream's status is sent.
+constexpr Milliseconds kKeepAlive{1'000};
+constexpr std::int64_t kMsPerSecond = 1'000;
+constexpr const char* kCallerLeftReason = "the caller has left";
+
+}  // namespace
+
+GenerationSession::GenerationSession(const DriverParts& parts, GenerationRequest request,
+                                     const std::string& failure_domain, Milliseconds lease,
+                                     ActiveRequests& active)
+    : parts_(parts),
+      driver_(parts, std::move(request), failure_domain, lease),
+      active_(active, {driver_.request().request_id, driver_.request().service->name, "generation",
+                       driver_.request().arrived}),
+      created_s_(parts.clock.unix_ms() / kMsPerSecond),
+      last_write_(parts.clock.now()) {}
+
+GenerationSession::~GenerationSession() {
+  if (!finished_) {
+    driver_.Abandon(kCallerLeftReason);
+    refusal_ = driver_.Next(parts_.clock.now()).refusal;
+    status_ = kCallerLeft;
+  }
+  AccessRecord record;
+  record.request_id = driver_.request().request_id;
+  record.service = driver_.request().service;
+  record.request_kind = "generation";
+  record.status = status_;
+  record.refusal = refusal_;
+  record.stats = driver_.stats();
+  record.total_ms = ToMs(parts_.clock.now() - driver_.request().arrived);
+  LogAccess(record, parts_.metrics);
+}
+
+GenerationOutput GenerationSession::Next() {
+  return driver_.Next(parts_.clock.now() + kCallerCheck);
+}
+
+bool GenerationSession::CallerIsGone() {
+  if (!HttpServer::CallerHasLeft()) {
+    return false;
+  }
+  driver_.Abandon(kCallerLeftReason);
+  return true;
+}
+
+void GenerationSession::Refuse(const Refusal& refusal, httplib::Response& response) {
+  refusal_ = refusal;
+  status_ = refusal.status;
+  finished_ = true;
+  WriteRefusal(refusal, driver_.request().request_id, response);
+}
+
+void GenerationSession::AnswerWhole(httplib::Response& response) {
+  std::string text;
+  while (true) {
+    GenerationOutput output = Next();
+    switch (output.kind) {
+      case GenerationOutput::Kind::kText:
+        text += output.text;
+        break;
+      case GenerationOutput::Kind::kDone:
+        finished_ = true;
+        response.set_content(WholeAnswer(driver_.request(), driver_.stats(), text, created_s_),
+                             "application/json");
+        return;
+      case GenerationOutput::Kind::kFailed:
+        Refuse(output.refusal, response);
+        return;
+      case GenerationOutput::Kind::kWaiting:
+        break;
+    }
+    // After Abandon the next output is the refusal.
+    static_cast<void>(CallerIsGone());
+  }
+}
+
+bool GenerationSession::BeginStream(httplib::Response& response) {
+  const TimePoint until = parts_.clock.now() + kKeepAlive;
+  while (!first_ && parts_.clock.now() < until) {
+    GenerationOutput output = Next();
+    if (output.kind == GenerationOutput::Kind::kFailed) {
+      Refuse(output.refusal, response);
+      return false;
+    }
+    if (output.kind != GenerationOutput::Kind::kWaiting) {
+      first_ = std::move(output);
+    }
+    static_cast<void>(CallerIsGone());
+  }
+  return true;
+}
+
+bool GenerationSession::ContinueStream(httplib::DataSink& sink) {
+  GenerationOutput output = first_ ? std::move(*first_) : Next();
+  first_.reset();
+  switch (output.kind) {
+    case GenerationOutput::Kind::kText:
+      return WriteText(sink, std::move(output.text));
+    case GenerationOutput::Kind::kDone: {
+      std::string tail;
+      if (!partial_character_.empty()) {
+        tail = TextEvent(driver_.request(), partial_character_, !wrote_text_, created_s_);
+      }
+      finished_ = Write(sink, tail + DoneEvents(driver_.request(), driver_.stats(), created_s_));
+      sink.done();
+      return finished_;
+    }
+    case GenerationOutput::Kind::kFailed:
+      refusal_ = output.refusal;
+      finished_ = true;
+      static_cast<void>(
+          Write(sink, ErrorEvent(RefusalBody(output.refusal, driver_.request().request_id))));
+      sink.done();
+      return true;
+    case GenerationOutput::Kind::kWaiting:
+      break;
+  }
+  if (CallerIsGone()) {
+    return false;
+  }
+  if (parts_.clock.now() - last_write_ < kKeepAlive) {
+    return true;
+  }
+  return Write(sink, ": keep-alive\n\n");
+}
+
+bool GenerationSession::WriteText(httplib::DataSink& sink, std::string text) {
+  text.insert(0, partial_character_);
+  const std::size_t whole = WholeCharacters(text);
+  partial_character_ = text.substr(whole);
+  if (whole == 0) {
+    return true;
+  }
+  const bool first = !wrote_text_;
+  wrote_text_ = true;
+  return Write(sink, TextEvent(driver_.request(), std::string_view(text).substr(0, whole), first,
+                               created_s_));
+}
+
+bool GenerationSession::Write(httplib::DataSink& sink, const std::string& data) {
+  last_write_ = parts_.clock.now();
+  if (sink.write(data.data(), data.size())) {
+    return true;
+  }
+  driver_.Abandon(kCallerLeftReason);
+  return false;
+}
+
+}  // namespace rattanramp::entry
--- /dev/null
+++ b/entry/generation_session.h
@@ -0,0 +1,54 @@
+// One generation request at its HTTP connection: whole answer or server-sent events.
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "base/http_server.h"
+#include "entry/access_log.h"
+#include "entry/active_requests.h"
+#include "entry/generation_driver.h"
+
+namespace rattanramp::entry {
+
+class GenerationSession {
+ public:
+  GenerationSession(const DriverParts& parts, GenerationRequest request,
+                    const std::string& failure_domain, Milliseconds lease, ActiveRequests& active);
+  /// Writes the access log; cancels the request when its stream was not finished.
+  ~GenerationSession();
+  GenerationSession(const GenerationSession&) = delete;
+  GenerationSession& operator=(const GenerationSession&) = delete;
+
+  /// Waits for the whole answer and fills the response.
+  void AnswerWhole(httplib::Response& response);
+
+  /// Waits briefly for the first output, so that an early refusal gets its own status. Returns
+  /// false when the response is filled with a refusal and there is no stream.
+  bool BeginStream(httplib::Response& response);
+  /// Content provider of the stream. Returns false when the caller has left.
+  bool ContinueStream(httplib::DataSink& sink);
+
+ private:
+  GenerationOutput Next();
+  bool CallerIsGone();
+  bool Write(httplib::DataSink& sink, const std::string& data);
+  bool WriteText(httplib::DataSink& sink, std::string text);
+  void Refuse(const Refusal& refusal, httplib::Response& response);
+
+  DriverParts parts_;
+  GenerationDriver driver_;
+  ActiveRequest active_;
+  std::int64_t created_s_;
+  int status_ = 200;
+  std::optional<Refusal> refusal_;
+  std::optional<GenerationOutput> first_;
+  /// Bytes of an incomplete UTF-8 character at the end of the text so far.
+  std::string partial_character_;
+  bool wrote_text_ = false;
+  bool finished_ = false;
+  TimePoint last_write_;
+};
+
+}  // namespace rattanramp::entry
--- /dev/null
+++ b/entry/openai_format.cc
@@ -0,0 +1,109 @@
+#include "entry/openai_format.h"
+
+#include <algorithm>
+
+namespace rattanramp::entry {
+namespace {
+
+using nlohmann::json;
+
+/// Text of a model may contain invalid UTF-8; it must not end the answer.
+std::string Dump(const json& value) {
+  return value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+std::string Event(const json& value) { return "data: " + Dump(value) + "\n\n"; }
+
+json Frame(const GenerationRequest& request, const char* object, std::int64_t created_s) {
+  return {{"id", request.request_id},
+          {"object", object},
+          {"created", created_s},
+          {"model", request.model}};
+}
+
+json StreamFrame(const GenerationRequest& request, json choice, std::int64_t created_s) {
+  json frame =
+      Frame(request, request.chat ? "chat.completion.chunk" : "text_completion", created_s);
+  choice["index"] = 0;
+  frame["choices"] = json::array({std::move(choice)});
+  return frame;
+}
+
+json Usage(const RequestStats& stats) {
+  return {{"prompt_tokens", stats.prompt_tokens},
+          {"completion_tokens", stats.output_tokens},
+          {"total_tokens", stats.prompt_tokens + stats.output_tokens}};
+}
+
+}  // namespace
+
+std::string_view FinishReason(const GenerationRequest& request, const RequestStats& stats) {
+  return stats.output_tokens >= request.max_output_tokens ? "length" : "stop";
+}
+
+std::string WholeAnswer(const GenerationRequest& request, const RequestStats& stats,
+                        const std::string& text, std::int64_t created_s) {
+  json choice = {{"index", 0}, {"finish_reason", FinishReason(request, stats)}};
+  if (request.chat) {
+    choice["message"] = {{"role", "assistant"}, {"content", text}};
+  } else {
+    choice["text"] = text;
+    choice["logprobs"] = nullptr;
+  }
+  json answer = Frame(request, request.chat ? "chat.completion" : "text_completion", created_s);
+  answer["choices"] = json::array({std::move(choice)});
+  answer["usage"] = Usage(stats);
+  return Dump(answer);
+}
+
+std::string TextEvent(const GenerationRequest& request, std::string_view text, bool first,
+                      std::int64_t created_s) {
+  json choice = {{"finish_reason", nullptr}};
+  if (request.chat) {
+    choice["delta"] = {{"content", text}};
+    if (first) {
+      choice["delta"]["role"] = "assistant";
+    }
+  } else {
+    choice["text"] = text;
+  }
+  return Event(StreamFrame(request, std::move(choice), created_s));
+}
+
+std::string DoneEvents(const GenerationRequest& request, const RequestStats& stats,
+                       std::int64_t created_s) {
+  json choice = {{"finish_reason", FinishReason(request, stats)}};
+  if (request.chat) {
+    choice["delta"] = json::object();
+  } else {
+    choice["text"] = "";
+  }
+  json frame = StreamFrame(request, std::move(choice), created_s);
+  frame["usage"] = Usage(stats);
+  return Event(frame) + "data: [DONE]\n\n";
+}
+
+std::string ErrorEvent(const json& body) { return "event: error\n" + Event(body); }
+
+std::size_t WholeCharacters(std::string_view text) {
+  constexpr std::size_t kMaxCharacterBytes = 4;
+  const std::size_t looked_at = std::min(kMaxCharacterBytes, text.size());
+  for (std::size_t back = 1; back <= looked_at; ++back) {
+    const unsigned char byte = static_cast<unsigned char>(text[text.size() - back]);
+    if ((byte & 0xC0U) == 0x80U) {
+      continue;
+    }
+    std::size_t length = 1;
+    if ((byte & 0xE0U) == 0xC0U) {
+      length = 2;
+    } else if ((byte & 0xF0U) == 0xE0U) {
+      length = 3;
+    } else if ((byte & 0xF8U) == 0xF0U) {
+      length = 4;
+    }
+    return length > back ? text.size() - back : text.size();
+  }
+  return text.size();
+}
+
+}  // namespace rattanramp::entry
--- /dev/null
+++ b/entry/suspicion_view.h
@@ -0,0 +1,46 @@
+// Crash counts of request fingerprints as agents and peer entries report them.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/clock.h"
+#include "wire/gen-cpp/rattanramp_types.h"
+
+namespace rattanramp::entry {
+
+/// Hash of service, model and body that identifies a repeated request.
+std::int64_t Fingerprint(std::string_view service, std::string_view model, std::string_view body);
+
+/// Safe from any thread. A fingerprint counts once for each upstream incarnation that crashed.
+class SuspicionView {
+ public:
+  /// Merges counts. Returns those that changed the view and are worth forwarding.
+  std::vector<wire::CrashCount> Merge(const std::vector<wire::CrashCount>& crashes, TimePoint now);
+
+  /// Crashes younger than ttl.
+  std::int32_t CrashCount(std::int64_t fingerprint, Duration ttl, TimePoint now) const;
+
+  std::size_t size() const;
+
+ private:
+  struct Suspect {
+    /// Time of the crash by upstream and its incarnation.
+    std::map<std::pair<std::string, std::int64_t>, TimePoint> crashes;
+    /// Crashes up to this time do not count: the request has completed a run since.
+    TimePoint cleared_at;
+    TimePoint touched;
+  };
+
+  bool MergeOne(const wire::CrashCount& crash, TimePoint now);
+  void Trim();
+
+  mutable std::mutex mutex_;
+  std::map<std::int64_t, Suspect> suspects_;
+};
+
+}  // namespace rattanramp::entry
--- /dev/null
+++ b/tests/support/entry_fixture.h
@@ -0,0 +1,144 @@
+// An entry in the test process with fake agents and a platform that answers from memory.
+#pragma once
+
+#include <criterion/criterion.h>
+
+#include <chrono>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "entry/entry.h"
+#include "tests/support/fake_agent.h"
+
+namespace rattanramp::test_support {
+
+/// Platform with a fixed settings snapshot and VM list; writes are refused.
+class FixedPlatform : public platform::PlatformStore {
+ public:
+  std::string snapshot;
+  platform::VmList vms;
+
+  Result<std::optional<platform::Row>> Read(const std::string& key) override {
+    if (key != "settings/snapshot" || snapshot.empty()) {
+      return std::optional<platform::Row>();
+    }
+    return std::optional<platform::Row>(platform::Row{key, snapshot, 1});
+  }
+  Result<std::vector<platform::Row>> Scan(const std::string&) override {
+    return std::vector<platform::Row>();
+  }
+  Result<platform::CommitResult> Commit(const platform::Transaction&) override {
+    return Error{ErrorKind::kUnavailable, "read only", "none"};
+  }
+  Result<std::optional<std::string>> ReadObject(const std::string&) override {
+    return std::optional<std::string>();
+  }
+  Result<void> WriteObject(const std::string&, const std::string&) override {
+    return Error{ErrorKind::kUnavailable, "read only", "none"};
+  }
+  Result<platform::VmList> ListVms() override { return vms; }
+};
+
+/// Services "chat" (language, model m1), "long" (the same with separate prefill), "lookups"
+/// (repeatable) and "claims" (at most once).
+inline nlohmann::json DefaultTree() {
+  return nlohmann::json::parse(R"({
+    "values": {"lease_ms": 800, "link_dead_ms": 500, "heartbeat_ms": 100, "deadline_ms": 8000,
+               "drain_timeout_ms": 5000},
+    "services": {
+      "chat": {"values": {"model": "m1", "customer": "kivu", "in_place_prompt_tokens": 100000}},
+      "long": {"values": {"model": "m1", "in_place_prompt_tokens": 0, "max_prompt_tokens": 1000}},
+      "lookups": {"values": {"kind": "plain", "max_body_bytes": 1000}},
+      "claims": {"values": {"kind": "plain", "repeatable": false}}
+    }})");
+}
+
+class EntryFixture {
+ public:
+  explicit EntryFixture(const std::vector<std::shared_ptr<FakeAgent>>& agents,
+                        const nlohmann::json& tree = DefaultTree(), bool wait = true) {
+    std::unique_ptr<FixedPlatform> platform = std::make_unique<FixedPlatform>();
+    if (!tree.is_null()) {
+      platform->snapshot = nlohmann::json({{"version", 7}, {"tree", tree}}).dump();
+    }
+    platform->vms.version = 1;
+    for (const std::shared_ptr<FakeAgent>& agent : agents) {
+      platform->vms.vms.push_back(
+          {agent->options().id, "agent", agent->address(), "fd-a", "r", false});
+    }
+    settings::BootConfig boot;
+    boot.id = "entry-1";
+    boot.failure_domain = "fd-a";
+    boot.listen.caller = "127.0.0.1:0";
+    boot.listen.operator_address = "127.0.0.1:0";
+    boot.listen.link = "127.0.0.1:0";
+    entry = std::move(entry::Entry::Create(boot, std::move(platform)).value());
+    entry->Start();
+    if (wait) {
+      cr_assert(WaitUntil([&] { return ReadyAgents() == agents.size(); }));
+    }
+  }
+
+  httplib::Client client() const {
+    httplib::Client made("127.0.0.1", entry->caller_port());
+    made.set_read_timeout(15, 0);
+    return made;
+  }
+  nlohmann::json State() const {
+    httplib::Client operator_client("127.0.0.1", entry->operator_port());
+    const httplib::Result result = operator_client.Get("/state");
+    return result ? nlohmann::json::parse(result->body) : nlohmann::json::object();
+  }
+  std::size_t ReadyAgents() const {
+    std::size_t ready = 0;
+    const nlohmann::json state = State();
+    if (state.value("settings_version", 0) == 0) {
+      return 0;
+    }
+    for (const nlohmann::json& agent : state["fleet"]) {
+      ready += agent["ready"].get<bool>() ? 1 : 0;
+    }
+    return ready;
+  }
+
+  template <typename Condition>
+  static bool WaitUntil(Condition condition, Milliseconds limit = Milliseconds(5'000)) {
+    const TimePoint deadline = DefaultClock().now() + limit;
+    while (DefaultClock().now() < deadline) {
+      if (condition()) {
+        return true;
+      }
+      std::this_thread::sleep_for(Milliseconds(5));
+    }
+    return condition();
+  }
+
+  std::unique_ptr<entry::Entry> entry;
+};
+
+/// Text of all events of a stream; *done is set when the end mark is there.
+inline std::string StreamedText(const std::string& body, bool* done) {
+  std::string text;
+  *done = false;
+  std::size_t begin = 0;
+  while (begin < body.size()) {
+    const std::size_t end = std::min(body.find('\n', begin), body.size());
+    const std::string line = body.substr(begin, end - begin);
+    begin = end + 1;
+    if (line == "data: [DONE]") {
+      *done = true;
+    } else if (line.starts_with("data: ")) {
+      const nlohmann::json event = nlohmann::json::parse(line.substr(6));
+      if (event.contains("choices")) {
+        const nlohmann::json& choice = event["choices"][0];
+        text += choice.contains("delta") ? choice["delta"].value("content", "")
+                                         : choice.value("text", "");
+      }
+    }
+  }
+  return text;
+}
+
+}  // namespace rattanramp::test_support
