Add a thin agent that serves generation and calls over links

Cause: entries need an agent that knows the true state of its upstream and grants or refuses work. Change: rr_agent and rattanramp-agent serve GENERATE, PREFILL + DECODE and CALL with settings from SettingsPush, load reports, cancel, leases and the operator port; core gets room, queue, lease, ledger and suspicion. HTTP adapters for engine and service are included but only the in-memory upstream is tested. Conclusion: usable as a counterpart for the entry.

--- /dev/null
+++ b/agent/calls.h
@@ -0,0 +1,64 @@
+// Serves CALL attempts at a plain service. Link thread only.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "agent/attempts.h"
+#include "agent/call_store.h"
+#include "agent/context.h"
+#include "core/ledger.h"
+#include "core/queue.h"
+
+namespace rattanramp::agent {
+
+class Calls {
+ public:
+  Calls(AgentContext& context, AttemptTable& attempts, platform::PlatformStore& store);
+
+  /// Grants, queues or refuses a new attempt.
+  void Submit(Attempt& attempt);
+  /// The entry is gone. Repeatable calls are stopped; others go on once they have been sent.
+  void Cancel(Attempt& attempt);
+  wire::KeyIssued IssueKey(const wire::IssueKey& request);
+  void Tick(TimePoint now);
+
+  std::int32_t running() const { return running_; }
+  std::size_t queued() const { return queue_.items.size(); }
+  const core::CallLedger& ledger() const { return ledger_; }
+  std::size_t pending_results() const { return store_.pending_results(); }
+
+ private:
+  void Pump(TimePoint now);
+  void Dispatch(Attempt& attempt);
+  void DispatchOnce(Attempt& attempt);
+  void Apply(Attempt& attempt, const core::CallDecision& decision);
+  void Claim(const Attempt& attempt);
+  void OnClaim(const std::string& name, const std::string& attempt, const core::ClaimReply& reply);
+  void Send(Attempt& attempt, const std::string& name);
+  void OnReply(const std::string& id, const CallReply& reply);
+  void OnReplyOnce(const std::string& name, const core::IntentRecord& record,
+                   const CallReply& reply);
+  void Answer(Attempt& attempt, const core::CallResult& result, bool replayed);
+  void AnswerUnknown(Attempt& attempt, const std::string& message);
+  /// Ends an attempt that did not run, granted or not.
+  void Reject(Attempt& attempt, const wire::End& end, std::int64_t retry_after_ms);
+  /// Refuses attempts whose claim is still open at their deadline.
+  void GiveUpLateClaims(TimePoint now);
+  void NoteFailure(const CallReply& reply);
+  std::string NameOf(const Attempt& attempt) const;
+  core::CallLimits Limits() const;
+
+  AgentContext& context_;
+  AttemptTable& attempts_;
+  core::ServiceQueue queue_;
+  core::CallLedger ledger_;
+  std::int32_t running_ = 0;
+  TimePoint next_forget_;
+  CallStore store_;
+};
+
+}  // namespace rattanramp::agent
--- /dev/null
+++ b/agent/canceller.cc
@@ -0,0 +1,68 @@
+#include "agent/canceller.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/log.h"
+
+namespace rattanramp::agent {
+namespace {
+
+constexpr std::size_t kQueueEntries = 4096;
+constexpr Milliseconds kPollStep{20};
+constexpr Milliseconds kRetryStep{200};
+/// A cancel can overtake the request that it cancels; "not found" is therefore asked again.
+constexpr int kNotFoundTries = 3;
+constexpr int kMaxTries = 20;
+
+}  // namespace
+
+Canceller::Canceller(UpstreamPort& upstream, const Clock& clock)
+    : upstream_(upstream), clock_(clock), queue_(kQueueEntries), thread_([this] { Loop(); }) {}
+
+Canceller::~Canceller() {
+  queue_.Close();
+  thread_.join();
+}
+
+void Canceller::Cancel(const std::string& request_id) {
+  pending_count_.fetch_add(1);
+  if (!queue_.TryPush(request_id)) {
+    pending_count_.fetch_sub(1);
+    Log(LogLevel::kError, "cancel_dropped", {{"request", request_id}});
+  }
+}
+
+void Canceller::Loop() {
+  while (true) {
+    std::optional<std::string> id = queue_.Pop(kPollStep);
+    if (id) {
+      pending_.push_back(Pending{std::move(*id), 0, clock_.now()});
+    }
+    const TimePoint now = clock_.now();
+    const std::size_t removed = std::erase_if(
+        pending_, [this, now](Pending& pending) { return pending.next <= now && Try(pending); });
+    pending_count_.fetch_sub(removed);
+    if (queue_.closed() && !id) {
+      return;
+    }
+  }
+}
+
+bool Canceller::Try(Pending& pending) {
+  const Result<void> result = upstream_.Cancel(pending.request_id);
+  ++pending.tries;
+  if (result) {
+    return true;
+  }
+  const ErrorKind kind = result.error().kind;
+  // An engine that refuses connections holds no requests any more.
+  if (kind == ErrorKind::kUnavailable || pending.tries >= kMaxTries ||
+      (kind == ErrorKind::kNotFound && pending.tries >= kNotFoundTries)) {
+    return true;
+  }
+  pending.next = clock_.now() + kRetryStep;
+  return false;
+}
+
+}  // namespace rattanramp::agent
--- /dev/null
+++ b/agent/canceller.h
@@ -0,0 +1,45 @@
+// Cancels requests at the upstream on its own thread and repeats until the upstream has answered.
+#pragma once
+
+#include <atomic>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "agent/upstream_port.h"
+#include "base/bounded_queue.h"
+#include "base/clock.h"
+
+namespace rattanramp::agent {
+
+class Canceller {
+ public:
+  Canceller(UpstreamPort& upstream, const Clock& clock);
+  ~Canceller();
+  Canceller(const Canceller&) = delete;
+  Canceller& operator=(const Canceller&) = delete;
+
+  /// Safe from any thread.
+  void Cancel(const std::string& request_id);
+  /// Number of requests whose cancellation is not confirmed yet.
+  std::size_t pending() const { return pending_count_.load(); }
+
+ private:
+  struct Pending {
+    std::string request_id;
+    int tries = 0;
+    TimePoint next;
+  };
+  void Loop();
+  /// False when the cancellation must be repeated.
+  bool Try(Pending& pending);
+
+  UpstreamPort& upstream_;
+  const Clock& clock_;
+  BoundedQueue<std::string> queue_;
+  std::vector<Pending> pending_;
+  std::atomic<std::size_t> pending_count_{0};
+  std::thread thread_;
+};
+
+}  // namespace rattanramp::agent
--- /dev/null
+++ b/agent/context.h
@@ -0,0 +1,54 @@
+// What the parts of an agent share. Members are used on the link thread unless noted.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+#include "agent/canceller.h"
+#include "agent/settings_cache.h"
+#include "agent/upstream_port.h"
+#include "agent/workers.h"
+#include "base/clock.h"
+#include "base/metrics.h"
+#include "core/suspicion.h"
+#include "link/event_loop.h"
+#include "settings/boot_config.h"
+
+namespace rattanramp::agent {
+
+/// State of the upstream as far as the agent knows it.
+struct UpstreamStatus {
+  bool up = false;
+  /// Requests left by an earlier incarnation of the agent or the engine have been cancelled.
+  bool clean = false;
+  bool load_known = false;
+  UpstreamLoad load;
+};
+
+struct AgentContext {
+  const settings::BootConfig& boot;
+  std::int64_t incarnation;
+  /// Post is safe from any thread.
+  link::EventLoop& loop;
+  /// Safe from any thread.
+  UpstreamPort& upstream;
+  Workers& workers;
+  Canceller& canceller;
+  Metrics& metrics;
+  const Clock& clock;
+  SettingsCache settings_cache;
+
+  UpstreamStatus status{};
+  core::SuspicionTable suspicion{};
+  bool leaving = false;
+  /// Asks for a load report soon; with true at once.
+  std::function<void(bool)> load_changed{};
+
+  /// See SettingsCache::Of.
+  const settings::Settings& SettingsOf(const std::string& service) {
+    return settings_cache.Of(service);
+  }
+};
+
+}  // namespace rattanramp::agent
--- /dev/null
+++ b/agent/event_stream.h
@@ -0,0 +1,26 @@
+// Parser of server-sent events as the engine sends them.
+#pragma once
+
+#include <functional>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <string_view>
+
+namespace rattanramp::agent {
+
+class EventStream {
+ public:
+  explicit EventStream(std::function<void(const nlohmann::json&)> on_event);
+
+  /// Takes received bytes in any division. False when an event is not a JSON object.
+  bool Feed(std::string_view bytes);
+
+ private:
+  bool TakeLine(std::string_view line);
+
+  std::function<void(const nlohmann::json&)> on_event_;
+  std::string pending_;
+  std::string data_;
+};
+
+}  // namespace rattanramp::agent
--- /dev/null
+++ b/agent/generation.h
@@ -0,0 +1,82 @@
+// Serves PREFILL, DECODE and GENERATE attempts at a model engine. Link thread only.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "agent/attempts.h"
+#include "agent/context.h"
+#include "core/queue.h"
+#include "core/room.h"
+
+namespace rattanramp::agent {
+
+class Generation {
+ public:
+  Generation(AgentContext& context, AttemptTable& attempts)
+      : context_(context), attempts_(attempts) {}
+
+  /// Grants or refuses a new attempt.
+  void Submit(Attempt& attempt);
+  void StartDecode(Attempt& attempt, const wire::StartDecode& start);
+  /// Stops the attempt at the engine and frees its room. Does not answer.
+  void Cancel(Attempt& attempt);
+  /// Starts queued work, expires holds and supervises running requests.
+  void Tick(TimePoint now);
+  void OnLoad(const UpstreamLoad& load);
+  /// Ends all attempts and counts a crash against the fingerprints that were running.
+  void OnCrash(const std::string& reason);
+
+  /// Called when the engine is found to have crashed; the agent then calls OnCrash.
+  std::function<void(const std::string&)> crash_found;
+
+  const core::RoomLedger& room() const { return room_; }
+  const core::ServiceQueue& queue() const { return queue_; }
+  /// Prompt tokens that wait for or are in a prefill.
+  std::int64_t PendingPrefillTokens() const;
+  /// Pieces that can be granted now.
+  std::int32_t GrantablePieces() const;
+  std::int32_t running() const;
+
+ private:
+  enum class Call { kDecode, kGenerate, kResume };
+
+  void SubmitPrefill(Attempt& attempt);
+  void PumpPrefills(TimePoint now);
+  bool StartPrefill(Attempt& attempt, const core::QueuedWork& work);
+  void OnPrefillEnd(const std::string& id, int number, const core::QueuedWork& work,
+                    const PrefillResult& result);
+
+  void BeginImport(Attempt& attempt);
+  void BeginGenerate(Attempt& attempt);
+  void BeginResume(Attempt& attempt, const std::string& reason);
+  void Launch(Attempt& attempt, Call call, RunStage stage, Duration limit);
+  void OnAccepted(const std::string& id, int number);
+  void OnOutput(const std::string& id, int number, const OutputPiece& piece);
+  void OnRunEnd(const std::string& id, int number, const std::string& engine_id,
+                const RunResult& result);
+  void OnImportFailed(Attempt& attempt, const std::string& reason, bool source_has_kv);
+  void OnMemoryFull(Attempt& attempt);
+  void OnDeadline(Attempt& attempt);
+  void Complete(Attempt& attempt, const RunResult& result);
+  /// Ends the attempt; stops its request at the engine unless that has ended.
+  void Fail(Attempt& attempt, const wire::End& end, bool stop_at_engine);
+  void StopRun(Attempt& attempt);
+  void Free(Attempt& attempt);
+
+  std::int32_t PiecesOf(const Attempt& attempt) const;
+  Duration IdleLimit(const Attempt& attempt) const;
+  Duration ImportLimit(const Attempt& attempt) const;
+  Duration PrefillLimit(const Attempt& attempt) const;
+  std::int64_t WaitMs() const;
+
+  AgentContext& context_;
+  AttemptTable& attempts_;
+  core::RoomLedger room_;
+  core::ServiceQueue queue_;
+  std::int32_t prefills_running_ = 0;
+};
+
+}  // namespace rattanramp::agent
--- /dev/null
+++ b/agent/http_client.cc
@@ -0,0 +1,50 @@
+#include "agent/http_client.h"
+
+#include <utility>
+
+namespace rattanramp::agent {
+namespace {
+
+constexpr Milliseconds kConnectTimeout{1000};
+constexpr Milliseconds kWriteTimeout{5000};
+
+RunStatus StatusOf(httplib::Error error) {
+  const bool nothing_sent = error == httplib::Error::Connection ||
+                            error == httplib::Error::ConnectionTimeout ||
+                            error == httplib::Error::BindIPAddress;
+  return nothing_sent ? RunStatus::kRefused : RunStatus::kBroken;
+}
+
+}  // namespace
+
+std::unique_ptr<httplib::Client> MakeClient(const std::string& url, Milliseconds read_timeout) {
+  std::unique_ptr<httplib::Client> client = std::make_unique<httplib::Client>(url);
+  client->set_connection_timeout(kConnectTimeout);
+  client->set_read_timeout(read_timeout);
+  client->set_write_timeout(kWriteTimeout);
+  client->set_tcp_nodelay(true);
+  // The path of a call arrives encoded and is passed on as it is.
+  client->set_url_encode(false);
+  return client;
+}
+
+HttpReply SendRequest(httplib::Client& client, httplib::Request request, RunControl& control) {
+  HttpReply reply;
+  if (control.stopped()) {
+    reply.status = RunStatus::kStopped;
+    return reply;
+  }
+  httplib::Error error = httplib::Error::Success;
+  control.SetInterrupt([&client] { client.stop(); });
+  const bool sent = client.send(request, reply.response, error);
+  control.ClearInterrupt();
+  if (sent) {
+    reply.status = RunStatus::kDone;
+    return reply;
+  }
+  reply.status = control.stopped() ? RunStatus::kStopped : StatusOf(error);
+  reply.message = httplib::to_string(error);
+  return reply;
+}
+
+}  // namespace rattanramp::agent
--- /dev/null
+++ b/agent/lock_port.h
@@ -0,0 +1,26 @@
+// Exclusive local TCP port that shows that no other agent serves the same upstream.
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "base/result.h"
+
+namespace rattanramp::agent {
+
+class LockPort {
+ public:
+  /// Binds and listens without address sharing. Errors: kInvalidArgument (bad address), kConflict
+  /// (another process holds the port), kIo.
+  static Result<std::unique_ptr<LockPort>> Acquire(const std::string& address);
+  ~LockPort();
+  LockPort(const LockPort&) = delete;
+  LockPort& operator=(const LockPort&) = delete;
+
+ private:
+  explicit LockPort(int socket) : socket_(socket) {}
+
+  int socket_;
+};
+
+}  // namespace rattanramp::agent
--- /dev/null
+++ b/agent/monitor.cc
@@ -0,0 +1,73 @@
+#include "agent/monitor.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace rattanramp::agent {
+namespace {
+
+/// Short enough to notice a restarted engine well within a lease.
+constexpr Milliseconds kLoadPeriod{100};
+constexpr Milliseconds kEventPeriod{200};
+
+}  // namespace
+
+Monitor::Monitor(UpstreamPort& upstream, Callbacks callbacks)
+    : upstream_(upstream), callbacks_(std::move(callbacks)) {}
+
+Monitor::~Monitor() { Stop(); }
+
+void Monitor::Start() {
+  load_thread_ = std::thread([this] { LoadLoop(); });
+  event_thread_ = std::thread([this] { EventLoop(); });
+}
+
+void Monitor::Stop() {
+  stopping_.store(true);
+  if (load_thread_.joinable()) {
+    load_thread_.join();
+  }
+  if (event_thread_.joinable()) {
+    event_thread_.join();
+  }
+}
+
+void Monitor::LoadLoop() {
+  std::int64_t cleaned = 0;
+  while (!stopping_.load()) {
+    const std::int64_t wanted = clean_up_wanted_.load();
+    if (wanted != cleaned && upstream_.CancelAll()) {
+      cleaned = wanted;
+    }
+    callbacks_.on_load(upstream_.Load(), cleaned);
+    std::this_thread::sleep_for(kLoadPeriod);
+  }
+}
+
+void Monitor::EventLoop() {
+  std::int64_t incarnation = 0;
+  std::int64_t after = 0;
+  while (!stopping_.load()) {
+    Result<CacheEvents> events = upstream_.Events(after);
+    if (events) {
+      if (events.value().incarnation != incarnation) {
+        const bool restarted = incarnation != 0;
+        incarnation = events.value().incarnation;
+        after = 0;
+        if (restarted) {
+          // The answer was cut at a sequence number of the earlier incarnation; ask again from 0.
+          continue;
+        }
+      }
+      for (const CacheEvent& event : events.value().events) {
+        after = std::max(after, event.sequence);
+      }
+      if (!events.value().events.empty()) {
+        callbacks_.on_events(std::move(events.value()));
+      }
+    }
+    std::this_thread::sleep_for(kEventPeriod);
+  }
+}
+
+}  // namespace rattanramp::agent
--- /dev/null
+++ b/agent/monitor.h
@@ -0,0 +1,46 @@
+// Threads that watch the upstream: load, cache events and the clean-up after a start or a crash.
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <thread>
+
+#include "agent/upstream_port.h"
+#include "base/result.h"
+
+namespace rattanramp::agent {
+
+class Monitor {
+ public:
+  struct Callbacks {
+    /// cleaned is the number of the last clean-up that succeeded before this answer.
+    std::function<void(Result<UpstreamLoad> load, std::int64_t cleaned)> on_load;
+    std::function<void(CacheEvents events)> on_events;
+  };
+
+  /// Callbacks are made on the monitor's threads.
+  Monitor(UpstreamPort& upstream, Callbacks callbacks);
+  ~Monitor();
+  Monitor(const Monitor&) = delete;
+  Monitor& operator=(const Monitor&) = delete;
+
+  void Start();
+  void Stop();
+
+  /// Asks for the cancellation of all requests at the upstream. Safe from any thread.
+  void RequestCleanUp(std::int64_t number) { clean_up_wanted_.store(number); }
+
+ private:
+  void LoadLoop();
+  void EventLoop();
+
+  UpstreamPort& upstream_;
+  Callbacks callbacks_;
+  std::atomic<std::int64_t> clean_up_wanted_{0};
+  std::atomic<bool> stopping_{false};
+  std::thread load_thread_;
+  std::thread event_thread_;
+};
+
+}  // namespace rattanramp::agent
--- /dev/null
+++ b/agent/reports.cc
@@ -0,0 +1,99 @@
+#include "agent/reports.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace rattanramp::agent {
+namespace {
+
+/// A report goes out at least this often, so that entries can tell a calm agent from a silent one.
+constexpr Milliseconds kMaxReportGap{2000};
+/// Events kept for links that are behind; a new link starts with these as its prefix hints.
+constexpr std::size_t kKeptEvents = 512;
+constexpr std::size_t kEventsPerReport = 256;
+
+}  // namespace
+
+void Reporter::AddLink(core::ConnectionId connection, const std::shared_ptr<link::Link>& link) {
+  Receiver& receiver = receivers_[connection];
+  receiver.link = link;
+  receiver.next_event = first_event_;
+  wire::LoadReport report = snapshot_();
+  report.sequence = ++sequence_;
+  SendTo(receiver, std::move(report));
+}
+
+void Reporter::RemoveLink(core::ConnectionId connection) { receivers_.erase(connection); }
+
+void Reporter::AddEvents(const CacheEvents& events) {
+  if (events.incarnation != events_incarnation_) {
+    // The cache of an earlier incarnation is gone.
+    first_event_ += static_cast<std::int64_t>(events_.size());
+    events_.clear();
+    events_incarnation_ = events.incarnation;
+  }
+  events_.insert(events_.end(), events.events.begin(), events.events.end());
+  while (events_.size() > kKeptEvents) {
+    events_.pop_front();
+    ++first_event_;
+  }
+}
+
+void Reporter::Request(bool urgent) {
+  requested_ = true;
+  if (urgent) {
+    SendAll(snapshot_(), context_.clock.now());
+  }
+}
+
+void Reporter::Tick(TimePoint now) {
+  const Duration since = now - last_sent_;
+  if (since < Milliseconds(context_.SettingsOf("").report_ms)) {
+    return;
+  }
+  wire::LoadReport report = snapshot_();
+  report.sequence = last_.sequence;
+  if (since >= kMaxReportGap || HasUnsentEvents() || !(report == last_)) {
+    SendAll(std::move(report), now);
+  }
+}
+
+void Reporter::SendAll(wire::LoadReport report, TimePoint now) {
+  report.sequence = ++sequence_;
+  last_ = report;
+  last_sent_ = now;
+  requested_ = false;
+  for (auto& [connection, receiver] : receivers_) {
+    SendTo(receiver, report);
+  }
+}
+
+void Reporter::SendTo(Receiver& receiver, wire::LoadReport report) {
+  FillEvents(receiver, report);
+  wire::Frame frame;
+  frame.__set_load_report(report);
+  // A full queue is caught by the peer's silence deadline; the next report replaces this one.
+  static_cast<void>(receiver.link->Send(frame));
+}
+
+void Reporter::FillEvents(Receiver& receiver, wire::LoadReport& report) const {
+  receiver.next_event = std::max(receiver.next_event, first_event_);
+  while (receiver.next_event - first_event_ < static_cast<std::int64_t>(events_.size()) &&
+         report.prefix_events.size() < kEventsPerReport) {
+    const CacheEvent& event = events_[static_cast<std::size_t>(receiver.next_event - first_event_)];
+    wire::PrefixEvent sent;
+    sent.sequence = event.sequence;
+    sent.block_hash = event.block_hash;
+    sent.stored = event.stored;
+    report.prefix_events.push_back(sent);
+    ++receiver.next_event;
+  }
+}
+
+bool Reporter::HasUnsentEvents() const {
+  const std::int64_t end = first_event_ + static_cast<std::int64_t>(events_.size());
+  return std::any_of(receivers_.begin(), receivers_.end(),
+                     [end](const auto& entry) { return entry.second.next_event < end; });
+}
+
+}  // namespace rattanramp::agent
--- /dev/null
+++ b/agent/state_dump.h
@@ -0,0 +1,24 @@
+// JSON form of the agent's state for the operator port.
+#pragma once
+
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "agent/attempts.h"
+#include "agent/calls.h"
+#include "agent/context.h"
+#include "core/queue.h"
+#include "core/room.h"
+
+namespace rattanramp::agent {
+
+nlohmann::json DumpUpstream(const AgentContext& context);
+nlohmann::json DumpRoom(const core::RoomLedger& room);
+nlohmann::json DumpQueue(const core::ServiceQueue& queue);
+nlohmann::json DumpAttempts(const AttemptTable& attempts, TimePoint now);
+nlohmann::json DumpCalls(const Calls& calls);
+
+/// Role on the wire of "prefill", "decode", "both" or "service".
+wire::EngineRole::type EngineRoleOf(const std::string& role);
+
+}  // namespace rattanramp::agent
