Serve the first whole path: callers, entries, agents, engines and services

Cause: after the merge of entry, agent and stand-ins the demo stopped on the service's run counts, which are a list of key, body and count, and counted every issued key as missing, because keys are answered with 201. One entry test expected a two-token prompt to use two engines; the merged ChooseRoute prefills such prompts in place.

Change: load tool and test support read the list and accept 201; the entry test uses a prompt of 900 tokens, and still asserts both engines; readiness of a fleet is read from the entries' state dump.

--- a/load/report.cc
+++ b/load/report.cc
@@ -170,8 +170,8 @@
     if (!body.is_object() || !body.contains("runs")) {
       continue;
     }
-    for (const auto& [key, count] : body["runs"].items()) {
-      runs[key] += count.get<std::int64_t>();
+    for (const json& run : body["runs"]) {
+      runs[run.value("key", "")] += run.value("count", std::int64_t{0});
     }
   }
   return runs;
--- a/load/runner.cc
+++ b/load/runner.cc
@@ -227,7 +227,7 @@
   httplib::Client client = MakeClient(entry, options.timeout);
   const httplib::Result result =
       client.Post("/services/" + load.service + "/keys", "", "text/plain");
-  if (!result || result->status != kOk) {
+  if (!result || result->status != kCreated) {
     return "";
   }
   const json body = json::parse(result->body, nullptr, false);
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -199,10 +199,10 @@
 
     @staticmethod
     def _ready_agents(operator):
-        status, body = request("GET", operator + "/upstreams")
+        status, body = request("GET", operator + "/state")
         if status != 200 or not isinstance(body, dict):
             return 0
-        return sum(1 for item in body["upstreams"] if item["state"] == "ready")
+        return sum(1 for agent in body["fleet"] if agent["ready"])
 
     def stop(self):
         """Stops entries first, then agents, then the rest; returns exit codes by name."""
--- a/tests/entry/entry_serving_test.cc
+++ b/tests/entry/entry_serving_test.cc
@@ -41,14 +41,17 @@
   const std::shared_ptr<FakeAgent> prefill = Engine("p1", wire::EngineRole::PREFILL);
   const std::shared_ptr<FakeAgent> decode = Engine("d1", wire::EngineRole::DECODE);
   const EntryFixture fixture({prefill, decode});
-  const httplib::Result result = fixture.client().Post(
-      "/v1/chat/completions", {{"X-Service", "long"}},
-      R"({"messages":[{"role":"user","content":"hi"}],"max_tokens":50,"stream":true})",
-      "application/json");
+  // A short prompt would be prefilled at the decode engine.
+  const std::string content(3'600, 'x');
+  const httplib::Result result =
+      fixture.client().Post("/v1/chat/completions", {{"X-Service", "long"}},
+                            R"({"messages":[{"role":"user","content":")" + content +
+                                R"("}],"max_tokens":50,"stream":true})",
+                            "application/json");
   cr_assert(result);
   cr_assert_eq(result->status, 200, "%s", result->body.c_str());
   bool done = false;
-  cr_assert_eq(StreamedText(result->body, &done), ExpectedOutput("user: hi\n", 50));
+  cr_assert_eq(StreamedText(result->body, &done), ExpectedOutput("user: " + content + "\n", 50));
   cr_assert(done);
   cr_assert_eq(prefill->submits(wire::WorkKind::PREFILL).size(), 1);
   cr_assert_eq(decode->submits(wire::WorkKind::DECODE).size(), 1);
--- a/tests/proofs/claim_proof.cc
+++ b/tests/proofs/claim_proof.cc
@@ -58,7 +58,7 @@
 std::string IssueKey(const TestFleet& fleet, int entry) {
   const std::pair<int, json> answer =
       PostJson("http://" + fleet.caller(entry), "/services/claims/keys", json::object());
-  cr_assert_eq(answer.first, 200, "key was not issued: %d", answer.first);
+  cr_assert_eq(answer.first, 201, "key was not issued: %d", answer.first);
   return answer.second.at("key");
 }
 
--- a/tests/proofs/stream_proof.cc
+++ b/tests/proofs/stream_proof.cc
@@ -23,9 +23,8 @@
 FleetSpec TwoDecodeEngines() {
   FleetSpec spec;
   spec.entries = 2;
-  spec.engines = {{"prefill", {}},
-                  {"decode", {"--decode-ms", "20"}},
-                  {"decode", {"--decode-ms", "20"}}};
+  spec.engines = {
+      {"prefill", {}}, {"decode", {"--decode-ms", "20"}}, {"decode", {"--decode-ms", "20"}}};
   spec.settings = {
       {"values", {{"lease_ms", kLease.count()}, {"link_dead_ms", 800}, {"heartbeat_ms", 200}}},
       {"services", {{"verdicts", {{"values", {{"model", kTestModel}, {"patient", true}}}}}}}};
--- a/tests/support/test_fleet.cc
+++ b/tests/support/test_fleet.cc
@@ -208,11 +208,11 @@
   const std::size_t agents = spec_.engines.size() + spec_.services.size();
   const auto all_linked = [this, agents] {
     for (int i = 0; i < spec_.entries; ++i) {
-      const json list = GetJson(operators_.at("entry-" + std::to_string(i)), "/upstreams");
+      const json list = GetJson(operators_.at("entry-" + std::to_string(i)), "/state");
       std::size_t ready = 0;
       for (const json& item :
-           list.is_object() ? list.value("upstreams", json::array()) : json::array()) {
-        ready += item.value("state", "") == "ready" ? 1 : 0;
+           list.is_object() ? list.value("fleet", json::array()) : json::array()) {
+        ready += item.value("ready", false) ? 1 : 0;
       }
       if (ready != agents) {
         return false;
@@ -234,27 +234,13 @@
   return held;
 }
 
-std::int64_t TestFleet::MaxRunsPerKey() const {
-  std::map<std::string, std::int64_t> runs;
-  std::int64_t most = 0;
-  for (const std::string& name : service_names_) {
-    const json counts = GetJson(upstreams_.at(name), "/counts");
-    for (const auto& [key, count] : counts.is_object()
-                                        ? counts.value("runs", json::object()).items()
-                                        : json::object().items()) {
-      runs[key] += count.get<std::int64_t>();
-      most = std::max(most, runs[key]);
-    }
-  }
-  return most;
-}
-
 std::int64_t TestFleet::RunsOf(const std::string& key) const {
   std::int64_t runs = 0;
   for (const std::string& name : service_names_) {
     const json counts = GetJson(upstreams_.at(name), "/counts");
-    if (counts.is_object() && counts.contains("runs")) {
-      runs += counts["runs"].value(key, std::int64_t{0});
+    for (const json& run :
+         counts.is_object() ? counts.value("runs", json::array()) : json::array()) {
+      runs += run.value("key", "") == key ? run.value("count", std::int64_t{0}) : 0;
     }
   }
   return runs;
--- a/tests/support/test_fleet.h
+++ b/tests/support/test_fleet.h
@@ -48,8 +48,7 @@
 
   /// Sum of held_pieces over all engines that answer.
   std::int64_t HeldPieces() const;
-  /// Largest count of runs of any idempotency key over all services, and the count of one key.
-  std::int64_t MaxRunsPerKey() const;
+  /// Runs of an idempotency key, summed over all services.
   std::int64_t RunsOf(const std::string& key) const;
 
   void SetPlatformFault(const std::string& mode) const;
