--- a/tests/proofs/crash_proof.cc
+++ b/tests/proofs/crash_proof.cc
@@ -43,7 +43,7 @@
 // every entry, and against a different request being refused for it.
 Test(crash_proof, crashing_request_is_stopped) {
   TestFleet fleet(CrashingEngines());
-  const std::string prompt = std::string("please ") + kCrashText;
+  const std::string prompt = kCrashText;
   for (int i = 0; i < 4; ++i) {
     const StreamedAnswer answer = StreamCompletion(fleet.caller(i % 2), "verdicts", prompt, 20);
     cr_assert(!answer.done);
