Test stream assembly and retry rules with properties

Cause: core/stream and core/retry decide whether a caller gets the whole text once and whether a call can run twice, and had no tests.

Change: rapidcheck properties for chunks that arrive late, twice or crossed, for missing chunks, for the bound of the retry budget and the range of the back-off; plain tests for the end mark, the memory bound and the at-most-once rule.

--- /dev/null
+++ b/tests/core/retry_test.cc
@@ -0,0 +1,107 @@
+#include "core/retry.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+#include <initializer_list>
+
+using namespace rattanramp;
+using core::FailureKind;
+using core::Outcome;
+using core::RetryPlace;
+
+namespace {
+
+constexpr std::initializer_list<FailureKind> kAllKinds = {
+    FailureKind::kOverloaded,       FailureKind::kUnavailable,    FailureKind::kRejected,
+    FailureKind::kStoreUnavailable, FailureKind::kOwnedElsewhere, FailureKind::kSuspect,
+    FailureKind::kCrashed,          FailureKind::kTransfer,       FailureKind::kLost,
+    FailureKind::kUpstreamError};
+
+}  // namespace
+
+// Guards against retry storms: retries stay within the share of the requests plus the fixed rate,
+// whatever the order and the times of requests and failures.
+Test(retry, budget_bounds_retries) {
+  const bool ok = rc::check("budget", [] {
+    const core::RetryBudgetLimits limits{static_cast<double>(*rc::gen::inRange(0, 101)),
+                                         static_cast<double>(*rc::gen::inRange(0, 6))};
+    core::RetryBudget budget;
+    const TimePoint start{};
+    TimePoint now = start;
+    double requests = 0;
+    double retries = 0;
+    const int steps = *rc::gen::inRange(0, 300);
+    for (int i = 0; i < steps; ++i) {
+      now += Milliseconds(*rc::gen::inRange(0, 200));
+      if (*rc::gen::inRange(0, 3) == 0) {
+        core::CountRequest(budget, limits);
+        ++requests;
+      } else if (core::TakeRetry(budget, limits, now)) {
+        ++retries;
+      }
+      const double seconds = std::chrono::duration<double>(now - start).count();
+      const double bound = requests * limits.percent / 100 + limits.min_per_second * (1 + seconds);
+      RC_ASSERT(retries <= bound + 1e-6);
+    }
+  });
+  cr_assert(ok);
+}
+
+// Guards against a budget that saves up an unbounded burst during a quiet time, and against one
+// that never refills.
+Test(retry, budget_refills_up_to_its_limit) {
+  const core::RetryBudgetLimits limits{0, 2};
+  core::RetryBudget budget;
+  TimePoint now{};
+  cr_assert(core::TakeRetry(budget, limits, now));
+  cr_assert(core::TakeRetry(budget, limits, now));
+  cr_assert(!core::TakeRetry(budget, limits, now));
+  now += std::chrono::hours(1);
+  int taken = 0;
+  while (core::TakeRetry(budget, limits, now)) {
+    ++taken;
+  }
+  cr_assert_eq(taken, static_cast<int>(2 * core::kBudgetSeconds));
+}
+
+// Guards against a second run of a request that must run at most once.
+Test(retry, single_run_requests_are_repeated_only_when_they_did_not_run) {
+  for (const FailureKind kind : kAllKinds) {
+    for (const Outcome outcome : {Outcome::kRan, Outcome::kUnknown}) {
+      const core::FailedAttempt failure{kind, outcome, false, false, 0, 2};
+      cr_assert(core::PlaceForRetry(failure) == RetryPlace::kNowhere);
+    }
+    // A key that names its agent must not be tried at another one.
+    const core::FailedAttempt pinned{kind, Outcome::kNotRun, false, true, 0, 2};
+    cr_assert(core::PlaceForRetry(pinned) != RetryPlace::kElsewhere);
+    cr_assert(core::PlaceForRetry(pinned) != RetryPlace::kAnywhere);
+  }
+  const core::FailedAttempt refused{
+      FailureKind::kUnavailable, Outcome::kNotRun, false, false, 0, 2};
+  cr_assert(core::PlaceForRetry(refused) == RetryPlace::kElsewhere);
+}
+
+// Guards against repeating a request that crashes every upstream, and against giving up one that a
+// single crash hit.
+Test(retry, crash_limit_ends_the_retries) {
+  core::FailedAttempt failure{FailureKind::kCrashed, Outcome::kRan, true, false, 1, 2};
+  cr_assert(core::PlaceForRetry(failure) == RetryPlace::kElsewhere);
+  failure.crash_count = 2;
+  cr_assert(core::PlaceForRetry(failure) == RetryPlace::kNowhere);
+}
+
+// Guards against synchronised retries and against waits outside the documented range.
+Test(retry, back_off_stays_in_its_range) {
+  const bool ok = rc::check("back-off", [] {
+    const core::BackOff back_off{10, 1000};
+    const std::int32_t retry = *rc::gen::inRange(1, 100);
+    const std::uint64_t seed = *rc::gen::arbitrary<std::uint64_t>();
+    const double wait = core::BackOffMs(back_off, retry, seed);
+    const double ceiling = retry > 7 ? 1000 : std::min(1000.0, 10.0 * (1 << (retry - 1)));
+    RC_ASSERT(wait >= ceiling / 2);
+    RC_ASSERT(wait <= ceiling);
+    RC_ASSERT(wait == core::BackOffMs(back_off, retry, seed));
+  });
+  cr_assert(ok);
+}
--- /dev/null
+++ b/tests/core/stream_test.cc
@@ -0,0 +1,110 @@
+#include "core/stream.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+using namespace rattanramp;
+
+namespace {
+
+struct Piece {
+  std::size_t offset = 0;
+  std::size_t size = 0;
+};
+
+/// Pieces that cover the text, some of them twice or overlapping, in any order.
+std::vector<Piece> ShuffledPieces(std::size_t size) {
+  std::vector<Piece> pieces;
+  for (std::size_t offset = 0; offset < size;) {
+    const std::size_t length =
+        std::min<std::size_t>(size - offset, *rc::gen::inRange<std::size_t>(1, 9));
+    pieces.push_back({offset, length});
+    offset += length;
+  }
+  const std::size_t extra = size == 0 ? 0 : *rc::gen::inRange<std::size_t>(0, 10);
+  for (std::size_t i = 0; i < extra; ++i) {
+    const std::size_t offset = *rc::gen::inRange<std::size_t>(0, size);
+    pieces.push_back({offset, *rc::gen::inRange<std::size_t>(1, size - offset + 1)});
+  }
+  for (std::size_t i = pieces.size(); i > 1; --i) {
+    std::swap(pieces[i - 1], pieces[*rc::gen::inRange<std::size_t>(0, i)]);
+  }
+  return pieces;
+}
+
+}  // namespace
+
+// Guards against text that is lost, doubled or out of order when chunks arrive late, twice or
+// crossed, with the end mark at any place among them.
+Test(stream, releases_the_whole_text_exactly_once) {
+  const bool ok = rc::check("whole text once", [] {
+    const std::string text = *rc::gen::container<std::string>(rc::gen::inRange('a', 'z'));
+    const std::vector<Piece> pieces = ShuffledPieces(text.size());
+    const std::size_t end_at = *rc::gen::inRange<std::size_t>(0, pieces.size() + 1);
+    core::StreamAssembler stream;
+    std::string released;
+    for (std::size_t i = 0; i <= pieces.size(); ++i) {
+      if (i == end_at) {
+        RC_ASSERT(core::AcceptEnd(stream, static_cast<std::int64_t>(text.size())).has_value());
+      }
+      if (i < pieces.size()) {
+        RC_ASSERT(!core::IsComplete(stream) || released == text);
+        released += core::AcceptChunk(stream, static_cast<std::int64_t>(pieces[i].offset),
+                                      text.substr(pieces[i].offset, pieces[i].size));
+        RC_ASSERT(text.starts_with(released));
+      }
+    }
+    RC_ASSERT(released == text);
+    RC_ASSERT(core::IsComplete(stream));
+    RC_ASSERT(!core::HasGap(stream));
+    RC_ASSERT(stream.pending_bytes == 0U);
+  });
+  cr_assert(ok);
+}
+
+// Guards against a stream that counts as whole although a chunk or its end mark is missing.
+Test(stream, is_never_complete_with_a_missing_chunk) {
+  const bool ok = rc::check("missing chunk", [] {
+    const std::size_t chunks = *rc::gen::inRange<std::size_t>(1, 20);
+    const std::size_t missing = *rc::gen::inRange<std::size_t>(0, chunks + 1);
+    core::StreamAssembler stream;
+    for (std::size_t i = 0; i < chunks; ++i) {
+      if (i != missing) {
+        core::AcceptChunk(stream, static_cast<std::int64_t>(i * 4), "abcd");
+      }
+    }
+    if (missing < chunks) {
+      RC_ASSERT(core::AcceptEnd(stream, static_cast<std::int64_t>(chunks * 4)).has_value());
+      RC_ASSERT(core::HasGap(stream));
+      RC_ASSERT(stream.next_offset == static_cast<std::int64_t>(missing * 4));
+    }
+    RC_ASSERT(!core::IsComplete(stream));
+  });
+  cr_assert(ok);
+}
+
+// Guards against an end mark that cuts off text which was already released or received.
+Test(stream, refuses_a_contradicting_end_mark) {
+  core::StreamAssembler stream;
+  core::AcceptChunk(stream, 0, "abcd");
+  core::AcceptChunk(stream, 8, "ijkl");
+  cr_assert(!core::AcceptEnd(stream, 3).has_value());
+  cr_assert(!core::AcceptEnd(stream, 10).has_value());
+  cr_assert(core::AcceptEnd(stream, 12).has_value());
+  cr_assert(!core::AcceptEnd(stream, 16).has_value());
+}
+
+// Guards against unbounded memory when an agent sends far ahead of a gap.
+Test(stream, bounds_the_chunks_behind_a_gap) {
+  core::StreamAssembler stream;
+  const std::string chunk(1024 * 1024, 'x');
+  for (std::int64_t i = 0; i < 10; ++i) {
+    core::AcceptChunk(stream, 1 + i * static_cast<std::int64_t>(chunk.size()), chunk);
+  }
+  cr_assert_leq(stream.pending_bytes, core::kMaxPendingBytes);
+  cr_assert_eq(core::AcceptChunk(stream, 0, "y").size(), 1 + core::kMaxPendingBytes);
+}
