Test the entry's failure paths and repair what they showed

Cause: crash, broken link, restart, overflow and shutdown paths were untested.

Change: tests with fake agents for refusals, failover, at-most-once calls, peer entries, the fleet table and the exit code of the process. Repairs: a stream with a gap is given up only after 1 s without progress and is asked for every 250 ms, a full event ring is noticed at once, and a cut request may tell its caller before the HTTP server stops. Without the last one the connection of a cut stream was broken without an error event.

A burst of 4,000 tokens through a ring of 256 events arrives whole.

--- a/entry/call_driver.cc
+++ b/entry/call_driver.cc
@@ -14,7 +14,6 @@
 /// Longest wait for an agent that is dialled on demand or is dialled again.
 constexpr Milliseconds kLinkWait{2'000};
 constexpr Milliseconds kKeyWait{1'000};
-constexpr Milliseconds kGapWait{1'000};
 constexpr core::BackOff kRetryBackOff{5.0, 500.0};
 constexpr const char* kIssuedKeyPrefix = "rr1.";
 constexpr int kKeyPartsAfterAgent = 3;
@@ -175,11 +174,15 @@
     const TimePoint now = parts_.clock.now();
     TimePoint wake = std::min(deadline_, now + kCallerCheck);
     wake = std::min(wake, LeaseEnd(attempt, lease_));
+    if (mailbox_->events.size() == 0 && mailbox_->overflowed.exchange(false)) {
+      SendResume(parts_, attempt, stream_.next_offset);
+    }
     std::optional<RequestEvent> event = mailbox_->events.Pop(std::max(Duration(0), wake - now));
     std::optional<Failure> failure;
     if (event && event->attempt_id == attempt.id) {
       failure = Handle(attempt, std::move(*event));
-    } else if (mailbox_->overflowed.exchange(false)) {
+    } else if (!event && core::HasGap(stream_)) {
+      // Asked again every kCallerCheck until the deadline: the call has run and its answer counts.
       SendResume(parts_, attempt, stream_.next_offset);
     }
     if (!failure && core::IsComplete(stream_)) {
@@ -244,10 +247,6 @@
   answer_.status = end.status;
   answer_.content_type = end.content_type;
   answer_.replayed = end.replayed;
-  if (core::HasGap(stream_)) {
-    SendResume(parts_, attempt, stream_.next_offset);
-    deadline_ = std::min(deadline_, parts_.clock.now() + kGapWait);
-  }
   return std::nullopt;
 }
 
--- a/entry/entry.cc
+++ b/entry/entry.cc
@@ -14,6 +14,8 @@
 /// connections of the load balancer.
 constexpr std::size_t kMaxCallerConnections = 1'024;
 constexpr Milliseconds kDrainStep{20};
+/// Cut requests get this time to tell their callers.
+constexpr Milliseconds kCutWait{1'000};
 
 link::LinkOptions OptionsFrom(const settings::Settings& settings) {
   link::LinkOptions options;
@@ -97,16 +99,21 @@
   draining_.store(true);
   const Milliseconds timeout(directory_.current()->process.drain_timeout_ms);
   Log(LogLevel::kInfo, "draining", {{"in_flight", active_.size()}});
-  const TimePoint until = DefaultClock().now() + timeout;
-  while (active_.size() > 0 && DefaultClock().now() < until) {
-    std::this_thread::sleep_for(kDrainStep);
-  }
+  WaitForRequests(timeout);
   const std::size_t cut = active_.size();
   cut_.store(true);
+  WaitForRequests(kCutWait);
   Log(LogLevel::kInfo, "drained", {{"cut", cut}});
   return cut;
 }
 
+void Entry::WaitForRequests(Milliseconds timeout) const {
+  const TimePoint until = DefaultClock().now() + timeout;
+  while (active_.size() > 0 && DefaultClock().now() < until) {
+    std::this_thread::sleep_for(kDrainStep);
+  }
+}
+
 void Entry::Stop() {
   if (stopped_) {
     return;
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -47,6 +47,7 @@
   Entry(const settings::BootConfig& boot, std::unique_ptr<platform::PlatformStore> store);
 
   Result<void> Listen();
+  void WaitForRequests(Milliseconds timeout) const;
   std::optional<Refusal> Closed() const;
   nlohmann::json State() const;
   void OnSettings();
--- a/entry/generation_driver.cc
+++ b/entry/generation_driver.cc
@@ -8,8 +8,10 @@
 namespace rattanramp::entry {
 namespace {
 
-/// A gap in the output that the agent does not fill within this time ends the attempt.
+/// A gap in the output without any progress for this time ends the attempt; meanwhile the agent is
+/// asked again at the shorter interval.
 constexpr Milliseconds kGapWait{1'000};
+constexpr Milliseconds kGapRepeat{250};
 constexpr core::BackOff kRetryBackOff{10.0, 1'000.0};
 /// Patient requests ask again for room at this pace.
 constexpr core::BackOff kRoomBackOff{100.0, 2'000.0};
@@ -94,12 +96,14 @@
     StartRoute();
     return;
   }
+  if (mailbox_->events.size() == 0 && mailbox_->overflowed.exchange(false)) {
+    OnOverflow();
+    return;
+  }
   const TimePoint wake = WakeTime(until);
   std::optional<RequestEvent> event = mailbox_->events.Pop(std::max(Duration(0), wake - now));
   if (event) {
     Handle(std::move(*event));
-  } else if (mailbox_->overflowed.exchange(false)) {
-    OnOverflow();
   }
   CheckTimeouts(parts_.clock.now());
 }
@@ -110,7 +114,7 @@
     return std::min(wake, retry_at_);
   }
   wake = std::min(wake, LeaseEnd(decode_, lease_));
-  return gap_since_ == TimePoint::max() ? wake : std::min(wake, gap_since_ + kGapWait);
+  return gap_since_ == TimePoint::max() ? wake : std::min(wake, gap_asked_at_ + kGapRepeat);
 }
 
 RouteQuery GenerationDriver::MakeQuery() const {
@@ -370,12 +374,23 @@
   }
   if (!core::HasGap(stream_)) {
     gap_since_ = TimePoint::max();
-  } else if (gap_since_ == TimePoint::max()) {
-    gap_since_ = parts_.clock.now();
-    SendResume(parts_, decode_, stream_.next_offset);
+    return;
+  }
+  const TimePoint now = parts_.clock.now();
+  if (gap_since_ == TimePoint::max()) {
+    AskAgain(now);
+  }
+  if (gap_since_ == TimePoint::max() || stream_.next_offset > gap_offset_) {
+    gap_since_ = now;
+    gap_offset_ = stream_.next_offset;
   }
 }
 
+void GenerationDriver::AskAgain(TimePoint now) {
+  gap_asked_at_ = now;
+  SendResume(parts_, decode_, stream_.next_offset);
+}
+
 void GenerationDriver::OnOverflow() {
   // Events were dropped. The agents repeat the output; any other lost message ends the route.
   if (phase_ != Phase::kRunning) {
@@ -428,8 +443,12 @@
   }
   if (now >= LeaseEnd(decode_, lease_)) {
     FailLost(decode_, "the link to the agent stayed down for the lease");
-  } else if (gap_since_ != TimePoint::max() && now >= gap_since_ + kGapWait) {
+  } else if (gap_since_ == TimePoint::max() || decode_.lost_at) {
+    return;
+  } else if (now >= gap_since_ + kGapWait) {
     FailLost(decode_, "the agent did not repeat missing output");
+  } else if (now >= gap_asked_at_ + kGapRepeat) {
+    AskAgain(now);
   }
 }
 
--- a/entry/generation_driver.h
+++ b/entry/generation_driver.h
@@ -77,6 +77,7 @@
 
   void Release(const std::string& text, std::int32_t tokens);
   void CheckStream();
+  void AskAgain(TimePoint now);
   void FailAttempt(const std::string& agent_id, core::FailureKind kind, core::Outcome outcome,
                    Refusal refusal);
   void FailLost(Attempt& attempt, const std::string& message);
@@ -117,8 +118,10 @@
   std::size_t attempt_base_ = 0;
   std::size_t route_start_bytes_ = 0;
   std::int32_t attempt_base_tokens_ = 0;
-  /// Time since which a gap is open; max() without one.
+  /// Last progress of a stream with a gap; max() without a gap.
   TimePoint gap_since_ = TimePoint::max();
+  TimePoint gap_asked_at_;
+  std::int64_t gap_offset_ = 0;
 
   /// Text released so far; ready_text_ is its end that Next has not returned yet.
   std::string delivered_;
--- a/tests/entry/entry_serving_test.cc
+++ b/tests/entry/entry_serving_test.cc
@@ -1,25 +1,10 @@
 #include <criterion/criterion.h>
 
-#include "tests/support/entry_fixture.h"
+#include "tests/support/entry_agents.h"
 
 using namespace rattanramp;
 using namespace rattanramp::test_support;
 
-namespace {
-
-std::shared_ptr<FakeAgent> Engine(const std::string& id,
-                                  wire::EngineRole::type role = wire::EngineRole::BOTH) {
-  return FakeAgent::Start({.id = id, .role = role, .model = "m1", .service = ""}, "127.0.0.1:0");
-}
-
-std::shared_ptr<FakeAgent> ServiceAgent(const std::string& id, const std::string& service) {
-  return FakeAgent::Start(
-      {.id = id, .role = wire::EngineRole::SERVICE, .model = "", .service = service},
-      "127.0.0.1:0");
-}
-
-}  // namespace
-
 // Guards against a whole answer that differs from what the engine generated.
 Test(entry_serving, whole_completion) {
   const std::shared_ptr<FakeAgent> engine = Engine("e1");
--- a/tests/support/entry_fixture.h
+++ b/tests/support/entry_fixture.h
@@ -58,7 +58,8 @@
 class EntryFixture {
  public:
   explicit EntryFixture(const std::vector<std::shared_ptr<FakeAgent>>& agents,
-                        const nlohmann::json& tree = DefaultTree(), bool wait = true) {
+                        const nlohmann::json& tree = DefaultTree(), bool wait = true,
+                        const std::vector<std::string>& peers = {}) {
     std::unique_ptr<FixedPlatform> platform = std::make_unique<FixedPlatform>();
     if (!tree.is_null()) {
       platform->snapshot = nlohmann::json({{"version", 7}, {"tree", tree}}).dump();
@@ -69,7 +70,8 @@
           {agent->options().id, "agent", agent->address(), "fd-a", "r", false});
     }
     settings::BootConfig boot;
-    boot.id = "entry-1";
+    boot.id = NewId("entry");
+    boot.peers = peers;
     boot.failure_domain = "fd-a";
     boot.listen.caller = "127.0.0.1:0";
     boot.listen.operator_address = "127.0.0.1:0";
@@ -81,6 +83,7 @@
     }
   }
 
+  std::string link_address() const { return "127.0.0.1:" + std::to_string(entry->link_port()); }
   httplib::Client client() const {
     httplib::Client made("127.0.0.1", entry->caller_port());
     made.set_read_timeout(15, 0);
--- a/tests/support/fake_agent.h
+++ b/tests/support/fake_agent.h
@@ -53,20 +53,25 @@
     link::LinkOptions link_options;
     link_options.heartbeat = Milliseconds(100);
     agent->listener_ =
-        link::LinkListener::Create(agent->loop_, address, link_options, agent).value();
+        link::LinkListener::Create(*agent->loop_, address, link_options, agent).value();
     agent->listener_->Start();
-    agent->loop_.Start();
+    agent->loop_->Start();
     return agent;
   }
   ~FakeAgent() override { Stop(); }
 
+  /// Ends like a process that is killed: all sockets close and the port is free again.
   void Stop() {
-    hook_ = nullptr;
-    DropLinks();
-    if (listener_) {
-      listener_->Stop();
+    if (!loop_) {
+      return;
+    }
+    loop_->Stop();
+    listener_.reset();
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      links_.clear();
     }
-    loop_.Stop();
+    loop_.reset();
   }
 
   std::string address() const { return "127.0.0.1:" + std::to_string(listener_->port()); }
@@ -276,7 +281,7 @@
   }
 
   Options options_;
-  link::EventLoop loop_;
+  std::unique_ptr<link::EventLoop> loop_ = std::make_unique<link::EventLoop>();
   std::shared_ptr<link::LinkListener> listener_;
   Hook hook_;
   std::int64_t report_sequence_ = 0;
