Keep the boot file of the process test out of the source tree

Cause: a test run that was killed left its boot file in the working directory.

Change: the file is written to the temporary directory.

Conclusion: an aborted run leaves no untracked files in the repository.

--- a/tests/entry/entry_process_test.cc
+++ b/tests/entry/entry_process_test.cc
@@ -5,6 +5,7 @@
 
 #include <csignal>
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 
 #include "tests/support/entry_agents.h"
@@ -45,7 +46,9 @@
 class EntryProcess {
  public:
   EntryProcess(int caller_port, int platform_port)
-      : caller_port_(caller_port), file_("entry_process_" + std::to_string(getpid()) + ".json") {
+      : caller_port_(caller_port),
+        file_(std::filesystem::temp_directory_path() /
+              ("entry_process_" + std::to_string(getpid()) + ".json")) {
     const nlohmann::json boot = {
         {"id", "entry-p"},
         {"failure_domain", "fd-a"},
@@ -53,7 +56,7 @@
         {"platform_url", "http://127.0.0.1:" + std::to_string(platform_port)}};
     std::ofstream(file_) << boot.dump();
     std::string program = std::string(std::getenv("RATTANRAMP_BIN")) + "/rattanramp-entry";
-    std::string config = "--config=" + file_;
+    std::string config = "--config=" + file_.string();
     std::string level = "--log-level=error";
     char* arguments[] = {program.data(), config.data(), level.data(), nullptr};
     cr_assert_eq(posix_spawn(&pid_, program.c_str(), nullptr, nullptr, arguments, environ), 0);
@@ -63,7 +66,7 @@
       kill(pid_, SIGKILL);
       waitpid(pid_, nullptr, 0);
     }
-    std::remove(file_.c_str());
+    std::filesystem::remove(file_);
   }
 
   httplib::Client client() const {
@@ -92,7 +95,7 @@
 
  private:
   int caller_port_;
-  std::string file_;
+  std::filesystem::path file_;
   pid_t pid_ = -1;
 };
 
