--- a/base/http_server.cc
+++ b/base/http_server.cc
@@ -261,6 +261,12 @@
   return (entry.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
+void HttpServer::BreakConnection() {
+  if (current_socket >= 0) {
+    shutdown(current_socket, SHUT_RDWR);
+  }
+}
+
 void HttpServer::CloseAfterResponse() { close_after_response = true; }
 
 Result<HostPort> ParseHostPort(const std::string& address) {
