Wire settings service, VM list and draining into the entry; wait for budget

Cause: the entry read settings by itself and could not accept changes, ignored VMs listed as leaving, and had no /upstreams endpoint. When an engine died with 12 streams, 5 of them ended with upstream_crashed: the retry budget of a quiet service holds one retry a second, and requests kept apart as suspects found no engine of their own at once.

Change: SettingsService and VmDirectory replace the entry's own poller. A VM that is listed as leaving gets no new work from this entry, and its agent is told by a new Drain frame. GET /upstreams and POST /upstreams/<id>/drain. A patient request, and any stream that has begun, waits for room and for the retry budget until its deadline instead of failing.

--- a/agent/agent.cc
+++ b/agent/agent.cc
@@ -204,6 +204,8 @@
     wire::Frame answer;
     answer.__set_key_issued(issued);
     static_cast<void>(link->Send(answer));
+  } else if (frame.__isset.drain) {
+    Drain();
   } else if (frame.__isset.settings_push) {
     OnSettings(link, frame.settings_push);
   } else if (frame.__isset.settings_pull) {
--- a/entry/agent_links.cc
+++ b/entry/agent_links.cc
@@ -1,6 +1,7 @@
 #include "entry/agent_links.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "base/hash.h"
@@ -100,6 +101,17 @@
           {{"address", address}, {"message", dialled.error().message}});
     }
   }
+  std::set<std::string> leaving;
+  for (const platform::Vm& vm : list.vms) {
+    if (vm.leaving && vm.role == "agent") {
+      leaving.insert(vm.id);
+    }
+  }
+  for (const std::string& id : leaving) {
+    // An agent without a link is told when its link is up again.
+    static_cast<void>(Drain(id, "the VM list says that the VM is leaving"));
+  }
+  targets_.fleet.SetListedLeaving(std::move(leaving));
   const std::lock_guard<std::mutex> lock(mutex_);
   vms_ = list;
   // The list lags: a link that is up is kept, because requests may run over it.
@@ -113,6 +125,14 @@
   });
 }
 
+Result<void> AgentLinks::Drain(const std::string& agent_id, const std::string& reason) {
+  wire::Drain drain;
+  drain.reason = reason;
+  wire::Frame frame;
+  frame.__set_drain(drain);
+  return Send(agent_id, frame);
+}
+
 Result<void> AgentLinks::DialOnDemand(const std::string& agent_id) {
   std::string address;
   {
@@ -243,6 +263,15 @@
     targets_.fleet.OnLinkUp(hello);
     SendHeldCancels(link);
     targets_.attempts.NotifyLinkRestored(hello.process_id, hello.incarnation);
+    if (targets_.fleet.IsListedLeaving(hello.process_id)) {
+      static_cast<void>(Drain(hello.process_id, "the VM list says that the VM is leaving"));
+    }
+    return;
+  }
+  if (directory_ != nullptr) {
+    for (const wire::Frame& request : directory_->OnPeerUp()) {
+      static_cast<void>(link->Send(request));
+    }
   }
 }
 
@@ -272,14 +301,7 @@
     NoteSettingsVersion(link, frame.heartbeat.settings_version);
     return;
   }
-  if (frame.__isset.settings_pull) {
-    wire::Frame answer;
-    answer.__set_settings_push(targets_.settings.PushFor(frame.settings_pull.have_version));
-    static_cast<void>(link->Send(answer));
-    return;
-  }
-  if (frame.__isset.settings_push) {
-    ApplySettings(link, frame.settings_push);
+  if (OnControlFrame(link, frame)) {
     return;
   }
   if (frame.__isset.suspicion_notice) {
@@ -297,6 +319,25 @@
   OnAgentFrame(link->peer().process_id, std::move(frame));
 }
 
+bool AgentLinks::OnControlFrame(const std::shared_ptr<link::Link>& link, const wire::Frame& frame) {
+  std::vector<wire::Frame> answers;
+  if (frame.__isset.settings_pull) {
+    answers = control::OnSettingsPull(targets_.settings, frame.settings_pull);
+  } else if (frame.__isset.settings_push) {
+    ApplySettings(link, frame.settings_push);
+  } else if (frame.__isset.vm_list_pull && directory_ != nullptr) {
+    answers = directory_->OnVmListPull(frame.vm_list_pull);
+  } else if (frame.__isset.vm_list_push && directory_ != nullptr) {
+    directory_->OnVmListPush(frame.vm_list_push);
+  } else {
+    return false;
+  }
+  for (const wire::Frame& answer : answers) {
+    static_cast<void>(link->Send(answer));
+  }
+  return true;
+}
+
 void AgentLinks::OnAgentFrame(const std::string& agent_id, wire::Frame frame) {
   if (frame.__isset.load_report) {
     targets_.fleet.OnReport(agent_id, frame.load_report);
@@ -348,6 +389,7 @@
   const std::int64_t own = targets_.settings.version();
   const TimePoint now = targets_.clock.now();
   wire::Frame frame;
+  bool pull = false;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     std::map<std::string, Peer>& group = IsAgent(*link) ? agents_ : entries_;
@@ -364,40 +406,39 @@
       peer.pushed_version = own;
       peer.pushed_at = now;
       frame.__set_settings_push(targets_.settings.PushFor(peer.settings_version));
-    } else if (peer.settings_version > own) {
-      if (now - peer.pulled_at < kSettingsRepeat) {
+    } else {
+      pull = peer.settings_version > own;
+      if (!pull) {
         return;
       }
-      peer.pulled_at = now;
-      wire::SettingsPull pull;
-      pull.have_version = own;
-      frame.__set_settings_pull(pull);
-    } else {
-      return;
     }
   }
+  if (pull) {
+    for (const wire::Frame& request :
+         control::OnPeerSettingsVersion(targets_.settings, pull_state_, version, now)) {
+      static_cast<void>(link->Send(request));
+    }
+    return;
+  }
   static_cast<void>(link->Send(frame));
 }
 
 void AgentLinks::ApplySettings(const std::shared_ptr<link::Link>& link,
                                const wire::SettingsPush& push) {
-  const Result<bool> applied = targets_.settings.Apply(push);
-  if (applied) {
-    if (applied.value()) {
-      Log(LogLevel::kInfo, "settings_applied",
-          {{"version", targets_.settings.version()}, {"from", link->peer().process_id}});
-      PushSettings();
-    }
-    return;
-  }
-  if (applied.error().kind == ErrorKind::kNotFound) {
-    wire::Frame frame;
-    frame.__set_settings_pull(wire::SettingsPull());
+  const control::SettingsPushOutcome outcome =
+      control::OnSettingsPush(targets_.settings, pull_state_, push, targets_.clock.now());
+  for (const wire::Frame& frame : outcome.frames) {
     static_cast<void>(link->Send(frame));
-    return;
   }
-  Log(LogLevel::kError, "settings_refused",
-      {{"from", link->peer().process_id}, {"message", applied.error().message}});
+  if (outcome.moved) {
+    Log(LogLevel::kInfo, "settings_applied",
+        {{"version", targets_.settings.version()}, {"from", link->peer().process_id}});
+    PushSettings();
+  }
+  if (outcome.error && outcome.error->kind != ErrorKind::kNotFound) {
+    Log(LogLevel::kError, "settings_refused",
+        {{"from", link->peer().process_id}, {"message", outcome.error->message}});
+  }
 }
 
 void AgentLinks::MergeCrashes(const std::shared_ptr<link::Link>& from,
--- a/entry/agent_links.h
+++ b/entry/agent_links.h
@@ -12,7 +12,9 @@
 
 #include "base/clock.h"
 #include "base/metrics.h"
+#include "control/settings_exchange.h"
 #include "control/settings_replica.h"
+#include "control/vm_directory.h"
 #include "entry/attempt_registry.h"
 #include "entry/fleet_table.h"
 #include "entry/suspicion_view.h"
@@ -53,6 +55,12 @@
   /// Dials the agents and some of the entries in the list. Addresses that have left the list are
   /// dialled no more once their link is down.
   void FollowVmList(const platform::VmList& list);
+
+  /// Directory that VM lists of peer entries go to and come from. Set before the first link.
+  void SetVmDirectory(control::VmDirectory* directory) { directory_ = directory; }
+
+  /// Asks an agent to drain. Errors: those of Send.
+  Result<void> Drain(const std::string& agent_id, const std::string& reason);
   /// Dials an agent of the VM list that is outside the subset. Errors: kNotFound (not in the
   /// list), kInvalidArgument (bad address).
   Result<void> DialOnDemand(const std::string& agent_id);
@@ -87,7 +95,6 @@
     /// Version and time of the last push, so that heartbeats do not repeat it.
     std::int64_t pushed_version = 0;
     TimePoint pushed_at;
-    TimePoint pulled_at;
   };
   struct Dialled {
     std::shared_ptr<link::LinkDialer> dialer;
@@ -102,6 +109,8 @@
   Result<void> Dial(const std::string& address, bool fixed);
   std::vector<std::string> WantedAddresses(const platform::VmList& list) const;
   void OnAgentFrame(const std::string& agent_id, wire::Frame frame);
+  /// Returns whether the frame was one about settings or VM lists.
+  bool OnControlFrame(const std::shared_ptr<link::Link>& link, const wire::Frame& frame);
   void SendHeldCancels(const std::shared_ptr<link::Link>& link);
   void NoteSettingsVersion(const std::shared_ptr<link::Link>& link, std::int64_t version);
   void ApplySettings(const std::shared_ptr<link::Link>& link, const wire::SettingsPush& push);
@@ -113,6 +122,9 @@
   link::LinkOptions options_;
   LinkIdentity identity_;
   LinkTargets targets_;
+  control::VmDirectory* directory_ = nullptr;
+  /// Used on the event loop's thread only.
+  control::SettingsPullState pull_state_;
 
   mutable std::mutex mutex_;
   std::map<std::string, Dialled> dialled_;
--- a/entry/entry.cc
+++ b/entry/entry.cc
@@ -14,6 +14,10 @@
 /// connections of the load balancer.
 constexpr std::size_t kMaxCallerConnections = 1'024;
 constexpr Milliseconds kDrainStep{20};
+constexpr Milliseconds kLinkOptionsInterval{1'000};
+constexpr int kStatusAccepted = 202;
+constexpr int kStatusNotFound = 404;
+constexpr const char* kJson = "application/json";
 /// Cut requests get this time to tell their callers.
 constexpr Milliseconds kCutWait{1'000};
 
@@ -40,10 +44,12 @@
       loop_, link::LinkOptions(),
       LinkIdentity{boot_.id, NewIncarnation(), boot_.failure_domain, boot_.region},
       LinkTargets{clock, settings_, fleet_, attempts_, suspicion_, metrics_});
-  poller_ = std::make_unique<ControlPoller>(
-      *store_, settings_, directory_,
-      ControlCallbacks{[this] { OnSettings(); },
-                       [this](const platform::VmList& list) { links_->FollowVmList(list); }});
+  vm_directory_ = std::make_unique<control::VmDirectory>(
+      *store_, settings_,
+      [this](const control::VmChanges&) { links_->FollowVmList(*vm_directory_->current()); });
+  links_->SetVmDirectory(vm_directory_.get());
+  settings_service_ = std::make_unique<control::SettingsService>(
+      *store_, settings_, clock, [this](const wire::Frame&) { links_->PushSettings(); });
   const DriverParts drivers{clock,      fleet_,   *links_,  attempts_,
                             suspicion_, budgets_, metrics_, cut_};
   api_ = std::make_unique<CallerApi>(CallerApiParts{
@@ -64,13 +70,14 @@
     operator_options.address = boot_.listen.operator_address;
     BOOST_OUTCOME_TRY(operator_server, HttpServer::Create(operator_options));
     operator_server_ = std::move(operator_server);
-    // The settings endpoints of control/settings_service.h are registered here as well.
     control::RegisterOperatorRoutes(*operator_server_, metrics_,
                                     {[this] {
                                        const std::optional<Refusal> closed = Closed();
                                        return closed ? closed->message : std::string();
                                      },
                                      [this] { return State(); }});
+    settings_service_->RegisterRoutes(*operator_server_);
+    RegisterUpstreamRoutes();
   }
   if (!boot_.listen.link.empty()) {
     BOOST_OUTCOME_TRY(listener, link::LinkListener::Create(loop_, boot_.listen.link,
@@ -87,7 +94,9 @@
   }
   links_->DialFixed(boot_.upstreams);
   links_->DialFixed(boot_.peers);
-  poller_->Start();
+  loop_.Every(kLinkOptionsInterval, [this] { RefreshLinkOptions(); });
+  settings_service_->Start();
+  vm_directory_->Start();
   if (operator_server_) {
     operator_server_->Start();
   }
@@ -127,7 +136,8 @@
   if (operator_server_) {
     operator_server_->Stop();
   }
-  poller_->Stop();
+  settings_service_->Stop();
+  vm_directory_->Stop();
   links_->StopAll();
   loop_.Stop();
 }
@@ -153,9 +163,26 @@
           {"fleet", fleet_.Dump()}};
 }
 
-void Entry::OnSettings() {
-  links_->SetOptions(OptionsFrom(directory_.current()->process));
-  links_->PushSettings();
+void Entry::RegisterUpstreamRoutes() {
+  httplib::Server& routes = operator_server_->routes();
+  routes.Get("/upstreams", [this](const httplib::Request&, httplib::Response& response) {
+    const nlohmann::json body = {{"upstreams", fleet_.UpstreamRows()}};
+    response.set_content(body.dump(2), kJson);
+  });
+  routes.Post(R"(/upstreams/([^/]+)/drain)", [this](const httplib::Request& request,
+                                                    httplib::Response& response) {
+    const Result<void> sent = links_->Drain(request.matches[1].str(), "an operator asked for it");
+    response.status = sent ? kStatusAccepted : kStatusNotFound;
+    const nlohmann::json body =
+        sent ? nlohmann::json{{"draining", true}}
+             : nlohmann::json{{"error",
+                               {{"kind", "no_link"},
+                                {"message", sent.error().message},
+                                {"remedy", "use POST /drain on the agent itself"}}}};
+    response.set_content(body.dump(2), kJson);
+  });
 }
 
+void Entry::RefreshLinkOptions() { links_->SetOptions(OptionsFrom(directory_.current()->process)); }
+
 }  // namespace rattanramp::entry
--- a/entry/fleet_table.cc
+++ b/entry/fleet_table.cc
@@ -40,6 +40,7 @@
     agent.index = static_cast<std::uint32_t>(views_.size());
     views_.emplace_back();
     ids_.push_back(hello.process_id);
+    agent.listed_leaving = listed_leaving_.contains(hello.process_id);
   }
   if (agent.incarnation != hello.incarnation) {
     agent.pending.clear();
@@ -164,6 +165,20 @@
   return *best;
 }
 
+void FleetTable::SetListedLeaving(std::set<std::string> agent_ids) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  listed_leaving_ = std::move(agent_ids);
+  for (auto& [id, agent] : agents_) {
+    agent.listed_leaving = listed_leaving_.contains(id);
+    Refresh(agent);
+  }
+}
+
+bool FleetTable::IsListedLeaving(const std::string& agent_id) const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return listed_leaving_.contains(agent_id);
+}
+
 std::vector<std::string> FleetTable::models() const {
   const std::lock_guard<std::mutex> lock(mutex_);
   std::vector<std::string> names;
@@ -185,6 +200,7 @@
                           {"failure_domain", agent.failure_domain},
                           {"linked", agent.linked},
                           {"ready", IsReady(agent)},
+                          {"listed_leaving", agent.listed_leaving},
                           {"attempts_not_in_report", agent.pending.size()}};
     if (agent.report) {
       const wire::LoadReport& report = *agent.report;
@@ -204,6 +220,24 @@
   return dump;
 }
 
+nlohmann::json FleetTable::UpstreamRows() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  nlohmann::json rows = nlohmann::json::array();
+  for (const auto& [id, agent] : agents_) {
+    const wire::LoadReport report = agent.report.value_or(wire::LoadReport());
+    const char* state = !agent.linked || !agent.report ? "no link" : StateName(report.state);
+    rows.push_back({{"id", id},
+                    {"state", agent.listed_leaving ? "leaving" : state},
+                    {"failure_domain", agent.failure_domain},
+                    {"serves", report.service_name.empty() ? report.model : report.service_name},
+                    {"running", report.running},
+                    {"queued", report.queued},
+                    {"free_pieces", report.free_pieces},
+                    {"total_pieces", report.total_pieces}});
+  }
+  return rows;
+}
+
 void FleetTable::Refresh(const Agent& agent) {
   core::EngineView& view = views_[agent.index];
   view = core::EngineView();
@@ -254,7 +288,8 @@
 }
 
 bool FleetTable::IsReady(const Agent& agent) {
-  return agent.linked && agent.report && agent.report->state == wire::UpstreamState::READY;
+  return !agent.listed_leaving && agent.linked && agent.report &&
+         agent.report->state == wire::UpstreamState::READY;
 }
 
 bool FleetTable::Contains(std::span<const std::string> names, const std::string& name) {
--- a/entry/fleet_table.h
+++ b/entry/fleet_table.h
@@ -53,6 +53,10 @@
   /// The attempt is about to be sent.
   void NoteSubmitted(const std::string& agent_id, const std::string& attempt_id,
                      const AttemptLoad& load);
+  /// Agents whose VMs are leaving according to the platform's list; they get no new work.
+  void SetListedLeaving(std::set<std::string> agent_ids);
+  bool IsListedLeaving(const std::string& agent_id) const;
+
   /// The agent has answered: its next report contains the attempt.
   void NoteAcknowledged(const std::string& agent_id, const std::string& attempt_id);
   /// The attempt is over or was refused.
@@ -68,6 +72,8 @@
   /// Models that linked agents have reported.
   std::vector<std::string> models() const;
   nlohmann::json Dump() const;
+  /// One flat object an agent, for operators.
+  nlohmann::json UpstreamRows() const;
 
  private:
   struct PendingLoad {
@@ -82,6 +88,7 @@
     std::optional<wire::LoadReport> report;
     std::map<std::string, PendingLoad> pending;
     std::set<std::string> suspects;
+    bool listed_leaving = false;
   };
 
   void Refresh(const Agent& agent);
@@ -92,6 +99,7 @@
 
   mutable std::mutex mutex_;
   std::map<std::string, Agent> agents_;
+  std::set<std::string> listed_leaving_;
   /// Engine views and agent ids by Agent::index.
   std::vector<core::EngineView> views_;
   std::vector<std::string> ids_;
--- a/entry/generation_driver.cc
+++ b/entry/generation_driver.cc
@@ -15,6 +15,8 @@
 constexpr core::BackOff kRetryBackOff{10.0, 1'000.0};
 /// Patient requests ask again for room at this pace.
 constexpr core::BackOff kRoomBackOff{100.0, 2'000.0};
+/// Interval at which a request that waits for the retry budget asks for it.
+constexpr Milliseconds kBudgetWait{100};
 constexpr std::int64_t kOverloadRetryAfterMs = 1'000;
 
 Refusal MakeRefusal(const char* kind, int status, std::string message, std::string remedy) {
@@ -139,6 +141,14 @@
 
 void GenerationDriver::StartRoute() {
   const settings::Settings& settings = request_.service->settings;
+  if (owes_retry_) {
+    const TimePoint now = parts_.clock.now();
+    if (!parts_.budgets.Take(*request_.service, now)) {
+      retry_at_ = now + kBudgetWait;
+      return;
+    }
+    owes_retry_ = false;
+  }
   if (CrashCount() >= settings.crash_limit) {
     Fail(MakeRefusal("suspect", kUnprocessable,
                      "the request has crashed upstreams and is not tried again",
@@ -156,7 +166,7 @@
                                        ? core::FailureKind::kOverloaded
                                        : core::FailureKind::kUnavailable;
     const Refusal refusal = NoRouteRefusal(chosen.error());
-    if (failures_ == 0 && !settings.patient) {
+    if (failures_ == 0 && !MayWait()) {
       Fail(refusal);
     } else {
       RetryLater(kind, refusal);
@@ -501,8 +511,9 @@
 void GenerationDriver::RetryLater(core::FailureKind kind, const Refusal& refusal) {
   const Service& service = *request_.service;
   const TimePoint now = parts_.clock.now();
-  const bool waits_for_room = service.settings.patient && (kind == core::FailureKind::kOverloaded ||
-                                                           kind == core::FailureKind::kUnavailable);
+  const bool waits_for_room =
+      MayWait() && (kind == core::FailureKind::kOverloaded ||
+                    kind == core::FailureKind::kUnavailable || kind == core::FailureKind::kSuspect);
   if (waits_for_room) {
     // A patient request is queued here, so room refusals do not use up its attempts.
     excluded_.clear();
@@ -514,8 +525,11 @@
     }
     if (!parts_.budgets.Take(service, now)) {
       parts_.metrics.Count("retry_budget_spent_total{service=\"" + service.name + "\"}");
-      Fail(refusal);
-      return;
+      if (!MayWait()) {
+        Fail(refusal);
+        return;
+      }
+      owes_retry_ = true;
     }
     parts_.metrics.Count("retries_total{service=\"" + service.name + "\"}");
   }
@@ -527,6 +541,10 @@
   phase_ = Phase::kUnrouted;
 }
 
+bool GenerationDriver::MayWait() const {
+  return request_.service->settings.patient || !delivered_.empty();
+}
+
 void GenerationDriver::Fail(Refusal refusal) {
   refusal_ = std::move(refusal);
   refusal_.outcome = outcome_;
--- a/entry/generation_driver.h
+++ b/entry/generation_driver.h
@@ -82,6 +82,9 @@
                    Refusal refusal);
   void FailLost(Attempt& attempt, const std::string& message);
   void RetryLater(core::FailureKind kind, const Refusal& refusal);
+  /// Whether the request waits for room and for the retry budget instead of failing: patient
+  /// callers do, and so does a stream that has begun, because its start is already delivered.
+  bool MayWait() const;
   void Fail(Refusal refusal);
   void CloseRoute(const std::string& reason);
   void NoteOutcome(core::Outcome outcome);
@@ -104,6 +107,8 @@
   /// Failed attempts that count towards max_attempts.
   std::int32_t failures_ = 0;
   std::int32_t own_crashes_ = 0;
+  /// The next route starts only when the retry budget has a retry left.
+  bool owes_retry_ = false;
 
   ChosenRoute route_;
   Attempt prefill_;
--- a/wire/gen-cpp/rattanramp_types.cpp
+++ b/wire/gen-cpp/rattanramp_types.cpp
@@ -5037,6 +5037,107 @@
 }
 
 
+Drain::~Drain() noexcept {
+}
+
+
+void Drain::__set_reason(const std::string& val) {
+  this->reason = val;
+}
+std::ostream& operator<<(std::ostream& out, const Drain& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Drain::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->reason);
+          this->__isset.reason = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Drain::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Drain");
+
+  xfer += oprot->writeFieldBegin("reason", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->reason);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Drain &a, Drain &b) {
+  using ::std::swap;
+  swap(a.reason, b.reason);
+  swap(a.__isset, b.__isset);
+}
+
+Drain::Drain(const Drain& other143) {
+  reason = other143.reason;
+  __isset = other143.__isset;
+}
+Drain::Drain(Drain&& other144) noexcept {
+  reason = std::move(other144.reason);
+  __isset = other144.__isset;
+}
+Drain& Drain::operator=(const Drain& other145) {
+  reason = other145.reason;
+  __isset = other145.__isset;
+  return *this;
+}
+Drain& Drain::operator=(Drain&& other146) noexcept {
+  reason = std::move(other146.reason);
+  __isset = other146.__isset;
+  return *this;
+}
+void Drain::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Drain(";
+  out << "reason=" << to_string(reason);
+  out << ")";
+}
+
+
 Frame::~Frame() noexcept {
 }
 
@@ -5135,6 +5236,11 @@
   this->suspicion_notice = val;
 __isset.suspicion_notice = true;
 }
+
+void Frame::__set_drain(const Drain& val) {
+  this->drain = val;
+__isset.drain = true;
+}
 std::ostream& operator<<(std::ostream& out, const Frame& obj)
 {
   obj.printTo(out);
@@ -5315,6 +5421,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->drain.read(iprot);
+          this->__isset.drain = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5427,6 +5541,11 @@
     xfer += this->suspicion_notice.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.drain) {
+    xfer += oprot->writeFieldBegin("drain", ::apache::thrift::protocol::T_STRUCT, 20);
+    xfer += this->drain.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5453,97 +5572,102 @@
   swap(a.vm_list_pull, b.vm_list_pull);
   swap(a.vm_list_push, b.vm_list_push);
   swap(a.suspicion_notice, b.suspicion_notice);
+  swap(a.drain, b.drain);
   swap(a.__isset, b.__isset);
 }
 
-Frame::Frame(const Frame& other143) {
-  hello = other143.hello;
-  heartbeat = other143.heartbeat;
-  load_report = other143.load_report;
-  submit = other143.submit;
-  granted = other143.granted;
-  refused = other143.refused;
-  prefill_done = other143.prefill_done;
-  start_decode = other143.start_decode;
-  chunk = other143.chunk;
-  attempt_end = other143.attempt_end;
-  cancel = other143.cancel;
-  resume = other143.resume;
-  issue_key = other143.issue_key;
-  key_issued = other143.key_issued;
-  settings_pull = other143.settings_pull;
-  settings_push = other143.settings_push;
-  vm_list_pull = other143.vm_list_pull;
-  vm_list_push = other143.vm_list_push;
-  suspicion_notice = other143.suspicion_notice;
-  __isset = other143.__isset;
-}
-Frame::Frame(Frame&& other144) noexcept {
-  hello = std::move(other144.hello);
-  heartbeat = std::move(other144.heartbeat);
-  load_report = std::move(other144.load_report);
-  submit = std::move(other144.submit);
-  granted = std::move(other144.granted);
-  refused = std::move(other144.refused);
-  prefill_done = std::move(other144.prefill_done);
-  start_decode = std::move(other144.start_decode);
-  chunk = std::move(other144.chunk);
-  attempt_end = std::move(other144.attempt_end);
-  cancel = std::move(other144.cancel);
-  resume = std::move(other144.resume);
-  issue_key = std::move(other144.issue_key);
-  key_issued = std::move(other144.key_issued);
-  settings_pull = std::move(other144.settings_pull);
-  settings_push = std::move(other144.settings_push);
-  vm_list_pull = std::move(other144.vm_list_pull);
-  vm_list_push = std::move(other144.vm_list_push);
-  suspicion_notice = std::move(other144.suspicion_notice);
-  __isset = other144.__isset;
-}
-Frame& Frame::operator=(const Frame& other145) {
-  hello = other145.hello;
-  heartbeat = other145.heartbeat;
-  load_report = other145.load_report;
-  submit = other145.submit;
-  granted = other145.granted;
-  refused = other145.refused;
-  prefill_done = other145.prefill_done;
-  start_decode = other145.start_decode;
-  chunk = other145.chunk;
-  attempt_end = other145.attempt_end;
-  cancel = other145.cancel;
-  resume = other145.resume;
-  issue_key = other145.issue_key;
-  key_issued = other145.key_issued;
-  settings_pull = other145.settings_pull;
-  settings_push = other145.settings_push;
-  vm_list_pull = other145.vm_list_pull;
-  vm_list_push = other145.vm_list_push;
-  suspicion_notice = other145.suspicion_notice;
-  __isset = other145.__isset;
+Frame::Frame(const Frame& other147) {
+  hello = other147.hello;
+  heartbeat = other147.heartbeat;
+  load_report = other147.load_report;
+  submit = other147.submit;
+  granted = other147.granted;
+  refused = other147.refused;
+  prefill_done = other147.prefill_done;
+  start_decode = other147.start_decode;
+  chunk = other147.chunk;
+  attempt_end = other147.attempt_end;
+  cancel = other147.cancel;
+  resume = other147.resume;
+  issue_key = other147.issue_key;
+  key_issued = other147.key_issued;
+  settings_pull = other147.settings_pull;
+  settings_push = other147.settings_push;
+  vm_list_pull = other147.vm_list_pull;
+  vm_list_push = other147.vm_list_push;
+  suspicion_notice = other147.suspicion_notice;
+  drain = other147.drain;
+  __isset = other147.__isset;
+}
+Frame::Frame(Frame&& other148) noexcept {
+  hello = std::move(other148.hello);
+  heartbeat = std::move(other148.heartbeat);
+  load_report = std::move(other148.load_report);
+  submit = std::move(other148.submit);
+  granted = std::move(other148.granted);
+  refused = std::move(other148.refused);
+  prefill_done = std::move(other148.prefill_done);
+  start_decode = std::move(other148.start_decode);
+  chunk = std::move(other148.chunk);
+  attempt_end = std::move(other148.attempt_end);
+  cancel = std::move(other148.cancel);
+  resume = std::move(other148.resume);
+  issue_key = std::move(other148.issue_key);
+  key_issued = std::move(other148.key_issued);
+  settings_pull = std::move(other148.settings_pull);
+  settings_push = std::move(other148.settings_push);
+  vm_list_pull = std::move(other148.vm_list_pull);
+  vm_list_push = std::move(other148.vm_list_push);
+  suspicion_notice = std::move(other148.suspicion_notice);
+  drain = std::move(other148.drain);
+  __isset = other148.__isset;
+}
+Frame& Frame::operator=(const Frame& other149) {
+  hello = other149.hello;
+  heartbeat = other149.heartbeat;
+  load_report = other149.load_report;
+  submit = other149.submit;
+  granted = other149.granted;
+  refused = other149.refused;
+  prefill_done = other149.prefill_done;
+  start_decode = other149.start_decode;
+  chunk = other149.chunk;
+  attempt_end = other149.attempt_end;
+  cancel = other149.cancel;
+  resume = other149.resume;
+  issue_key = other149.issue_key;
+  key_issued = other149.key_issued;
+  settings_pull = other149.settings_pull;
+  settings_push = other149.settings_push;
+  vm_list_pull = other149.vm_list_pull;
+  vm_list_push = other149.vm_list_push;
+  suspicion_notice = other149.suspicion_notice;
+  drain = other149.drain;
+  __isset = other149.__isset;
   return *this;
 }
-Frame& Frame::operator=(Frame&& other146) noexcept {
-  hello = std::move(other146.hello);
-  heartbeat = std::move(other146.heartbeat);
-  load_report = std::move(other146.load_report);
-  submit = std::move(other146.submit);
-  granted = std::move(other146.granted);
-  refused = std::move(other146.refused);
-  prefill_done = std::move(other146.prefill_done);
-  start_decode = std::move(other146.start_decode);
-  chunk = std::move(other146.chunk);
-  attempt_end = std::move(other146.attempt_end);
-  cancel = std::move(other146.cancel);
-  resume = std::move(other146.resume);
-  issue_key = std::move(other146.issue_key);
-  key_issued = std::move(other146.key_issued);
-  settings_pull = std::move(other146.settings_pull);
-  settings_push = std::move(other146.settings_push);
-  vm_list_pull = std::move(other146.vm_list_pull);
-  vm_list_push = std::move(other146.vm_list_push);
-  suspicion_notice = std::move(other146.suspicion_notice);
-  __isset = other146.__isset;
+Frame& Frame::operator=(Frame&& other150) noexcept {
+  hello = std::move(other150.hello);
+  heartbeat = std::move(other150.heartbeat);
+  load_report = std::move(other150.load_report);
+  submit = std::move(other150.submit);
+  granted = std::move(other150.granted);
+  refused = std::move(other150.refused);
+  prefill_done = std::move(other150.prefill_done);
+  start_decode = std::move(other150.start_decode);
+  chunk = std::move(other150.chunk);
+  attempt_end = std::move(other150.attempt_end);
+  cancel = std::move(other150.cancel);
+  resume = std::move(other150.resume);
+  issue_key = std::move(other150.issue_key);
+  key_issued = std::move(other150.key_issued);
+  settings_pull = std::move(other150.settings_pull);
+  settings_push = std::move(other150.settings_push);
+  vm_list_pull = std::move(other150.vm_list_pull);
+  vm_list_push = std::move(other150.vm_list_push);
+  suspicion_notice = std::move(other150.suspicion_notice);
+  drain = std::move(other150.drain);
+  __isset = other150.__isset;
   return *this;
 }
 void Frame::printTo(std::ostream& out) const {
@@ -5568,6 +5692,7 @@
   out << ", " << "vm_list_pull="; (__isset.vm_list_pull ? (out << to_string(vm_list_pull)) : (out << "<null>"));
   out << ", " << "vm_list_push="; (__isset.vm_list_push ? (out << to_string(vm_list_push)) : (out << "<null>"));
   out << ", " << "suspicion_notice="; (__isset.suspicion_notice ? (out << to_string(suspicion_notice)) : (out << "<null>"));
+  out << ", " << "drain="; (__isset.drain ? (out << to_string(drain)) : (out << "<null>"));
   out << ")";
 }
 
--- a/wire/gen-cpp/rattanramp_types.h
+++ b/wire/gen-cpp/rattanramp_types.h
@@ -174,6 +174,8 @@
 
 class SuspicionNotice;
 
+class Drain;
+
 class Frame;
 
 typedef struct _Hello__isset {
@@ -2034,8 +2036,56 @@
 
 std::ostream& operator<<(std::ostream& out, const SuspicionNotice& obj);
 
+typedef struct _Drain__isset {
+  _Drain__isset() : reason(false) {}
+  bool reason :1;
+} _Drain__isset;
+
+/**
+ * Asks an agent to take no new work and to finish what it runs.
+ */
+class Drain : public virtual ::apache::thrift::TBase {
+ public:
+
+  Drain(const Drain&);
+  Drain(Drain&&) noexcept;
+  Drain& operator=(const Drain&);
+  Drain& operator=(Drain&&) noexcept;
+  Drain() noexcept
+        : reason() {
+  }
+
+  virtual ~Drain() noexcept;
+  std::string reason;
+
+  _Drain__isset __isset;
+
+  void __set_reason(const std::string& val);
+
+  bool operator == (const Drain & rhs) const
+  {
+    if (!(reason == rhs.reason))
+      return false;
+    return true;
+  }
+  bool operator != (const Drain &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Drain & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Drain &a, Drain &b);
+
+std::ostream& operator<<(std::ostream& out, const Drain& obj);
+
 typedef struct _Frame__isset {
-  _Frame__isset() : hello(false), heartbeat(false), load_report(false), submit(false), granted(false), refused(false), prefill_done(false), start_decode(false), chunk(false), attempt_end(false), cancel(false), resume(false), issue_key(false), key_issued(false), settings_pull(false), settings_push(false), vm_list_pull(false), vm_list_push(false), suspicion_notice(false) {}
+  _Frame__isset() : hello(false), heartbeat(false), load_report(false), submit(false), granted(false), refused(false), prefill_done(false), start_decode(false), chunk(false), attempt_end(false), cancel(false), resume(false), issue_key(false), key_issued(false), settings_pull(false), settings_push(false), vm_list_pull(false), vm_list_push(false), suspicion_notice(false), drain(false) {}
   bool hello :1;
   bool heartbeat :1;
   bool load_report :1;
@@ -2055,6 +2105,7 @@
   bool vm_list_pull :1;
   bool vm_list_push :1;
   bool suspicion_notice :1;
+  bool drain :1;
 } _Frame__isset;
 
 /**
@@ -2090,6 +2141,7 @@
   VmListPull vm_list_pull;
   VmListPush vm_list_push;
   SuspicionNotice suspicion_notice;
+  Drain drain;
 
   _Frame__isset __isset;
 
@@ -2131,6 +2183,8 @@
 
   void __set_suspicion_notice(const SuspicionNotice& val);
 
+  void __set_drain(const Drain& val);
+
   bool operator == (const Frame & rhs) const
   {
     if (__isset.hello != rhs.__isset.hello)
@@ -2209,6 +2263,10 @@
       return false;
     else if (__isset.suspicion_notice && !(suspicion_notice == rhs.suspicion_notice))
       return false;
+    if (__isset.drain != rhs.__isset.drain)
+      return false;
+    else if (__isset.drain && !(drain == rhs.drain))
+      return false;
     return true;
   }
   bool operator != (const Frame &rhs) const {
--- a/wire/rattanramp.thrift
+++ b/wire/rattanramp.thrift
@@ -236,6 +236,11 @@
   1: list<CrashCount> crashes
 }
 
+/** Asks an agent to take no new work and to finish what it runs. */
+struct Drain {
+  1: string reason
+}
+
 /** Exactly one member is set. */
 union Frame {
   1: Hello hello
@@ -257,4 +262,5 @@
   17: VmListPull vm_list_pull
   18: VmListPush vm_list_push
   19: SuspicionNotice suspicion_notice
+  20: Drain drain
 }
