Use the settings service and the VM directory in the entry

Cause: the entry polled the platform by itself, so operators' changes were not served, VMs listed as leaving got new work, and a patient request beside a crash was lost when the retry budget was spent.

Change: control/settings_service and control/vm_directory replace the entry's own poller; GET /upstreams; VM lists are answered to and taken from peer entries. A VM listed as leaving and an agent that refuses as leaving get no new work. A refusal that ran nothing is a redirect: bounded by max_attempts, not charged to the retry budget. A patient request waits for the budget.

--- a/entry/agent_links.cc
+++ b/entry/agent_links.cc
@@ -28,6 +28,13 @@
   return event;
 }
 
+void SendAll(const std::shared_ptr<link::Link>& link, const std::vector<wire::Frame>& frames) {
+  for (const wire::Frame& frame : frames) {
+    // A link that fails now is dialled again and asks again.
+    static_cast<void>(link->Send(frame));
+  }
+}
+
 wire::Frame CancelFrame(const std::string& attempt_id, const std::string& reason) {
   wire::Cancel cancel;
   cancel.attempt_id = attempt_id;
@@ -39,14 +46,12 @@
 
 }  // namespace
 
-AgentLinks::AgentLinks(link::EventLoop& loop, const link::LinkOptions& options,
+AgentLinks::AgentLinks(link::EventLoop& loop, std::function<link::LinkOptions()> options,
                        LinkIdentity identity, LinkTargets targets)
-    : loop_(loop), options_(options), identity_(std::move(identity)), targets_(targets) {}
-
-void AgentLinks::SetOptions(const link::LinkOptions& options) {
-  const std::lock_guard<std::mutex> lock(mutex_);
-  options_ = options;
-}
+    : loop_(loop),
+      options_(std::move(options)),
+      identity_(std::move(identity)),
+      targets_(targets) {}
 
 void AgentLinks::DialFixed(const std::vector<std::string>& addresses) {
   for (const std::string& address : addresses) {
@@ -59,13 +64,14 @@
 }
 
 Result<void> AgentLinks::Dial(const std::string& address, bool fixed) {
+  const link::LinkOptions options = options_();
   const std::lock_guard<std::mutex> lock(mutex_);
   const auto found = dialled_.find(address);
   if (found != dialled_.end()) {
     found->second.fixed = found->second.fixed || fixed;
     return Success();
   }
-  BOOST_OUTCOME_TRY(dialer, link::LinkDialer::Create(loop_, address, options_, weak_from_this()));
+  BOOST_OUTCOME_TRY(dialer, link::LinkDialer::Create(loop_, address, options, weak_from_this()));
   dialer->Start();
   dialled_[address] = {std::move(dialer), fixed};
   return Success();
@@ -100,9 +106,16 @@
           {{"address", address}, {"message", dialled.error().message}});
     }
   }
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    vms_ = list;
+  }
+  DropUnlisted();
+}
+
+void AgentLinks::DropUnlisted() {
   const std::lock_guard<std::mutex> lock(mutex_);
-  vms_ = list;
-  // The list lags: a link that is up is kept, because requests may run over it.
+  const std::vector<std::string> wanted = WantedAddresses(vms_);
   std::erase_if(dialled_, [&](const auto& item) {
     const bool listed = std::find(wanted.begin(), wanted.end(), item.first) != wanted.end();
     if (listed || item.second.fixed || IsLinked(item.first)) {
@@ -239,7 +252,9 @@
   Log(LogLevel::kInfo, "link_up",
       {{"peer", hello.process_id}, {"address", link->remote_address()}});
   NoteSettingsVersion(link, hello.settings_version);
-  if (agent) {
+  if (!agent) {
+    SendAll(link, vm_directory_->OnPeerUp());
+  } else {
     targets_.fleet.OnLinkUp(hello);
     SendHeldCancels(link);
     targets_.attempts.NotifyLinkRestored(hello.process_id, hello.incarnation);
@@ -287,6 +302,11 @@
     return;
   }
   if (!IsAgent(*link)) {
+    if (frame.__isset.vm_list_pull) {
+      SendAll(link, vm_directory_->OnVmListPull(frame.vm_list_pull));
+    } else if (frame.__isset.vm_list_push) {
+      static_cast<void>(vm_directory_->OnVmListPush(frame.vm_list_push));
+    }
     return;
   }
   if (frame.__isset.load_report) {
--- a/entry/agent_links.h
+++ b/entry/agent_links.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -13,6 +14,7 @@
 #include "base/clock.h"
 #include "base/metrics.h"
 #include "control/settings_replica.h"
+#include "control/vm_directory.h"
 #include "entry/attempt_registry.h"
 #include "entry/fleet_table.h"
 #include "entry/suspicion_view.h"
@@ -42,17 +44,21 @@
 /// Safe from any thread; the LinkHandler calls are made by the event loop.
 class AgentLinks : public link::LinkHandler, public std::enable_shared_from_this<AgentLinks> {
  public:
-  AgentLinks(link::EventLoop& loop, const link::LinkOptions& options, LinkIdentity identity,
-             LinkTargets targets);
+  /// options is asked before each address is dialled for the first time.
+  AgentLinks(link::EventLoop& loop, std::function<link::LinkOptions()> options,
+             LinkIdentity identity, LinkTargets targets);
 
-  /// Intervals for links that are dialled from now on.
-  void SetOptions(const link::LinkOptions& options);
+  /// Directory that answers peers' questions about the VM list. Set before the first link; it
+  /// outlives the links.
+  void SetVmDirectory(control::VmDirectory* directory) { vm_directory_ = directory; }
 
   /// Addresses from the boot file; these are dialled for the whole life of the process.
   void DialFixed(const std::vector<std::string>& addresses);
-  /// Dials the agents and some of the entries in the list. Addresses that have left the list are
-  /// dialled no more once their link is down.
+  /// Dials the agents and some of the entries in the list.
   void FollowVmList(const platform::VmList& list);
+  /// Stops dialling addresses that have left the list and whose link is down. The list lags, so a
+  /// link that is up is kept: requests may run over it.
+  void DropUnlisted();
   /// Dials an agent of the VM list that is outside the subset. Errors: kNotFound (not in the
   /// list), kInvalidArgument (bad address).
   Result<void> DialOnDemand(const std::string& agent_id);
@@ -110,9 +116,10 @@
   bool IsLinked(const std::string& address) const;
 
   link::EventLoop& loop_;
-  link::LinkOptions options_;
+  std::function<link::LinkOptions()> options_;
   LinkIdentity identity_;
   LinkTargets targets_;
+  control::VmDirectory* vm_directory_ = nullptr;
 
   mutable std::mutex mutex_;
   std::map<std::string, Dialled> dialled_;
--- a/entry/call_driver.cc
+++ b/entry/call_driver.cc
@@ -223,6 +223,9 @@
     FinishAttempt(parts_, attempt);
     Failure failure{FailureKindOf((*refused)->kind), FromWire(**refused), (*refused)->owner_agent};
     parts_.metrics.Count("agent_refusals_total{kind=\"" + failure.refusal.kind + "\"}");
+    if ((*refused)->kind == wire::RefusalKind::LEAVING) {
+      parts_.fleet.NoteLeaving(attempt.agent_id);
+    }
     return failure;
   } else if (const auto* end = std::get_if<std::unique_ptr<wire::End>>(&event.body)) {
     return OnEnd(attempt, **end);
@@ -303,7 +306,10 @@
       now >= deadline_) {
     return false;
   }
-  if (!parts_.budgets.Take(service, now)) {
+  // A refusal that ran nothing is a redirect and is bounded by max_attempts alone.
+  const bool redirect =
+      failure.kind == core::FailureKind::kUnavailable && outcome_ == core::Outcome::kNotRun;
+  if (!redirect && !parts_.budgets.Take(service, now)) {
     parts_.metrics.Count("retry_budget_spent_total{service=\"" + service.name + "\"}");
     return false;
   }
--- a/entry/entry.cc
+++ b/entry/entry.cc
@@ -1,5 +1,6 @@
 #include "entry/entry.h"
 
+#include <set>
 #include <thread>
 #include <utility>
 
@@ -14,6 +15,8 @@
 /// connections of the load balancer.
 constexpr std::size_t kMaxCallerConnections = 1'024;
 constexpr Milliseconds kDrainStep{20};
+/// How often dialers of VMs that are gone are looked for.
+constexpr Milliseconds kDropInterval{5'000};
 /// Cut requests get this time to tell their callers.
 constexpr Milliseconds kCutWait{1'000};
 
@@ -37,13 +40,14 @@
     : boot_(boot), store_(std::move(store)), directory_(settings_, boot.failure_domain) {
   const Clock& clock = DefaultClock();
   links_ = std::make_shared<AgentLinks>(
-      loop_, link::LinkOptions(),
+      loop_, [this] { return OptionsFrom(directory_.current()->process); },
       LinkIdentity{boot_.id, NewIncarnation(), boot_.failure_domain, boot_.region},
       LinkTargets{clock, settings_, fleet_, attempts_, suspicion_, metrics_});
-  poller_ = std::make_unique<ControlPoller>(
-      *store_, settings_, directory_,
-      ControlCallbacks{[this] { OnSettings(); },
-                       [this](const platform::VmList& list) { links_->FollowVmList(list); }});
+  settings_service_ = std::make_unique<control::SettingsService>(
+      *store_, settings_, clock, [this](const wire::Frame&) { links_->PushSettings(); });
+  vm_directory_ = std::make_unique<control::VmDirectory>(
+      *store_, settings_, [this](const control::VmChanges&) { OnVmList(); });
+  links_->SetVmDirectory(vm_directory_.get());
   const DriverParts drivers{clock,      fleet_,   *links_,  attempts_,
                             suspicion_, budgets_, metrics_, cut_};
   api_ = std::make_unique<CallerApi>(CallerApiParts{
@@ -64,7 +68,12 @@
     operator_options.address = boot_.listen.operator_address;
     BOOST_OUTCOME_TRY(operator_server, HttpServer::Create(operator_options));
     operator_server_ = std::move(operator_server);
-    // The settings endpoints of control/settings_service.h are registered here as well.
+    settings_service_->RegisterRoutes(*operator_server_);
+    operator_server_->routes().Get(
+        "/upstreams", [this](const httplib::Request&, httplib::Response& response) {
+          const nlohmann::json body = {{"upstreams", fleet_.Upstreams()}};
+          response.set_content(body.dump(2), "application/json");
+        });
     control::RegisterOperatorRoutes(*operator_server_, metrics_,
                                     {[this] {
                                        const std::optional<Refusal> closed = Closed();
@@ -87,7 +96,9 @@
   }
   links_->DialFixed(boot_.upstreams);
   links_->DialFixed(boot_.peers);
-  poller_->Start();
+  settings_service_->Start();
+  vm_directory_->Start();
+  loop_.Every(kDropInterval, [this] { links_->DropUnlisted(); });
   if (operator_server_) {
     operator_server_->Start();
   }
@@ -127,7 +138,8 @@
   if (operator_server_) {
     operator_server_->Stop();
   }
-  poller_->Stop();
+  settings_service_->Stop();
+  vm_directory_->Stop();
   links_->StopAll();
   loop_.Stop();
 }
@@ -153,9 +165,16 @@
           {"fleet", fleet_.Dump()}};
 }
 
-void Entry::OnSettings() {
-  links_->SetOptions(OptionsFrom(directory_.current()->process));
-  links_->PushSettings();
+void Entry::OnVmList() {
+  const std::shared_ptr<const platform::VmList> list = vm_directory_->current();
+  std::set<std::string> leaving;
+  for (const platform::Vm& vm : list->vms) {
+    if (vm.leaving) {
+      leaving.insert(vm.id);
+    }
+  }
+  fleet_.SetListedLeaving(std::move(leaving));
+  links_->FollowVmList(*list);
 }
 
 }  // namespace rattanramp::entry
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -8,11 +8,12 @@
 #include "base/http_server.h"
 #include "base/metrics.h"
 #include "control/settings_replica.h"
+#include "control/settings_service.h"
+#include "control/vm_directory.h"
 #include "entry/active_requests.h"
 #include "entry/agent_links.h"
 #include "entry/attempt_registry.h"
 #include "entry/caller_api.h"
-#include "entry/control_poller.h"
 #include "entry/fleet_table.h"
 #include "entry/retry_budgets.h"
 #include "entry/service_directory.h"
@@ -50,7 +51,7 @@
   void WaitForRequests(Milliseconds timeout) const;
   std::optional<Refusal> Closed() const;
   nlohmann::json State() const;
-  void OnSettings();
+  void OnVmList();
 
   settings::BootConfig boot_;
   std::unique_ptr<platform::PlatformStore> store_;
@@ -69,7 +70,8 @@
   link::EventLoop loop_;
   std::shared_ptr<AgentLinks> links_;
   std::shared_ptr<link::LinkListener> listener_;
-  std::unique_ptr<ControlPoller> poller_;
+  std::unique_ptr<control::SettingsService> settings_service_;
+  std::unique_ptr<control::VmDirectory> vm_directory_;
   std::unique_ptr<CallerApi> api_;
   std::unique_ptr<HttpServer> caller_server_;
   std::unique_ptr<HttpServer> operator_server_;
--- a/entry/fleet_table.cc
+++ b/entry/fleet_table.cc
@@ -48,6 +48,7 @@
   agent.incarnation = hello.incarnation;
   agent.failure_domain = hello.failure_domain;
   agent.linked = true;
+  agent.listed_leaving = listed_leaving_.contains(hello.process_id);
   // The report of an earlier link says nothing about the present state.
   agent.report.reset();
   Refresh(agent);
@@ -62,6 +63,24 @@
   }
 }
 
+void FleetTable::SetListedLeaving(std::set<std::string> agent_ids) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  listed_leaving_ = std::move(agent_ids);
+  for (auto& [id, agent] : agents_) {
+    agent.listed_leaving = listed_leaving_.contains(id);
+    Refresh(agent);
+  }
+}
+
+void FleetTable::NoteLeaving(const std::string& agent_id) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto found = agents_.find(agent_id);
+  if (found != agents_.end() && found->second.report) {
+    found->second.report->state = wire::UpstreamState::LEAVING;
+    Refresh(found->second);
+  }
+}
+
 void FleetTable::OnReport(const std::string& agent_id, const wire::LoadReport& report) {
   const std::lock_guard<std::mutex> lock(mutex_);
   const auto found = agents_.find(agent_id);
@@ -236,6 +255,25 @@
   view.free_pieces = std::max(0, view.free_pieces);
 }
 
+nlohmann::json FleetTable::Upstreams() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  nlohmann::json rows = nlohmann::json::array();
+  for (const auto& [id, agent] : agents_) {
+    std::string state = "down";
+    if (agent.linked && agent.listed_leaving) {
+      state = "leaving";
+    } else if (agent.linked) {
+      state = agent.report ? StateName(agent.report->state) : "starting";
+    }
+    rows.push_back({{"id", id},
+                    {"state", state},
+                    {"failure_domain", agent.failure_domain},
+                    {"service", agent.report ? agent.report->service_name : ""},
+                    {"model", agent.report ? agent.report->model : ""}});
+  }
+  return rows;
+}
+
 std::uint32_t FleetTable::DomainIndex(const std::string& name) {
   const auto [found, inserted] =
       domains_.try_emplace(name, static_cast<std::uint32_t>(domains_.size()));
@@ -254,7 +292,8 @@
 }
 
 bool FleetTable::IsReady(const Agent& agent) {
-  return agent.linked && agent.report && agent.report->state == wire::UpstreamState::READY;
+  return agent.linked && !agent.listed_leaving && agent.report &&
+         agent.report->state == wire::UpstreamState::READY;
 }
 
 bool FleetTable::Contains(std::span<const std::string> names, const std::string& name) {
--- a/entry/fleet_table.h
+++ b/entry/fleet_table.h
@@ -48,6 +48,10 @@
  public:
   void OnLinkUp(const wire::Hello& hello);
   void OnLinkDown(const std::string& agent_id);
+  /// Agents whose VMs the platform lists as leaving; they get no new work.
+  void SetListedLeaving(std::set<std::string> agent_ids);
+  /// The agent refused work because it is leaving; counts until its next report.
+  void NoteLeaving(const std::string& agent_id);
   void OnReport(const std::string& agent_id, const wire::LoadReport& report);
 
   /// The attempt is about to be sent.
@@ -68,6 +72,8 @@
   /// Models that linked agents have reported.
   std::vector<std::string> models() const;
   nlohmann::json Dump() const;
+  /// Agents with state "ready", "leaving", "starting" or "down", for operators.
+  nlohmann::json Upstreams() const;
 
  private:
   struct PendingLoad {
@@ -79,6 +85,7 @@
     std::int64_t incarnation = 0;
     std::string failure_domain;
     bool linked = false;
+    bool listed_leaving = false;
     std::optional<wire::LoadReport> report;
     std::map<std::string, PendingLoad> pending;
     std::set<std::string> suspects;
@@ -92,6 +99,7 @@
 
   mutable std::mutex mutex_;
   std::map<std::string, Agent> agents_;
+  std::set<std::string> listed_leaving_;
   /// Engine views and agent ids by Agent::index.
   std::vector<core::EngineView> views_;
   std::vector<std::string> ids_;
--- a/entry/generation_driver.cc
+++ b/entry/generation_driver.cc
@@ -139,6 +139,11 @@
 
 void GenerationDriver::StartRoute() {
   const settings::Settings& settings = request_.service->settings;
+  if (owes_budget_ && !TakeFromBudget()) {
+    // A patient request waits for the budget instead of being lost.
+    ScheduleRetry(kRoomBackOff);
+    return;
+  }
   if (CrashCount() >= settings.crash_limit) {
     Fail(MakeRefusal("suspect", kUnprocessable,
                      "the request has crashed upstreams and is not tried again",
@@ -311,6 +316,9 @@
 void GenerationDriver::OnRefused(Attempt& attempt, const wire::Refused& refused) {
   FinishAttempt(parts_, attempt);
   parts_.metrics.Count("agent_refusals_total{kind=\"" + FromWire(refused).kind + "\"}");
+  if (refused.kind == wire::RefusalKind::LEAVING) {
+    parts_.fleet.NoteLeaving(attempt.agent_id);
+  }
   FailAttempt(attempt.agent_id, FailureKindOf(refused.kind), FromWire(refused.outcome),
               FromWire(refused));
 }
@@ -500,33 +508,49 @@
 
 void GenerationDriver::RetryLater(core::FailureKind kind, const Refusal& refusal) {
   const Service& service = *request_.service;
-  const TimePoint now = parts_.clock.now();
   const bool waits_for_room = service.settings.patient && (kind == core::FailureKind::kOverloaded ||
                                                            kind == core::FailureKind::kUnavailable);
   if (waits_for_room) {
     // A patient request is queued here, so room refusals do not use up its attempts.
     excluded_.clear();
+  } else if (kind == core::FailureKind::kUnavailable && outcome_ == core::Outcome::kNotRun) {
+    // Nothing has run: this is a redirect that corrects a stale view of the fleet, not a repeat, so
+    // it is bounded by max_attempts alone.
+    if (++failures_ >= service.settings.max_attempts) {
+      Fail(refusal);
+      return;
+    }
   } else {
     ++failures_;
     if (failures_ >= service.settings.max_attempts) {
       Fail(refusal);
       return;
     }
-    if (!parts_.budgets.Take(service, now)) {
-      parts_.metrics.Count("retry_budget_spent_total{service=\"" + service.name + "\"}");
+    refusal_ = refusal;
+    if (!TakeFromBudget() && !service.settings.patient) {
       Fail(refusal);
       return;
     }
-    parts_.metrics.Count("retries_total{service=\"" + service.name + "\"}");
   }
+  ScheduleRetry(waits_for_room || owes_budget_ ? kRoomBackOff : kRetryBackOff);
+}
+
+void GenerationDriver::ScheduleRetry(const core::BackOff& back_off) {
   ++retries_;
-  const double wait_ms = core::BackOffMs(waits_for_room ? kRoomBackOff : kRetryBackOff, retries_,
-                                         Hash64(request_.request_id));
-  retry_at_ = now + std::chrono::duration_cast<Duration>(
-                        std::chrono::duration<double, std::milli>(wait_ms));
+  const double wait_ms = core::BackOffMs(back_off, retries_, Hash64(request_.request_id));
+  retry_at_ = parts_.clock.now() + std::chrono::duration_cast<Duration>(
+                                       std::chrono::duration<double, std::milli>(wait_ms));
   phase_ = Phase::kUnrouted;
 }
 
+bool GenerationDriver::TakeFromBudget() {
+  const Service& service = *request_.service;
+  owes_budget_ = !parts_.budgets.Take(service, parts_.clock.now());
+  const char* name = owes_budget_ ? "retry_budget_spent_total" : "retries_total";
+  parts_.metrics.Count(std::string(name) + "{service=\"" + service.name + "\"}");
+  return !owes_budget_;
+}
+
 void GenerationDriver::Fail(Refusal refusal) {
   refusal_ = std::move(refusal);
   refusal_.outcome = outcome_;
--- a/entry/generation_driver.h
+++ b/entry/generation_driver.h
@@ -82,6 +82,8 @@
                    Refusal refusal);
   void FailLost(Attempt& attempt, const std::string& message);
   void RetryLater(core::FailureKind kind, const Refusal& refusal);
+  void ScheduleRetry(const core::BackOff& back_off);
+  bool TakeFromBudget();
   void Fail(Refusal refusal);
   void CloseRoute(const std::string& reason);
   void NoteOutcome(core::Outcome outcome);
@@ -104,6 +106,8 @@
   /// Failed attempts that count towards max_attempts.
   std::int32_t failures_ = 0;
   std::int32_t own_crashes_ = 0;
+  /// A retry of a patient request that waits until the budget allows it.
+  bool owes_budget_ = false;
 
   ChosenRoute route_;
   Attempt prefill_;
--- a/tests/entry/entry_process_test.cc
+++ b/tests/entry/entry_process_test.cc
@@ -31,6 +31,12 @@
                              {"failure_domain", "fd-a"},
                              {"state", "live"}};
   const nlohmann::json vms = {{"version", 1}, {"vms", nlohmann::json::array({vm})}};
+  const nlohmann::json head = {
+      {"key", "settings/head"}, {"value", R"({"version":3})"}, {"version", 1}};
+  server->routes().Get("/table/rows/settings/head",
+                       [text = head.dump()](const httplib::Request&, httplib::Response& response) {
+                         response.set_content(text, "application/json");
+                       });
   server->routes().Get("/table/rows/settings/snapshot",
                        [text = row.dump()](const httplib::Request&, httplib::Response& response) {
                          response.set_content(text, "application/json");
--- a/tests/entry/fleet_table_test.cc
+++ b/tests/entry/fleet_table_test.cc
@@ -81,6 +81,13 @@
   fleet.OnReport("e1", ReportOf(4, 0));
   cr_assert_eq(ChosenDecode(fleet), std::string());
   fleet.OnReport("e1", ReportOf(7, 0));
+  fleet.SetListedLeaving({"e1"});
+  cr_assert_eq(ChosenDecode(fleet), std::string());
+  fleet.SetListedLeaving({});
+  cr_assert_eq(ChosenDecode(fleet), std::string("e1"));
+  fleet.NoteLeaving("e1");
+  cr_assert_eq(ChosenDecode(fleet), std::string());
+  fleet.OnReport("e1", ReportOf(8, 0));
   fleet.OnLinkDown("e1");
   cr_assert_eq(ChosenDecode(fleet), std::string());
 }
