--- a/entry/agent_links.cc
+++ b/entry/agent_links.cc
@@ -1,7 +1,6 @@
 #include "entry/agent_links.h"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 #include "base/hash.h"
@@ -29,6 +28,13 @@
   return event;
 }
 
+void SendAll(const std::shared_ptr<link::Link>& link, const std::vector<wire::Frame>& frames) {
+  for (const wire::Frame& frame : frames) {
+    // A link that fails now is dialled again and asks again.
+    static_cast<void>(link->Send(frame));
+  }
+}
+
 wire::Frame CancelFrame(const std::string& attempt_id, const std::string& reason) {
   wire::Cancel cancel;
   cancel.attempt_id = attempt_id;
@@ -40,14 +46,12 @@
 
 }  // namespace
 
-AgentLinks::AgentLinks(link::EventLoop& loop, const link::LinkOptions& options,
+AgentLinks::AgentLinks(link::EventLoop& loop, std::function<link::LinkOptions()> options,
                        LinkIdentity identity, LinkTargets targets)
-    : loop_(loop), options_(options), identity_(std::move(identity)), targets_(targets) {}
-
-void AgentLinks::SetOptions(const link::LinkOptions& options) {
-  const std::lock_guard<std::mutex> lock(mutex_);
-  options_ = options;
-}
+    : loop_(loop),
+      options_(std::move(options)),
+      identity_(std::move(identity)),
+      targets_(targets) {}
 
 void AgentLinks::DialFixed(const std::vector<std::string>& addresses) {
   for (const std::string& address : addresses) {
@@ -60,13 +64,14 @@
 }
 
 Result<void> AgentLinks::Dial(const std::string& address, bool fixed) {
+  const link::LinkOptions options = options_();
   const std::lock_guard<std::mutex> lock(mutex_);
   const auto found = dialled_.find(address);
   if (found != dialled_.end()) {
     found->second.fixed = found->second.fixed || fixed;
     return Success();
   }
-  BOOST_OUTCOME_TRY(dialer, link::LinkDialer::Create(loop_, address, options_, weak_from_this()));
+  BOOST_OUTCOME_TRY(dialer, link::LinkDialer::Create(loop_, address, options, weak_from_this()));
   dialer->Start();
   dialled_[address] = {std::move(dialer), fixed};
   return Success();
@@ -101,20 +106,16 @@
           {{"address", address}, {"message", dialled.error().message}});
     }
   }
-  std::set<std::string> leaving;
-  for (const platform::Vm& vm : list.vms) {
-    if (vm.leaving && vm.role == "agent") {
-      leaving.insert(vm.id);
-    }
-  }
-  for (const std::string& id : leaving) {
-    // An agent without a link is told when its link is up again.
-    static_cast<void>(Drain(id, "the VM list says that the VM is leaving"));
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    vms_ = list;
   }
-  targets_.fleet.SetListedLeaving(std::move(leaving));
+  DropUnlisted();
+}
+
+void AgentLinks::DropUnlisted() {
   const std::lock_guard<std::mutex> lock(mutex_);
-  vms_ = list;
-  // The list lags: a link that is up is kept, because requests may run over it.
+  const std::vector<std::string> wanted = WantedAddresses(vms_);
   std::erase_if(dialled_, [&](const auto& item) {
     const bool listed = std::find(wanted.begin(), wanted.end(), item.first) != wanted.end();
     if (listed || item.second.fixed || IsLinked(item.first)) {
@@ -125,14 +126,6 @@
   });
 }
 
-Result<void> AgentLinks::Drain(const std::string& agent_id, const std::string& reason) {
-  wire::Drain drain;
-  drain.reason = reason;
-  wire::Frame frame;
-  frame.__set_drain(drain);
-  return Send(agent_id, frame);
-}
-
 Result<void> AgentLinks::DialOnDemand(const std::string& agent_id) {
   std::string address;
   {
@@ -259,19 +252,12 @@
   Log(LogLevel::kInfo, "link_up",
       {{"peer", hello.process_id}, {"address", link->remote_address()}});
   NoteSettingsVersion(link, hello.settings_version);
-  if (agent) {
+  if (!agent) {
+    SendAll(link, vm_directory_->OnPeerUp());
+  } else {
     targets_.fleet.OnLinkUp(hello);
     SendHeldCancels(link);
     targets_.attempts.NotifyLinkRestored(hello.process_id, hello.incarnation);
-    if (targets_.fleet.IsListedLeaving(hello.process_id)) {
-      static_cast<void>(Drain(hello.process_id, "the VM list says that the VM is leaving"));
-    }
-    return;
-  }
-  if (directory_ != nullptr) {
-    for (const wire::Frame& request : directory_->OnPeerUp()) {
-      static_cast<void>(link->Send(request));
-    }
   }
 }
 
@@ -301,7 +287,14 @@
     NoteSettingsVersion(link, frame.heartbeat.settings_version);
     return;
   }
-  if (OnControlFrame(link, frame)) {
+  if (frame.__isset.settings_pull) {
+    wire::Frame answer;
+    answer.__set_settings_push(targets_.settings.PushFor(frame.settings_pull.have_version));
+    static_cast<void>(link->Send(answer));
+    return;
+  }
+  if (frame.__isset.settings_push) {
+    ApplySettings(link, frame.settings_push);
     return;
   }
   if (frame.__isset.suspicion_notice) {
@@ -309,6 +302,11 @@
     return;
   }
   if (!IsAgent(*link)) {
+    if (frame.__isset.vm_list_pull) {
+      SendAll(link, vm_directory_->OnVmListPull(frame.vm_list_pull));
+    } else if (frame.__isset.vm_list_push) {
+      static_cast<void>(vm_directory_->OnVmListPush(frame.vm_list_push));
+    }
     return;
   }
   if (frame.__isset.load_report) {
@@ -319,25 +317,6 @@
   OnAgentFrame(link->peer().process_id, std::move(frame));
 }
 
-bool AgentLinks::OnControlFrame(const std::shared_ptr<link::Link>& link, const wire::Frame& frame) {
-  std::vector<wire::Frame> answers;
-  if (frame.__isset.settings_pull) {
-    answers = control::OnSettingsPull(targets_.settings, frame.settings_pull);
-  } else if (frame.__isset.settings_push) {
-    ApplySettings(link, frame.settings_push);
-  } else if (frame.__isset.vm_list_pull && directory_ != nullptr) {
-    answers = directory_->OnVmListPull(frame.vm_list_pull);
-  } else if (frame.__isset.vm_list_push && directory_ != nullptr) {
-    directory_->OnVmListPush(frame.vm_list_push);
-  } else {
-    return false;
-  }
-  for (const wire::Frame& answer : answers) {
-    static_cast<void>(link->Send(answer));
-  }
-  return true;
-}
-
 void AgentLinks::OnAgentFrame(const std::string& agent_id, wire::Frame frame) {
   if (frame.__isset.load_report) {
     targets_.fleet.OnReport(agent_id, frame.load_report);
@@ -389,7 +368,6 @@
   const std::int64_t own = targets_.settings.version();
   const TimePoint now = targets_.clock.now();
   wire::Frame frame;
-  bool pull = false;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     std::map<std::string, Peer>& group = IsAgent(*link) ? agents_ : entries_;
@@ -406,39 +384,40 @@
       peer.pushed_version = own;
       peer.pushed_at = now;
       frame.__set_settings_push(targets_.settings.PushFor(peer.settings_version));
-    } else {
-      pull = peer.settings_version > own;
-      if (!pull) {
+    } else if (peer.settings_version > own) {
+      if (now - peer.pulled_at < kSettingsRepeat) {
         return;
       }
+      peer.pulled_at = now;
+      wire::SettingsPull pull;
+      pull.have_version = own;
+      frame.__set_settings_pull(pull);
+    } else {
+      return;
     }
   }
-  if (pull) {
-    for (const wire::Frame& request :
-         control::OnPeerSettingsVersion(targets_.settings, pull_state_, version, now)) {
-      static_cast<void>(link->Send(request));
-    }
-    return;
-  }
   static_cast<void>(link->Send(frame));
 }
 
 void AgentLinks::ApplySettings(const std::shared_ptr<link::Link>& link,
                                const wire::SettingsPush& push) {
-  const control::SettingsPushOutcome outcome =
-      control::OnSettingsPush(targets_.settings, pull_state_, push, targets_.clock.now());
-  for (const wire::Frame& frame : outcome.frames) {
-    static_cast<void>(link->Send(frame));
-  }
-  if (outcome.moved) {
-    Log(LogLevel::kInfo, "settings_applied",
-        {{"version", targets_.settings.version()}, {"from", link->peer().process_id}});
-    PushSettings();
+  const Result<bool> applied = targets_.settings.Apply(push);
+  if (applied) {
+    if (applied.value()) {
+      Log(LogLevel::kInfo, "settings_applied",
+          {{"version", targets_.settings.version()}, {"from", link->peer().process_id}});
+      PushSettings();
+    }
+    return;
   }
-  if (outcome.error && outcome.error->kind != ErrorKind::kNotFound) {
-    Log(LogLevel::kError, "settings_refused",
-        {{"from", link->peer().process_id}, {"message", outcome.error->message}});
+  if (applied.error().kind == ErrorKind::kNotFound) {
+    wire::Frame frame;
+    frame.__set_settings_pull(wire::SettingsPull());
+    static_cast<void>(link->Send(frame));
+    return;
   }
+  Log(LogLevel::kError, "settings_refused",
+      {{"from", link->peer().process_id}, {"message", applied.error().message}});
 }
 
 void AgentLinks::MergeCrashes(const std::shared_ptr<link::Link>& from,
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -51,9 +51,7 @@
   void WaitForRequests(Milliseconds timeout) const;
   std::optional<Refusal> Closed() const;
   nlohmann::json State() const;
-  void RegisterUpstreamRoutes();
-  /// New links use the present settings.
-  void RefreshLinkOptions();
+  void OnVmList();
 
   settings::BootConfig boot_;
   std::unique_ptr<platform::PlatformStore> store_;
@@ -72,8 +70,8 @@
   link::EventLoop loop_;
   std::shared_ptr<AgentLinks> links_;
   std::shared_ptr<link::LinkListener> listener_;
-  std::unique_ptr<control::VmDirectory> vm_directory_;
   std::unique_ptr<control::SettingsService> settings_service_;
+  std::unique_ptr<control::VmDirectory> vm_directory_;
   std::unique_ptr<CallerApi> api_;
   std::unique_ptr<HttpServer> caller_server_;
   std::unique_ptr<HttpServer> operator_server_;
--- a/entry/fleet_table.cc
+++ b/entry/fleet_table.cc
@@ -40,7 +40,6 @@
     agent.index = static_cast<std::uint32_t>(views_.size());
     views_.emplace_back();
     ids_.push_back(hello.process_id);
-    agent.listed_leaving = listed_leaving_.contains(hello.process_id);
   }
   if (agent.incarnation != hello.incarnation) {
     agent.pending.clear();
@@ -49,6 +48,7 @@
   agent.incarnation = hello.incarnation;
   agent.failure_domain = hello.failure_domain;
   agent.linked = true;
+  agent.listed_leaving = listed_leaving_.contains(hello.process_id);
   // The report of an earlier link says nothing about the present state.
   agent.report.reset();
   Refresh(agent);
@@ -63,6 +63,24 @@
   }
 }
 
+void FleetTable::SetListedLeaving(std::set<std::string> agent_ids) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  listed_leaving_ = std::move(agent_ids);
+  for (auto& [id, agent] : agents_) {
+    agent.listed_leaving = listed_leaving_.contains(id);
+    Refresh(agent);
+  }
+}
+
+void FleetTable::NoteLeaving(const std::string& agent_id) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto found = agents_.find(agent_id);
+  if (found != agents_.end() && found->second.report) {
+    found->second.report->state = wire::UpstreamState::LEAVING;
+    Refresh(found->second);
+  }
+}
+
 void FleetTable::OnReport(const std::string& agent_id, const wire::LoadReport& report) {
   const std::lock_guard<std::mutex> lock(mutex_);
   const auto found = agents_.find(agent_id);
@@ -165,20 +183,6 @@
   return *best;
 }
 
-void FleetTable::SetListedLeaving(std::set<std::string> agent_ids) {
-  const std::lock_guard<std::mutex> lock(mutex_);
-  listed_leaving_ = std::move(agent_ids);
-  for (auto& [id, agent] : agents_) {
-    agent.listed_leaving = listed_leaving_.contains(id);
-    Refresh(agent);
-  }
-}
-
-bool FleetTable::IsListedLeaving(const std::string& agent_id) const {
-  const std::lock_guard<std::mutex> lock(mutex_);
-  return listed_leaving_.contains(agent_id);
-}
-
 std::vector<std::string> FleetTable::models() const {
   const std::lock_guard<std::mutex> lock(mutex_);
   std::vector<std::string> names;
@@ -200,7 +204,6 @@
                           {"failure_domain", agent.failure_domain},
                           {"linked", agent.linked},
                           {"ready", IsReady(agent)},
-                          {"listed_leaving", agent.listed_leaving},
                           {"attempts_not_in_report", agent.pending.size()}};
     if (agent.report) {
       const wire::LoadReport& report = *agent.report;
@@ -220,24 +223,6 @@
   return dump;
 }
 
-nlohmann::json FleetTable::UpstreamRows() const {
-  const std::lock_guard<std::mutex> lock(mutex_);
-  nlohmann::json rows = nlohmann::json::array();
-  for (const auto& [id, agent] : agents_) {
-    const wire::LoadReport report = agent.report.value_or(wire::LoadReport());
-    const char* state = !agent.linked || !agent.report ? "no link" : StateName(report.state);
-    rows.push_back({{"id", id},
-                    {"state", agent.listed_leaving ? "leaving" : state},
-                    {"failure_domain", agent.failure_domain},
-                    {"serves", report.service_name.empty() ? report.model : report.service_name},
-                    {"running", report.running},
-                    {"queued", report.queued},
-                    {"free_pieces", report.free_pieces},
-                    {"total_pieces", report.total_pieces}});
-  }
-  return rows;
-}
-
 void FleetTable::Refresh(const Agent& agent) {
   core::EngineView& view = views_[agent.index];
   view = core::EngineView();
@@ -270,6 +255,25 @@
   view.free_pieces = std::max(0, view.free_pieces);
 }
 
+nlohmann::json FleetTable::Upstreams() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  nlohmann::json rows = nlohmann::json::array();
+  for (const auto& [id, agent] : agents_) {
+    std::string state = "down";
+    if (agent.linked && agent.listed_leaving) {
+      state = "leaving";
+    } else if (agent.linked) {
+      state = agent.report ? StateName(agent.report->state) : "starting";
+    }
+    rows.push_back({{"id", id},
+                    {"state", state},
+                    {"failure_domain", agent.failure_domain},
+                    {"service", agent.report ? agent.report->service_name : ""},
+                    {"model", agent.report ? agent.report->model : ""}});
+  }
+  return rows;
+}
+
 std::uint32_t FleetTable::DomainIndex(const std::string& name) {
   const auto [found, inserted] =
       domains_.try_emplace(name, static_cast<std::uint32_t>(domains_.size()));
@@ -288,7 +292,7 @@
 }
 
 bool FleetTable::IsReady(const Agent& agent) {
-  return !agent.listed_leaving && agent.linked && agent.report &&
+  return agent.linked && !agent.listed_leaving && agent.report &&
          agent.report->state == wire::UpstreamState::READY;
 }
 
--- a/entry/fleet_table.h
+++ b/entry/fleet_table.h
@@ -48,15 +48,15 @@
  public:
   void OnLinkUp(const wire::Hello& hello);
   void OnLinkDown(const std::string& agent_id);
+  /// Agents whose VMs the platform lists as leaving; they get no new work.
+  void SetListedLeaving(std::set<std::string> agent_ids);
+  /// The agent refused work because it is leaving; counts until its next report.
+  void NoteLeaving(const std::string& agent_id);
   void OnReport(const std::string& agent_id, const wire::LoadReport& report);
 
   /// The attempt is about to be sent.
   void NoteSubmitted(const std::string& agent_id, const std::string& attempt_id,
                      const AttemptLoad& load);
-  /// Agents whose VMs are leaving according to the platform's list; they get no new work.
-  void SetListedLeaving(std::set<std::string> agent_ids);
-  bool IsListedLeaving(const std::string& agent_id) const;
-
   /// The agent has answered: its next report contains the attempt.
   void NoteAcknowledged(const std::string& agent_id, const std::string& attempt_id);
   /// The attempt is over or was refused.
@@ -72,8 +72,8 @@
   /// Models that linked agents have reported.
   std::vector<std::string> models() const;
   nlohmann::json Dump() const;
-  /// One flat object an agent, for operators.
-  nlohmann::json UpstreamRows() const;
+  /// Agents with state "ready", "leaving", "starting" or "down", for operators.
+  nlohmann::json Upstreams() const;
 
  private:
   struct PendingLoad {
@@ -85,10 +85,10 @@
     std::int64_t incarnation = 0;
     std::string failure_domain;
     bool linked = false;
+    bool listed_leaving = false;
     std::optional<wire::LoadReport> report;
     std::map<std::string, PendingLoad> pending;
     std::set<std::string> suspects;
-    bool listed_leaving = false;
   };
 
   void Refresh(const Agent& agent);
--- a/entry/generation_driver.cc
+++ b/entry/generation_driver.cc
@@ -15,8 +15,6 @@
 constexpr core::BackOff kRetryBackOff{10.0, 1'000.0};
 /// Patient requests ask again for room at this pace.
 constexpr core::BackOff kRoomBackOff{100.0, 2'000.0};
-/// Interval at which a request that waits for the retry budget asks for it.
-constexpr Milliseconds kBudgetWait{100};
 constexpr std::int64_t kOverloadRetryAfterMs = 1'000;
 
 Refusal MakeRefusal(const char* kind, int status, std::string message, std::string remedy) {
@@ -141,13 +139,10 @@
 
 void GenerationDriver::StartRoute() {
   const settings::Settings& settings = request_.service->settings;
-  if (owes_retry_) {
-    const TimePoint now = parts_.clock.now();
-    if (!parts_.budgets.Take(*request_.service, now)) {
-      retry_at_ = now + kBudgetWait;
-      return;
-    }
-    owes_retry_ = false;
+  if (owes_budget_ && !TakeFromBudget()) {
+    // A patient request waits for the budget instead of being lost.
+    ScheduleRetry(kRoomBackOff);
+    return;
   }
   if (CrashCount() >= settings.crash_limit) {
     Fail(MakeRefusal("suspect", kUnprocessable,
@@ -166,7 +161,7 @@
                                        ? core::FailureKind::kOverloaded
                                        : core::FailureKind::kUnavailable;
     const Refusal refusal = NoRouteRefusal(chosen.error());
-    if (failures_ == 0 && !MayWait()) {
+    if (failures_ == 0 && !settings.patient) {
       Fail(refusal);
     } else {
       RetryLater(kind, refusal);
@@ -321,6 +316,9 @@
 void GenerationDriver::OnRefused(Attempt& attempt, const wire::Refused& refused) {
   FinishAttempt(parts_, attempt);
   parts_.metrics.Count("agent_refusals_total{kind=\"" + FromWire(refused).kind + "\"}");
+  if (refused.kind == wire::RefusalKind::LEAVING) {
+    parts_.fleet.NoteLeaving(attempt.agent_id);
+  }
   FailAttempt(attempt.agent_id, FailureKindOf(refused.kind), FromWire(refused.outcome),
               FromWire(refused));
 }
@@ -510,39 +508,47 @@
 
 void GenerationDriver::RetryLater(core::FailureKind kind, const Refusal& refusal) {
   const Service& service = *request_.service;
-  const TimePoint now = parts_.clock.now();
-  const bool waits_for_room =
-      MayWait() && (kind == core::FailureKind::kOverloaded ||
-                    kind == core::FailureKind::kUnavailable || kind == core::FailureKind::kSuspect);
+  const bool waits_for_room = service.settings.patient && (kind == core::FailureKind::kOverloaded ||
+                                                           kind == core::FailureKind::kUnavailable);
   if (waits_for_room) {
     // A patient request is queued here, so room refusals do not use up its attempts.
     excluded_.clear();
+  } else if (kind == core::FailureKind::kUnavailable && outcome_ == core::Outcome::kNotRun) {
+    // Nothing has run: this is a redirect that corrects a stale view of the fleet, not a repeat, so
+    // it is bounded by max_attempts alone.
+    if (++failures_ >= service.settings.max_attempts) {
+      Fail(refusal);
+      return;
+    }
   } else {
     ++failures_;
     if (failures_ >= service.settings.max_attempts) {
       Fail(refusal);
       return;
     }
-    if (!parts_.budgets.Take(service, now)) {
-      parts_.metrics.Count("retry_budget_spent_total{service=\"" + service.name + "\"}");
-      if (!MayWait()) {
-        Fail(refusal);
-        return;
-      }
-      owes_retry_ = true;
+    refusal_ = refusal;
+    if (!TakeFromBudget() && !service.settings.patient) {
+      Fail(refusal);
+      return;
     }
-    parts_.metrics.Count("retries_total{service=\"" + service.name + "\"}");
   }
+  ScheduleRetry(waits_for_room || owes_budget_ ? kRoomBackOff : kRetryBackOff);
+}
+
+void GenerationDriver::ScheduleRetry(const core::BackOff& back_off) {
   ++retries_;
-  const double wait_ms = core::BackOffMs(waits_for_room ? kRoomBackOff : kRetryBackOff, retries_,
-                                         Hash64(request_.request_id));
-  retry_at_ = now + std::chrono::duration_cast<Duration>(
-                        std::chrono::duration<double, std::milli>(wait_ms));
+  const double wait_ms = core::BackOffMs(back_off, retries_, Hash64(request_.request_id));
+  retry_at_ = parts_.clock.now() + std::chrono::duration_cast<Duration>(
+                                       std::chrono::duration<double, std::milli>(wait_ms));
   phase_ = Phase::kUnrouted;
 }
 
-bool GenerationDriver::MayWait() const {
-  return request_.service->settings.patient || !delivered_.empty();
+bool GenerationDriver::TakeFromBudget() {
+  const Service& service = *request_.service;
+  owes_budget_ = !parts_.budgets.Take(service, parts_.clock.now());
+  const char* name = owes_budget_ ? "retry_budget_spent_total" : "retries_total";
+  parts_.metrics.Count(std::string(name) + "{service=\"" + service.name + "\"}");
+  return !owes_budget_;
 }
 
 void GenerationDriver::Fail(Refusal refusal) {
--- a/entry/generation_driver.h
+++ b/entry/generation_driver.h
@@ -82,9 +82,8 @@
                    Refusal refusal);
   void FailLost(Attempt& attempt, const std::string& message);
   void RetryLater(core::FailureKind kind, const Refusal& refusal);
-  /// Whether the request waits for room and for the retry budget instead of failing: patient
-  /// callers do, and so does a stream that has begun, because its start is already delivered.
-  bool MayWait() const;
+  void ScheduleRetry(const core::BackOff& back_off);
+  bool TakeFromBudget();
   void Fail(Refusal refusal);
   void CloseRoute(const std::string& reason);
   void NoteOutcome(core::Outcome outcome);
@@ -107,8 +106,8 @@
   /// Failed attempts that count towards max_attempts.
   std::int32_t failures_ = 0;
   std::int32_t own_crashes_ = 0;
-  /// The next route starts only when the retry budget has a retry left.
-  bool owes_retry_ = false;
+  /// A retry of a patient request that waits until the budget allows it.
+  bool owes_budget_ = false;
 
   ChosenRoute route_;
   Attempt prefill_;
