Let the stand-in platform answer 503 and count the waste of a crash

Cause: mode down only closed connections, which a caller cannot tell from a lost reply; a crashing engine took its waste counters with it; the engine copied its queue at each decode step even when the batch was full.

Change: /faults takes a status that mode down answers with; the crash log line holds the spent and wasted prefill tokens, with those of the crash itself; a full batch skips the queue.

--- a/standins/engine.cc
+++ b/standins/engine.cc
@@ -236,6 +236,12 @@
 }
 
 void Engine::StartQueued(TimePoint now) {
+  const auto batch_is_full = [this] {
+    return prefilling_.size() + decoding_.size() >= static_cast<std::size_t>(options_.max_running);
+  };
+  if (queued_.empty() || batch_is_full()) {
+    return;
+  }
   bool memory_is_short = false;
   std::vector<RequestPtr> candidates;
   candidates.reserve(queued_.size());
@@ -243,7 +249,7 @@
     candidates.push_back(request);
   }
   for (const RequestPtr& request : candidates) {
-    if (prefilling_.size() + decoding_.size() >= static_cast<std::size_t>(options_.max_running)) {
+    if (batch_is_full()) {
       return;
     }
     if (!request->allocation) {
@@ -288,10 +294,18 @@
   if (faults_.crash_on.empty() || request.prompt.find(faults_.crash_on) == std::string::npos) {
     return;
   }
+  // The counters end with the process, so the log keeps them, with the waste of the crash itself.
+  double wasted = wasted_;
+  for (const auto& [id, live] : requests_) {
+    wasted += IsLive(*live) && live->produced_tokens == 0 ? live->prefill_spent : 0;
+  }
+  for (const auto& [handle, kv] : kv_results_) {
+    wasted += static_cast<double>(kv.prefill_tokens);
+  }
   Log(LogLevel::kError, "crashed on request",
       {{"request_id", request.id},
-       {"prefill_tokens_spent", static_cast<std::int64_t>(spent_)},
-       {"prefill_tokens_wasted", static_cast<std::int64_t>(wasted_)}});
+       {"prefill_tokens_spent", std::llround(spent_)},
+       {"prefill_tokens_wasted", std::llround(wasted)}});
   ShutdownLogging();
   _exit(kCrashExitCode);
 }
--- a/standins/platform_server.cc
+++ b/standins/platform_server.cc
@@ -84,6 +84,10 @@
   return [this, access, handler = WithJsonErrors(std::move(handler))](
              const httplib::Request& request, httplib::Response& response) {
     const Faults faults = this->faults();
+    if (faults.mode == FaultMode::kDown && faults.status != 0) {
+      SetJson(response, faults.status, {{"error", "down on request of a test"}});
+      return;
+    }
     if (faults.mode == FaultMode::kDown) {
       HttpServer::BreakConnection();
       return;
@@ -246,8 +250,9 @@
     return;
   }
   const std::lock_guard<std::mutex> lock(mutex_);
-  faults_ = {mode->second, body.value("slow_ms", 0)};
-  SetJson(response, kOk, {{"mode", name}, {"slow_ms", faults_.slow_ms}});
+  faults_ = {mode->second, body.value("slow_ms", 0), body.value("status", 0)};
+  SetJson(response, kOk,
+          {{"mode", name}, {"slow_ms", faults_.slow_ms}, {"status", faults_.status}});
 }
 
 }  // namespace rattanramp::standins
--- a/standins/platform_server.h
+++ b/standins/platform_server.h
@@ -45,6 +45,8 @@
   struct Faults {
     FaultMode mode = FaultMode::kOk;
     int slow_ms = 0;
+    /// Answer in mode down; 0 closes the connection without an answer.
+    int status = 0;
   };
 
   PlatformServer(std::unique_ptr<HttpServer> server, const PlatformOptions& options);
--- a/tests/standins/engine_test.cc
+++ b/tests/standins/engine_test.cc
@@ -364,6 +364,19 @@
   holder.join();
 }
 
+// Guards against callers that plan with rates that the engine does not have.
+Test(engine, reported_rates_follow_the_time_scale) {
+  EngineOptions options = FastOptions();
+  options.time_scale = 10;
+  options.prefill_tokens_per_s = 20'000;
+  options.decode_token_ms = 10;
+  const std::unique_ptr<EngineServer> server = Start(options);
+  EngineClient client(server->port());
+  const json load = client.Get("/v1/load");
+  cr_assert_eq(load.at("prefill_tokens_per_s"), 200'000.0);
+  cr_assert_eq(load.at("decode_token_ms"), 1.0);
+}
+
 // Guards against a fault that silences new connections too, or that ends the old ones.
 Test(engine, silenced_connection_stays_silent_while_new_ones_work) {
   const std::unique_ptr<EngineServer> server = Start(FastOptions());
--- a/tests/standins/platform_server_test.cc
+++ b/tests/standins/platform_server_test.cc
@@ -91,6 +91,8 @@
   SetMode(client, {{"mode", "down"}});
   cr_assert(!Insert(client, "a", "1"));
   cr_assert(!client.Get("/vms"));
+  SetMode(client, {{"mode", "down"}, {"status", 503}});
+  cr_assert_eq(Insert(client, "a", "1")->status, 503);
   cr_assert_eq(json::parse(client.Get("/counters")->body).at("writes"), 0);
   SetMode(client, {{"mode", "ok"}});
   cr_assert_eq(client.Get("/table/rows/a")->status, 404);
