--- a/base/http_server.h
+++ b/base/http_server.h
@@ -51,6 +51,10 @@
   /// answer. For fault injection; only valid inside a handler or content provider.
   static void BreakConnection();
 
+  /// Closes the connection of the request handled by this thread once the response is written. The
+  /// handler sets the Connection header itself. Only valid inside a handler.
+  static void CloseAfterResponse();
+
  private:
   class WatchedServer;
   class OnDemandThreads;
