List the running requests of an engine by id in /v1/truth

Cause: the failure tests read running as an array of request ids, the stand-in answered a number. The tests then took engine-1 for busy and any engine for running, whatever it did.

Change: running in /v1/truth is the sorted array of ids of requests that import, prefill or decode. /v1/load keeps the number. Nothing else reads the field.

--- a/standins/engine.cc
+++ b/standins/engine.cc
@@ -848,6 +848,12 @@
   truth.cached_pieces = static_cast<int>(cache_.size());
   truth.unclaimed_kv = static_cast<int>(kv_results_.size());
   truth.running = RunningCount();
+  for (const auto& [id, request] : requests_) {
+    if (IsLive(*request) && request->state != RequestState::kQueued) {
+      truth.running_ids.push_back(id);
+    }
+  }
+  std::sort(truth.running_ids.begin(), truth.running_ids.end());
   truth.queued = static_cast<int>(queued_.size());
   truth.prefill_tokens_spent = std::llround(spent_);
   truth.prefill_tokens_wasted = std::llround(wasted_);
--- a/standins/engine_server.cc
+++ b/standins/engine_server.cc
@@ -178,7 +178,7 @@
             {{"held_pieces", truth.held_pieces},
              {"cached_pieces", truth.cached_pieces},
              {"unclaimed_kv", truth.unclaimed_kv},
-             {"running", truth.running},
+             {"running", truth.running_ids},
              {"queued", truth.queued},
              {"prefill_tokens_spent", truth.prefill_tokens_spent},
              {"prefill_tokens_wasted", truth.prefill_tokens_wasted},
--- a/standins/engine_types.h
+++ b/standins/engine_types.h
@@ -131,6 +131,8 @@
   int cached_pieces = 0;
   int unclaimed_kv = 0;
   int running = 0;
+  /// Ids of the running requests, sorted.
+  std::vector<std::string> running_ids;
   int queued = 0;
   std::int64_t prefill_tokens_spent = 0;
   std::int64_t prefill_tokens_wasted = 0;
--- a/tests/standins/engine_test.cc
+++ b/tests/standins/engine_test.cc
@@ -209,11 +209,13 @@
     }));
   }
   cr_assert_eq(server->engine().Truth().held_pieces, 5);
+  cr_assert_eq(client.Get("/v1/truth").at("running"), json({"decoding", "imported"}));
   cr_assert_eq(client.Delete("/v1/requests/imported").at("status"), 200);
   cr_assert_eq(client.Delete("/v1/requests").at("cancelled"), 2);
   const EngineTruth truth = server->engine().Truth();
   cr_assert_eq(truth.held_pieces, 0);
   cr_assert_eq(truth.running + truth.queued, 0);
+  cr_assert(client.Get("/v1/truth").at("running").empty());
   cr_assert_eq(truth.prefill_tokens_wasted, 4'097);
   for (std::thread& caller : callers) {
     caller.join();
