--- a/core/ledger.cc
+++ b/core/ledger.cc
@@ -29,6 +29,14 @@
   return decision;
 }
 
+CallDecision StartRun(CallLedger& ledger, CallEntry& entry, const std::string& attempt,
+                      std::int64_t now_ms) {
+  entry.state = CallState::kRunning;
+  ledger.unused_claims.erase(entry.claim_attempt);
+  ledger.ran[attempt] = now_ms;
+  return Proceed(attempt, CallAction::kRun);
+}
+
 CallDecision Replay(const std::string& attempt, const CallResult& result) {
   CallDecision decision = Proceed(attempt, CallAction::kReplay);
   decision.result = result;
@@ -73,10 +81,8 @@
       Wait(entry, submit.attempt);
       return Proceed(submit.attempt, CallAction::kWait);
     case CallState::kOwned:
-      entry.state = CallState::kRunning;
-      ledger.unused_claims.erase(entry.claim_attempt);
       Wait(entry, submit.attempt);
-      return Proceed(submit.attempt, CallAction::kRun);
+      return StartRun(ledger, entry, submit.attempt, now_ms);
     case CallState::kDone:
       return Replay(submit.attempt, entry.result);
     case CallState::kUnknown:
@@ -85,6 +91,13 @@
   return Refuse(submit.attempt, CallRefusal::kOutcomeUnknown);
 }
 
+/// Whether the entry of an attempt that ran is still the one of its run.
+bool KnowsRun(const CallLedger& ledger,
+              std::unordered_map<std::string, CallEntry>::const_iterator entry) {
+  return entry != ledger.calls.end() && entry->second.state != CallState::kClaiming &&
+         entry->second.state != CallState::kOwned;
+}
+
 /// Checks an issued key that is not in memory. kNone when this incarnation may run it.
 CallDecision CheckIssuedKey(const CallLedger& ledger, const IssuedKey& key,
                             const CallSubmit& submit, const CallLimits& limits,
@@ -275,6 +288,9 @@
   }
   const std::string name = CallName(submit.service, submit.key);
   const auto found = ledger.calls.find(name);
+  if (ledger.ran.contains(submit.attempt) && !KnowsRun(ledger, found)) {
+    return Refuse(submit.attempt, CallRefusal::kOutcomeUnknown);
+  }
   if (found != ledger.calls.end()) {
     return Marked(ledger, JoinEntry(ledger, found->second, submit, now_ms), now_ms);
   }
@@ -297,9 +313,10 @@
   entry.body_hash = submit.body_hash;
   entry.touched_ms = now_ms;
   entry.claim_attempt = submit.attempt;
-  entry.state = issued ? CallState::kRunning : CallState::kClaiming;
+  entry.state = CallState::kClaiming;
   Wait(entry, submit.attempt);
-  return Proceed(submit.attempt, issued ? CallAction::kRun : CallAction::kClaim);
+  return issued ? StartRun(ledger, entry, submit.attempt, now_ms)
+                : Proceed(submit.attempt, CallAction::kClaim);
 }
 
 std::vector<CallDecision> FinishClaim(CallLedger& ledger, const std::string& name,
@@ -331,11 +348,9 @@
       ledger.unused_claims[entry.claim_attempt] = now_ms;
       return decisions;
     }
-    entry.state = CallState::kRunning;
-    ledger.unused_claims.erase(entry.claim_attempt);
     for (const std::string& waiter : entry.waiters) {
-      decisions.push_back(
-          Proceed(waiter, decisions.empty() ? CallAction::kRun : CallAction::kWait));
+      decisions.push_back(decisions.empty() ? StartRun(ledger, entry, waiter, now_ms)
+                                            : Proceed(waiter, CallAction::kWait));
     }
     return decisions;
   }
@@ -407,6 +422,7 @@
   }
   std::vector<std::string> waiters = std::exchange(found->second.waiters, {});
   for (const std::string& waiter : waiters) {
+    ledger.ran.erase(waiter);
     ledger.abandoned[waiter] = now_ms;
   }
   return waiters;
@@ -441,6 +457,7 @@
   const auto is_old = [now_ms](const auto& mark) { return now_ms - mark.second >= kMarkMemoryMs; };
   std::erase_if(ledger.abandoned, is_old);
   std::erase_if(ledger.unused_claims, is_old);
+  std::erase_if(ledger.ran, is_old);
 }
 
 }  // namespace rattanramp::core
--- a/tests/support/fake_platform.h
+++ b/tests/support/fake_platform.h
@@ -1,154 +1,162 @@
-// In-memory PlatformStore with switchable faults.
+// PlatformStore in memory with faults that tests switch on and off.
 #pragma once
 
-#include <atomic>
-#include <chrono>
 #include <map>
 #include <mutex>
-#include <optional>
 #include <string>
 #include <thread>
-#include <vector>
 
+#include "base/clock.h"
 #include "platform/platform_store.h"
 
 namespace rattanramp::platform {
 
-enum class PlatformFault {
-  kNone,
-  /// All calls fail and change nothing.
-  kDown,
-  /// All calls take slow_ms longer.
-  kSlow,
-  /// Writes take effect and their reply is lost.
-  kReplyLost,
-};
-
 class FakePlatform : public PlatformStore {
  public:
-  void SetFault(PlatformFault fault, int slow_ms = 0) {
-    slow_ms_.store(slow_ms);
-    fault_.store(fault);
+  enum class Fault {
+    kNone,
+    /// All calls fail with kUnavailable and change nothing.
+    kDown,
+    /// All calls succeed after a delay.
+    kSlow,
+    /// Writes take effect and fail with kReplyLost; reads fail with kUnavailable.
+    kReplyLost,
+    /// Writes take effect and fail with kReplyLost; reads succeed.
+    kWriteReplyLost,
+  };
+
+  void SetFault(Fault fault) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    fault_ = fault;
+  }
+
+  /// Transactions that were asked for.
+  int commit_calls() {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return commit_calls_;
   }
-  /// Number of transactions that took effect.
-  int commits() const { return commits_.load(); }
-  /// Number of transactions that were asked for.
-  int commit_calls() const { return commit_calls_.load(); }
 
-  void SetVms(const VmList& list) {
+  void SetVms(VmList vms) {
     const std::lock_guard<std::mutex> lock(mutex_);
-    vms_ = list;
+    vms_ = std::move(vms);
   }
 
   Result<std::optional<Row>> Read(const std::string& key) override {
-    if (IsDown()) {
+    const Fault fault = Enter();
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (FailsReads(fault)) {
       return Down();
     }
-    const std::lock_guard<std::mutex> lock(mutex_);
     const auto row = rows_.find(key);
     return row == rows_.end() ? std::optional<Row>() : std::optional<Row>(row->second);
   }
 
   Result<std::vector<Row>> Scan(const std::string& prefix) override {
-    if (IsDown()) {
+    const Fault fault = Enter();
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (FailsReads(fault)) {
       return Down();
     }
-    const std::lock_guard<std::mutex> lock(mutex_);
     std::vector<Row> found;
-    for (const auto& [key, row] : rows_) {
-      if (key.starts_with(prefix)) {
-        found.push_back(row);
-      }
+    for (auto row = rows_.lower_bound(prefix); row != rows_.end() && row->first.starts_with(prefix);
+         ++row) {
+      found.push_back(row->second);
     }
     return found;
   }
 
   Result<CommitResult> Commit(const Transaction& transaction) override {
-    commit_calls_.fetch_add(1);
-    if (IsDown()) {
-      return Down();
-    }
+    const Fault fault = Enter();
     const std::lock_guard<std::mutex> lock(mutex_);
-    CommitResult result;
-    for (const Condition& condition : transaction.conditions) {
-      const auto row = rows_.find(condition.key);
-      const std::int64_t version = row == rows_.end() ? 0 : row->second.version;
-      if (version != condition.version) {
-        result.conflict_key = condition.key;
-        if (row != rows_.end()) {
-          result.conflict_row = row->second;
-        }
-        return LoseReply(result);
-      }
+    if (fault == Fault::kDown) {
+      return Down();
     }
-    for (const Write& write : transaction.writes) {
-      Apply(write);
+    ++commit_calls_;
+    const CommitResult result = CommitLocked(transaction);
+    if (fault == Fault::kReplyLost || fault == Fault::kWriteReplyLost) {
+      return Error{ErrorKind::kReplyLost, "fake platform lost the reply", "read back"};
     }
-    commits_.fetch_add(1);
-    result.committed = true;
-    return LoseReply(result);
+    return result;
   }
 
   Result<std::optional<std::string>> ReadObject(const std::string& name) override {
-    if (IsDown()) {
+    const Fault fault = Enter();
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (FailsReads(fault)) {
       return Down();
     }
-    const std::lock_guard<std::mutex> lock(mutex_);
     const auto object = objects_.find(name);
     return object == objects_.end() ? std::optional<std::string>()
                                     : std::optional<std::string>(object->second);
   }
 
   Result<void> WriteObject(const std::string& name, const std::string& content) override {
-    if (IsDown()) {
+    const Fault fault = Enter();
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (fault == Fault::kDown) {
       return Down();
     }
-    const std::lock_guard<std::mutex> lock(mutex_);
     objects_[name] = content;
+    if (fault == Fault::kReplyLost) {
+      return Error{ErrorKind::kReplyLost, "fake platform lost the reply", "write again"};
+    }
     return Success();
   }
 
   Result<VmList> ListVms() override {
-    if (IsDown()) {
+    const Fault fault = Enter();
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (FailsReads(fault)) {
       return Down();
     }
-    const std::lock_guard<std::mutex> lock(mutex_);
     return vms_;
   }
 
  private:
-  bool IsDown() const {
-    if (fault_.load() == PlatformFault::kSlow) {
-      std::this_thread::sleep_for(std::chrono::milliseconds(slow_ms_.load()));
-    }
-    return fault_.load() == PlatformFault::kDown;
-  }
+  static Error Down() { return {ErrorKind::kUnavailable, "fake platform is down", "retry later"}; }
 
-  static Error Down() { return {ErrorKind::kUnavailable, "platform is down", "retry later"}; }
+  static bool FailsReads(Fault fault) {
+    return fault == Fault::kDown || fault == Fault::kReplyLost;
+  }
 
-  Result<CommitResult> LoseReply(const CommitResult& result) const {
-    if (fault_.load() == PlatformFault::kReplyLost) {
-      return Error{ErrorKind::kReplyLost, "reply lost", "read back"};
+  /// Waits when the platform is slow, which is otherwise without a fault.
+  Fault Enter() {
+    constexpr Milliseconds kDelay{50};
+    Fault fault = Fault::kNone;
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      fault = fault_;
     }
-    return result;
+    if (fault == Fault::kSlow) {
+      std::this_thread::sleep_for(kDelay);
+      return Fault::kNone;
+    }
+    return fault;
   }
 
-  void Apply(const Write& write) {
-    if (!write.value) {
-      rows_.erase(write.key);
-      return;
+  CommitResult CommitLocked(const Transaction& transaction) {
+    for (const Condition& condition : transaction.conditions) {
+      const auto row = rows_.find(condition.key);
+      const std::int64_t version = row == rows_.end() ? 0 : row->second.version;
+      if (version != condition.version) {
+        return {false, condition.key,
+                row == rows_.end() ? std::nullopt : std::optional<Row>(row->second)};
+      }
+    }
+    for (const Write& write : transaction.writes) {
+      if (!write.value) {
+        rows_.erase(write.key);
+        continue;
+      }
+      Row& row = rows_[write.key];
+      row = {write.key, *write.value, row.version + 1};
     }
-    Row& row = rows_[write.key];
-    row.key = write.key;
-    row.value = *write.value;
-    ++row.version;
+    return {true, "", std::nullopt};
   }
 
-  std::atomic<PlatformFault> fault_{PlatformFault::kNone};
-  std::atomic<int> slow_ms_{0};
-  std::atomic<int> commits_{0};
-  std::atomic<int> commit_calls_{0};
-  mutable std::mutex mutex_;
+  std::mutex mutex_;
+  Fault fault_ = Fault::kNone;
+  int commit_calls_ = 0;
   std::map<std::string, Row> rows_;
   std::map<std::string, std::string> objects_;
   VmList vms_;
