Test the agent's failure behaviour; refusals carry the current load

Refusals for lack of room carried no load report. Change: tests over an in-memory upstream and platform, and of the HTTP adapters against the stand-in engine and service. Every refusal now carries the load.

--- a/agent/agent.cc
+++ b/agent/agent.cc
@@ -58,7 +58,7 @@
       attempts_(context_),
       generation_(context_, attempts_),
       calls_(context_, attempts_, *store_),
-      reporter_(context_, [this] { return Snapshot(); }),
+      reporter_(context_),
       monitor_(*upstream_,
                {[this](const Result<UpstreamLoad>& load, std::int64_t cleaned) {
                   loop_.Post([this, load, cleaned] { OnLoad(load, cleaned); });
@@ -69,6 +69,7 @@
       last_settings_pull_(clock_.now() - kSettingsPullPeriod),
       idle_since_(clock_.now()) {
   context_.load_changed = [this](bool urgent) { reporter_.Request(urgent); };
+  context_.snapshot = [this] { return Snapshot(); };
   generation_.crash_found = [this](const std::string& reason) { OnCrash(reason); };
 }
 
@@ -275,7 +276,6 @@
   }
   Attempt& attempt = attempts_.Add(std::move(submit), link, connection);
   if (refused) {
-    refused->__set_load(Snapshot());
     attempts_.Refuse(attempt, *refused);
     return;
   }
--- a/agent/attempts.cc
+++ b/agent/attempts.cc
@@ -70,6 +70,7 @@
 
 void AttemptTable::Refuse(Attempt& attempt, wire::Refused refused) {
   refused.attempt_id = attempt.id;
+  refused.__set_load(context_.snapshot());
   context_.metrics.Count("agent_refusals_total{kind=\"" + wire::to_string(refused.kind) + "\"}");
   Log(LogLevel::kDebug, "attempt_refused",
       {{"attempt", attempt.id}, {"kind", wire::to_string(refused.kind)}});
--- a/agent/context.h
+++ b/agent/context.h
@@ -14,6 +14,7 @@
 #include "core/suspicion.h"
 #include "link/event_loop.h"
 #include "settings/boot_config.h"
+#include "wire/gen-cpp/rattanramp_types.h"
 
 namespace rattanramp::agent {
 
@@ -44,6 +45,8 @@
   bool leaving = false;
   /// Asks for a load report soon; with true at once.
   std::function<void(bool)> load_changed{};
+  /// Present load, for reports and refusals.
+  std::function<wire::LoadReport()> snapshot{};
 
   /// See SettingsCache::Of.
   const settings::Settings& SettingsOf(const std::string& service) {
--- a/agent/reports.cc
+++ b/agent/reports.cc
@@ -18,7 +18,7 @@
   Receiver& receiver = receivers_[connection];
   receiver.link = link;
   receiver.next_event = first_event_;
-  wire::LoadReport report = snapshot_();
+  wire::LoadReport report = context_.snapshot();
   report.sequence = ++sequence_;
   SendTo(receiver, std::move(report));
 }
@@ -42,7 +42,7 @@
 void Reporter::Request(bool urgent) {
   requested_ = true;
   if (urgent) {
-    SendAll(snapshot_(), context_.clock.now());
+    SendAll(context_.snapshot(), context_.clock.now());
   }
 }
 
@@ -51,7 +51,7 @@
   if (since < Milliseconds(context_.SettingsOf("").report_ms)) {
     return;
   }
-  wire::LoadReport report = snapshot_();
+  wire::LoadReport report = context_.snapshot();
   report.sequence = last_.sequence;
   if (since >= kMaxReportGap || HasUnsentEvents() || !(report == last_)) {
     SendAll(std::move(report), now);
--- a/agent/reports.h
+++ b/agent/reports.h
@@ -3,7 +3,6 @@
 
 #include <cstdint>
 #include <deque>
-#include <functional>
 #include <map>
 #include <memory>
 #include <vector>
@@ -18,9 +17,7 @@
 
 class Reporter {
  public:
-  /// snapshot fills in everything but sequence and prefix events.
-  Reporter(AgentContext& context, std::function<wire::LoadReport()> snapshot)
-      : context_(context), snapshot_(std::move(snapshot)) {}
+  explicit Reporter(AgentContext& context) : context_(context) {}
 
   void AddLink(core::ConnectionId connection, const std::shared_ptr<link::Link>& link);
   void RemoveLink(core::ConnectionId connection);
@@ -43,7 +40,6 @@
   bool HasUnsentEvents() const;
 
   AgentContext& context_;
-  std::function<wire::LoadReport()> snapshot_;
   std::map<core::ConnectionId, Receiver> receivers_;
   std::deque<CacheEvent> events_;
   std::int64_t first_event_ = 0;
--- a/tests/agent/calls_test.cc
+++ b/tests/agent/calls_test.cc
@@ -17,3 +17,108 @@
   cr_assert_eq(answers.end->status, 201);
   cr_assert_eq(answers.output, "ran claim");
 }
+
+// Guards against a claim that runs twice when its caller repeats it with an issued key.
+Test(calls, issued_key_runs_once_and_replays) {
+  Fixture fixture = StartReadyAgent("service");
+  fixture.platform->SetFault(platform::FakePlatform::Fault::kDown);
+  const std::string key = fixture.entry->IssueKey();
+  fixture.entry->Submit(Call("c1", key, false));
+  fixture.entry->Submit(Call("c2", key, false));
+  cr_assert(fixture.entry->WaitEnd("c1") && fixture.entry->WaitEnd("c2"));
+  fixture.entry->Submit(Call("c3", key, false));
+  cr_assert(fixture.entry->WaitEnd("c3"));
+  cr_assert(fixture.entry->Of("c3").end->replayed);
+  cr_assert_eq(fixture.entry->Of("c2").output, "ran claim");
+  cr_assert_eq(fixture.entry->Of("c3").output, "ran claim");
+  cr_assert_eq(fixture.upstream->RunsOf(key), 1);
+}
+
+// Guards against running an own key without a record of its owner while the table is down, and
+// against a key that cannot be used afterwards.
+Test(calls, own_key_is_not_run_while_the_table_is_down) {
+  Fixture fixture = StartReadyAgent("service");
+  fixture.platform->SetFault(platform::FakePlatform::Fault::kDown);
+  fixture.entry->Submit(Call("c1", "k1", false));
+  cr_assert(fixture.entry->WaitEnd("c1"));
+  cr_assert_eq(fixture.entry->Of("c1").refused->kind, wire::RefusalKind::STORE_UNAVAILABLE);
+  cr_assert_eq(fixture.entry->Of("c1").refused->outcome, wire::Outcome::NOT_RUN);
+  cr_assert_eq(fixture.upstream->RunsOf("k1"), 0);
+  fixture.platform->SetFault(platform::FakePlatform::Fault::kNone);
+  fixture.entry->Submit(Call("c2", "k1", false));
+  cr_assert(fixture.entry->WaitEnd("c2"));
+  cr_assert(fixture.entry->Of("c2").end->complete);
+  cr_assert_eq(fixture.upstream->RunsOf("k1"), 1);
+}
+
+// Guards against treating a lost reply as a refusal (the key would be stuck) or as success
+// without proof.
+Test(calls, lost_reply_is_resolved_by_reading_back) {
+  Fixture fixture = StartReadyAgent("service");
+  fixture.platform->SetFault(platform::FakePlatform::Fault::kWriteReplyLost);
+  fixture.entry->Submit(Call("c1", "k1", false));
+  cr_assert(fixture.entry->WaitEnd("c1"));
+  cr_assert(fixture.entry->Of("c1").end && fixture.entry->Of("c1").end->complete);
+  cr_assert_eq(fixture.upstream->RunsOf("k1"), 1);
+}
+
+// Guards against a group whose one conflicting claim takes the others down, and against running a
+// key that another agent owns.
+Test(calls, conflict_names_the_owner_and_spares_the_group) {
+  Fixture fixture = StartReadyAgent("service");
+  core::IntentRecord other;
+  other.agent = "agent-2";
+  other.incarnation = 99;
+  other.attempt = "x";
+  other.body_hash = 1;
+  platform::Transaction transaction;
+  transaction.writes.push_back({CallRowKey("claims/k2"), core::FormatIntent(other)});
+  cr_assert(fixture.platform->Commit(transaction).has_value());
+  for (int i = 1; i <= 3; ++i) {
+    fixture.entry->Submit(Call("c" + std::to_string(i), "k" + std::to_string(i), false));
+  }
+  cr_assert(fixture.entry->WaitEnd("c1") && fixture.entry->WaitEnd("c2") &&
+            fixture.entry->WaitEnd("c3"));
+  cr_assert(fixture.entry->Of("c1").end && fixture.entry->Of("c3").end);
+  const std::optional<wire::Refused> refused = fixture.entry->Of("c2").refused;
+  cr_assert(refused && refused->kind == wire::RefusalKind::OWNED_ELSEWHERE);
+  cr_assert_eq(refused->owner_agent, "agent-2");
+  cr_assert_eq(refused->owner_incarnation, 99);
+  cr_assert_eq(fixture.upstream->RunsOf("k2"), 0);
+}
+
+// Guards against a second run after the service closed the connection without an answer.
+Test(calls, lost_answer_is_unknown_and_recorded) {
+  Fixture fixture = StartReadyAgent("service");
+  fixture.upstream->break_calls = true;
+  fixture.entry->Submit(Call("c1", "k1", false));
+  cr_assert(fixture.entry->WaitEnd("c1"));
+  cr_assert_eq(fixture.entry->Of("c1").end->outcome, wire::Outcome::UNKNOWN);
+  fixture.upstream->break_calls = false;
+  fixture.entry->Submit(Call("c2", "k1", false));
+  cr_assert(fixture.entry->WaitEnd("c2"));
+  cr_assert_eq(fixture.entry->Of("c2").refused->outcome, wire::Outcome::UNKNOWN);
+  cr_assert_eq(fixture.upstream->RunsOf("k1"), 1);
+  cr_assert(WaitUntil([&] {
+    const Result<std::optional<platform::Row>> row =
+        fixture.platform->Read(CallRowKey("claims/k1"));
+    return row && row.value() && core::ParseIntent(row.value()->value).value().state == "unknown";
+  }));
+}
+
+// Guards against NOT_RUN for a call that was not sent but could still run later.
+Test(calls, refused_connection_is_not_run_and_the_key_stays_usable) {
+  Fixture fixture = StartReadyAgent("service");
+  fixture.upstream->down = true;
+  fixture.entry->Submit(Call("c1", "k1", false));
+  cr_assert(fixture.entry->WaitEnd("c1"));
+  const TestEntry::Answers answers = fixture.entry->Of("c1");
+  cr_assert_eq(answers.end ? answers.end->outcome : answers.refused->outcome,
+               wire::Outcome::NOT_RUN);
+  fixture.upstream->down = false;
+  cr_assert(WaitUntil([&] { return fixture.agent->NotReadyReason().empty(); }));
+  fixture.entry->Submit(Call("c2", "k1", false));
+  cr_assert(fixture.entry->WaitEnd("c2"));
+  cr_assert(fixture.entry->Of("c2").end && fixture.entry->Of("c2").end->complete);
+  cr_assert_eq(fixture.upstream->RunsOf("k1"), 1);
+}
--- /dev/null
+++ b/tests/agent/http_engine_test.cc
@@ -0,0 +1,125 @@
+#include "agent/http_engine.h"
+
+#include <criterion/criterion.h>
+
+#include "agent/http_service.h"
+#include "standins/engine_server.h"
+#include "standins/expected_output.h"
+#include "standins/service_server.h"
+#include "test_entry.h"
+
+using namespace rattanramp;
+using namespace rattanramp::agent;
+
+namespace {
+
+std::string UrlOf(int port) { return "http://127.0.0.1:" + std::to_string(port); }
+
+struct Engine {
+  std::unique_ptr<standins::EngineServer> server;
+  std::unique_ptr<HttpEngine> port;
+};
+
+Engine StartEngine() {
+  Engine engine;
+  standins::EngineOptions options;
+  options.time_scale = 5;
+  engine.server = standins::EngineServer::Create("127.0.0.1:0", options).value();
+  engine.port = HttpEngine::Create(UrlOf(engine.server->port())).value();
+  return engine;
+}
+
+/// Text of a stream, which must have no gap.
+struct Received {
+  std::string text;
+  bool accepted = false;
+  RunSink sink;
+  explicit Received(std::int64_t offset = 0) {
+    sink.on_accepted = [this] { accepted = true; };
+    sink.on_output = [this, offset](const OutputPiece& piece) {
+      cr_assert_eq(piece.offset, offset + static_cast<std::int64_t>(text.size()));
+      text += piece.text;
+    };
+  }
+};
+
+}  // namespace
+
+// Guards against an adapter that misreads the engine's streams, handles or load.
+Test(http_engine, prefill_decode_and_generate) {
+  Engine engine = StartEngine();
+  const UpstreamLoad load = engine.port->Load().value();
+  cr_assert(load.incarnation != 0 && load.total_pieces > 0 && load.prefill_tokens_per_s > 0);
+  RunControl control;
+  const PrefillResult prefill = engine.port->Prefill({"p1", "some prompt", 0}, control);
+  cr_assert_eq(prefill.run.status, RunStatus::kDone);
+  GenerateRequest request;
+  request.request_id = "d1";
+  request.prompt = "some prompt";
+  request.max_tokens = 20;
+  request.kv_handle = prefill.kv_handle;
+  request.source_url = UrlOf(engine.server->port());
+  Received decoded;
+  const RunResult result = engine.port->Decode(request, decoded.sink, control);
+  cr_assert_eq(result.status, RunStatus::kDone);
+  cr_assert_eq(result.output_tokens, 20);
+  cr_assert_eq(decoded.text.size(), 80u);
+  request.request_id = "g1";
+  Received generated;
+  cr_assert_eq(engine.port->Generate(request, generated.sink, control).status, RunStatus::kDone);
+  cr_assert_eq(generated.text, decoded.text);
+  Received resumed(40);
+  cr_assert_eq(engine.port->Resume("g1", 40, resumed.sink, control).status, RunStatus::kDone);
+  cr_assert_eq(resumed.text, decoded.text.substr(40));
+  request.request_id = "d2";
+  request.kv_handle = "no-such-handle";
+  Received none;
+  cr_assert_eq(engine.port->Decode(request, none.sink, control).status, RunStatus::kKvGone);
+  cr_assert_eq(engine.port->Cancel("no-such-request").error().kind, ErrorKind::kNotFound);
+}
+
+// Guards against a worker thread that hangs in a stream after its attempt was cancelled.
+Test(http_engine, stop_interrupts_a_stream) {
+  Engine engine = StartEngine();
+  RunControl control;
+  GenerateRequest request;
+  request.request_id = "g1";
+  request.prompt = "some prompt";
+  request.max_tokens = 4000;
+  Received received;
+  RunResult result;
+  std::thread worker([&] { result = engine.port->Generate(request, received.sink, control); });
+  cr_assert(WaitUntil([&] { return engine.port->Load().value().running == 1; }));
+  control.Stop();
+  worker.join();
+  cr_assert_eq(result.status, RunStatus::kStopped);
+  cr_assert(engine.port->Cancel("g1").has_value());
+  cr_assert(WaitUntil([&] { return engine.port->Load().value().running == 0; }));
+}
+
+// Guards against mistaking a dead engine for a slow one, and a call that was not sent for one that
+// may have run.
+Test(http_engine, refused_connection_is_told_apart) {
+  Engine engine = StartEngine();
+  engine.server->Stop();
+  engine.server.reset();
+  cr_assert_eq(engine.port->Load().error().kind, ErrorKind::kUnavailable);
+  std::unique_ptr<standins::ServiceServer> service =
+      standins::ServiceServer::Create("127.0.0.1:0", {}).value();
+  const std::unique_ptr<HttpService> port = HttpService::Create(UrlOf(service->port())).value();
+  cr_assert(port->Load().has_value());
+  CallRequest call;
+  call.method = "POST";
+  call.path = "/claims";
+  call.body = "x";
+  call.idempotency_key = "k";
+  call.timeout = Milliseconds(1000);
+  RunControl control;
+  const CallReply reply = port->Call(call, control);
+  cr_assert_eq(reply.status, RunStatus::kDone);
+  cr_assert(reply.http_status >= 200 && reply.http_status < 300 && !reply.body.empty());
+  service->Stop();
+  service.reset();
+  cr_assert_eq(port->Call(call, control).status, RunStatus::kRefused);
+  cr_assert_eq(port->Load().error().kind, ErrorKind::kUnavailable);
+}
--- /dev/null
+++ b/tests/agent/lifecycle_test.cc
@@ -0,0 +1,86 @@
+#include <criterion/criterion.h>
+
+#include "agent/epoch.h"
+#include "agent/lock_port.h"
+#include "fixture.h"
+
+using namespace rattanramp;
+using namespace rattanramp::agent;
+
+// Guards against serving with default settings and against never asking for the real ones.
+Test(lifecycle, not_ready_until_settings_arrive) {
+  Fixture fixture = StartAgent("engine");
+  fixture.entry->Submit(Generation("a1", wire::WorkKind::GENERATE, 5));
+  cr_assert(fixture.entry->WaitEnd("a1"));
+  cr_assert_eq(fixture.entry->Of("a1").refused->kind, wire::RefusalKind::NOT_READY);
+  cr_assert(!fixture.agent->NotReadyReason().empty());
+  const std::shared_ptr<TestEntry> newer = TestEntry::Dial(fixture.agent->link_port(), 3);
+  cr_assert(WaitUntil([&] { return newer->pulls() > 0; }));
+  newer->PushSettings(3);
+  cr_assert(fixture.entry->WaitReady());
+  cr_assert(WaitUntil([&] { return fixture.entry->events() > 0; }));
+}
+
+// Guards against requests of an earlier agent incarnation that nobody vouches for.
+Test(lifecycle, cancels_everything_at_the_engine_before_ready) {
+  Fixture fixture = StartReadyAgent("engine");
+  cr_assert_geq(fixture.upstream->cancel_alls, 1);
+}
+
+// Guards against orders without a fencing number, and against refusing to serve during an outage.
+Test(lifecycle, serves_without_epoch_but_gives_no_orders) {
+  Fixture fixture = StartAgent("engine", platform::FakePlatform::Fault::kDown);
+  fixture.entry->PushSettings(1, kFastSettings);
+  cr_assert(fixture.entry->WaitReady());
+  fixture.entry->Submit(Generation("a1", wire::WorkKind::GENERATE, 5));
+  cr_assert(fixture.entry->WaitEnd("a1"));
+  cr_assert(fixture.entry->Of("a1").end->complete);
+  cr_assert(!fixture.agent->Give(Order{"load_model", "m2", ""}).has_value());
+  cr_assert_eq(fixture.upstream->orders, 0);
+  fixture.platform->SetFault(platform::FakePlatform::Fault::kNone);
+  cr_assert(WaitUntil([&] { return fixture.agent->Give({"load_model", "m2", ""}).has_value(); }));
+  cr_assert_eq(fixture.upstream->fence, 1);
+}
+
+// Guards against two agents with the same epoch and against one that takes two after a lost reply.
+Test(lifecycle, epoch_grows_and_survives_a_lost_reply) {
+  platform::FakePlatform platform;
+  cr_assert_eq(TakeEpoch(platform, "a", 10).value(), 1);
+  platform.SetFault(platform::FakePlatform::Fault::kWriteReplyLost);
+  cr_assert_eq(TakeEpoch(platform, "a", 11).value(), 2);
+  platform.SetFault(platform::FakePlatform::Fault::kReplyLost);
+  cr_assert(!TakeEpoch(platform, "a", 12).has_value());
+  platform.SetFault(platform::FakePlatform::Fault::kNone);
+  cr_assert_eq(TakeEpoch(platform, "a", 11).value(), 2);
+  cr_assert_eq(TakeEpoch(platform, "a", 12).value(), 3);
+}
+
+// Guards against two agents that give orders to one upstream.
+Test(lifecycle, lock_port_is_exclusive) {
+  Result<std::unique_ptr<LockPort>> first = LockPort::Acquire("127.0.0.1:38471");
+  cr_assert(first.has_value());
+  const Result<std::unique_ptr<LockPort>> second = LockPort::Acquire("127.0.0.1:38471");
+  cr_assert(!second.has_value());
+  cr_assert_eq(second.error().kind, ErrorKind::kConflict);
+  first.value().reset();
+  cr_assert(LockPort::Acquire("127.0.0.1:38471").has_value());
+}
+
+// Guards against a shutdown that cuts running work or takes new work.
+Test(lifecycle, drain_finishes_running_work_and_refuses_new) {
+  Fixture fixture = StartReadyAgent("engine");
+  fixture.entry->Submit(Generation("a1", wire::WorkKind::GENERATE, 100));
+  cr_assert(WaitUntil([&] { return fixture.entry->Of("a1").granted; }));
+  fixture.agent->Drain();
+  cr_assert(
+      WaitUntil([&] { return fixture.entry->report().state == wire::UpstreamState::LEAVING; }));
+  fixture.entry->Submit(Generation("a2", wire::WorkKind::GENERATE, 5));
+  cr_assert(fixture.entry->WaitEnd("a2"));
+  cr_assert_eq(fixture.entry->Of("a2").refused->kind, wire::RefusalKind::LEAVING);
+  cr_assert_eq(fixture.entry->Of("a2").refused->outcome, wire::Outcome::NOT_RUN);
+  cr_assert(!fixture.agent->drained());
+  cr_assert(fixture.entry->WaitEnd("a1"));
+  cr_assert(fixture.entry->Of("a1").end->complete);
+  cr_assert(WaitUntil([&] { return fixture.agent->drained(); }));
+  cr_assert_eq(fixture.agent->active(), 0u);
+}
