--- /dev/null
+++ b/tests/agent/process_test.cc
@@ -0,0 +1,176 @@
+// Runs the real agent program over the stand-in engine and platform.
+#include <criterion/criterion.h>
+#include <httplib.h>
+#include <signal.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cstdlib>
+#include <fstream>
+#include <nlohmann/json.hpp>
+
+#include "fixture.h"
+
+using namespace rattanramp;
+using namespace rattanramp::agent;
+using nlohmann::json;
+
+namespace {
+
+/// Child process; killed at the end if it still runs.
+class Process {
+ public:
+  explicit Process(std::vector<std::string> arguments) {
+    const char* folder = std::getenv("RATTANRAMP_BIN");
+    cr_assert(folder != nullptr, "RATTANRAMP_BIN is not set; run through ctest");
+    arguments[0] = std::string(folder) + "/" + arguments[0];
+    std::vector<char*> argv;
+    for (std::string& argument : arguments) {
+      argv.push_back(argument.data());
+    }
+    argv.push_back(nullptr);
+    cr_assert_eq(posix_spawn(&pid_, argv[0], nullptr, nullptr, argv.data(), environ), 0);
+  }
+  ~Process() {
+    if (pid_ > 0) {
+      kill(pid_, SIGKILL);
+      waitpid(pid_, nullptr, 0);
+    }
+  }
+  Process(Process&& other) noexcept : pid_(std::exchange(other.pid_, 0)) {}
+  Process& operator=(Process&& other) noexcept {
+    std::swap(pid_, other.pid_);
+    return *this;
+  }
+  void Signal(int signal) const { kill(pid_, signal); }
+  /// Waits for the end and returns the exit code.
+  int Wait() {
+    int status = 0;
+    waitpid(std::exchange(pid_, 0), &status, 0);
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+  }
+
+ private:
+  pid_t pid_ = 0;
+};
+
+json GetJson(int port, const std::string& path) {
+  httplib::Client client("127.0.0.1", port);
+  const httplib::Result result = client.Get(path);
+  return result ? json::parse(result->body, nullptr, false) : json();
+}
+
+/// Ports from the process id keep parallel test binaries apart.
+struct Site {
+  int base = 20'000 + (getpid() % 2'000) * 8;
+  int engine = base;
+  int platform = base + 1;
+  int operator_port = base + 2;
+  int link = base + 3;
+  int lock = base + 4;
+  std::string config = "/tmp/rattanramp-agent-test-" + std::to_string(getpid()) + ".json";
+
+  Site() {
+    const auto address = [](int port) { return "127.0.0.1:" + std::to_string(port); };
+    const json boot = {
+        {"id", "agent-1"},
+        {"failure_domain", "fd-a"},
+        {"platform_url", "http://" + address(platform)},
+        {"listen",
+         {{"operator", address(operator_port)}, {"link", address(link)}, {"lock", address(lock)}}},
+        {"upstream",
+         {{"url", "http://" + address(engine)},
+          {"kind", "engine"},
+          {"model", "m1"},
+          {"role", "both"}}}};
+    std::ofstream(config) << boot.dump();
+  }
+  ~Site() { unlink(config.c_str()); }
+
+  Process StartEngine() const {
+    return Process({"standin-engine", "--listen", "127.0.0.1:" + std::to_string(engine),
+                    "--decode-ms", "5"});
+  }
+  Process StartPlatform() const {
+    return Process({"standin-platform", "--listen", "127.0.0.1:" + std::to_string(platform)});
+  }
+  Process StartAgent() const { return Process({"rattanramp-agent", "--config", config}); }
+
+  std::shared_ptr<TestEntry> Entry(const std::string& settings = kFastSettings) const {
+    std::shared_ptr<TestEntry> entry = TestEntry::Dial(link);
+    entry->PushSettings(1, settings);
+    cr_assert(entry->WaitReady());
+    return entry;
+  }
+};
+
+}  // namespace
+
+// Guards against engine memory that stays held after a cancel or a dead entry, by the engine's own
+// count, and against a shutdown that cuts work or reports a wrong exit code.
+Test(process, cancel_lapsed_lease_and_drain) {
+  const Site site;
+  const Process platform = site.StartPlatform();
+  const Process engine = site.StartEngine();
+  Process agent = site.StartAgent();
+  std::shared_ptr<TestEntry> entry = site.Entry();
+  const auto held = [&] { return GetJson(site.engine, "/v1/truth").value("held_pieces", -1); };
+
+  entry->Submit(Generation("a1", wire::WorkKind::GENERATE, 3000));
+  cr_assert(WaitUntil([&] { return entry->Of("a1").output.size() > 40; }));
+  cr_assert_gt(held(), 0);
+  entry->Cancel("a1");
+  cr_assert(WaitUntil([&] { return held() == 0; }));
+
+  entry->Submit(Generation("a2", wire::WorkKind::GENERATE, 3000));
+  cr_assert(WaitUntil([&] { return entry->Of("a2").output.size() > 40; }));
+  entry->Leave();
+  cr_assert(WaitUntil([&] { return held() == 0; }, 2500));
+
+  entry = TestEntry::Dial(site.link);
+  cr_assert(entry->WaitReady());
+  Process second = site.StartAgent();
+  cr_assert_eq(second.Wait(), 1, "a second agent must not start while the lock port is held");
+  entry->Submit(Generation("a3", wire::WorkKind::GENERATE, 100));
+  cr_assert(WaitUntil([&] { return !entry->Of("a3").output.empty(); }));
+  agent.Signal(SIGTERM);
+  cr_assert_eq(agent.Wait(), 0);
+  cr_assert(entry->Of("a3").end && entry->Of("a3").end->complete);
+  cr_assert_eq(entry->Of("a3").output.size(), 400u);
+}
+
+// Guards against an exit code that hides cut work, and against requests of a dead agent that its
+// successor leaves running.
+Test(process, cut_work_is_told_and_a_new_agent_cleans_up) {
+  const Site site;
+  const Process platform = site.StartPlatform();
+  Process engine = site.StartEngine();
+  Process agent = site.StartAgent();
+  std::shared_ptr<TestEntry> entry = site.Entry(
+      R"({"values":{"drain_timeout_ms":1000,"lease_ms":60000,"pace_target_ms":50}})");
+  entry->Submit(Generation("a1", wire::WorkKind::GENERATE, 3000));
+  cr_assert(WaitUntil([&] { return entry->Of("a1").output.size() > 40; }));
+  agent.Signal(SIGTERM);
+  cr_assert_eq(agent.Wait(), 3);
+
+  Process killed = site.StartAgent();
+  entry = site.Entry();
+  entry->Submit(Generation("a2", wire::WorkKind::GENERATE, 4000));
+  cr_assert(WaitUntil([&] { return entry->Of("a2").output.size() > 40; }));
+  killed.Signal(SIGKILL);
+  killed.Wait();
+  const Process successor = site.StartAgent();
+  entry = site.Entry();
+  cr_assert_eq(GetJson(site.engine, "/v1/truth").value("held_pieces", -1), 0);
+  cr_assert_eq(GetJson(site.operator_port, "/state").value("epoch", 0), 3);
+
+  entry->Submit(Generation("a3", wire::WorkKind::GENERATE, 3000));
+  cr_assert(WaitUntil([&] { return entry->Of("a3").output.size() > 40; }));
+  engine.Signal(SIGKILL);
+  cr_assert(entry->WaitEnd("a3"));
+  cr_assert_eq(entry->Of("a3").end->error, wire::RefusalKind::UPSTREAM_CRASHED);
+  engine.Wait();
+  engine = site.StartEngine();
+  cr_assert(entry->WaitReady());
+}
