Add rattanramp-ctl and the operations page

Cause: operators had no command and no page; a change could only be sent by hand, without a safe way to repeat it after a lost reply.

Change: ctl/ with settings get, set, unset, apply, validate, explain, history and keys, state dump, upstream list and drain, completion bash; exit codes 0 to 5 that tell whether a change took effect. A change is repeated with its change_id over the given entries until its outcome is known. docs/OPERATIONS.md; a test compares its table of keys with the program.

Conclusion: settings can be operated without curl. The routes /upstreams and /upstreams/<id>/drain are the entry's and were tested against a stand-in only.

--- /dev/null
+++ b/ctl/operator_client.cc
@@ -0,0 +1,117 @@
+#include "ctl/operator_client.h"
+
+#include <httplib.h>
+
+#include <utility>
+
+#include "base/http_server.h"
+#include "settings/bounded_json.h"
+
+namespace rattanramp::ctl {
+namespace {
+
+constexpr int kFirstOk = 200;
+constexpr int kFirstRedirect = 300;
+constexpr int kNotFound = 404;
+
+bool WasSent(httplib::Error error) {
+  return error != httplib::Error::Connection && error != httplib::Error::ConnectionTimeout &&
+         error != httplib::Error::BindIPAddress;
+}
+
+httplib::Client MakeClient(const std::string& address, Milliseconds timeout) {
+  httplib::Client client("http://" + address);
+  client.set_connection_timeout(timeout);
+  client.set_read_timeout(timeout);
+  client.set_write_timeout(timeout);
+  return client;
+}
+
+OperatorAnswer ToAnswer(const httplib::Response& response) {
+  return {response.status, response.body,
+          settings::ParseBoundedJson(response.body).value_or(nlohmann::json())};
+}
+
+}  // namespace
+
+bool IsOk(const OperatorAnswer& answer) {
+  return answer.status >= kFirstOk && answer.status < kFirstRedirect;
+}
+
+Error AnswerError(const OperatorAnswer& answer) {
+  const nlohmann::json error =
+      answer.body.is_object() ? answer.body.value("error", nlohmann::json()) : nlohmann::json();
+  const auto text = [&error](const char* member) {
+    const nlohmann::json value = error.is_object() ? error.value(member, nlohmann::json()) : error;
+    return value.is_string() ? value.get<std::string>() : std::string();
+  };
+  if (!text("message").empty()) {
+    return {ErrorKind::kInvalidArgument, text("message"), text("remedy")};
+  }
+  const std::string remedy = answer.status == kNotFound
+                                 ? "check the name, and that --entry is an entry's operator port"
+                                 : "see the log of the process";
+  return {ErrorKind::kProtocol, "the process answered with status " + std::to_string(answer.status),
+          remedy};
+}
+
+Result<OperatorClient> OperatorClient::Create(std::vector<std::string> addresses,
+                                              Milliseconds timeout) {
+  if (addresses.empty()) {
+    return Error{ErrorKind::kInvalidArgument, "no process is named",
+                 "pass --entry HOST:PORT or set RATTANRAMP_ENTRY"};
+  }
+  for (const std::string& address : addresses) {
+    BOOST_OUTCOME_TRYV(ParseHostPort(address));
+  }
+  return OperatorClient(std::move(addresses), timeout);
+}
+
+OperatorClient::OperatorClient(std::vector<std::string> addresses, Milliseconds timeout)
+    : addresses_(std::move(addresses)), timeout_(timeout) {}
+
+Result<OperatorAnswer> OperatorClient::Get(
+    const std::string& path, const std::multimap<std::string, std::string>& parameters) const {
+  Error error;
+  for (const std::string& address : addresses_) {
+    httplib::Client client = MakeClient(address, timeout_);
+    const httplib::Result result = client.Get(path, parameters, httplib::Headers());
+    if (result) {
+      return ToAnswer(*result);
+    }
+    error = {ErrorKind::kUnavailable,
+             "no answer from " + address + ": " + httplib::to_string(result.error()),
+             "check that the process runs, or name another with --entry"};
+  }
+  return error;
+}
+
+Result<OperatorAnswer> OperatorClient::Post(std::size_t index, const std::string& path,
+                                            const std::string& body) const {
+  const std::string& address = addresses_[index % addresses_.size()];
+  httplib::Client client = MakeClient(address, timeout_);
+  const httplib::Result result = client.Post(path, body, "application/json");
+  if (result) {
+    return ToAnswer(*result);
+  }
+  const std::string detail = address + ": " + httplib::to_string(result.error());
+  if (WasSent(result.error())) {
+    return Error{ErrorKind::kReplyLost, "no reply from " + detail, "repeat the request"};
+  }
+  return Error{ErrorKind::kUnavailable, "cannot connect to " + detail,
+               "check that the process runs, or name another with --entry"};
+}
+
+Result<OperatorAnswer> OperatorClient::PostToAny(const std::string& path,
+                                                 const std::string& body) const {
+  Result<OperatorAnswer> answer = Post(0, path, body);
+  for (std::size_t i = 1; i < addresses_.size(); ++i) {
+    if (answer || answer.error().kind != ErrorKind::kUnavailable) {
+      return answer;
+    }
+    answer = Post(i, path, body);
+  }
+  return answer;
+}
+
+}  // namespace rattanramp::ctl
--- /dev/null
+++ b/ctl/operator_client.h
@@ -0,0 +1,53 @@
+// Calls to the operator port of processes.
+#pragma once
+
+#include <map>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/result.h"
+
+namespace rattanramp::ctl {
+
+struct OperatorAnswer {
+  int status = 0;
+  std::string text;
+  /// Parsed text; null when it is not JSON.
+  nlohmann::json body;
+};
+
+/// Answer with status 2xx.
+bool IsOk(const OperatorAnswer& answer);
+
+/// Message and remedy of an answer that is not a success.
+Error AnswerError(const OperatorAnswer& answer);
+
+class OperatorClient {
+ public:
+  /// addresses are HOST:PORT, at least one. Errors: kInvalidArgument.
+  static Result<OperatorClient> Create(std::vector<std::string> addresses, Milliseconds timeout);
+
+  /// Asks the addresses in turn until one answers. Error: kUnavailable.
+  Result<OperatorAnswer> Get(const std::string& path,
+                             const std::multimap<std::string, std::string>& parameters = {}) const;
+
+  /// Sends to one address, chosen by index modulo the number of addresses. Errors: kUnavailable
+  /// (not sent), kReplyLost (may have taken effect).
+  Result<OperatorAnswer> Post(std::size_t index, const std::string& path,
+                              const std::string& body) const;
+
+  /// Sends to the addresses in turn until one could be reached. Errors as above.
+  Result<OperatorAnswer> PostToAny(const std::string& path, const std::string& body) const;
+
+  std::size_t address_count() const { return addresses_.size(); }
+
+ private:
+  OperatorClient(std::vector<std::string> addresses, Milliseconds timeout);
+
+  std::vector<std::string> addresses_;
+  Milliseconds timeout_;
+};
+
+}  // namespace rattanramp::ctl
--- /dev/null
+++ b/ctl/table.h
@@ -0,0 +1,28 @@
+// Aligned text tables.
+#pragma once
+
+#include <nlohmann/json.hpp>
+#include <ostream>
+#include <string>
+#include <vector>
+
+namespace rattanramp::ctl {
+
+class Table {
+ public:
+  explicit Table(std::vector<std::string> header);
+  /// Missing cells are empty.
+  void Add(std::vector<std::string> row);
+  void Print(std::ostream& out) const;
+
+ private:
+  std::vector<std::vector<std::string>> rows_;
+};
+
+/// Text of a JSON value for a cell; strings have no quotes.
+std::string CellText(const nlohmann::json& value);
+
+/// Table of an array of objects; the columns are the members in the order of their first use.
+void PrintObjects(const nlohmann::json& array, std::ostream& out);
+
+}  // namespace rattanramp::ctl
--- a/settings/settings_tree.cc
+++ b/settings/settings_tree.cc
@@ -386,6 +386,21 @@
   return paths;
 }
 
+nlohmann::json SettingsTree::ValuesAt(const std::string& path) const {
+  const Result<std::vector<PathStep>> steps = SplitPath(path);
+  if (!steps) {
+    return nlohmann::json::object();
+  }
+  const nlohmann::json* node = &root_;
+  for (const PathStep& step : steps.value()) {
+    node = FindChild(*node, step.kind, step.name);
+    if (node == nullptr) {
+      return nlohmann::json::object();
+    }
+  }
+  return node->value("values", nlohmann::json::object());
+}
+
 Result<SettingsTree> SettingsTree::Apply(const std::vector<Operation>& operations,
                                          TreeCheck check) const {
   nlohmann::json root = root_;
--- a/settings/settings_tree.h
+++ b/settings/settings_tree.h
@@ -79,6 +79,9 @@
   /// Paths of all nodes, parents before children.
   std::vector<std::string> Paths() const;
 
+  /// Values set at one node; an empty object when there are none or no such node.
+  nlohmann::json ValuesAt(const std::string& path) const;
+
   /// Tree with the edits applied in order; the result is checked as a whole. Errors:
   /// kInvalidArgument, kNotFound (an unset names nothing that exists).
   Result<SettingsTree> Apply(const std::vector<Operation>& operations,
