--- a/control/settings_store.cc
+++ b/control/settings_store.cc
@@ -110,11 +110,14 @@
   wire::SettingsPush push;
   push.version = head;
   for (std::int64_t version = replica.version() + 1; version <= head; ++version) {
-    BOOST_OUTCOME_TRY(change, ReadLog(store, version));
-    if (!change) {
+    Result<std::optional<wire::SettingsChange>> change = ReadLog(store, version);
+    if (!change && change.error().kind != ErrorKind::kProtocol) {
+      return change.error();
+    }
+    if (!change || !change.value()) {
       return false;
     }
-    push.changes.push_back(std::move(*change));
+    push.changes.push_back(std::move(*change.value()));
   }
   return replica.Apply(push).has_value();
 }
--- a/ctl/settings_commands.cc
+++ b/ctl/settings_commands.cc
@@ -80,6 +80,9 @@
                                     TimeText(change.value("at_unix_ms", std::int64_t{0})),
                                     CellText(change.value("author", json())),
                                     CellText(change.value("change_id", json()))};
+  if (operations.empty()) {
+    table.Add(cells);
+  }
   for (const json& operation : operations) {
     cells.push_back(operation.is_object() ? OperationText(operation) : "");
     table.Add(cells);
