Check the nesting of JSON before parsing it

Change: one pass over the text counts brackets outside strings, then the text is parsed without a callback.

--- a/settings/bounded_json.cc
+++ b/settings/bounded_json.cc
@@ -10,18 +10,39 @@
 constexpr int kMaxDepth = 64;
 constexpr std::size_t kMaxShownBytes = 100;
 
+/// Whether brackets outside strings nest at most kMaxDepth levels. Text that is not JSON may pass.
+bool IsShallow(std::string_view text) {
+  int depth = 0;
+  bool in_string = false;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    const char c = text[i];
+    if (in_string) {
+      // The character after a backslash does not end the string.
+      i += c == '\\' ? 1 : 0;
+      in_string = c != '"';
+    } else if (c == '"') {
+      in_string = true;
+    } else if (c == '[' || c == '{') {
+      if (++depth > kMaxDepth) {
+        return false;
+      }
+    } else if (c == ']' || c == '}') {
+      --depth;
+    }
+  }
+  return true;
+}
+
 }  // namespace
 
 std::optional<json> ParseBoundedJson(std::string_view text) {
-  bool too_deep = false;
-  json parsed = json::parse(
-      text,
-      [&too_deep](int depth, json::parse_event_t, const json&) {
-        too_deep = too_deep || depth > kMaxDepth;
-        return !too_deep;
-      },
-      false);
-  if (too_deep || parsed.is_discarded()) {
+  // The parser's callback also sees the depth, but takes time quadratic in the members of an
+  // object.
+  if (!IsShallow(text)) {
+    return std::nullopt;
+  }
+  json parsed = json::parse(text, nullptr, false);
+  if (parsed.is_discarded()) {
     return std::nullopt;
   }
   return parsed;
--- a/tests/settings/settings_tree_test.cc
+++ b/tests/settings/settings_tree_test.cc
@@ -211,6 +211,9 @@
   cr_assert(!settings::ParseBoundedJson(std::string(1'000'000, '[')).has_value());
   const std::string closed = std::string(100'000, '[') + std::string(100'000, ']');
   cr_assert(!settings::ParseBoundedJson(closed).has_value());
+  const std::string quoted = R"(["\"[)" + std::string(100, '[') + R"(\\"])";
+  cr_assert(settings::ParseBoundedJson(quoted).has_value());
+  cr_assert(!settings::ParseBoundedJson(R"(["\\",)" + std::string(100, '[')).has_value());
 }
 
 // Guards against a crash or an exception on random text, paths and operations.
