core/rebalance: prefill and decode role changes with hysteresis

Cause: the share of prefill and decode work shifts, and engines can change role, but a change is slow and must not be reversed by noise.

Change: DecideRoleChange smooths the utilisation of both roles. A role at 0.9 or more gets an engine if the other role stays at 0.7 or less without it; one change at a time, 60 s apart, never the last engine of a role, preferably not the last of a failure domain.

--- /dev/null
+++ b/core/rebalance.cc
@@ -0,0 +1,157 @@
+#include "core/rebalance.h"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+namespace rattanramp::core {
+namespace {
+
+/// Ready engines of one role. Prefill engines are weighted by rate and are in use while they run or
+/// queue anything; decode engines are weighted by memory and in use by pieces.
+struct RoleLoad {
+  double capacity = 0;
+  double used = 0;
+  std::int32_t engines = 0;
+
+  double utilisation() const { return capacity > 0 ? used / capacity : 0; }
+};
+
+bool Counts(const EngineView& engine, std::uint32_t model) {
+  return engine.ready && engine.model == model;
+}
+
+double PrefillCapacity(const EngineView& engine) {
+  return engine.prefill_tokens_per_s > 0 ? engine.prefill_tokens_per_s : 1;
+}
+
+double DecodeCapacity(const EngineView& engine) { return engine.total_pieces; }
+
+/// Pieces in use, or their equivalent when the limit on running requests is nearer.
+double DecodeUse(const EngineView& engine) {
+  const double by_pieces = engine.total_pieces - engine.free_pieces;
+  const double by_running = engine.max_running > 0 ? static_cast<double>(engine.total_pieces) *
+                                                         engine.running / engine.max_running
+                                                   : 0;
+  return std::max(by_pieces, by_running);
+}
+
+RoleLoad LoadOf(std::span<const EngineView> engines, std::uint32_t model, EngineRole role) {
+  RoleLoad load;
+  for (const EngineView& engine : engines) {
+    if (!Counts(engine, model) || (engine.role != role && engine.role != EngineRole::kBoth)) {
+      continue;
+    }
+    ++load.engines;
+    if (role == EngineRole::kPrefill) {
+      load.capacity += PrefillCapacity(engine);
+      load.used += engine.running + engine.queued > 0 ? PrefillCapacity(engine) : 0;
+    } else {
+      load.capacity += DecodeCapacity(engine);
+      load.used += DecodeUse(engine);
+    }
+  }
+  return load;
+}
+
+void Smooth(const RebalancePolicy& policy, TimePoint now, double prefill, double decode,
+            RebalanceState& state) {
+  double weight = 1;
+  if (state.sampled) {
+    weight = 1 - std::exp(-ToMs(now - *state.sampled) / std::max(1e-3, ToMs(policy.smoothing)));
+  }
+  state.prefill_utilisation += weight * (prefill - state.prefill_utilisation);
+  state.decode_utilisation += weight * (decode - state.decode_utilisation);
+  state.sampled = now;
+}
+
+/// True while an ordered change is under way.
+bool IsChanging(std::span<const EngineView> engines, const RebalancePolicy& policy, TimePoint now,
+                RebalanceState& state) {
+  if (!state.pending) {
+    return false;
+  }
+  const bool reported = state.pending->engine < engines.size() &&
+                        engines[state.pending->engine].ready &&
+                        engines[state.pending->engine].role == state.pending->role;
+  if (!reported && now - *state.ordered < policy.change_timeout) {
+    return true;
+  }
+  state.pending.reset();
+  state.completed = now;
+  return false;
+}
+
+/// Utilisation of the giving role if the engine left it, at its smoothed load.
+double UtilisationWithout(const EngineView& engine, const RoleLoad& load, double utilisation) {
+  const double leaving =
+      engine.role == EngineRole::kPrefill ? PrefillCapacity(engine) : DecodeCapacity(engine);
+  const double rest = load.capacity - leaving;
+  return rest > 0 ? utilisation * load.capacity / rest : 2 * utilisation + 1;
+}
+
+bool IsLastInDomain(std::span<const EngineView> engines, const EngineView& engine) {
+  return std::count_if(engines.begin(), engines.end(), [&engine](const EngineView& other) {
+           return Counts(other, engine.model) && other.role == engine.role &&
+                  other.failure_domain == engine.failure_domain;
+         }) == 1;
+}
+
+/// The engine of the giving role that may go: one that is not the last of its failure domain if
+/// possible, then the one with the least work.
+std::optional<std::uint32_t> ChooseEngine(std::span<const EngineView> engines, std::uint32_t model,
+                                          const RebalancePolicy& policy, EngineRole giving,
+                                          const RoleLoad& load, double utilisation) {
+  if (load.engines <= policy.min_per_role) {
+    return std::nullopt;
+  }
+  std::optional<std::uint32_t> best;
+  std::tuple<bool, std::int32_t> best_key;
+  for (std::uint32_t i = 0; i < engines.size(); ++i) {
+    const EngineView& engine = engines[i];
+    if (!Counts(engine, model) || engine.role != giving ||
+        UtilisationWithout(engine, load, utilisation) > policy.low) {
+      continue;
+    }
+    const std::tuple<bool, std::int32_t> key(IsLastInDomain(engines, engine),
+                                             engine.running + engine.queued);
+    if (!best || key < best_key) {
+      best = i;
+      best_key = key;
+    }
+  }
+  return best;
+}
+
+}  // namespace
+
+std::optional<RoleChange> DecideRoleChange(std::span<const EngineView> engines, std::uint32_t model,
+                                           const RebalancePolicy& policy, TimePoint now,
+                                           RebalanceState& state) {
+  const RoleLoad prefill = LoadOf(engines, model, EngineRole::kPrefill);
+  const RoleLoad decode = LoadOf(engines, model, EngineRole::kDecode);
+  Smooth(policy, now, prefill.utilisation(), decode.utilisation(), state);
+  if (IsChanging(engines, policy, now, state) ||
+      (state.completed && now - *state.completed < policy.min_between_changes)) {
+    return std::nullopt;
+  }
+  std::optional<std::uint32_t> engine;
+  EngineRole role = EngineRole::kBoth;
+  if (state.prefill_utilisation >= policy.high) {
+    role = EngineRole::kPrefill;
+    engine =
+        ChooseEngine(engines, model, policy, EngineRole::kDecode, decode, state.decode_utilisation);
+  } else if (state.decode_utilisation >= policy.high) {
+    role = EngineRole::kDecode;
+    engine = ChooseEngine(engines, model, policy, EngineRole::kPrefill, prefill,
+                          state.prefill_utilisation);
+  }
+  if (!engine) {
+    return std::nullopt;
+  }
+  state.pending = RoleChange{*engine, role};
+  state.ordered = now;
+  return state.pending;
+}
+
+}  // namespace rattanramp::core
