tests/core: idle customers gain no credit in the wait queue

Cause: a trial fault in WaitQueue (the start time of a returning customer set to zero instead of the virtual time) was not found by any test.

Change: a test lets one customer wait alone, then a second one return.

Conclusion: the rule that makes shares independent of idle time is covered.

--- a/tests/core/admission_test.cc
+++ b/tests/core/admission_test.cc
@@ -222,3 +222,29 @@
     }
   }));
 }
+
+// Guards against a customer that was idle and then holds up the others with its unused share.
+Test(wait_queue, idle_customers_gain_no_credit) {
+  WaitQueue queue(Milliseconds(5'000));
+  std::uint64_t id = 0;
+  const auto push = [&](const char* customer) {
+    WaitingRequest request = Waiting(++id, 0, true);
+    request.customer = customer;
+    queue.Push(request);
+  };
+  for (int i = 0; i < 100; ++i) {
+    push("a");
+  }
+  for (int i = 0; i < 50; ++i) {
+    queue.Pop(kStart);
+  }
+  for (int i = 0; i < 50; ++i) {
+    push("b");
+  }
+  int served_b = 0;
+  for (int i = 0; i < 20; ++i) {
+    served_b += queue.Pop(kStart).value().customer == "b" ? 1 : 0;
+  }
+  cr_assert_geq(served_b, 9);
+  cr_assert_leq(served_b, 11);
+}
