core/bench: measure the routing decisions and compare policies

Change: bench-core times ChooseRoute, PrefixIndex, ChooseSubset and MergeMembership, counts allocations, and runs a seeded event simulation of 11 engines with stale views, holds, transfers, KV eviction and callers that leave.

--- /dev/null
+++ b/core/bench/allocations.h
@@ -0,0 +1,16 @@
+// Counts of the allocations of this process. The program's operator new keeps them.
+#pragma once
+
+#include <cstdint>
+
+namespace rattanramp::core {
+
+struct AllocationCounts {
+  std::int64_t allocations = 0;
+  /// Bytes allocated and not yet freed, as rounded up by the allocator.
+  std::int64_t live_bytes = 0;
+};
+
+AllocationCounts CountedAllocations();
+
+}  // namespace rattanramp::core
