core/route: reject most engines by a bound without division

Change: the scan compares a lower bound of each engine's score with the best of its failure domain by multiplications, before the checks of room and pace. Dominated crowded candidates and pairs are dropped early, and the cause of a refusal is found in a second pass that only refusals pay for.

--- a/core/route.cc
+++ b/core/route.cc
@@ -52,8 +52,9 @@
 
 /// Values of a request and a policy that do not depend on the engine.
 struct Job {
-  const RouteRequest& request;
-  const RoutePolicy& policy;
+  // Copies, so that a scan need not read them again after each write to its results.
+  RouteRequest request;
+  RoutePolicy policy;
   std::int32_t pieces;
   std::int32_t prompt_pieces;
 
@@ -178,30 +179,49 @@
   }
 
   void Collect() {
+    const double uncached_tokens = job_.UncachedTokens(0);
     const auto count = static_cast<std::uint32_t>(fleet_.engines.size());
     for (std::uint32_t i = 0; i < count; ++i) {
       const EngineView& engine = fleet_.engines[i];
       if (Serves(job_.request, engine)) {
-        Offer(i, engine, 0);
+        Scan(i, engine, uncached_tokens);
       }
     }
     for (const CachedPrefix& cached : job_.request.cached) {
       if (cached.engine < count && Serves(job_.request, fleet_.engines[cached.engine])) {
-        Offer(cached.engine, fleet_.engines[cached.engine], cached.tokens);
+        const EngineView& engine = fleet_.engines[cached.engine];
+        OfferPrefill(cached.engine, engine, cached.tokens);
+        OfferDecode(cached.engine, engine, cached.tokens);
       }
     }
   }
 
   RouteScore Best() const;
-  bool any_decode() const { return any_decode_; }
-  bool any_large_enough() const { return any_large_enough_; }
 
  private:
-  void Offer(std::uint32_t index, const EngineView& engine, std::int32_t cached_tokens);
-  void OfferDecode(std::uint32_t index, const EngineView& engine, std::int32_t cached_tokens,
-                   std::uint32_t domain, double distance_ms);
-  void Replace(Candidate& best, std::uint32_t index, double score_ms) const {
-    if (score_ms >= best.score_ms) {
+  void Scan(std::uint32_t index, const EngineView& engine, double uncached_tokens);
+  void OfferPrefill(std::uint32_t index, const EngineView& engine, std::int32_t cached_tokens);
+  void OfferDecode(std::uint32_t index, const EngineView& engine, std::int32_t cached_tokens);
+  std::uint32_t ListOf(const EngineView& engine) const {
+    return engine.failure_domain < domains_ ? engine.failure_domain
+                                            : engine.failure_domain % domains_;
+  }
+  double EntryMs(const EngineView& engine) const {
+    return engine.failure_domain < domains_
+               ? entry_ms_[engine.failure_domain]
+               : DistanceMs(fleet_, job_.request.failure_domain, engine.failure_domain);
+  }
+  /// An engine that is both more crowded and slower than another of its list is never chosen, and
+  /// one that misses the pace only if no other has room.
+  bool IsDominated(const std::array<Candidate, kCrowdingCount>& list, std::uint32_t crowding,
+                   double score_ms) const {
+    return (crowding == kCrowded && score_ms >= list[kRoomy].score_ms) ||
+           (crowding == kMissesPace && (in_place_[kRoomy].found() || in_place_[kCrowded].found()));
+  }
+  void Replace(std::array<Candidate, kCrowdingCount>& list, std::uint32_t crowding,
+               std::uint32_t index, double score_ms) const {
+    Candidate& best = list[crowding];
+    if (score_ms >= best.score_ms || IsDominated(list, crowding, score_ms)) {
       return;
     }
     const double total_ms = score_ms + job_.NearEqualMs(index);
@@ -218,44 +238,63 @@
            (decode_crowding == kCrowded ? job_.pieces : 0);
   }
 
-  const Job& job_;
-  const FleetView& fleet_;
+  const Job job_;
+  const FleetView fleet_;
   std::uint32_t domains_ = 1;
   std::array<double, kMaxDomains> entry_ms_;
   std::array<std::array<Candidate, kCrowdingCount>, kMaxDomains> prefill_;
   std::array<std::array<Candidate, kCrowdingCount>, kMaxDomains> decode_;
   std::array<Candidate, kCrowdingCount> in_place_;
-  bool any_decode_ = false;
-  bool any_large_enough_ = false;
 };
 
-void Candidates::Offer(std::uint32_t index, const EngineView& engine, std::int32_t cached_tokens) {
-  const std::uint32_t domain = engine.failure_domain % domains_;
-  const double distance_ms =
-      engine.failure_domain < domains_
-          ? entry_ms_[domain]
-          : DistanceMs(fleet_, job_.request.failure_domain, engine.failure_domain);
-  if (engine.role != EngineRole::kDecode && job_.CanPrefill(engine)) {
-    Replace(prefill_[domain][job_.PrefillCrowding(engine)], index,
-            job_.PrefillSideMs(engine, distance_ms, cached_tokens));
+/// Rejects most engines by a lower bound of their scores, without a division and before the checks
+/// whose outcome is hard to predict.
+void Candidates::Scan(std::uint32_t index, const EngineView& engine, double uncached_tokens) {
+  const std::uint32_t list = ListOf(engine);
+  const double entry_ms = EntryMs(engine);
+  const double rate = RateOr(engine.prefill_tokens_per_s, job_.policy.default_prefill_tokens_per_s);
+  const double link_rate = RateOr(engine.link_bytes_per_s, job_.policy.default_link_bytes_per_s);
+  const double tokens =
+      kMsPerSecond * (static_cast<double>(engine.queued_prefill_tokens) + uncached_tokens);
+  const double queued_bytes = kMsPerSecond * static_cast<double>(engine.link_queue_bytes);
+  if (engine.role != EngineRole::kDecode) {
+    const double limit_ms = prefill_[list][kRoomy].score_ms - kPrefillHops * entry_ms;
+    const double bytes =
+        queued_bytes + kMsPerSecond * job_.request.prompt_tokens * engine.kv_bytes_per_token;
+    if (tokens * link_rate + bytes * rate <= limit_ms * rate * link_rate) {
+      OfferPrefill(index, engine, 0);
+    }
   }
   if (engine.role != EngineRole::kPrefill) {
-    OfferDecode(index, engine, cached_tokens, domain, distance_ms);
+    const double decode_limit_ms =
+        decode_[list][kRoomy].score_ms - kDecodeHops * entry_ms - engine.decode_token_ms;
+    const double in_place_limit_ms =
+        in_place_[kRoomy].score_ms - kInPlaceHops * entry_ms - engine.decode_token_ms;
+    if (queued_bytes <= decode_limit_ms * link_rate || tokens <= in_place_limit_ms * rate) {
+      OfferDecode(index, engine, 0);
+    }
+  }
+}
+
+void Candidates::OfferPrefill(std::uint32_t index, const EngineView& engine,
+                              std::int32_t cached_tokens) {
+  if (engine.role != EngineRole::kDecode && job_.CanPrefill(engine)) {
+    Replace(prefill_[ListOf(engine)], job_.PrefillCrowding(engine), index,
+            job_.PrefillSideMs(engine, EntryMs(engine), cached_tokens));
   }
 }
 
 void Candidates::OfferDecode(std::uint32_t index, const EngineView& engine,
-                             std::int32_t cached_tokens, std::uint32_t domain, double distance_ms) {
-  any_decode_ = any_decode_ || !IsExcluded(job_.request, index);
-  any_large_enough_ = any_large_enough_ || engine.total_pieces >= job_.pieces;
-  if (!job_.CanDecode(engine)) {
+                             std::int32_t cached_tokens) {
+  if (engine.role == EngineRole::kPrefill || !job_.CanDecode(engine)) {
     return;
   }
   const Crowding crowding = job_.DecodeCrowding(engine);
-  Replace(decode_[domain][crowding], index, job_.DecodeSideMs(engine, distance_ms));
-  Replace(in_place_[crowding], index,
-          job_.InPlaceMs(engine, distance_ms, cached_tokens) +
-              job_.InterferenceMs(engine, cached_tokens));
+  const double entry_ms = EntryMs(engine);
+  Replace(decode_[ListOf(engine)], crowding, index, job_.DecodeSideMs(engine, entry_ms));
+  Replace(
+      in_place_, crowding, index,
+      job_.InPlaceMs(engine, entry_ms, cached_tokens) + job_.InterferenceMs(engine, cached_tokens));
 }
 
 void Candidates::Consider(const Candidate& prefill, std::uint32_t prefill_crowding,
@@ -372,6 +411,28 @@
                "retry later; check 'upstream list'"};
 }
 
+/// Not inlined: it runs for refusals only, and GCC 12 warns wrongly of the inlined string copies.
+[[gnu::noinline]] Error WhyNot(const Job& job, const FleetView& fleet) {
+  bool any_decode = false;
+  bool any_large_enough = false;
+  for (std::uint32_t i = 0; i < fleet.engines.size(); ++i) {
+    const EngineView& engine = fleet.engines[i];
+    if (Serves(job.request, engine) && engine.role != EngineRole::kPrefill) {
+      any_decode = any_decode || !IsExcluded(job.request, i);
+      any_large_enough = any_large_enough || engine.total_pieces >= job.pieces;
+    }
+  }
+  if (!any_decode) {
+    return NoDecodeEngine();
+  }
+  if (!any_large_enough) {
+    return Error{ErrorKind::kInvalidArgument, "no engine of the model can hold the request",
+                 "send a shorter prompt or ask for less output"};
+  }
+  return Error{ErrorKind::kOverloaded, "no engine has room for the request",
+               "retry later; check 'upstream list'"};
+}
+
 }  // namespace
 
 std::int32_t PiecesFor(std::int32_t prompt_tokens, std::int32_t output_tokens) {
@@ -432,15 +493,7 @@
     Estimate(job, fleet, best.route);
     return best.route;
   }
-  if (!candidates.any_decode()) {
-    return NoDecodeEngine();
-  }
-  if (!candidates.any_large_enough()) {
-    return Error{ErrorKind::kInvalidArgument, "no engine of the model can hold the request",
-                 "send a shorter prompt or ask for less output"};
-  }
-  return Error{ErrorKind::kOverloaded, "no engine has room for the request",
-               "retry later; check 'upstream list'"};
+  return WhyNot(job, fleet);
 }
 
 Result<Route> ChooseRouteNaive(const RouteRequest& request, const FleetView& fleet,
