core/route: prefill prompts of one piece in place

Change: RoutePolicy::in_place_prompt_tokens is 2,048 instead of 512. Up to that size prefill at a decode engine carries no interference charge.

The settings default of 512 still overrides it in programs that pass their settings; it should follow.

--- a/core/route.h
+++ b/core/route.h
@@ -76,7 +76,7 @@
 };
 
 struct RoutePolicy {
-  std::int32_t in_place_prompt_tokens = 512;
+  std::int32_t in_place_prompt_tokens = 2'048;
   double hold_margin_ms = 500;
   /// Range of the seeded random term that is added to the score of each engine. A chosen route has
   /// a score at most twice this above the best.
