core/route: charge prefill in place its full time as interference

Cause: with short prompts exempt, long prompts were still prefilled at decode engines when the prefill queues were long, which stalls all streams there.

Change: RoutePolicy::in_place_interference is 1.0 instead of 0.5.

--- a/core/route.h
+++ b/core/route.h
@@ -88,7 +88,7 @@
   double crowded_free_share = 0.2;
   /// Prefill in place delays the streams of an engine in the decode role. Its time counts once more
   /// with this weight when more than in_place_prompt_tokens are uncached.
-  double in_place_interference = 0.5;
+  double in_place_interference = 1.0;
   /// Stand in for rates that an engine has not reported yet.
   double default_prefill_tokens_per_s = 10'000;
   double default_link_bytes_per_s = 1e9;
