tests/core: routes with more failure domains than candidate lists

Cause: above 32 failure domains the candidate lists are shared, and no test covered that path.

Change: a property with 40 domains: a route is found whenever exhaustive search finds one, and it is worse by at most the messages of one transfer.

--- a/tests/core/route_test.cc
+++ b/tests/core/route_test.cc
@@ -147,6 +147,27 @@
   }));
 }
 
+// Guards against routes lost when more failure domains exist than candidate lists. The shared lists
+// ignore the distance between engines, so a route may be worse by one transfer's messages.
+Test(route, many_domains_stay_near_the_best) {
+  cr_assert(rc::check("routes stay near the best with 40 domains", [] {
+    State state = RandomState(40);
+    state.request.patient = false;
+    const FleetView fleet = state.fleet(40);
+    const std::optional<RouteScore> best = SearchAllPairs(state, fleet);
+    const Result<Route> chosen = ChooseRoute(state.request, fleet, state.policy);
+    RC_ASSERT(chosen.has_value() == best.has_value());
+    if (best) {
+      const RouteScore score =
+          ScoreRoute(state.request, fleet, state.policy, chosen.value().prefill_engine,
+                     chosen.value().decode_engine);
+      const double farthest = *std::max_element(fleet.one_way_ms.begin(), fleet.one_way_ms.end());
+      RC_ASSERT(score.feasible);
+      RC_ASSERT(score.score_ms <= best->score_ms + 2 * farthest + 1e-6);
+    }
+  }));
+}
+
 // Guards against a cached prefix that draws a request to an engine slower than the best one without
 // the cache.
 Test(route, affinity_is_bounded) {
