Drain agents of leaving VMs, let begun streams wait, prefill short prompts in place

Change: Drain frame to agents whose VM is listed as leaving and from POST /upstreams/<id>/drain; streams that have begun wait like patient requests; the request's hash breaks ties between routes; default 2,048.

--- a/entry/agent_links.cc
+++ b/entry/agent_links.cc
@@ -126,6 +126,14 @@
   });
 }
 
+Result<void> AgentLinks::Drain(const std::string& agent_id, const std::string& reason) {
+  wire::Drain drain;
+  drain.reason = reason;
+  wire::Frame frame;
+  frame.__set_drain(drain);
+  return Send(agent_id, frame);
+}
+
 Result<void> AgentLinks::DialOnDemand(const std::string& agent_id) {
   std::string address;
   {
@@ -258,6 +266,9 @@
     targets_.fleet.OnLinkUp(hello);
     SendHeldCancels(link);
     targets_.attempts.NotifyLinkRestored(hello.process_id, hello.incarnation);
+    if (targets_.fleet.IsListedLeaving(hello.process_id)) {
+      static_cast<void>(Drain(hello.process_id, "its VM is listed as leaving"));
+    }
   }
 }
 
--- a/entry/agent_links.h
+++ b/entry/agent_links.h
@@ -56,6 +56,8 @@
   void DialFixed(const std::vector<std::string>& addresses);
   /// Dials the agents and some of the entries in the list.
   void FollowVmList(const platform::VmList& list);
+  /// Asks an agent to drain. Errors: those of Send.
+  Result<void> Drain(const std::string& agent_id, const std::string& reason);
   /// Stops dialling addresses that have left the list and whose link is down. The list lags, so a
   /// link that is up is kept: requests may run over it.
   void DropUnlisted();
--- a/entry/entry.cc
+++ b/entry/entry.cc
@@ -15,6 +15,9 @@
 /// connections of the load balancer.
 constexpr std::size_t kMaxCallerConnections = 1'024;
 constexpr Milliseconds kDrainStep{20};
+constexpr int kStatusAccepted = 202;
+constexpr int kStatusNotFound = 404;
+constexpr const char* kJson = "application/json";
 /// How often dialers of VMs that are gone are looked for.
 constexpr Milliseconds kDropInterval{5'000};
 /// Cut requests get this time to tell their callers.
@@ -69,11 +72,7 @@
     BOOST_OUTCOME_TRY(operator_server, HttpServer::Create(operator_options));
     operator_server_ = std::move(operator_server);
     settings_service_->RegisterRoutes(*operator_server_);
-    operator_server_->routes().Get(
-        "/upstreams", [this](const httplib::Request&, httplib::Response& response) {
-          const nlohmann::json body = {{"upstreams", fleet_.Upstreams()}};
-          response.set_content(body.dump(2), "application/json");
-        });
+    RegisterUpstreamRoutes();
     control::RegisterOperatorRoutes(*operator_server_, metrics_,
                                     {[this] {
                                        const std::optional<Refusal> closed = Closed();
@@ -165,12 +164,36 @@
           {"fleet", fleet_.Dump()}};
 }
 
+void Entry::RegisterUpstreamRoutes() {
+  httplib::Server& routes = operator_server_->routes();
+  routes.Get("/upstreams", [this](const httplib::Request&, httplib::Response& response) {
+    const nlohmann::json body = {{"upstreams", fleet_.Upstreams()}};
+    response.set_content(body.dump(2), kJson);
+  });
+  routes.Post(R"(/upstreams/([^/]+)/drain)", [this](const httplib::Request& request,
+                                                    httplib::Response& response) {
+    const Result<void> sent = links_->Drain(request.matches[1].str(), "an operator asked for it");
+    nlohmann::json body = {{"draining", true}};
+    response.status = kStatusAccepted;
+    if (!sent) {
+      response.status = kStatusNotFound;
+      body = {{"error",
+               {{"kind", "no_link"},
+                {"message", sent.error().message},
+                {"remedy", "use POST /drain on the agent itself"}}}};
+    }
+    response.set_content(body.dump(2), kJson);
+  });
+}
+
 void Entry::OnVmList() {
   const std::shared_ptr<const platform::VmList> list = vm_directory_->current();
   std::set<std::string> leaving;
   for (const platform::Vm& vm : list->vms) {
-    if (vm.leaving) {
+    if (vm.leaving && vm.role == "agent") {
       leaving.insert(vm.id);
+      // An agent without a link is told when its link is up.
+      static_cast<void>(links_->Drain(vm.id, "its VM is listed as leaving"));
     }
   }
   fleet_.SetListedLeaving(std::move(leaving));
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -52,6 +52,7 @@
   std::optional<Refusal> Closed() const;
   nlohmann::json State() const;
   void OnVmList();
+  void RegisterUpstreamRoutes();
 
   settings::BootConfig boot_;
   std::unique_ptr<platform::PlatformStore> store_;
--- a/entry/fleet_table.cc
+++ b/entry/fleet_table.cc
@@ -63,6 +63,11 @@
   }
 }
 
+bool FleetTable::IsListedLeaving(const std::string& agent_id) const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return listed_leaving_.contains(agent_id);
+}
+
 void FleetTable::SetListedLeaving(std::set<std::string> agent_ids) {
   const std::lock_guard<std::mutex> lock(mutex_);
   listed_leaving_ = std::move(agent_ids);
@@ -269,7 +274,10 @@
                     {"state", state},
                     {"failure_domain", agent.failure_domain},
                     {"service", agent.report ? agent.report->service_name : ""},
-                    {"model", agent.report ? agent.report->model : ""}});
+                    {"model", agent.report ? agent.report->model : ""},
+                    {"running", agent.report ? agent.report->running : 0},
+                    {"queued", agent.report ? agent.report->queued : 0},
+                    {"free_pieces", agent.report ? agent.report->free_pieces : 0}});
   }
   return rows;
 }
--- a/entry/fleet_table.h
+++ b/entry/fleet_table.h
@@ -50,6 +50,7 @@
   void OnLinkDown(const std::string& agent_id);
   /// Agents whose VMs the platform lists as leaving; they get no new work.
   void SetListedLeaving(std::set<std::string> agent_ids);
+  bool IsListedLeaving(const std::string& agent_id) const;
   /// The agent refused work because it is leaving; counts until its next report.
   void NoteLeaving(const std::string& agent_id);
   void OnReport(const std::string& agent_id, const wire::LoadReport& report);
--- a/entry/generation_driver.cc
+++ b/entry/generation_driver.cc
@@ -133,6 +133,7 @@
   query.request.pace_target_ms = static_cast<double>(settings.pace_target_ms);
   query.request.patient = settings.patient;
   query.request.suspect = CrashCount() > 0;
+  query.request.seed = Hash64(request_.request_id);
   query.excluded_agents = excluded_;
   return query;
 }
@@ -161,7 +162,7 @@
                                        ? core::FailureKind::kOverloaded
                                        : core::FailureKind::kUnavailable;
     const Refusal refusal = NoRouteRefusal(chosen.error());
-    if (failures_ == 0 && !settings.patient) {
+    if (failures_ == 0 && !MayWait()) {
       Fail(refusal);
     } else {
       RetryLater(kind, refusal);
@@ -508,8 +509,9 @@
 
 void GenerationDriver::RetryLater(core::FailureKind kind, const Refusal& refusal) {
   const Service& service = *request_.service;
-  const bool waits_for_room = service.settings.patient && (kind == core::FailureKind::kOverloaded ||
-                                                           kind == core::FailureKind::kUnavailable);
+  const bool waits_for_room =
+      MayWait() && (kind == core::FailureKind::kOverloaded ||
+                    kind == core::FailureKind::kUnavailable || kind == core::FailureKind::kSuspect);
   if (waits_for_room) {
     // A patient request is queued here, so room refusals do not use up its attempts.
     excluded_.clear();
@@ -527,7 +529,7 @@
       return;
     }
     refusal_ = refusal;
-    if (!TakeFromBudget() && !service.settings.patient) {
+    if (!TakeFromBudget() && !MayWait()) {
       Fail(refusal);
       return;
     }
@@ -535,6 +537,10 @@
   ScheduleRetry(waits_for_room || owes_budget_ ? kRoomBackOff : kRetryBackOff);
 }
 
+bool GenerationDriver::MayWait() const {
+  return request_.service->settings.patient || !delivered_.empty();
+}
+
 void GenerationDriver::ScheduleRetry(const core::BackOff& back_off) {
   ++retries_;
   const double wait_ms = core::BackOffMs(back_off, retries_, Hash64(request_.request_id));
--- a/entry/generation_driver.h
+++ b/entry/generation_driver.h
@@ -82,6 +82,9 @@
                    Refusal refusal);
   void FailLost(Attempt& attempt, const std::string& message);
   void RetryLater(core::FailureKind kind, const Refusal& refusal);
+  /// Whether the request waits for room and for the retry budget instead of failing: patient
+  /// callers do, and so does a stream that has begun, because its start is already delivered.
+  bool MayWait() const;
   void ScheduleRetry(const core::BackOff& back_off);
   bool TakeFromBudget();
   void Fail(Refusal refusal);
--- a/settings/settings.h
+++ b/settings/settings.h
@@ -28,7 +28,7 @@
   std::int64_t expected_output_tokens = 225;
 
   // Routing.
-  std::int64_t in_place_prompt_tokens = 512;
+  std::int64_t in_place_prompt_tokens = 2'048;
   std::int64_t hold_margin_ms = 500;
   double transfer_slack = 2.0;
   std::int64_t transfer_base_ms = 100;
--- a/tests/agent/process_test.cc
+++ b/tests/agent/process_test.cc
@@ -89,8 +89,8 @@
   ~Site() { unlink(config.c_str()); }
 
   Process StartEngine() const {
-    return Process({"standin-engine", "--listen", "127.0.0.1:" + std::to_string(engine),
-                    "--decode-ms", "5"});
+    return Process(
+        {"standin-engine", "--listen", "127.0.0.1:" + std::to_string(engine), "--decode-ms", "5"});
   }
   Process StartPlatform() const {
     return Process({"standin-platform", "--listen", "127.0.0.1:" + std::to_string(platform)});
@@ -147,8 +147,8 @@
   const Process platform = site.StartPlatform();
   Process engine = site.StartEngine();
   Process agent = site.StartAgent();
-  std::shared_ptr<TestEntry> entry = site.Entry(
-      R"({"values":{"drain_timeout_ms":1000,"lease_ms":60000,"pace_target_ms":50}})");
+  std::shared_ptr<TestEntry> entry =
+      site.Entry(R"({"values":{"drain_timeout_ms":1000,"lease_ms":60000,"pace_target_ms":50}})");
   entry->Submit(Generation("a1", wire::WorkKind::GENERATE, 3000));
   cr_assert(WaitUntil([&] { return entry->Of("a1").output.size() > 40; }));
   agent.Signal(SIGTERM);
