Poll the VM list at the boot interval until settings are known

Cause: a process that reads the VM list before its settings waits for the default vm_poll_ms of 5 s, whatever the settings say. A VM listed as leaving got new work for longer than the bound of 3 s.

Change: VmDirectory::PollInterval uses the boot interval while the replica has no settings.

Figures: with vm_poll_ms 500 an entry still had list version 1 two seconds after version 2 was published; shutdown_proof.leaving_vm_gets_no_new_work failed before and passes now.

Conclusion: the interval in force is used from the second read on.

--- a/control/vm_directory.cc
+++ b/control/vm_directory.cc
@@ -9,7 +9,7 @@
 namespace rattanramp::control {
 namespace {
 
-/// Poll interval until the first list is known.
+/// Poll interval until the first list and the first settings are known.
 constexpr Milliseconds kBootPoll{1000};
 
 using VmsById = std::map<std::string_view, const platform::Vm*>;
@@ -162,7 +162,9 @@
 
 Milliseconds VmDirectory::PollInterval() const {
   const Milliseconds interval(replica_.current()->tree.Resolve("", "", "").vm_poll_ms);
-  return current()->version == 0 ? std::min(interval, kBootPoll) : interval;
+  // Without settings the interval is only the default, which may be far from the one in force.
+  const bool booting = current()->version == 0 || replica_.version() == 0;
+  return booting ? std::min(interval, kBootPoll) : interval;
 }
 
 }  // namespace rattanramp::control
