Read the number of running requests in the proofs as a number

Cause: shutdown_proof and stream_proof treated 'running' of /v1/truth as an array. It is a number, whose size() is 1 and which is never empty, so an idle engine counted as busy: drained_agent_with_platform_down failed wrongly, and the assertion that an engine is busy could not fail.

Change: both read the number; an engine that does not answer fails the test.

--- a/tests/proofs/shutdown_proof.cc
+++ b/tests/proofs/shutdown_proof.cc
@@ -31,7 +31,8 @@
 
 std::size_t RunningAt(const TestFleet& fleet, const std::string& engine) {
   const json truth = GetJson(fleet.upstream_url(engine), "/v1/truth");
-  return truth.is_object() ? truth.value("running", json::array()).size() : 0;
+  cr_assert(truth.is_object(), "%s does not answer", engine.c_str());
+  return truth.at("running").get<std::size_t>();
 }
 
 std::vector<std::thread> StartStreams(const TestFleet& fleet, int count,
--- a/tests/proofs/stream_proof.cc
+++ b/tests/proofs/stream_proof.cc
@@ -50,7 +50,7 @@
 std::string BusyDecodeEngine(const TestFleet& fleet) {
   for (const char* name : {"engine-1", "engine-2"}) {
     const json truth = GetJson(fleet.upstream_url(name), "/v1/truth");
-    if (truth.is_object() && !truth.value("running", json::array()).empty()) {
+    if (truth.is_object() && truth.at("running").get<int>() > 0) {
       return name;
     }
   }
