Ask agents about silent attempts and let patient suspects wait

Cause: an entry that was paused for longer than the lease but shorter than the silence deadline kept its links, while the agent had dropped the attempt; the request waited until its deadline. Patient requests that ran beside a crash were refused as suspects by the only engine left and used up max_attempts.

Change: an open attempt of which nothing was heard for lease_ms is asked about with Resume. A patient request waits when an agent refuses it as a suspect.

Conclusion: a lost message about an attempt costs at most one lease.

--- a/entry/attempt.cc
+++ b/entry/attempt.cc
@@ -15,6 +15,7 @@
   attempt.kind = submit.kind;
   attempt.incarnation = parts.links.IncarnationOf(agent_id).value_or(0);
   attempt.open = true;
+  attempt.heard_at = parts.clock.now();
   submit.attempt_id = attempt.id;
   wire::Frame frame;
   frame.submit = std::move(submit);
@@ -53,6 +54,15 @@
   static_cast<void>(parts.links.Send(attempt.agent_id, frame));
 }
 
+void AskIfSilent(const DriverParts& parts, Attempt& attempt, Milliseconds lease,
+                 std::int64_t offset) {
+  const TimePoint now = parts.clock.now();
+  if (attempt.open && !attempt.lost_at && now - attempt.heard_at >= lease) {
+    attempt.heard_at = now;
+    SendResume(parts, attempt, offset);
+  }
+}
+
 TimePoint LeaseEnd(const Attempt& attempt, Milliseconds lease) {
   return attempt.lost_at ? *attempt.lost_at + lease : TimePoint::max();
 }
--- a/entry/attempt.h
+++ b/entry/attempt.h
@@ -42,6 +42,8 @@
   bool granted = false;
   /// Set while the link to the agent is down.
   std::optional<TimePoint> lost_at;
+  /// Last message of the agent about the attempt, or last question to it.
+  TimePoint heard_at;
 };
 
 /// Registers the attempt and sends the Submit, whose attempt_id is filled in. Errors: those of
@@ -59,6 +61,11 @@
 /// Asks the agent to send the output again from the offset.
 void SendResume(const DriverParts& parts, const Attempt& attempt, std::int64_t offset);
 
+/// Asks the agent about an attempt of which nothing was heard for the lease. An agent that has
+/// dropped the attempt, for example because this process was paused, then says so.
+void AskIfSilent(const DriverParts& parts, Attempt& attempt, Milliseconds lease,
+                 std::int64_t offset);
+
 /// Time at which an attempt whose link is down is given up; TimePoint::max() while it is up.
 TimePoint LeaseEnd(const Attempt& attempt, Milliseconds lease);
 
--- a/entry/call_driver.cc
+++ b/entry/call_driver.cc
@@ -213,6 +213,7 @@
     SendResume(parts_, attempt, stream_.next_offset);
     return std::nullopt;
   }
+  attempt.heard_at = parts_.clock.now();
   parts_.fleet.NoteAcknowledged(attempt.agent_id, attempt.id);
   if (const auto* chunk = std::get_if<std::unique_ptr<wire::Chunk>>(&event.body)) {
     answer_.body += core::AcceptChunk(stream_, (*chunk)->offset, (*chunk)->data);
@@ -254,6 +255,7 @@
 }
 
 std::optional<CallDriver::Failure> CallDriver::CheckStop(Attempt& attempt) {
+  AskIfSilent(parts_, attempt, lease_, stream_.next_offset);
   const TimePoint now = parts_.clock.now();
   Failure failure;
   failure.kind = core::FailureKind::kRejected;
--- a/entry/generation_driver.cc
+++ b/entry/generation_driver.cc
@@ -286,6 +286,7 @@
     OnLinkRestored(attempt, restored->incarnation);
     return;
   }
+  attempt.heard_at = parts_.clock.now();
   parts_.fleet.NoteAcknowledged(attempt.agent_id, attempt.id);
   if (std::holds_alternative<std::unique_ptr<wire::Granted>>(event.body)) {
     OnGranted(attempt);
@@ -449,6 +450,8 @@
   if (phase_ != Phase::kRunning) {
     return;
   }
+  AskIfSilent(parts_, prefill_, lease_, 0);
+  AskIfSilent(parts_, decode_, lease_, stream_.next_offset);
   if (now >= LeaseEnd(decode_, lease_)) {
     FailLost(decode_, "the link to the agent stayed down for the lease");
   } else if (gap_since_ == TimePoint::max() || decode_.lost_at) {
@@ -508,8 +511,10 @@
 
 void GenerationDriver::RetryLater(core::FailureKind kind, const Refusal& refusal) {
   const Service& service = *request_.service;
-  const bool waits_for_room = service.settings.patient && (kind == core::FailureKind::kOverloaded ||
-                                                           kind == core::FailureKind::kUnavailable);
+  const bool waits_for_room =
+      service.settings.patient &&
+      (kind == core::FailureKind::kOverloaded || kind == core::FailureKind::kUnavailable ||
+       kind == core::FailureKind::kSuspect);
   if (waits_for_room) {
     // A patient request is queued here, so room refusals do not use up its attempts.
     excluded_.clear();
--- a/tests/entry/entry_failover_test.cc
+++ b/tests/entry/entry_failover_test.cc
@@ -119,6 +119,29 @@
   cr_assert_eq(engine->submits(wire::WorkKind::GENERATE).size(), 1);
 }
 
+// Guards against waiting until the deadline for an attempt that the agent has dropped while the
+// link stayed up, as it does when the entry was paused for longer than the lease.
+Test(entry_failover, dropped_attempt_is_noticed) {
+  const std::shared_ptr<std::atomic<bool>> dropped = std::make_shared<std::atomic<bool>>(false);
+  const std::shared_ptr<FakeAgent> engine =
+      Engine("e1", wire::EngineRole::BOTH, [dropped](FakeAgent& agent, const wire::Frame& frame) {
+        if (frame.__isset.resume) {
+          agent.SendFailedEnd(frame.resume.attempt_id, wire::RefusalKind::LEASE_EXPIRED,
+                              wire::Outcome::UNKNOWN);
+          return true;
+        }
+        if (!frame.__isset.submit || dropped->exchange(true)) {
+          return false;
+        }
+        agent.SendTokens(frame.submit, 0, 3);
+        return true;
+      });
+  const EntryFixture fixture({engine});
+  const TimePoint start = DefaultClock().now();
+  ExpectWholeStream(fixture, "chat", "dropped", 10);
+  cr_assert_lt(ToMs(DefaultClock().now() - start), 3'000);
+}
+
 // Guards against text that is lost when an agent sends faster than the caller takes it: events that
 // do not fit into the ring of the request are asked for again.
 Test(entry_failover, burst_above_the_ring_is_sent_again) {
