--- a/entry/generation_driver.cc
+++ b/entry/generation_driver.cc
@@ -287,6 +287,7 @@
     OnLinkRestored(attempt, restored->incarnation);
     return;
   }
+  attempt.heard_at = parts_.clock.now();
   parts_.fleet.NoteAcknowledged(attempt.agent_id, attempt.id);
   if (std::holds_alternative<std::unique_ptr<wire::Granted>>(event.body)) {
     OnGranted(attempt);
@@ -450,6 +451,8 @@
   if (phase_ != Phase::kRunning) {
     return;
   }
+  AskIfSilent(parts_, prefill_, lease_, 0);
+  AskIfSilent(parts_, decode_, lease_, stream_.next_offset);
   if (now >= LeaseEnd(decode_, lease_)) {
     FailLost(decode_, "the link to the agent stayed down for the lease");
   } else if (gap_since_ == TimePoint::max() || decode_.lost_at) {
