End an expired hold as no_room, so that a patient request is tried again

Ruled out: the request's own deadline and the prefill queue. The agent ended a decode hold whose prefill was late with the kind DEADLINE, which entries take as final.

Change: the hold ends with NO_ROOM, not run; the entry then waits for room and routes again. The agent test asserts the kind.

Conclusion: kept; a lost verdict is worse than a second prefill.

--- a/agent/generation.cc
+++ b/agent/generation.cc
@@ -501,7 +501,8 @@
     Attempt* attempt = attempts_.Find(id);
     if (attempt != nullptr && attempt->phase == Phase::kHeld) {
       attempts_.Finish(*attempt,
-                       MakeFailure(wire::RefusalKind::DEADLINE, wire::Outcome::NOT_RUN,
+                       // Not DEADLINE: the caller still waits, only the reserved room is gone.
+                       MakeFailure(wire::RefusalKind::NO_ROOM, wire::Outcome::NOT_RUN,
                                    "hold ended before the prefill was done", "submit it again"));
       context_.load_changed(false);
     }
--- a/tests/agent/generation_test.cc
+++ b/tests/agent/generation_test.cc
@@ -59,7 +59,9 @@
   cr_assert_eq(refused->load.free_pieces, 0);
 }
 
-// Guards against room that stays held for a prefill that never arrives.
+// Guards against room that stays held for a prefill that never arrives, and against an end that
+// entries take for the deadline of the request, which loses a patient request whose prefill is
+// late.
 Test(generation, hold_without_start_decode_ends_not_run) {
   Fixture fixture = StartReadyAgent("engine");
   wire::Submit submit = Generation("a1", wire::WorkKind::DECODE, 20);
@@ -67,6 +69,7 @@
   fixture.entry->Submit(submit);
   cr_assert(fixture.entry->WaitEnd("a1"));
   cr_assert_eq(fixture.entry->Of("a1").end->outcome, wire::Outcome::NOT_RUN);
+  cr_assert_eq(fixture.entry->Of("a1").end->error, wire::RefusalKind::NO_ROOM);
   cr_assert(WaitUntil([&] { return fixture.entry->report().free_pieces == 20; }));
 }
 
