Take test and fleet ports from below the range of outgoing connections

Ports were found by binding port 0, which gives ports that the kernel may hand to an outgoing connection a moment later, or computed up to 36,000, inside that range.

Change: scripts/fleet.py and tests/support/free_port take ports from 20,000 to 29,999. Temporary files use the system's temporary directory.

--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -1,5 +1,6 @@
 """Starts and stops a small fleet of real processes on loopback for the demo and the measurements."""
 
+import itertools
 import json
 import os
 import signal
@@ -9,16 +10,26 @@
 import urllib.request
 
 START_TIMEOUT_S = 30
+FIRST_PORT = 20_000
+PORT_COUNT = 10_000
+# Runs that follow each other start at different ports.
+PORT_COUNTER = itertools.count(os.getpid() * 97)
 
 
 def free_ports(count):
-    """Returns distinct ports that were free a moment ago."""
-    sockets = [socket.socket() for _ in range(count)]
-    for sock in sockets:
-        sock.bind(("127.0.0.1", 0))
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
+    """Returns distinct free ports below the range that the kernel gives to outgoing connections.
+
+    A port of that range can be taken by a connection before the process that it is meant for binds.
+    """
+    ports = []
+    while len(ports) < count:
+        port = FIRST_PORT + next(PORT_COUNTER) % PORT_COUNT
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        ports.append(port)
     return ports
 
 
--- a/tests/agent/process_test.cc
+++ b/tests/agent/process_test.cc
@@ -7,10 +7,12 @@
 #include <unistd.h>
 
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 #include <nlohmann/json.hpp>
 
 #include "fixture.h"
+#include "tests/support/free_port.h"
 
 using namespace rattanramp;
 using namespace rattanramp::agent;
@@ -61,15 +63,14 @@
   return result ? json::parse(result->body, nullptr, false) : json();
 }
 
-/// Ports from the process id keep parallel test binaries apart.
 struct Site {
-  int base = 20'000 + (getpid() % 2'000) * 8;
-  int engine = base;
-  int platform = base + 1;
-  int operator_port = base + 2;
-  int link = base + 3;
-  int lock = base + 4;
-  std::string config = "/tmp/rattanramp-agent-test-" + std::to_string(getpid()) + ".json";
+  int engine = testing::FreePort();
+  int platform = testing::FreePort();
+  int operator_port = testing::FreePort();
+  int link = testing::FreePort();
+  int lock = testing::FreePort();
+  std::string config = std::filesystem::temp_directory_path() /
+                       ("rattanramp-agent-test-" + std::to_string(getpid()) + ".json");
 
   Site() {
     const auto address = [](int port) { return "127.0.0.1:" + std::to_string(port); };
--- a/tests/entry/entry_process_test.cc
+++ b/tests/entry/entry_process_test.cc
@@ -9,6 +9,7 @@
 #include <fstream>
 
 #include "tests/support/entry_agents.h"
+#include "tests/support/free_port.h"
 
 using namespace rattanramp;
 using namespace rattanramp::test_support;
@@ -105,15 +106,6 @@
   pid_t pid_ = -1;
 };
 
-int FreePort() {
-  HttpServerOptions options;
-  options.address = "127.0.0.1:0";
-  const std::unique_ptr<HttpServer> server = std::move(HttpServer::Create(options).value());
-  // Only a server that has run closes its listening socket.
-  server->Start();
-  return server->port();
-}
-
 /// Sends 2 tokens of a request for 6 and the rest after a pause; of a request for 7 nothing more.
 bool AnswerSlowly(FakeAgent& agent, const wire::Frame& frame) {
   if (!frame.__isset.submit || frame.submit.max_output_tokens < 6) {
@@ -135,7 +127,7 @@
 int StopDuringStream(int tokens, std::string* text, bool* done) {
   const std::shared_ptr<FakeAgent> engine = Engine("e1", wire::EngineRole::BOTH, &AnswerSlowly);
   const std::unique_ptr<HttpServer> platform = ServePlatform(engine->address());
-  EntryProcess process(FreePort(), platform->port());
+  EntryProcess process(testing::FreePort(), platform->port());
   process.WaitUntilServing();
   std::string body;
   std::thread caller([&] {
--- /dev/null
+++ b/tests/support/free_port.cc
@@ -0,0 +1,34 @@
+#include "tests/support/free_port.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cstdint>
+#include <cstdlib>
+
+namespace rattanramp::testing {
+
+int FreePort() {
+  constexpr int kFirstPort = 20'000;
+  constexpr int kPortCount = 10'000;
+  constexpr int kPidStride = 97;
+  static int next = getpid() * kPidStride;
+  for (int tries = 0; tries < kPortCount; ++tries) {
+    const int port = kFirstPort + (next++ & 0x7FFFFFFF) % kPortCount;
+    const int handle = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(static_cast<std::uint16_t>(port));
+    const bool is_free = bind(handle, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
+    close(handle);
+    if (is_free) {
+      return port;
+    }
+  }
+  std::abort();
+}
+
+}  // namespace rattanramp::testing
--- a/tests/support/test_fleet.cc
+++ b/tests/support/test_fleet.cc
@@ -1,10 +1,6 @@
 #include "tests/support/test_fleet.h"
 
-#include <arpa/inet.h>
 #include <httplib.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include <cstdlib>
 #include <filesystem>
@@ -14,6 +10,7 @@
 #include <utility>
 
 #include "base/ids.h"
+#include "tests/support/free_port.h"
 
 namespace rattanramp::testing {
 namespace {
@@ -27,20 +24,6 @@
   std::abort();
 }
 
-int FreePort() {
-  const int handle = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t size = sizeof(address);
-  if (bind(handle, reinterpret_cast<sockaddr*>(&address), size) != 0 ||
-      getsockname(handle, reinterpret_cast<sockaddr*>(&address), &size) != 0) {
-    FailSetup("no free port");
-  }
-  close(handle);
-  return ntohs(address.sin_port);
-}
-
 std::string FreeAddress() { return "127.0.0.1:" + std::to_string(FreePort()); }
 
 std::string BinDirectory() {
