--- a/tests/support/test_fleet.cc
+++ b/tests/support/test_fleet.cc
@@ -51,6 +51,14 @@
   WaitReady();
 }
 
+TestFleet::~TestFleet() {
+  processes_.clear();
+  if (std::getenv("RATTANRAMP_KEEP_LOGS") == nullptr) {
+    std::error_code ignored;
+    std::filesystem::remove_all(directory_, ignored);
+  }
+}
+
 ChildProcess& TestFleet::process(const std::string& name) { return *processes_.at(name); }
 
 void TestFleet::Restart(const std::string& name) {
--- a/tests/support/test_fleet.h
+++ b/tests/support/test_fleet.h
@@ -34,6 +34,10 @@
   /// Starts all processes and waits until every entry has a ready link to every agent. Fails the
   /// test otherwise.
   explicit TestFleet(FleetSpec spec);
+  /// Stops all processes. Removes their logs unless RATTANRAMP_KEEP_LOGS is set.
+  ~TestFleet();
+  TestFleet(const TestFleet&) = delete;
+  TestFleet& operator=(const TestFleet&) = delete;
 
   ChildProcess& process(const std::string& name);
   /// Starts a process again with the same arguments.
