--- a/tests/agent/fixture.h
+++ b/tests/agent/fixture.h
@@ -39,7 +39,9 @@
   parts.upstream = std::move(upstream);
   parts.store = std::move(platform);
   parts.clock = &DefaultClock();
-  fixture.agent = Agent::Create(std::move(parts)).value();
+  const std::shared_ptr<Agent> agent = Agent::Create(std::move(parts)).value();
+  // Link events hold the agent for a moment; the loop's thread must not release it last.
+  fixture.agent = {agent.get(), [agent](Agent*) { agent->Stop(); }};
   fixture.agent->Start();
   fixture.entry = TestEntry::Dial(fixture.agent->link_port());
   return fixture;
--- a/tests/agent/test_entry.h
+++ b/tests/agent/test_entry.h
@@ -53,7 +53,9 @@
     entry->loop_.Start();
     entry->dialer_->Start();
     cr_assert(WaitUntil([&] { return entry->ups_.load() > 0; }));
-    return entry;
+    // Link events hold the entry for a moment. Without this handle the loop's thread could release
+    // it last and would then join itself.
+    return {entry.get(), [entry](TestEntry*) { entry->loop_.Stop(); }};
   }
 
   ~TestEntry() override { loop_.Stop(); }
--- a/tests/support/fake_agent.h
+++ b/tests/support/fake_agent.h
@@ -56,7 +56,9 @@
         link::LinkListener::Create(*agent->loop_, address, link_options, agent).value();
     agent->listener_->Start();
     agent->loop_->Start();
-    return agent;
+    // Link events hold the agent for a moment. Without this handle the loop's thread could release
+    // it last and would then join itself.
+    return {agent.get(), [agent](FakeAgent*) { agent->Stop(); }};
   }
   ~FakeAgent() override { Stop(); }
 
