Say "repeated" only for repeats and trim ctl tables

Cause: a change whose reply from the platform was lost and then read back was reported as accepted by an earlier request, although this request made it. Tables had trailing spaces, and an empty upstream list was a blank line.

Change: the read-back reports the request's own repeat flag; tables are trimmed; `upstream list` says that there are none.

--- a/control/settings_store.cc
+++ b/control/settings_store.cc
@@ -257,7 +257,9 @@
       return Unknown(request, version.error().message);
     }
     if (version.value()) {
-      return ReadRepeated(store, replica, request, *version.value());
+      ChangeResult result = ReadRepeated(store, replica, request, *version.value());
+      result.repeated = request.repeat;
+      return result;
     }
     if (committed) {
       // The head moved past the condition of every transaction sent so far.
--- a/ctl/command_line.cc
+++ b/ctl/command_line.cc
@@ -90,6 +90,8 @@
       body.is_object() ? body.value("upstreams", nlohmann::json::array()) : body;
   if (output.json || !list.is_array()) {
     output.out << answer.value().text << "\n";
+  } else if (list.empty()) {
+    output.out << "no upstreams\n";
   } else {
     PrintObjects(list, output.out);
   }
--- a/ctl/table.cc
+++ b/ctl/table.cc
@@ -30,6 +30,7 @@
       line += row[i];
       column_begin += widths[i] + kColumnGap;
     }
+    line.erase(line.find_last_not_of(' ') + 1);
     out << line << "\n";
   }
 }
--- a/tests/control/settings_service_test.cc
+++ b/tests/control/settings_service_test.cc
@@ -124,6 +124,8 @@
   change["repeat"] = true;
   cr_assert(entry.Post(change, answer) == 503);
   cr_assert(answer["error"]["outcome"] == "unknown" && answer["error"]["change_id"] == "c1");
+  platform.SetFault(FakePlatform::Fault::kNone);
+  cr_assert(entry.Post(change, answer) == 200 && answer["repeated"] == false);
 }
 
 // Guards against an entry that is far behind and never catches up, and against a lost history.
