--- a/agent/agent.h
+++ b/agent/agent.h
@@ -22,7 +22,7 @@
 #include "control/settings_replica.h"
 #include "link/event_loop.h"
 #include "link/link_listener.h"
-#include "platform/platform_store.h"
+#include "store/platform_store.h"
 #include "settings/boot_config.h"
 
 namespace rattanramp::agent {
@@ -31,7 +31,7 @@
 struct AgentParts {
   settings::BootConfig boot;
   std::unique_ptr<UpstreamPort> upstream;
-  std::unique_ptr<platform::PlatformStore> store;
+  std::unique_ptr<store::PlatformStore> store;
   const Clock* clock = nullptr;
 };
 
@@ -103,7 +103,7 @@
 
   settings::BootConfig boot_;
   std::unique_ptr<UpstreamPort> upstream_;
-  std::unique_ptr<platform::PlatformStore> store_;
+  std::unique_ptr<store::PlatformStore> store_;
   const Clock& clock_;
   std::int64_t incarnation_;
   Metrics metrics_;
--- a/agent/call_store.cc
+++ b/agent/call_store.cc
@@ -37,7 +37,7 @@
   return key;
 }
 
-CallStore::CallStore(platform::PlatformStore& store, const Clock& clock, ClaimCallback on_claim)
+CallStore::CallStore(store::PlatformStore& store, const Clock& clock, ClaimCallback on_claim)
     : store_(store),
       clock_(clock),
       on_claim_(std::move(on_claim)),
@@ -125,13 +125,13 @@
 
 void CallStore::CommitGroup(std::vector<Item> claims) {
   while (!claims.empty()) {
-    platform::Transaction transaction;
+    store::Transaction transaction;
     for (const Item& claim : claims) {
       const std::string key = CallRowKey(claim.name);
       transaction.conditions.push_back({key, 0});
       transaction.writes.push_back({key, core::FormatIntent(claim.record)});
     }
-    const Result<platform::CommitResult> result = store_.Commit(transaction);
+    const Result<store::CommitResult> result = store_.Commit(transaction);
     if (!result) {
       const bool lost = result.error().kind == ErrorKind::kReplyLost;
       for (const Item& claim : claims) {
@@ -159,9 +159,9 @@
       }
       return;
     }
-    std::optional<platform::Row> row = result.value().conflict_row;
+    std::optional<store::Row> row = result.value().conflict_row;
     if (!row) {
-      const Result<std::optional<platform::Row>> read = store_.Read(conflict_key);
+      const Result<std::optional<store::Row>> read = store_.Read(conflict_key);
       if (read) {
         row = read.value();
       }
@@ -172,7 +172,7 @@
 }
 
 bool CallStore::CommitResults(const std::vector<Item>& results) {
-  platform::Transaction transaction;
+  store::Transaction transaction;
   for (const Item& item : results) {
     transaction.writes.push_back({CallRowKey(item.name), core::FormatIntent(item.record)});
   }
@@ -183,7 +183,7 @@
 void CallStore::ResolveLostReply(const Item& claim) {
   const std::string key = CallRowKey(claim.name);
   for (int attempt = 0; attempt < kReadBackTries; ++attempt) {
-    const Result<std::optional<platform::Row>> read = store_.Read(key);
+    const Result<std::optional<store::Row>> read = store_.Read(key);
     if (read && read.value()) {
       Answer(claim, core::ClaimStatus::kConflict, read.value());
       return;
@@ -198,7 +198,7 @@
 }
 
 void CallStore::Answer(const Item& claim, core::ClaimStatus status,
-                       const std::optional<platform::Row>& row) {
+                       const std::optional<store::Row>& row) {
   core::ClaimReply reply;
   reply.status = status;
   if (row) {
--- a/agent/call_store.h
+++ b/agent/call_store.h
@@ -12,7 +12,7 @@
 #include "base/bounded_queue.h"
 #include "base/clock.h"
 #include "core/ledger.h"
-#include "platform/platform_store.h"
+#include "store/platform_store.h"
 
 namespace rattanramp::agent {
 
@@ -26,7 +26,7 @@
   using ClaimCallback = std::function<void(const std::string& name, const std::string& attempt,
                                            const core::ClaimReply& reply)>;
 
-  CallStore(platform::PlatformStore& store, const Clock& clock, ClaimCallback on_claim);
+  CallStore(store::PlatformStore& store, const Clock& clock, ClaimCallback on_claim);
   ~CallStore();
   CallStore(const CallStore&) = delete;
   CallStore& operator=(const CallStore&) = delete;
@@ -57,9 +57,9 @@
   /// Returns whether the results are written.
   bool CommitResults(const std::vector<Item>& results);
   void ResolveLostReply(const Item& claim);
-  void Answer(const Item& claim, core::ClaimStatus status, const std::optional<platform::Row>& row);
+  void Answer(const Item& claim, core::ClaimStatus status, const std::optional<store::Row>& row);
 
-  platform::PlatformStore& store_;
+  store::PlatformStore& store_;
   const Clock& clock_;
   ClaimCallback on_claim_;
   BoundedQueue<Item> queue_;
--- a/agent/calls.cc
+++ b/agent/calls.cc
@@ -90,7 +90,7 @@
 
 }  // namespace
 
-Calls::Calls(AgentContext& context, AttemptTable& attempts, platform::PlatformStore& store)
+Calls::Calls(AgentContext& context, AttemptTable& attempts, store::PlatformStore& store)
     : context_(context),
       attempts_(attempts),
       next_forget_(context.clock.now()),
--- a/agent/calls.h
+++ b/agent/calls.h
@@ -17,7 +17,7 @@
 
 class Calls {
  public:
-  Calls(AgentContext& context, AttemptTable& attempts, platform::PlatformStore& store);
+  Calls(AgentContext& context, AttemptTable& attempts, store::PlatformStore& store);
 
   /// Grants, queues or refuses a new attempt.
   void Submit(Attempt& attempt);
--- a/agent/epoch.cc
+++ b/agent/epoch.cc
@@ -32,7 +32,7 @@
 
 }  // namespace
 
-Result<std::int64_t> TakeEpoch(platform::PlatformStore& store, const std::string& agent_id,
+Result<std::int64_t> TakeEpoch(store::PlatformStore& store, const std::string& agent_id,
                                std::int64_t incarnation) {
   const std::string key = "agents/" + agent_id + "/epoch";
   BOOST_OUTCOME_TRY(row, store.Read(key));
@@ -41,10 +41,10 @@
     return present.epoch;
   }
   const std::int64_t epoch = present.epoch + 1;
-  platform::Transaction transaction;
+  store::Transaction transaction;
   transaction.conditions.push_back({key, row ? row->version : 0});
   transaction.writes.push_back({key, json{{"epoch", epoch}, {"incarnation", incarnation}}.dump()});
-  const Result<platform::CommitResult> result = store.Commit(transaction);
+  const Result<store::CommitResult> result = store.Commit(transaction);
   if (!result) {
     if (result.error().kind != ErrorKind::kReplyLost) {
       return result.error();
@@ -62,7 +62,7 @@
   return epoch;
 }
 
-EpochKeeper::EpochKeeper(platform::PlatformStore& store, std::string agent_id,
+EpochKeeper::EpochKeeper(store::PlatformStore& store, std::string agent_id,
                          std::int64_t incarnation, std::function<void(std::int64_t)> on_epoch)
     : store_(store),
       agent_id_(std::move(agent_id)),
--- a/agent/epoch.h
+++ b/agent/epoch.h
@@ -7,21 +7,21 @@
 #include <string>
 #include <thread>
 
-#include "platform/platform_store.h"
+#include "store/platform_store.h"
 
 namespace rattanramp::agent {
 
 /// Increments `agents/<id>/epoch` and returns the new number. After a lost reply the row is read
 /// back and recognised by the incarnation in it. Errors: kUnavailable, kReplyLost (not known
 /// whether the number was taken; call again), kConflict (another process was faster; call again).
-Result<std::int64_t> TakeEpoch(platform::PlatformStore& store, const std::string& agent_id,
+Result<std::int64_t> TakeEpoch(store::PlatformStore& store, const std::string& agent_id,
                                std::int64_t incarnation);
 
 /// Takes the epoch on its own thread and repeats until the platform answers.
 class EpochKeeper {
  public:
   /// on_epoch is called once, on the keeper's thread.
-  EpochKeeper(platform::PlatformStore& store, std::string agent_id, std::int64_t incarnation,
+  EpochKeeper(store::PlatformStore& store, std::string agent_id, std::int64_t incarnation,
               std::function<void(std::int64_t)> on_epoch);
   ~EpochKeeper();
   EpochKeeper(const EpochKeeper&) = delete;
@@ -33,7 +33,7 @@
  private:
   void Loop();
 
-  platform::PlatformStore& store_;
+  store::PlatformStore& store_;
   std::string agent_id_;
   std::int64_t incarnation_;
   std::function<void(std::int64_t)> on_epoch_;
--- a/agent/program.cc
+++ b/agent/program.cc
@@ -11,7 +11,7 @@
 #include "base/log.h"
 #include "base/signals.h"
 #include "control/operator_port.h"
-#include "platform/http_platform.h"
+#include "store/http_platform.h"
 
 namespace rattanramp::agent {
 namespace {
@@ -115,7 +115,7 @@
   BlockStopSignals();
   BOOST_OUTCOME_TRYV(InitLogging(boot.id, options.log_level));
   BOOST_OUTCOME_TRY(upstream, MakeUpstream(boot.upstream));
-  BOOST_OUTCOME_TRY(store, platform::HttpPlatform::Create(boot.platform_url, kPlatformTimeout));
+  BOOST_OUTCOME_TRY(store, store::HttpPlatform::Create(boot.platform_url, kPlatformTimeout));
   HttpServerOptions server_options;
   server_options.address = boot.listen.operator_address;
   server_options.max_connections = kOperatorConnections;
--- a/base/log.cc
+++ b/base/log.cc
@@ -1,9 +1,14 @@
 #include "base/log.h"
 
+#include <fcntl.h>
 #include <spdlog/async.h>
+#include <spdlog/details/null_mutex.h>
+#include <spdlog/sinks/base_sink.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
+#include <unistd.h>
 
+#include <cerrno>
 #include <memory>
 
 namespace rattanramp {
@@ -26,8 +31,77 @@
   return spdlog::level::info;
 }
 
+/// Collects lines for FlushBufferedLog. Used from one thread.
+class BufferSink final : public spdlog::sinks::base_sink<spdlog::details::null_mutex> {
+ public:
+  void Write() {
+    if (dropped_ > 0 && buffer_.size() < kMaxBufferedLogBytes) {
+      buffer_ += "{\"event\":\"log_lines_dropped\",\"lines\":" + std::to_string(dropped_) + "}\n";
+      dropped_ = 0;
+    }
+    while (!buffer_.empty()) {
+      const ssize_t written = ::write(STDOUT_FILENO, buffer_.data(), buffer_.size());
+      if (written < 0 && errno == EINTR) {
+        continue;
+      }
+      if (written <= 0) {
+        // The reader is slow or gone; the lines wait, or are dropped when the buffer is full.
+        return;
+      }
+      buffer_.erase(0, static_cast<std::size_t>(written));
+    }
+  }
+
+ protected:
+  void sink_it_(const spdlog::details::log_msg& message) override {
+    if (buffer_.size() >= kMaxBufferedLogBytes) {
+      ++dropped_;
+      return;
+    }
+    spdlog::memory_buf_t line;
+    formatter_->format(message, line);
+    buffer_.append(line.data(), line.size());
+  }
+  void flush_() override {}
+
+ private:
+  std::string buffer_;
+  std::int64_t dropped_ = 0;
+};
+
+std::shared_ptr<BufferSink>& TheBufferSink() {
+  static std::shared_ptr<BufferSink> sink;
+  return sink;
+}
+
 }  // namespace
 
+Result<void> InitBufferedLogging(std::string_view process_id, std::string_view level) {
+  const spdlog::level::level_enum parsed = spdlog::level::from_str(std::string(level));
+  if (parsed == spdlog::level::off && level != "off") {
+    return Error{ErrorKind::kInvalidArgument, "unknown log level '" + std::string(level) + "'",
+                 "use debug, info, warning, error or off"};
+  }
+  const int flags = ::fcntl(STDOUT_FILENO, F_GETFL);
+  if (flags < 0 || ::fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK) < 0) {
+    return Error{ErrorKind::kIo, "standard output cannot be made non-blocking",
+                 "start the process with an open standard output"};
+  }
+  TheBufferSink() = std::make_shared<BufferSink>();
+  std::shared_ptr<spdlog::logger> logger =
+      std::make_shared<spdlog::logger>("rattanramp", TheBufferSink());
+  logger->set_pattern(kLinePrefix + std::string(process_id) + "\",%v}");
+  logger->set_level(parsed);
+  spdlog::set_default_logger(logger);
+  return Success();
+}
+
+void FlushBufferedLog() {
+  if (TheBufferSink()) {
+    TheBufferSink()->Write();
+  }
+}
+
 Result<void> InitLogging(std::string_view process_id, std::string_view level) {
   const spdlog::level::level_enum parsed = spdlog::level::from_str(std::string(level));
   if (parsed == spdlog::level::off && level != "off") {
--- a/base/log.h
+++ b/base/log.h
@@ -1,4 +1,5 @@
-// Structured logs: one JSON object a line on standard error, through spdlog's background thread.
+// Structured logs through spdlog, one JSON object a line: on standard error from a background
+// thread, or on standard output from an event loop.
 #pragma once
 
 #include <nlohmann/json.hpp>
@@ -14,6 +15,15 @@
 /// Sets up logging for a process. level is "debug", "info", "warning" or "error".
 Result<void> InitLogging(std::string_view process_id, std::string_view level);
 
+/// Logging for programs on one event loop: lines collect in memory and FlushBufferedLog, called
+/// from a timer, writes them to standard output without blocking. Lines beyond kMaxBufferedLogBytes
+/// are dropped and counted.
+Result<void> InitBufferedLogging(std::string_view process_id, std::string_view level);
+void FlushBufferedLog();
+
+/// About 3,000 lines: several seconds of requests of one process.
+inline constexpr std::size_t kMaxBufferedLogBytes = 1024 * 1024;
+
 /// Flushes and stops the log thread.
 void ShutdownLogging();
 
--- a/cmake/rattanramp.cmake
+++ b/cmake/rattanramp.cmake
@@ -5,12 +5,15 @@
 find_package(CLI11 REQUIRED)
 find_package(nlohmann_json REQUIRED)
 find_package(spdlog REQUIRED)
-find_package(rapidcheck REQUIRED)
 pkg_check_modules(HTTPLIB REQUIRED IMPORTED_TARGET cpp-httplib)
 pkg_check_modules(THRIFT REQUIRED IMPORTED_TARGET thrift)
-pkg_check_modules(CRITERION REQUIRED IMPORTED_TARGET criterion)
 pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
 
+if(BUILD_TESTING)
+  find_package(rapidcheck REQUIRED)
+  pkg_check_modules(CRITERION REQUIRED IMPORTED_TARGET criterion)
+endif()
+
 find_program(CCACHE_PROGRAM ccache)
 if(CCACHE_PROGRAM)
   # Precompiled headers need the two sloppiness flags; a base directory lets worktrees share hits.
--- a/control/settings_service.cc
+++ b/control/settings_service.cc
@@ -126,7 +126,7 @@
 
 }  // namespace
 
-SettingsService::SettingsService(platform::PlatformStore& store, SettingsReplica& replica,
+SettingsService::SettingsService(store::PlatformStore& store, SettingsReplica& replica,
                                  const Clock& clock, PushCallback push)
     : store_(store),
       replica_(replica),
--- a/control/settings_service.h
+++ b/control/settings_service.h
@@ -11,7 +11,7 @@
 #include "control/poll_thread.h"
 #include "control/settings_replica.h"
 #include "control/settings_store.h"
-#include "platform/platform_store.h"
+#include "store/platform_store.h"
 
 namespace rattanramp::control {
 
@@ -23,7 +23,7 @@
   using PushCallback = std::function<void(const wire::Frame&)>;
 
   /// store, replica and clock must outlive the service.
-  SettingsService(platform::PlatformStore& store, SettingsReplica& replica, const Clock& clock,
+  SettingsService(store::PlatformStore& store, SettingsReplica& replica, const Clock& clock,
                   PushCallback push);
 
   /// Polls the platform every settings_poll_ms, with jitter, on a thread of its own.
@@ -43,7 +43,7 @@
  private:
   Milliseconds PollInterval() const;
 
-  platform::PlatformStore& store_;
+  store::PlatformStore& store_;
   SettingsReplica& replica_;
   const Clock& clock_;
   PushCallback push_;
--- a/control/settings_store.cc
+++ b/control/settings_store.cc
@@ -34,7 +34,7 @@
           "restore the row from the settings log"};
 }
 
-Result<std::int64_t> ParseVersion(const platform::Row& row) {
+Result<std::int64_t> ParseVersion(const store::Row& row) {
   const json parsed = settings::ParseBoundedJson(row.value).value_or(json());
   if (!parsed.is_object() || !parsed.contains("version") ||
       !parsed["version"].is_number_integer()) {
@@ -51,7 +51,7 @@
           {"operations", json::parse(change.operations_json, nullptr, false)}};
 }
 
-Result<wire::SettingsChange> ParseChangeRow(const platform::Row& row) {
+Result<wire::SettingsChange> ParseChangeRow(const store::Row& row) {
   const json parsed = settings::ParseBoundedJson(row.value).value_or(json());
   const bool ok = parsed.is_object() && parsed.contains("operations") &&
                   parsed.value("version", json()).is_number_integer() &&
@@ -70,7 +70,7 @@
   return change;
 }
 
-Result<std::optional<wire::SettingsChange>> ReadLog(platform::PlatformStore& store,
+Result<std::optional<wire::SettingsChange>> ReadLog(store::PlatformStore& store,
                                                     std::int64_t version) {
   BOOST_OUTCOME_TRY(row, store.Read(LogKey(version)));
   if (!row) {
@@ -81,7 +81,7 @@
 }
 
 /// Version that change_id got; empty when it was not accepted so far.
-Result<std::optional<std::int64_t>> ReadChangeVersion(platform::PlatformStore& store,
+Result<std::optional<std::int64_t>> ReadChangeVersion(store::PlatformStore& store,
                                                       const std::string& change_id) {
   BOOST_OUTCOME_TRY(row, store.Read(ChangeKey(change_id)));
   if (!row) {
@@ -91,7 +91,7 @@
   return std::optional<std::int64_t>(version);
 }
 
-Result<void> ApplySnapshotRow(platform::PlatformStore& store, SettingsReplica& replica) {
+Result<void> ApplySnapshotRow(store::PlatformStore& store, SettingsReplica& replica) {
   BOOST_OUTCOME_TRY(row, store.Read(kSnapshotKey));
   const json parsed = row ? settings::ParseBoundedJson(row->value).value_or(json()) : json();
   if (!row || !parsed.is_object() || !parsed.contains("tree")) {
@@ -105,7 +105,7 @@
 }
 
 /// Reads single log rows. Returns false when the snapshot is needed instead.
-Result<bool> ApplyLogRows(platform::PlatformStore& store, SettingsReplica& replica,
+Result<bool> ApplyLogRows(store::PlatformStore& store, SettingsReplica& replica,
                           std::int64_t head) {
   wire::SettingsPush push;
   push.version = head;
@@ -166,7 +166,7 @@
 }
 
 /// As above, for a change of which only the version is known.
-ChangeResult ReadRepeated(platform::PlatformStore& store, SettingsReplica& replica,
+ChangeResult ReadRepeated(store::PlatformStore& store, SettingsReplica& replica,
                           const ChangeRequest& request, std::int64_t version) {
   const Result<std::optional<wire::SettingsChange>> logged = ReadLog(store, version);
   // A failure here leaves the replica behind until the next poll.
@@ -186,7 +186,7 @@
 }
 
 /// The settings have another version than the request expects.
-ChangeResult Conflict(platform::PlatformStore& store, const ChangeRequest& request,
+ChangeResult Conflict(store::PlatformStore& store, const ChangeRequest& request,
                       std::int64_t present_version) {
   Result<std::optional<wire::SettingsChange>> winner = ReadLog(store, request.expected_version + 1);
   if (!winner && request.repeat) {
@@ -214,10 +214,10 @@
   return result;
 }
 
-platform::Transaction MakeTransaction(const wire::SettingsChange& change,
+store::Transaction MakeTransaction(const wire::SettingsChange& change,
                                       const std::string& snapshot, std::int64_t head_row_version) {
   const json version = {{"version", change.version}};
-  platform::Transaction transaction;
+  store::Transaction transaction;
   transaction.conditions = {
       {ChangeKey(change.change_id), 0}, {kHeadKey, head_row_version}, {LogKey(change.version), 0}};
   transaction.writes = {{ChangeKey(change.change_id), version.dump()},
@@ -229,12 +229,12 @@
 
 /// Sends the transaction until its effect is known. A lost transaction may still arrive after the
 /// read-back; the next one has the same conditions, so that only one of them can take effect.
-ChangeResult Settle(platform::PlatformStore& store, SettingsReplica& replica,
+ChangeResult Settle(store::PlatformStore& store, SettingsReplica& replica,
                     const ChangeRequest& request, const wire::SettingsChange& change,
-                    const platform::Transaction& transaction) {
+                    const store::Transaction& transaction) {
   bool may_have_run = false;
   for (int commits = 0; commits < kMaxCommits; ++commits) {
-    const Result<platform::CommitResult> committed = store.Commit(transaction);
+    const Result<store::CommitResult> committed = store.Commit(transaction);
     if (committed && committed.value().committed) {
       wire::SettingsPush push;
       push.version = change.version;
@@ -313,7 +313,7 @@
                        expected.get<std::int64_t>(), std::move(operations), repeat.get<bool>()};
 }
 
-Result<SettingsHead> CatchUp(platform::PlatformStore& store, SettingsReplica& replica) {
+Result<SettingsHead> CatchUp(store::PlatformStore& store, SettingsReplica& replica) {
   BOOST_OUTCOME_TRY(row, store.Read(kHeadKey));
   if (!row) {
     return SettingsHead{};
@@ -335,7 +335,7 @@
   return head;
 }
 
-ChangeResult CommitChange(platform::PlatformStore& store, SettingsReplica& replica,
+ChangeResult CommitChange(store::PlatformStore& store, SettingsReplica& replica,
                           const ChangeRequest& request, const Clock& clock) {
   const std::optional<wire::SettingsChange> known = FindInReplica(replica, request);
   if (known) {
@@ -387,7 +387,7 @@
                 MakeTransaction(change, snapshot_text, head.value().row_version));
 }
 
-std::vector<wire::SettingsChange> ReadHistory(platform::PlatformStore& store,
+std::vector<wire::SettingsChange> ReadHistory(store::PlatformStore& store,
                                               const SettingsReplica& replica, std::size_t limit) {
   const std::int64_t newest = replica.version();
   std::vector<wire::SettingsChange> recent = replica.RecentChanges();
--- a/control/settings_store.h
+++ b/control/settings_store.h
@@ -14,7 +14,7 @@
 #include "base/clock.h"
 #include "base/result.h"
 #include "control/settings_replica.h"
-#include "platform/platform_store.h"
+#include "store/platform_store.h"
 #include "settings/settings_tree.h"
 
 namespace rattanramp::control {
@@ -68,15 +68,15 @@
 
 /// Brings the replica at least to the version of settings/head, which is returned. Errors: those of
 /// the store, kProtocol (a row is malformed), kInvalidArgument (the settings are not valid here).
-Result<SettingsHead> CatchUp(platform::PlatformStore& store, SettingsReplica& replica);
+Result<SettingsHead> CatchUp(store::PlatformStore& store, SettingsReplica& replica);
 
 /// Commits a change and moves the replica to it.
-ChangeResult CommitChange(platform::PlatformStore& store, SettingsReplica& replica,
+ChangeResult CommitChange(store::PlatformStore& store, SettingsReplica& replica,
                           const ChangeRequest& request, const Clock& clock);
 
 /// The newest changes, oldest first, at most limit. Read from the replica and, as far as it does
 /// not have them, from the log. Stops early when the platform is down.
-std::vector<wire::SettingsChange> ReadHistory(platform::PlatformStore& store,
+std::vector<wire::SettingsChange> ReadHistory(store::PlatformStore& store,
                                               const SettingsReplica& replica, std::size_t limit);
 
 }  // namespace rattanramp::control
--- a/control/vm_directory.cc
+++ b/control/vm_directory.cc
@@ -12,22 +12,22 @@
 /// Poll interval until the first list and the first settings are known.
 constexpr Milliseconds kBootPoll{1000};
 
-using VmsById = std::map<std::string_view, const platform::Vm*>;
+using VmsById = std::map<std::string_view, const store::Vm*>;
 
-VmsById IndexById(const platform::VmList& list) {
+VmsById IndexById(const store::VmList& list) {
   VmsById index;
-  for (const platform::Vm& vm : list.vms) {
+  for (const store::Vm& vm : list.vms) {
     index.emplace(vm.id, &vm);
   }
   return index;
 }
 
-bool IsSamePlace(const platform::Vm& a, const platform::Vm& b) {
+bool IsSamePlace(const store::Vm& a, const store::Vm& b) {
   return a.role == b.role && a.link_address == b.link_address &&
          a.failure_domain == b.failure_domain && a.region == b.region;
 }
 
-wire::VmRecord ToRecord(const platform::Vm& vm) {
+wire::VmRecord ToRecord(const store::Vm& vm) {
   wire::VmRecord record;
   record.id = vm.id;
   record.role = vm.role == "agent" ? wire::ProcessRole::AGENT : wire::ProcessRole::ENTRY;
@@ -38,7 +38,7 @@
   return record;
 }
 
-platform::Vm FromRecord(const wire::VmRecord& record) {
+store::Vm FromRecord(const wire::VmRecord& record) {
   return {record.id,           record.role == wire::ProcessRole::AGENT ? "agent" : "entry",
           record.link_address, record.failure_domain,
           record.region,       record.leaving};
@@ -46,7 +46,7 @@
 
 }  // namespace
 
-VmChanges CompareVmLists(const platform::VmList& before, const platform::VmList& after) {
+VmChanges CompareVmLists(const store::VmList& before, const store::VmList& after) {
   const VmsById old_vms = IndexById(before);
   const VmsById new_vms = IndexById(after);
   VmChanges changes;
@@ -70,12 +70,12 @@
   return changes;
 }
 
-VmDirectory::VmDirectory(platform::PlatformStore& store, const SettingsReplica& replica,
+VmDirectory::VmDirectory(store::PlatformStore& store, const SettingsReplica& replica,
                          Listener listener)
     : store_(store),
       replica_(replica),
       listener_(std::move(listener)),
-      current_(std::make_shared<platform::VmList>()),
+      current_(std::make_shared<store::VmList>()),
       thread_([this] { static_cast<void>(PollOnce()); }, [this] { return PollInterval(); }) {}
 
 void VmDirectory::Start() { thread_.Start(); }
@@ -83,7 +83,7 @@
 void VmDirectory::Stop() { thread_.Stop(); }
 
 Result<bool> VmDirectory::PollOnce() {
-  Result<platform::VmList> list = store_.ListVms();
+  Result<store::VmList> list = store_.ListVms();
   const bool failed = !list.has_value();
   {
     const std::lock_guard<std::mutex> lock(mutex_);
@@ -100,14 +100,14 @@
   return Apply(std::move(list.value()));
 }
 
-bool VmDirectory::Apply(platform::VmList list) {
+bool VmDirectory::Apply(store::VmList list) {
   const std::lock_guard<std::mutex> apply_lock(apply_mutex_);
-  const std::shared_ptr<const platform::VmList> before = current();
+  const std::shared_ptr<const store::VmList> before = current();
   if (list.version <= before->version) {
     return false;
   }
-  const std::shared_ptr<const platform::VmList> after =
-      std::make_shared<platform::VmList>(std::move(list));
+  const std::shared_ptr<const store::VmList> after =
+      std::make_shared<store::VmList>(std::move(list));
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     current_ = after;
@@ -120,7 +120,7 @@
   return true;
 }
 
-std::shared_ptr<const platform::VmList> VmDirectory::current() const {
+std::shared_ptr<const store::VmList> VmDirectory::current() const {
   const std::lock_guard<std::mutex> lock(mutex_);
   return current_;
 }
@@ -137,13 +137,13 @@
 }
 
 std::vector<wire::Frame> VmDirectory::OnVmListPull(const wire::VmListPull& pull) const {
-  const std::shared_ptr<const platform::VmList> list = current();
+  const std::shared_ptr<const store::VmList> list = current();
   if (list->version <= pull.have_version) {
     return {};
   }
   wire::VmListPush push;
   push.version = list->version;
-  for (const platform::Vm& vm : list->vms) {
+  for (const store::Vm& vm : list->vms) {
     push.vms.push_back(ToRecord(vm));
   }
   wire::Frame frame;
@@ -152,7 +152,7 @@
 }
 
 bool VmDirectory::OnVmListPush(const wire::VmListPush& push) {
-  platform::VmList list;
+  store::VmList list;
   list.version = push.version;
   for (const wire::VmRecord& record : push.vms) {
     list.vms.push_back(FromRecord(record));
--- a/control/vm_directory.h
+++ b/control/vm_directory.h
@@ -11,7 +11,7 @@
 #include "base/result.h"
 #include "control/poll_thread.h"
 #include "control/settings_replica.h"
-#include "platform/platform_store.h"
+#include "store/platform_store.h"
 #include "wire/gen-cpp/rattanramp_types.h"
 
 namespace rattanramp::control {
@@ -19,13 +19,13 @@
 /// Differences between two VM lists. A VM that got another link address, role, failure domain or
 /// region is in both removed and added; one that was leaving and is live again is in added.
 struct VmChanges {
-  std::vector<platform::Vm> added;
-  std::vector<platform::Vm> removed;
+  std::vector<store::Vm> added;
+  std::vector<store::Vm> removed;
   /// VMs that were live or unknown before and are leaving now; unknown ones are also in added.
-  std::vector<platform::Vm> leaving;
+  std::vector<store::Vm> leaving;
 };
 
-VmChanges CompareVmLists(const platform::VmList& before, const platform::VmList& after);
+VmChanges CompareVmLists(const store::VmList& before, const store::VmList& after);
 
 /// Keeps the list with the highest version. While the platform is down the last list stays.
 /// Safe from any thread.
@@ -35,7 +35,7 @@
   using Listener = std::function<void(const VmChanges&)>;
 
   /// store and replica must outlive the directory.
-  VmDirectory(platform::PlatformStore& store, const SettingsReplica& replica, Listener listener);
+  VmDirectory(store::PlatformStore& store, const SettingsReplica& replica, Listener listener);
 
   /// Polls the platform every vm_poll_ms, with jitter, on a thread of its own.
   void Start();
@@ -45,10 +45,10 @@
   Result<bool> PollOnce();
 
   /// Takes a list when its version is higher. Returns whether it was taken.
-  bool Apply(platform::VmList list);
+  bool Apply(store::VmList list);
 
   /// Never null. Version 0 means that no list is known yet.
-  std::shared_ptr<const platform::VmList> current() const;
+  std::shared_ptr<const store::VmList> current() const;
 
   /// To call when a link to a peer entry is up: asks for its list as long as none is known.
   std::vector<wire::Frame> OnPeerUp() const;
@@ -60,13 +60,13 @@
  private:
   Milliseconds PollInterval() const;
 
-  platform::PlatformStore& store_;
+  store::PlatformStore& store_;
   const SettingsReplica& replica_;
   Listener listener_;
   /// Held while the listener runs, so that it sees changes in order.
   std::mutex apply_mutex_;
   mutable std::mutex mutex_;
-  std::shared_ptr<const platform::VmList> current_;
+  std::shared_ptr<const store::VmList> current_;
   bool platform_failed_ = false;
   PollThread thread_;
 };
--- /dev/null
+++ b/core/event_splitter.cc
@@ -0,0 +1,76 @@
+#include "core/event_splitter.h"
+
+#include <charconv>
+
+namespace rattanramp::core {
+namespace {
+
+constexpr std::string_view kIdField = "id:";
+
+/// End of the first event in the text (after its blank line), or npos.
+std::size_t EndOfEvent(std::string_view text) {
+  std::size_t line_start = 0;
+  while (true) {
+    const std::size_t line_end = text.find('\n', line_start);
+    if (line_end == std::string_view::npos) {
+      return std::string_view::npos;
+    }
+    std::string_view line = text.substr(line_start, line_end - line_start);
+    if (line.empty() || line == "\r") {
+      return line_end + 1;
+    }
+    line_start = line_end + 1;
+  }
+}
+
+std::optional<std::int64_t> IdOf(std::string_view event) {
+  std::size_t start = 0;
+  while (start < event.size()) {
+    const std::size_t end = event.find('\n', start);
+    std::string_view line = event.substr(start, end - start);
+    if (line.starts_with(kIdField)) {
+      line.remove_prefix(kIdField.size());
+      while (!line.empty() && line.front() == ' ') {
+        line.remove_prefix(1);
+      }
+      std::int64_t id = 0;
+      const std::from_chars_result read =
+          std::from_chars(line.data(), line.data() + line.size(), id);
+      if (read.ec == std::errc()) {
+        return id;
+      }
+    }
+    if (end == std::string_view::npos) {
+      break;
+    }
+    start = end + 1;
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+std::string TakeWholeEvents(EventSplitter& splitter, std::string_view bytes) {
+  splitter.partial.append(bytes);
+  const std::string_view text = splitter.partial;
+  std::size_t whole = 0;
+  while (true) {
+    const std::size_t end = EndOfEvent(text.substr(whole));
+    if (end == std::string_view::npos) {
+      break;
+    }
+    const std::optional<std::int64_t> id = IdOf(text.substr(whole, end));
+    if (id) {
+      splitter.last_id = id;
+      ++splitter.events;
+    }
+    whole += end;
+  }
+  std::string events = splitter.partial.substr(0, whole);
+  splitter.partial.erase(0, whole);
+  return events;
+}
+
+void DropPartialEvent(EventSplitter& splitter) { splitter.partial.clear(); }
+
+}  // namespace rattanramp::core
--- /dev/null
+++ b/core/placement.cc
@@ -0,0 +1,160 @@
+#include "core/placement.h"
+
+#include <algorithm>
+
+#include "base/hash.h"
+
+namespace rattanramp::core {
+namespace {
+
+// Spread between equal candidates, as a share of full load. Smaller than one request of a server
+// with few slots, so that it only breaks ties.
+constexpr double kTieSpread = 0.02;
+
+// How much a share of poor answers weighs against load: a server that fails half of its answers
+// looks as if half of its slots were taken.
+constexpr double kPoorWeight = 1.0;
+
+// Difference in load that a transfer within the failure domain is worth: transfers between domains
+// take twice as long and cost up to three times as much.
+constexpr double kDomainLoad = 0.08;
+
+double Tie(std::uint64_t seed, std::size_t index) {
+  const std::uint64_t words[2] = {seed, index};
+  const std::uint64_t hash = Hash64({reinterpret_cast<const char*>(words), sizeof(words)});
+  return kTieSpread * static_cast<double>(hash % 1024) / 1024.0;
+}
+
+bool MayTake(const PlacementCandidate& candidate) {
+  return candidate.is_usable && !(candidate.is_on_trial && candidate.load.running > 0);
+}
+
+}  // namespace
+
+Duration StreamPatience(std::int64_t target_latency_ms, std::int64_t target_gap_ms) {
+  constexpr std::int64_t kLeastPatienceMs = 2'000;
+  return Milliseconds(std::max({kLeastPatienceMs, 4 * target_latency_ms, 8 * target_gap_ms}));
+}
+
+double ExpectedWaitMs(const LineState& line) {
+  if (line.waiting_tokens <= 0) {
+    return 0;
+  }
+  const double capacity =
+      kMemoryFill * static_cast<double>(std::max<std::int64_t>(1, line.capacity_tokens));
+  // Memory comes free at capacity / mean_hold_ms while the engines are full.
+  return static_cast<double>(line.waiting_tokens) / capacity * line.mean_hold_ms;
+}
+
+std::int64_t ExpectedMemoryTokens(const GenerationSize& size) {
+  const double most = static_cast<double>(size.max_output);
+  double expected = kExpectedOutputShare * most;
+  if (size.expected_output) {
+    expected = static_cast<double>(*size.expected_output);
+    if (size.max_output > 0) {
+      expected = std::min(expected, most);
+    }
+  }
+  const double left = std::max(0.0, expected - static_cast<double>(size.made));
+  return size.prompt + size.made + static_cast<std::int64_t>(left / 2);
+}
+
+std::optional<std::size_t> PlacePlain(std::span<const PlacementCandidate> candidates,
+                                      std::uint64_t seed) {
+  std::optional<std::size_t> best;
+  double best_score = 0;
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    const PlacementCandidate& candidate = candidates[i];
+    if (candidate.stage != UpstreamStage::kPlain || !MayTake(candidate)) {
+      continue;
+    }
+    const double slots = static_cast<double>(std::max<std::int64_t>(1, candidate.slots));
+    const double load = static_cast<double>(candidate.load.running + 1) / slots;
+    if (load > kPlainFill) {
+      continue;
+    }
+    const double score = load + kPoorWeight * candidate.poor_share + Tie(seed, i);
+    if (!best || score < best_score) {
+      best = i;
+      best_score = score;
+    }
+  }
+  return best;
+}
+
+std::optional<std::size_t> PlacePrefill(std::span<const PlacementCandidate> candidates,
+                                        std::int64_t prompt_tokens, std::uint64_t seed) {
+  std::uint64_t highest_affinity = 0;
+  for (const PlacementCandidate& candidate : candidates) {
+    if (candidate.stage == UpstreamStage::kPrefill && MayTake(candidate)) {
+      highest_affinity = std::max(highest_affinity, candidate.affinity);
+    }
+  }
+  std::optional<std::size_t> best;
+  double best_ms = 0;
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    const PlacementCandidate& candidate = candidates[i];
+    if (candidate.stage != UpstreamStage::kPrefill || !MayTake(candidate)) {
+      continue;
+    }
+    const double queue_ms =
+        static_cast<double>(candidate.load.prefill_tokens) / kPrefillTokensPerMs;
+    if (queue_ms > kMaxPrefillQueueMs) {
+      continue;
+    }
+    const double own_ms = static_cast<double>(prompt_tokens) / kPrefillTokensPerMs;
+    const double cached_ms = candidate.affinity == highest_affinity ? kAffinityMs : 0.0;
+    const double ms =
+        queue_ms - cached_ms + own_ms * (1 + 2 * candidate.poor_share) + own_ms * Tie(seed, i);
+    if (!best || ms < best_ms) {
+      best = i;
+      best_ms = ms;
+    }
+  }
+  return best;
+}
+
+std::optional<GenerationPlace> PlaceGeneration(std::span<const PlacementCandidate> candidates,
+                                               const GenerationNeed& need, std::uint64_t seed) {
+  const std::optional<std::size_t> prefill = PlacePrefill(candidates, need.prompt_tokens, seed);
+  std::optional<std::size_t> decode;
+  double best_score = 0;
+  bool has_prefill = false;
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    const PlacementCandidate& candidate = candidates[i];
+    if (!MayTake(candidate)) {
+      continue;
+    }
+    has_prefill = has_prefill || candidate.stage == UpstreamStage::kPrefill;
+    if (candidate.stage != UpstreamStage::kDecode) {
+      continue;
+    }
+    const double memory = static_cast<double>(std::max<std::int64_t>(1, candidate.memory_tokens));
+    const double filled =
+        static_cast<double>(candidate.load.reserved_tokens + need.memory_tokens) / memory;
+    const double slots = static_cast<double>(std::max<std::int64_t>(1, candidate.slots));
+    const double taken = static_cast<double>(candidate.load.running + 1) / slots;
+    // A request that is larger than the usual fill goes to an empty engine.
+    if (taken > 1.0 || (filled > kMemoryFill && candidate.load.running > 0)) {
+      continue;
+    }
+    const bool is_far = prefill && candidates[*prefill].failure_domain != candidate.failure_domain;
+    const double score = std::max(filled, taken) + (is_far ? kDomainLoad : 0.0) +
+                         kPoorWeight * candidate.poor_share + Tie(seed, i);
+    if (!decode || score < best_score) {
+      decode = i;
+      best_score = score;
+    }
+  }
+  if (!decode) {
+    return std::nullopt;
+  }
+  // Prefill in place delays the streams that run there: one at a time, and only when the prefill
+  // upstreams cannot take it.
+  if (!prefill && has_prefill && candidates[*decode].load.prefill_tokens > 0) {
+    return std::nullopt;
+  }
+  return GenerationPlace{*decode, prefill};
+}
+
+}  // namespace rattanramp::core
--- /dev/null
+++ b/core/routing_table.h
@@ -0,0 +1,112 @@
+// Which service answers a request, and under which rules. Built from one version of the operator's
+// configuration and never changed afterwards.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/result.h"
+
+namespace rattanramp::core {
+
+enum class RequestKind {
+  /// May run more than once.
+  kRepeatable,
+  /// May run at most once.
+  kOnce,
+  /// A stream of events; may run again only where it can be resumed.
+  kStream,
+};
+
+struct ServiceShare {
+  std::string service;
+  std::int64_t weight = 0;
+};
+
+struct RouteRule {
+  std::string name;
+  std::string host;
+  /// Begins and ends with a slash.
+  std::string path_prefix;
+  RequestKind kind = RequestKind::kOnce;
+  std::int64_t timeout_ms = 0;
+  /// Until the whole answer, or until the first event of a stream.
+  std::int64_t target_latency_ms = 0;
+  /// Longest pause between events of a stream that is still on time.
+  std::int64_t target_gap_ms = 0;
+  /// Zero is served first.
+  std::int64_t priority = 0;
+  std::int64_t max_upstreams = 1;
+  bool is_resumable = false;
+  std::vector<ServiceShare> services;
+};
+
+/// What the engines of a service can hold; absent for plain services.
+struct EngineLimits {
+  std::int64_t slots = 0;
+  std::int64_t memory_tokens = 0;
+  /// Tokens of output in one event.
+  std::int64_t tokens_per_event = 1;
+  /// How long a prefilled KV cache is kept, in ms.
+  std::int64_t prefill_hold_ms = 0;
+};
+
+struct ServiceRule {
+  std::string name;
+  std::string health_path;
+  /// Connections that one upstream accepts from all callers.
+  std::int64_t max_connections = 0;
+  std::optional<EngineLimits> engine;
+
+  /// Limits of the engines, or defaults for a plain service that answers with a stream.
+  EngineLimits engine_limits() const { return engine.value_or(EngineLimits()); }
+};
+
+/// Bounds on what callers send, in bytes and ms.
+struct CallerLimits {
+  std::int64_t max_head_bytes = 16 * 1024;
+  std::int64_t max_body_bytes = 4 * 1024 * 1024;
+  std::int64_t head_timeout_ms = 3'000;
+  std::int64_t idle_timeout_ms = 15'000;
+};
+
+struct RoutingRules {
+  std::int64_t version = 0;
+  std::vector<RouteRule> routes;
+  std::vector<ServiceRule> services;
+  CallerLimits limits;
+};
+
+class RoutingTable {
+ public:
+  /// Errors: kInvalidArgument names the route and the field that is wrong.
+  static Result<std::shared_ptr<const RoutingTable>> Create(RoutingRules rules);
+
+  /// The route of the host with the longest prefix that begins the path; null when none does.
+  const RouteRule* Match(std::string_view host, std::string_view path) const;
+  const ServiceRule* FindService(std::string_view name) const;
+
+  std::int64_t version() const { return rules_.version; }
+  const CallerLimits& limits() const { return rules_.limits; }
+  std::span<const RouteRule> routes() const { return rules_.routes; }
+
+ private:
+  RoutingRules rules_;
+  /// By lower-case host, longest prefix first; indexes into rules_.routes.
+  std::map<std::string, std::vector<std::size_t>, std::less<>> by_host_;
+  std::map<std::string, std::size_t, std::less<>> services_;
+};
+
+/// Service of a request, drawn by weight. The same hash gives the same service.
+const std::string& ServiceFor(const RouteRule& route, std::uint64_t request_hash);
+
+/// The request may be sent again after it may have run.
+bool MayRunAgain(const RouteRule& route);
+
+}  // namespace rattanramp::core
--- /dev/null
+++ b/core/upstream_health.h
@@ -0,0 +1,43 @@
+// Which upstreams to avoid, judged by their own answers. A health endpoint is not asked: it costs a
+// slot and may lie.
+#pragma once
+
+#include <cstdint>
+
+#include "base/clock.h"
+
+namespace rattanramp::core {
+
+enum class AnswerVerdict {
+  kGood,
+  /// A failure that a sound upstream gives too: an application error, a refusal under load.
+  kPoor,
+  /// Not reachable, reset, silent or garbage.
+  kBad,
+};
+
+struct UpstreamHealth {
+  /// Bad answers since the last good one.
+  std::int64_t bad_in_a_row = 0;
+  TimePoint avoid_until;
+  /// Share of answers that were not good, 0 to 1, with exponential decay.
+  double poor_share = 0;
+};
+
+/// First pause after a bad answer; it doubles with each further one. Servers restart within some
+/// seconds (users' pages), so a short pause finds them soon.
+inline constexpr Duration kFirstPause = Milliseconds(400);
+inline constexpr Duration kLongestPause = Milliseconds(3'200);
+
+/// Weight of the newest answer in poor_share: about the last ten answers count.
+inline constexpr double kPoorShareWeight = 0.1;
+
+void RecordAnswer(UpstreamHealth& health, AnswerVerdict verdict, TimePoint now);
+
+/// In a pause after bad answers.
+bool IsAvoided(const UpstreamHealth& health, TimePoint now);
+
+/// After a pause one request at a time tries the upstream until an answer is good.
+bool IsOnTrial(const UpstreamHealth& health);
+
+}  // namespace rattanramp::core
--- a/entry/agent_links.cc
+++ b/entry/agent_links.cc
@@ -77,10 +77,10 @@
   return Success();
 }
 
-std::vector<std::string> AgentLinks::WantedAddresses(const platform::VmList& list) const {
+std::vector<std::string> AgentLinks::WantedAddresses(const store::VmList& list) const {
   std::vector<std::string> wanted;
   std::vector<std::pair<std::uint64_t, std::string>> entries;
-  for (const platform::Vm& vm : list.vms) {
+  for (const store::Vm& vm : list.vms) {
     if (vm.link_address.empty() || vm.id == identity_.id) {
       continue;
     }
@@ -97,7 +97,7 @@
   return wanted;
 }
 
-void AgentLinks::FollowVmList(const platform::VmList& list) {
+void AgentLinks::FollowVmList(const store::VmList& list) {
   const std::vector<std::string> wanted = WantedAddresses(list);
   for (const std::string& address : wanted) {
     const Result<void> dialled = Dial(address, false);
@@ -138,7 +138,7 @@
   std::string address;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
-    for (const platform::Vm& vm : vms_.vms) {
+    for (const store::Vm& vm : vms_.vms) {
       if (vm.id == agent_id) {
         address = vm.link_address;
       }
--- a/entry/agent_links.h
+++ b/entry/agent_links.h
@@ -20,7 +20,7 @@
 #include "entry/suspicion_view.h"
 #include "link/event_loop.h"
 #include "link/link_dialer.h"
-#include "platform/platform_store.h"
+#include "store/platform_store.h"
 
 namespace rattanramp::entry {
 
@@ -55,7 +55,7 @@
   /// Addresses from the boot file; these are dialled for the whole life of the process.
   void DialFixed(const std::vector<std::string>& addresses);
   /// Dials the agents and some of the entries in the list.
-  void FollowVmList(const platform::VmList& list);
+  void FollowVmList(const store::VmList& list);
   /// Asks an agent to drain. Errors: those of Send.
   Result<void> Drain(const std::string& agent_id, const std::string& reason);
   /// Stops dialling addresses that have left the list and whose link is down. The list lags, so a
@@ -108,7 +108,7 @@
   };
 
   Result<void> Dial(const std::string& address, bool fixed);
-  std::vector<std::string> WantedAddresses(const platform::VmList& list) const;
+  std::vector<std::string> WantedAddresses(const store::VmList& list) const;
   void OnAgentFrame(const std::string& agent_id, wire::Frame frame);
   void SendHeldCancels(const std::shared_ptr<link::Link>& link);
   void NoteSettingsVersion(const std::shared_ptr<link::Link>& link, std::int64_t version);
@@ -125,7 +125,7 @@
 
   mutable std::mutex mutex_;
   std::map<std::string, Dialled> dialled_;
-  platform::VmList vms_;
+  store::VmList vms_;
   /// Links by process id.
   std::map<std::string, Peer> agents_;
   std::map<std::string, Peer> entries_;
--- a/entry/entry.cc
+++ b/entry/entry.cc
@@ -33,13 +33,13 @@
 }  // namespace
 
 Result<std::unique_ptr<Entry>> Entry::Create(const settings::BootConfig& boot,
-                                             std::unique_ptr<platform::PlatformStore> store) {
+                                             std::unique_ptr<store::PlatformStore> store) {
   std::unique_ptr<Entry> entry(new Entry(boot, std::move(store)));
   BOOST_OUTCOME_TRYV(entry->Listen());
   return entry;
 }
 
-Entry::Entry(const settings::BootConfig& boot, std::unique_ptr<platform::PlatformStore> store)
+Entry::Entry(const settings::BootConfig& boot, std::unique_ptr<store::PlatformStore> store)
     : boot_(boot), store_(std::move(store)), directory_(settings_, boot.failure_domain) {
   const Clock& clock = DefaultClock();
   links_ = std::make_shared<AgentLinks>(
@@ -187,9 +187,9 @@
 }
 
 void Entry::OnVmList() {
-  const std::shared_ptr<const platform::VmList> list = vm_directory_->current();
+  const std::shared_ptr<const store::VmList> list = vm_directory_->current();
   std::set<std::string> leaving;
-  for (const platform::Vm& vm : list->vms) {
+  for (const store::Vm& vm : list->vms) {
     if (vm.leaving && vm.role == "agent") {
       leaving.insert(vm.id);
       // An agent without a link is told when its link is up.
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -20,7 +20,7 @@
 #include "entry/suspicion_view.h"
 #include "link/event_loop.h"
 #include "link/link_listener.h"
-#include "platform/platform_store.h"
+#include "store/platform_store.h"
 #include "settings/boot_config.h"
 
 namespace rattanramp::entry {
@@ -29,7 +29,7 @@
  public:
   /// Binds all addresses. Errors: kInvalidArgument (boot file), kIo (port in use).
   static Result<std::unique_ptr<Entry>> Create(const settings::BootConfig& boot,
-                                               std::unique_ptr<platform::PlatformStore> store);
+                                               std::unique_ptr<store::PlatformStore> store);
   ~Entry();
 
   void Start();
@@ -45,7 +45,7 @@
   int link_port() const { return listener_ ? listener_->port() : 0; }
 
  private:
-  Entry(const settings::BootConfig& boot, std::unique_ptr<platform::PlatformStore> store);
+  Entry(const settings::BootConfig& boot, std::unique_ptr<store::PlatformStore> store);
 
   Result<void> Listen();
   void WaitForRequests(Milliseconds timeout) const;
@@ -55,7 +55,7 @@
   void RegisterUpstreamRoutes();
 
   settings::BootConfig boot_;
-  std::unique_ptr<platform::PlatformStore> store_;
+  std::unique_ptr<store::PlatformStore> store_;
   Metrics metrics_;
   control::SettingsReplica settings_;
   DirectoryCache directory_;
--- a/entry/main.cc
+++ b/entry/main.cc
@@ -7,7 +7,7 @@
 #include "base/log.h"
 #include "base/signals.h"
 #include "entry/entry.h"
-#include "platform/http_platform.h"
+#include "store/http_platform.h"
 
 namespace {
 
@@ -24,7 +24,7 @@
 rattanramp::Result<std::unique_ptr<rattanramp::entry::Entry>> MakeEntry(
     const rattanramp::settings::BootConfig& boot) {
   BOOST_OUTCOME_TRY(
-      platform, rattanramp::platform::HttpPlatform::Create(boot.platform_url, kPlatformTimeout));
+      platform, rattanramp::store::HttpPlatform::Create(boot.platform_url, kPlatformTimeout));
   return rattanramp::entry::Entry::Create(boot, std::move(platform));
 }
 
--- /dev/null
+++ b/gateway/caller_connection.cc
@@ -0,0 +1,327 @@
+#include "gateway/caller_connection.h"
+
+#include <spdlog/fmt/fmt.h>
+
+#include <asio/buffer.hpp>
+#include <asio/post.hpp>
+#include <asio/write.hpp>
+#include <utility>
+
+namespace rattanramp::gateway {
+namespace {
+
+// One read; most requests fit.
+constexpr std::size_t kReadBytes = 8 * 1024;
+
+// Bytes of later requests that are read while one is being served. Reading goes on so that the
+// caller's close is seen.
+constexpr std::size_t kMaxPipelinedBytes = 64 * 1024;
+
+// How long the rest of a refused request is read, so that closing does not reset the connection
+// before the caller has read the refusal.
+constexpr Milliseconds kLingerTime{1'000};
+
+}  // namespace
+
+std::shared_ptr<CallerConnection> CallerConnection::Create(asio::ip::tcp::socket socket,
+                                                           CallerHost& host) {
+  return std::shared_ptr<CallerConnection>(new CallerConnection(std::move(socket), host));
+}
+
+CallerConnection::CallerConnection(asio::ip::tcp::socket socket, CallerHost& host)
+    : socket_(std::move(socket)), host_(host), timer_(socket_.get_executor()) {}
+
+CallerConnection::~CallerConnection() = default;
+
+void CallerConnection::Start() {
+  // A socket that refuses the option still works.
+  std::error_code ignored;
+  socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+  ArmTimer(Milliseconds(host_.caller_limits().idle_timeout_ms));
+  Read();
+}
+
+void CallerConnection::CloseIfIdle() {
+  if (!is_answering_ && buffer_.empty() && !parser_ && unsent_bytes() == 0) {
+    Close();
+  }
+}
+
+void CallerConnection::Close() {
+  if (is_closed_) {
+    return;
+  }
+  is_closed_ = true;
+  timer_.cancel();
+  std::error_code ignored;  // the descriptor is released whatever the peer's state is
+  socket_.close(ignored);
+  if (exchange_) {
+    exchange_->OnCallerGone();
+    asio::post(socket_.get_executor(),
+               [doomed = std::shared_ptr<Exchange>(std::move(exchange_))] {});
+  }
+  host_.OnConnectionEnd(this);
+}
+
+void CallerConnection::Read() {
+  if (is_reading_ || is_closed_ || (is_answering_ && buffer_.size() >= kMaxPipelinedBytes)) {
+    return;
+  }
+  is_reading_ = true;
+  const std::size_t old_size = buffer_.size();
+  buffer_.resize(old_size + kReadBytes);
+  std::shared_ptr<CallerConnection> self = shared_from_this();
+  socket_.async_read_some(asio::buffer(buffer_.data() + old_size, kReadBytes),
+                          [self, old_size](const std::error_code& error, std::size_t size) {
+                            self->is_reading_ = false;
+                            self->buffer_.resize(old_size + (error ? 0 : size));
+                            self->OnRead(error, size);
+                          });
+}
+
+void CallerConnection::OnRead(const std::error_code& error, std::size_t /*size*/) {
+  if (is_closed_) {
+    return;
+  }
+  if (error) {
+    Close();
+    return;
+  }
+  if (is_lingering_) {
+    buffer_.clear();
+  } else if (!is_answering_) {
+    ParseBuffer();
+  }
+  Read();
+}
+
+void CallerConnection::ParseBuffer() {
+  // Blank lines before a request are ignored, as RFC 9112 asks.
+  if (!parser_) {
+    buffer_.erase(0, std::min(buffer_.size(), buffer_.find_first_not_of("\r\n")));
+  }
+  if (buffer_.empty()) {
+    return;
+  }
+  const core::CallerLimits limits = host_.caller_limits();
+  if (!parser_) {
+    parser_.emplace(static_cast<std::size_t>(limits.max_head_bytes),
+                    static_cast<std::uint64_t>(limits.max_body_bytes));
+    has_sent_continue_ = false;
+    ArmTimer(Milliseconds(limits.head_timeout_ms));
+  }
+  const Result<std::size_t> used = parser_->Feed(buffer_);
+  if (!used) {
+    if (used.error().kind == ErrorKind::kOverloaded) {
+      Refuse(parser_->body_too_large() ? 413 : 431, used.error().message);
+    } else {
+      Refuse(400, used.error().message);
+    }
+    return;
+  }
+  buffer_.erase(0, used.value());
+  if (parser_->is_complete()) {
+    Serve();
+    return;
+  }
+  if (parser_->has_head() && parser_->expects_continue() && !has_sent_continue_) {
+    has_sent_continue_ = true;
+    unsent_ += "HTTP/1.1 100 Continue\r\n\r\n";
+    Write();
+  }
+}
+
+void CallerConnection::Serve() {
+  http::RequestHead head = parser_->head();
+  std::string body = std::move(parser_->body());
+  parser_.reset();
+  // The exchange has its own timer.
+  ++timer_number_;
+  timer_.cancel();
+  is_answering_ = true;
+  is_head_request_ = head.method == "HEAD";
+  is_old_protocol_ = head.minor_version == 0;
+  keep_alive_ = head.keep_alive;
+  std::shared_ptr<CallerConnection> self = shared_from_this();
+  std::unique_ptr<Exchange> exchange = host_.StartExchange(*this, std::move(head), std::move(body));
+  if (is_answering_ && !is_closed_) {
+    exchange_ = std::move(exchange);
+  } else if (exchange) {
+    asio::post(socket_.get_executor(),
+               [doomed = std::shared_ptr<Exchange>(std::move(exchange))] {});
+  }
+}
+
+void CallerConnection::Refuse(int status, std::string_view text) {
+  parser_.reset();
+  is_answering_ = true;
+  keep_alive_ = false;
+  std::string body(text);
+  body += "\n";
+  Answer(status, {{"Content-Type", "text/plain"}}, std::move(body));
+}
+
+void CallerConnection::Answer(int status, const http::Fields& fields, std::string body) {
+  AppendHead(status, fields, fmt::format("Content-Length: {}\r\n", body.size()));
+  if (!is_head_request_) {
+    unsent_ += body;
+  }
+  FinishAnswer();
+}
+
+void CallerConnection::StartStream(int status, const http::Fields& fields) {
+  is_chunked_ = !is_old_protocol_;
+  if (!is_chunked_) {
+    keep_alive_ = false;
+  }
+  AppendHead(status, fields, is_chunked_ ? "Transfer-Encoding: chunked\r\n" : "");
+  Write();
+}
+
+void CallerConnection::StreamBytes(std::string_view bytes) {
+  if (bytes.empty() || is_closed_) {
+    return;
+  }
+  if (is_chunked_) {
+    fmt::format_to(std::back_inserter(unsent_), "{:x}\r\n", bytes.size());
+  }
+  unsent_.append(bytes);
+  if (is_chunked_) {
+    unsent_ += "\r\n";
+  }
+  Write();
+}
+
+void CallerConnection::EndStream() {
+  if (is_chunked_) {
+    unsent_ += "0\r\n\r\n";
+  }
+  FinishAnswer();
+}
+
+void CallerConnection::Break() {
+  is_answering_ = false;
+  if (exchange_) {
+    asio::post(socket_.get_executor(),
+               [doomed = std::shared_ptr<Exchange>(std::move(exchange_))] {});
+  }
+  if (is_chunked_) {
+    // The missing last chunk shows that the answer is not whole; what is ready is still delivered.
+    keep_alive_ = false;
+    close_when_written_ = true;
+    Write();
+    return;
+  }
+  // Without a length only a reset shows it.
+  std::error_code ignored;  // only sharpens the close that follows
+  socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+  Close();
+}
+
+void CallerConnection::AppendHead(int status, const http::Fields& fields,
+                                  std::string_view framing) {
+  if (host_.is_stopping()) {
+    keep_alive_ = false;
+  }
+  fmt::format_to(std::back_inserter(unsent_), "HTTP/1.1 {} {}\r\n", status,
+                 http::ReasonPhrase(status));
+  http::AppendFields(fields, unsent_);
+  unsent_ += framing;
+  if (!keep_alive_) {
+    unsent_ += "Connection: close\r\n";
+  } else if (is_old_protocol_) {
+    unsent_ += "Connection: keep-alive\r\n";
+  }
+  unsent_ += "\r\n";
+}
+
+void CallerConnection::FinishAnswer() {
+  is_answering_ = false;
+  if (exchange_) {
+    // The exchange is on the call stack.
+    asio::post(socket_.get_executor(),
+               [doomed = std::shared_ptr<Exchange>(std::move(exchange_))] {});
+  }
+  if (host_.is_stopping()) {
+    keep_alive_ = false;
+  }
+  close_when_written_ = !keep_alive_;
+  Write();
+  if (is_closed_ || close_when_written_) {
+    return;
+  }
+  ArmTimer(Milliseconds(host_.caller_limits().idle_timeout_ms));
+  std::shared_ptr<CallerConnection> self = shared_from_this();
+  asio::post(socket_.get_executor(), [self] {
+    if (!self->is_closed_ && !self->is_answering_) {
+      self->ParseBuffer();
+      self->Read();
+    }
+  });
+}
+
+void CallerConnection::Write() {
+  if (is_write_open_ || is_closed_) {
+    return;
+  }
+  if (unsent_.empty()) {
+    if (close_when_written_ && !is_answering_) {
+      LingerThenClose();
+    }
+    return;
+  }
+  is_write_open_ = true;
+  writing_ = std::exchange(unsent_, {});
+  std::shared_ptr<CallerConnection> self = shared_from_this();
+  asio::async_write(
+      socket_, asio::buffer(writing_),
+      [self](const std::error_code& error, std::size_t /*size*/) { self->OnWritten(error); });
+}
+
+void CallerConnection::OnWritten(const std::error_code& error) {
+  is_write_open_ = false;
+  writing_.clear();
+  if (is_closed_) {
+    return;
+  }
+  if (error) {
+    Close();
+    return;
+  }
+  if (exchange_) {
+    exchange_->OnCallerDrained();
+  }
+  Write();
+}
+
+void CallerConnection::LingerThenClose() {
+  if (is_lingering_) {
+    return;
+  }
+  is_lingering_ = true;
+  std::error_code ignored;  // the peer may have closed already
+  socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  buffer_.clear();
+  ArmTimer(kLingerTime);
+  Read();
+}
+
+void CallerConnection::ArmTimer(Duration wait) {
+  timer_.expires_after(wait);
+  std::shared_ptr<CallerConnection> self = shared_from_this();
+  timer_.async_wait([self, number = ++timer_number_](const std::error_code& error) {
+    if (!error && number == self->timer_number_ && !self->is_closed_) {
+      self->OnTimer();
+    }
+  });
+}
+
+void CallerConnection::OnTimer() {
+  if (parser_ && !is_lingering_) {
+    Refuse(408, "the request did not arrive in time");
+    return;
+  }
+  Close();
+}
+
+}  // namespace rattanramp::gateway
--- /dev/null
+++ b/gateway/caller_connection.h
@@ -0,0 +1,93 @@
+// One caller's connection: reads requests, one at a time, and writes their answers.
+#pragma once
+
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "base/clock.h"
+#include "core/routing_table.h"
+#include "gateway/caller_sink.h"
+#include "http/parser.h"
+
+namespace rattanramp::gateway {
+
+class CallerConnection;
+
+/// What a caller connection asks of its gateway.
+class CallerHost {
+ public:
+  virtual ~CallerHost() = default;
+  /// Starts serving a request. Null when the answer was given through the sink already.
+  virtual std::unique_ptr<Exchange> StartExchange(CallerSink& sink, http::RequestHead head,
+                                                  std::string body) = 0;
+  virtual core::CallerLimits caller_limits() const = 0;
+  /// Answers ask the caller to close its connection.
+  virtual bool is_stopping() const = 0;
+  virtual void OnConnectionEnd(const CallerConnection* connection) = 0;
+};
+
+class CallerConnection final : public CallerSink,
+                               public std::enable_shared_from_this<CallerConnection> {
+ public:
+  static std::shared_ptr<CallerConnection> Create(asio::ip::tcp::socket socket, CallerHost& host);
+  ~CallerConnection() override;
+
+  void Start();
+  /// Closes the connection if no request is in progress or has begun to arrive.
+  void CloseIfIdle();
+  void Close();
+  bool is_serving() const { return exchange_ != nullptr || is_answering_; }
+
+  void Answer(int status, const http::Fields& fields, std::string body) override;
+  void StartStream(int status, const http::Fields& fields) override;
+  void StreamBytes(std::string_view bytes) override;
+  void EndStream() override;
+  void Break() override;
+  std::size_t unsent_bytes() const override { return writing_.size() + unsent_.size(); }
+
+ private:
+  CallerConnection(asio::ip::tcp::socket socket, CallerHost& host);
+
+  void Read();
+  void OnRead(const std::error_code& error, std::size_t size);
+  void ParseBuffer();
+  void Refuse(int status, std::string_view text);
+  void Serve();
+  void FinishAnswer();
+  void AppendHead(int status, const http::Fields& fields, std::string_view framing);
+  void Write();
+  void OnWritten(const std::error_code& error);
+  void ArmTimer(Duration wait);
+  void OnTimer();
+  void LingerThenClose();
+
+  asio::ip::tcp::socket socket_;
+  CallerHost& host_;
+  asio::steady_timer timer_;
+  std::uint64_t timer_number_ = 0;
+  std::string buffer_;
+  std::optional<http::RequestParser> parser_;
+  std::unique_ptr<Exchange> exchange_;
+  std::string writing_;
+  std::string unsent_;
+  /// A request is being served.
+  bool is_answering_ = false;
+  bool is_head_request_ = false;
+  bool is_old_protocol_ = false;
+  bool keep_alive_ = true;
+  bool is_chunked_ = false;
+  bool is_closed_ = false;
+  bool is_reading_ = false;
+  bool is_write_open_ = false;
+  /// Close once everything is written.
+  bool close_when_written_ = false;
+  bool is_lingering_ = false;
+  bool has_sent_continue_ = false;
+};
+
+}  // namespace rattanramp::gateway
--- /dev/null
+++ b/gateway/fleet.cc
@@ -0,0 +1,208 @@
+#include "gateway/fleet.h"
+
+#include <algorithm>
+
+#include "base/hash.h"
+
+namespace rattanramp::gateway {
+namespace {
+
+// Connections are made within a region in a few ms. A lost first packet is sent again after 1 s
+// only, when another upstream would have answered already.
+constexpr Milliseconds kConnectTimeout{300};
+
+// Idle time for upstreams that state none; a stated time is whole seconds, so theirs is below 1 s.
+constexpr Milliseconds kUnstatedIdleTime{400};
+
+// Left out of the stated idle time, so that a request does not cross the upstream's close.
+constexpr Milliseconds kIdleMargin{400};
+
+asio::ip::tcp::endpoint EndpointOf(const core::UpstreamInfo& info) {
+  // The list's decoder has checked the address.
+  return {asio::ip::make_address_v4(info.address), info.port};
+}
+
+std::int64_t KeyOf(const core::UpstreamInfo& info) {
+  return SignedHash64(info.id, static_cast<std::uint64_t>(info.started_unix_ms));
+}
+
+}  // namespace
+
+Fleet::Fleet(std::string own_domain) : own_domain_(std::move(own_domain)) {}
+
+void Fleet::Apply(const core::DirectoryChange& change) {
+  for (const core::UpstreamInfo& info : change.removed) {
+    Remove(info.id);
+  }
+  for (const core::UpstreamInfo& info : change.added) {
+    Add(info);
+  }
+  for (const core::UpstreamInfo& info : change.updated) {
+    const auto found = by_id_.find(info.id);
+    const bool is_same_process =
+        found != by_id_.end() && found->second->info.started_unix_ms == info.started_unix_ms &&
+        found->second->info.service == info.service && found->second->endpoint == EndpointOf(info);
+    if (is_same_process) {
+      found->second->info = info;
+    } else {
+      Remove(info.id);
+      Add(info);
+    }
+  }
+  SumPeerLoads();
+}
+
+std::span<const std::shared_ptr<Upstream>> Fleet::OfService(std::string_view service) const {
+  const auto found = by_service_.find(service);
+  return found == by_service_.end() ? std::span<const std::shared_ptr<Upstream>>()
+                                    : std::span(found->second);
+}
+
+void Fleet::FillCandidates(std::string_view service, const core::ServiceRule& rule,
+                           std::span<const std::int64_t> tried, std::string_view prompt_id,
+                           TimePoint now, std::vector<core::PlacementCandidate>& candidates) const {
+  candidates.clear();
+  std::vector<std::string_view> domains;
+  for (const std::shared_ptr<Upstream>& upstream : OfService(service)) {
+    core::PlacementCandidate candidate;
+    const core::UpstreamInfo& info = upstream->info;
+    candidate.stage = info.stage;
+    candidate.in_own_domain = info.failure_domain == own_domain_;
+    const auto domain = std::find(domains.begin(), domains.end(), info.failure_domain);
+    candidate.failure_domain = static_cast<std::uint32_t>(domain - domains.begin());
+    if (domain == domains.end()) {
+      domains.push_back(info.failure_domain);
+    }
+    candidate.is_usable = !info.is_leaving && !core::IsAvoided(upstream->health, now) &&
+                          std::find(tried.begin(), tried.end(), upstream->key) == tried.end();
+    candidate.is_on_trial = core::IsOnTrial(upstream->health);
+    candidate.slots = info.slots;
+    candidate.memory_tokens = rule.engine ? rule.engine->memory_tokens : 0;
+    candidate.poor_share = upstream->health.poor_share;
+    if (!prompt_id.empty()) {
+      candidate.affinity = Hash64(prompt_id, static_cast<std::uint64_t>(upstream->key));
+    }
+    candidate.load = {upstream->own.running + upstream->peers.running,
+                      upstream->own.reserved_tokens + upstream->peers.reserved_tokens,
+                      upstream->own.prefill_tokens + upstream->peers.prefill_tokens};
+    candidates.push_back(candidate);
+  }
+}
+
+void Fleet::SetPeerLoad(const std::string& peer, std::vector<PeerLoad> load,
+                        std::map<std::string, std::int64_t> waiting_tokens) {
+  peer_states_[peer] = {std::move(load), std::move(waiting_tokens)};
+  SumPeerLoads();
+}
+
+std::int64_t Fleet::PeerWaitingTokens(const std::string& service) const {
+  std::int64_t tokens = 0;
+  for (const auto& [peer, state] : peer_states_) {
+    const auto waiting = state.waiting_tokens.find(service);
+    tokens += waiting == state.waiting_tokens.end() ? 0 : waiting->second;
+  }
+  return tokens;
+}
+
+void Fleet::ForgetPeer(const std::string& peer) {
+  if (peer_states_.erase(peer) > 0) {
+    SumPeerLoads();
+  }
+}
+
+std::vector<PeerLoad> Fleet::OwnLoad() const {
+  std::vector<PeerLoad> loads;
+  for (const auto& [id, upstream] : by_id_) {
+    if (upstream->own.running > 0 || upstream->own.prefill_tokens > 0) {
+      loads.push_back({upstream->key, upstream->own});
+    }
+  }
+  return loads;
+}
+
+void Fleet::Add(const core::UpstreamInfo& info) {
+  std::shared_ptr<Upstream> upstream = std::make_shared<Upstream>();
+  upstream->info = info;
+  upstream->endpoint = EndpointOf(info);
+  upstream->key = KeyOf(info);
+  by_service_[info.service].push_back(upstream);
+  by_id_[info.id] = std::move(upstream);
+}
+
+void Fleet::Remove(const std::string& id) {
+  const auto found = by_id_.find(id);
+  if (found == by_id_.end()) {
+    return;
+  }
+  std::shared_ptr<Upstream> upstream = found->second;
+  upstream->is_gone = true;
+  for (IdleConnection& idle : upstream->idle) {
+    idle.connection->Close();
+  }
+  upstream->idle.clear();
+  std::erase(by_service_[upstream->info.service], upstream);
+  by_id_.erase(found);
+}
+
+void Fleet::SumPeerLoads() {
+  std::map<std::int64_t, core::UpstreamLoad> sums;
+  for (const auto& [peer, state] : peer_states_) {
+    for (const PeerLoad& load : state.loads) {
+      core::UpstreamLoad& sum = sums[load.key];
+      sum.running += load.load.running;
+      sum.reserved_tokens += load.load.reserved_tokens;
+      sum.prefill_tokens += load.load.prefill_tokens;
+    }
+  }
+  for (const auto& [id, upstream] : by_id_) {
+    const auto sum = sums.find(upstream->key);
+    upstream->peers = sum == sums.end() ? core::UpstreamLoad() : sum->second;
+  }
+}
+
+std::shared_ptr<http::ClientConnection> TakeConnection(Upstream& upstream,
+                                                       asio::io_context& context, TimePoint now) {
+  CloseOldConnections(upstream, now);
+  while (!upstream.idle.empty()) {
+    std::shared_ptr<http::ClientConnection> connection = std::move(upstream.idle.back().connection);
+    upstream.idle.pop_back();
+    if (connection->is_open()) {
+      connection->SetIdleEndHandler(nullptr);
+      return connection;
+    }
+  }
+  return http::ClientConnection::Create(context, upstream.endpoint, kConnectTimeout);
+}
+
+void KeepConnection(const std::shared_ptr<Upstream>& upstream,
+                    std::shared_ptr<http::ClientConnection> connection,
+                    std::optional<std::int64_t> idle_timeout_ms, TimePoint now) {
+  const Duration usable =
+      idle_timeout_ms ? Milliseconds(*idle_timeout_ms) - kIdleMargin : Duration(kUnstatedIdleTime);
+  if (upstream->is_gone || usable <= Duration::zero()) {
+    connection->Close();
+    return;
+  }
+  std::weak_ptr<Upstream> weak = upstream;
+  const http::ClientConnection* raw = connection.get();
+  connection->SetIdleEndHandler([weak, raw] {
+    const std::shared_ptr<Upstream> owner = weak.lock();
+    if (owner) {
+      std::erase_if(owner->idle,
+                    [raw](const IdleConnection& idle) { return idle.connection.get() == raw; });
+    }
+  });
+  upstream->idle.push_back({std::move(connection), now + usable});
+}
+
+void CloseOldConnections(Upstream& upstream, TimePoint now) {
+  std::erase_if(upstream.idle, [now](const IdleConnection& idle) {
+    if (idle.usable_until > now) {
+      return false;
+    }
+    idle.connection->Close();
+    return true;
+  });
+}
+
+}  // namespace rattanramp::gateway
--- /dev/null
+++ b/gateway/gateway.cc
@@ -0,0 +1,378 @@
+#include "gateway/gateway.h"
+
+#include <spdlog/fmt/fmt.h>
+
+#include <algorithm>
+#include <asio/post.hpp>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "base/hash.h"
+#include "base/log.h"
+#include "gateway/generation_exchange.h"
+#include "gateway/plain_exchange.h"
+#include "platform/config_format.h"
+#include "platform/request_format.h"
+
+namespace rattanramp::gateway {
+namespace {
+
+// Waiting requests are looked at again at this pace, besides each time that work ends: pauses of
+// upstreams end and peers' work changes without a call.
+constexpr Milliseconds kTickInterval{20};
+
+// Connections that wait to be accepted; a full queue costs callers a second.
+constexpr int kListenBacklog = 1'024;
+
+// The load balancer asks once a second and takes a process out after two misses; until then it
+// sends new connections.
+constexpr Milliseconds kTakenOutAfter{3'000};
+
+// Left of the grace time for the end of the process itself.
+constexpr Milliseconds kExitMargin{500};
+
+// When callers may come back to a process that has no configuration yet.
+constexpr std::int64_t kNoConfigRetryMs = 500;
+
+// Time a caller is given that states none.
+constexpr std::int64_t kDefaultDeadlineMs = 30'000;
+
+constexpr std::string_view kTextType = "text/plain";
+
+}  // namespace
+
+class Gateway::StatusHost final : public CallerHost {
+ public:
+  explicit StatusHost(Gateway& gateway) : gateway_(gateway) {}
+
+  std::unique_ptr<Exchange> StartExchange(CallerSink& sink, http::RequestHead head,
+                                          std::string /*body*/) override {
+    const http::Fields fields = {{"Content-Type", std::string(kTextType)}};
+    const std::string_view path = http::PathOf(head.target);
+    if (platform::IsReadinessRequest(head)) {
+      sink.Answer(gateway_.is_ready() ? 200 : 503, fields,
+                  gateway_.is_ready() ? "ready\n" : "not ready\n");
+    } else if (head.method == "GET" && path == "/metrics") {
+      sink.Answer(200, fields, gateway_.metrics_.PrometheusText());
+    } else if (head.method == "GET" && path == "/state") {
+      sink.Answer(200, {{"Content-Type", "application/json"}}, gateway_.StateDump());
+    } else {
+      sink.Answer(404, fields, "no such page; ask for /metrics or /state\n");
+    }
+    return nullptr;
+  }
+  core::CallerLimits caller_limits() const override { return {}; }
+  bool is_stopping() const override { return false; }
+  void OnConnectionEnd(const CallerConnection* connection) override {
+    gateway_.OnConnectionEnd(connection);
+  }
+
+ private:
+  Gateway& gateway_;
+};
+
+Result<std::unique_ptr<Gateway>> Gateway::Create(asio::io_context& context, const Clock& clock,
+                                                 Settings settings, StoreSource source) {
+  std::unique_ptr<Gateway> gateway(new Gateway(context, clock, std::move(settings)));
+  const Settings& own = gateway->settings_;
+  for (const auto& [acceptor, endpoint] :
+       {std::pair{&gateway->callers_, own.callers}, std::pair{&gateway->readiness_, own.readiness},
+        std::pair{&gateway->metrics_port_,
+                  asio::ip::tcp::endpoint(own.address, own.metrics_port)}}) {
+    const Result<void> listening = gateway->Listen(*acceptor, endpoint);
+    if (!listening) {
+      return listening.error();
+    }
+  }
+  Result<std::unique_ptr<LoadExchange>> exchange = LoadExchange::Create(
+      context, clock, gateway->fleet_, gateway->dispatcher_, own.node, {own.address, own.peer_port},
+      [raw = gateway.get()] { raw->dispatcher_.WakeAll(); });
+  if (!exchange) {
+    return exchange.error();
+  }
+  gateway->load_exchange_ = std::move(exchange.value());
+  const nlohmann::json row = {{"address", own.address.to_string()},
+                              {"peer_port", own.peer_port},
+                              {"failure_domain", own.failure_domain}};
+  gateway->watch_ =
+      std::make_unique<StoreWatch>(context, clock, static_cast<StoreWatcher&>(*gateway),
+                                   std::move(source), own.node, row.dump());
+  gateway->Accept(gateway->callers_, *gateway);
+  gateway->Accept(gateway->readiness_, *gateway->status_host_);
+  gateway->Accept(gateway->metrics_port_, *gateway->status_host_);
+  gateway->watch_->Start();
+  gateway->Tick();
+  return gateway;
+}
+
+Gateway::Gateway(asio::io_context& context, const Clock& clock, Settings settings)
+    : context_(context),
+      clock_(clock),
+      settings_(std::move(settings)),
+      fleet_(settings_.failure_domain),
+      dispatcher_(context, clock),
+      services_{context, clock, settings_, fleet_, dispatcher_, metrics_, retry_windows_, {}, 1},
+      status_host_(std::make_unique<StatusHost>(*this)),
+      callers_(context),
+      readiness_(context),
+      metrics_port_(context),
+      timer_(context) {}
+
+Gateway::~Gateway() = default;
+
+Result<void> Gateway::Listen(asio::ip::tcp::acceptor& acceptor,
+                             const asio::ip::tcp::endpoint& endpoint) {
+  std::error_code error;
+  acceptor.open(endpoint.protocol(), error);
+  if (!error) {
+    acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true), error);
+  }
+  if (!error) {
+    acceptor.bind(endpoint, error);
+  }
+  if (!error) {
+    acceptor.listen(kListenBacklog, error);
+  }
+  if (error) {
+    return Error{ErrorKind::kIo,
+                 fmt::format("cannot listen at {}:{}: {}", endpoint.address().to_string(),
+                             endpoint.port(), error.message()),
+                 "free the address or change the settings"};
+  }
+  return Success();
+}
+
+void Gateway::Accept(asio::ip::tcp::acceptor& acceptor, CallerHost& host) {
+  acceptor.async_accept(
+      [this, &acceptor, &host](const std::error_code& error, asio::ip::tcp::socket socket) {
+        if (!acceptor.is_open()) {
+          return;
+        }
+        if (error) {
+          Log(LogLevel::kWarning, "accept_failed", {{"error", error.message()}});
+        } else {
+          std::shared_ptr<CallerConnection> connection =
+              CallerConnection::Create(std::move(socket), host);
+          connections_[connection.get()] = connection;
+          connection->Start();
+        }
+        Accept(acceptor, host);
+      });
+}
+
+void Gateway::OnConnectionEnd(const CallerConnection* connection) {
+  const auto found = connections_.find(connection);
+  if (found != connections_.end()) {
+    asio::post(context_, [doomed = found->second] {});
+    connections_.erase(found);
+  }
+}
+
+bool Gateway::is_ready() const { return table_ != nullptr && directory_.has_read && !is_stopping_; }
+
+core::CallerLimits Gateway::caller_limits() const {
+  return table_ ? table_->limits() : core::CallerLimits();
+}
+
+std::unique_ptr<Exchange> Gateway::StartExchange(CallerSink& sink, http::RequestHead head,
+                                                 std::string body) {
+  const Result<core::RequestFacts> facts = platform::DecodeRequest(head);
+  if (!facts) {
+    Log(LogLevel::kInfo, "request_malformed", {{"error", facts.error().message}});
+    sink.Answer(400, platform::RefusalFields({}, std::nullopt),
+                facts.error().message + ": " + facts.error().remedy + "\n");
+    return nullptr;
+  }
+  const std::string& id = facts.value().request_id;
+  if (!table_) {
+    Log(LogLevel::kInfo, "request_refused", {{"request", id}, {"reason", "no configuration yet"}});
+    sink.Answer(503, platform::RefusalFields(id, kNoConfigRetryMs), "no configuration yet\n");
+    return nullptr;
+  }
+  const std::string* host = http::FindField(head.fields, "Host");
+  const core::RouteRule* route =
+      table_->Match(host == nullptr ? std::string_view() : *host, http::PathOf(head.target));
+  if (route == nullptr) {
+    Log(LogLevel::kInfo, "request_refused",
+        {{"request", id},
+         {"reason", "no route"},
+         {"config_version", table_->version()},
+         {"host", host == nullptr ? "" : *host},
+         {"target", head.target}});
+    metrics_.Count("requests_without_route_total");
+    sink.Answer(404, platform::RefusalFields(id, std::nullopt), "no route for host and path\n");
+    return nullptr;
+  }
+  RequestContext request;
+  request.seed = Hash64(id);
+  const std::string& service_name = core::ServiceFor(*route, request.seed);
+  request.service = table_->FindService(service_name);
+  if (request.service == nullptr) {
+    Log(LogLevel::kWarning, "request_refused",
+        {{"request", id}, {"reason", "unknown service"}, {"service", service_name}});
+    sink.Answer(503, platform::RefusalFields(id, kNoConfigRetryMs), "unknown service\n");
+    return nullptr;
+  }
+  const TimePoint now = clock_.now();
+  request.head = std::move(head);
+  request.body = std::make_shared<const std::string>(std::move(body));
+  request.facts = facts.value();
+  request.table = table_;
+  request.route = route;
+  request.arrived = now;
+  request.deadline =
+      now + Milliseconds(std::min(request.facts.deadline_ms.value_or(kDefaultDeadlineMs),
+                                  route->timeout_ms));
+  request.target = now + Milliseconds(route->target_latency_ms);
+  core::CountRequest(retry_windows_[service_name], settings_.retry_bound, now);
+  if (route->kind == core::RequestKind::kStream) {
+    return GenerationExchange::Start(std::move(request), services_, sink);
+  }
+  return PlainExchange::Start(std::move(request), services_, sink);
+}
+
+void Gateway::OnConfigRow(const std::string& text, std::int64_t row_version) {
+  Result<core::RoutingRules> rules = platform::DecodeConfig(text);
+  if (!rules) {
+    Log(LogLevel::kError, "configuration_rejected",
+        {{"row_version", row_version},
+         {"error", rules.error().message},
+         {"remedy", rules.error().remedy}});
+    return;
+  }
+  Result<std::shared_ptr<const core::RoutingTable>> table =
+      core::RoutingTable::Create(std::move(rules.value()));
+  if (!table) {
+    Log(LogLevel::kError, "configuration_rejected",
+        {{"row_version", row_version},
+         {"error", table.error().message},
+         {"remedy", table.error().remedy}});
+    return;
+  }
+  table_ = std::move(table.value());
+  Log(LogLevel::kInfo, "configuration_in_force",
+      {{"version", table_->version()},
+       {"row_version", row_version},
+       {"routes", table_->routes().size()}});
+}
+
+void Gateway::OnUpstreamRows(const std::vector<store::TableRow>& rows) {
+  const platform::DecodedUpstreams decoded = platform::DecodeUpstreams(rows);
+  const core::DirectoryChange change =
+      core::ApplySnapshot(directory_, decoded.upstreams, clock_.now());
+  for (const auto& [what, infos] : {std::pair{"upstream_added", &change.added},
+                                    {"upstream_changed", &change.updated},
+                                    {"upstream_removed", &change.removed}}) {
+    for (const core::UpstreamInfo& info : *infos) {
+      Log(LogLevel::kInfo, what,
+          {{"upstream", info.id},
+           {"service", info.service},
+           {"address", fmt::format("{}:{}", info.address, info.port)},
+           {"leaving", info.is_leaving},
+           {"stage", static_cast<int>(info.stage)}});
+    }
+  }
+  fleet_.Apply(change);
+  dispatcher_.WakeAll();
+}
+
+void Gateway::OnGatewayRows(const std::map<std::string, std::string>& rows) {
+  std::map<std::string, asio::ip::udp::endpoint> peers;
+  for (const auto& [name, text] : rows) {
+    if (name == settings_.node) {
+      continue;
+    }
+    const nlohmann::json row = nlohmann::json::parse(text, nullptr, false);
+    std::error_code error;
+    const asio::ip::address_v4 address = asio::ip::make_address_v4(
+        row.is_object() ? row.value("address", std::string()) : std::string(), error);
+    if (error || !row.contains("peer_port") || !row["peer_port"].is_number_unsigned()) {
+      Log(LogLevel::kWarning, "gateway_row_unreadable", {{"gateway", name}});
+      continue;
+    }
+    peers[name] = {address, row["peer_port"].get<std::uint16_t>()};
+  }
+  services_.gateways = static_cast<std::int64_t>(peers.size()) + 1;
+  load_exchange_->SetPeers(std::move(peers));
+}
+
+void Gateway::Reload(const Settings& settings) {
+  settings_.retry_bound = settings.retry_bound;
+  settings_.stop_grace = settings.stop_grace;
+}
+
+void Gateway::Tick() {
+  if (is_stopping_) {
+    CheckStopped();
+  }
+  dispatcher_.WakeAll();
+  timer_.expires_after(kTickInterval);
+  timer_.async_wait([this](const std::error_code& error) {
+    if (!error) {
+      Tick();
+    }
+  });
+}
+
+void Gateway::Stop(std::function<void()> done) {
+  if (is_stopping_) {
+    return;
+  }
+  is_stopping_ = true;
+  stop_began_ = clock_.now();
+  on_stopped_ = std::move(done);
+}
+
+void Gateway::CheckStopped() {
+  const Duration elapsed = clock_.now() - stop_began_;
+  if (elapsed < kTakenOutAfter || !on_stopped_) {
+    return;
+  }
+  std::vector<std::shared_ptr<CallerConnection>> connections;
+  for (const auto& [key, connection] : connections_) {
+    connections.push_back(connection);
+  }
+  const bool is_serving =
+      std::any_of(connections.begin(), connections.end(),
+                  [](const std::shared_ptr<CallerConnection>& c) { return c->is_serving(); });
+  for (const std::shared_ptr<CallerConnection>& connection : connections) {
+    connection->CloseIfIdle();
+  }
+  if (is_serving && elapsed < settings_.stop_grace - kExitMargin) {
+    return;
+  }
+  std::error_code ignored;  // the descriptors are released anyway
+  callers_.close(ignored);
+  Log(LogLevel::kInfo, "stopped", {{"after_ms", ToMs(elapsed)}, {"open_requests", is_serving}});
+  watch_->Leave(std::exchange(on_stopped_, nullptr));
+}
+
+std::string Gateway::StateDump() const {
+  const TimePoint now = clock_.now();
+  nlohmann::json upstreams = nlohmann::json::array();
+  for (const auto& [id, upstream] : fleet_.upstreams()) {
+    upstreams.push_back({{"id", id},
+                         {"service", upstream->info.service},
+                         {"failure_domain", upstream->info.failure_domain},
+                         {"leaving", upstream->info.is_leaving},
+                         {"own_running", upstream->own.running},
+                         {"peers_running", upstream->peers.running},
+                         {"own_reserved_tokens", upstream->own.reserved_tokens},
+                         {"peers_reserved_tokens", upstream->peers.reserved_tokens},
+                         {"avoided", core::IsAvoided(upstream->health, now)},
+                         {"poor_share", upstream->health.poor_share}});
+  }
+  const nlohmann::json dump = {
+      {"node", settings_.node},
+      {"ready", is_ready()},
+      {"stopping", is_stopping_},
+      {"config_version", table_ ? table_->version() : 0},
+      {"upstream_list_age_ms", directory_.has_read ? ToMs(now - directory_.last_read) : -1.0},
+      {"gateways", services_.gateways},
+      {"live_peers", load_exchange_->live_peers()},
+      {"connections", connections_.size()},
+      {"upstreams", upstreams}};
+  return dump.dump(1) + "\n";
+}
+
+}  // namespace rattanramp::gateway
--- /dev/null
+++ b/gateway/gateway.h
@@ -0,0 +1,90 @@
+// The gateway process: takes callers' requests, follows the platform's tables and sends each
+// request to the upstream where it is answered soonest.
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/metrics.h"
+#include "base/result.h"
+#include "core/routing_table.h"
+#include "core/upstream_directory.h"
+#include "gateway/caller_connection.h"
+#include "gateway/dispatcher.h"
+#include "gateway/fleet.h"
+#include "gateway/load_exchange.h"
+#include "gateway/services.h"
+#include "gateway/settings.h"
+#include "gateway/store_watch.h"
+
+namespace rattanramp::gateway {
+
+class Gateway final : private CallerHost, private StoreWatcher {
+ public:
+  /// Binds all ports. Errors: kIo names the address.
+  static Result<std::unique_ptr<Gateway>> Create(asio::io_context& context, const Clock& clock,
+                                                 Settings settings, StoreSource source);
+  ~Gateway() override;
+
+  /// Takes no new work after a while, finishes what runs, then calls done.
+  void Stop(std::function<void()> done);
+
+  /// Takes over settings that can change while the process runs.
+  void Reload(const Settings& settings);
+
+  /// Configured, with a list of upstreams, and not stopping.
+  bool is_ready() const;
+  std::string StateDump() const;
+
+ private:
+  /// Answers questions about this process instead of serving requests.
+  class StatusHost;
+
+  Gateway(asio::io_context& context, const Clock& clock, Settings settings);
+
+  Result<void> Listen(asio::ip::tcp::acceptor& acceptor, const asio::ip::tcp::endpoint& endpoint);
+  void Accept(asio::ip::tcp::acceptor& acceptor, CallerHost& host);
+  void Tick();
+  void CheckStopped();
+
+  std::unique_ptr<Exchange> StartExchange(CallerSink& sink, http::RequestHead head,
+                                          std::string body) override;
+  core::CallerLimits caller_limits() const override;
+  bool is_stopping() const override { return is_stopping_; }
+  void OnConnectionEnd(const CallerConnection* connection) override;
+
+  void OnConfigRow(const std::string& text, std::int64_t row_version) override;
+  void OnUpstreamRows(const std::vector<store::TableRow>& rows) override;
+  void OnGatewayRows(const std::map<std::string, std::string>& rows) override;
+
+  asio::io_context& context_;
+  const Clock& clock_;
+  Settings settings_;
+  Metrics metrics_;
+  Fleet fleet_;
+  Dispatcher dispatcher_;
+  std::map<std::string, core::RetryWindow> retry_windows_;
+  Services services_;
+  core::UpstreamDirectory directory_;
+  std::shared_ptr<const core::RoutingTable> table_;
+  std::unique_ptr<LoadExchange> load_exchange_;
+  std::unique_ptr<StoreWatch> watch_;
+  std::unique_ptr<StatusHost> status_host_;
+  asio::ip::tcp::acceptor callers_;
+  asio::ip::tcp::acceptor readiness_;
+  asio::ip::tcp::acceptor metrics_port_;
+  asio::steady_timer timer_;
+  std::map<const CallerConnection*, std::shared_ptr<CallerConnection>> connections_;
+  bool is_stopping_ = false;
+  TimePoint stop_began_;
+  std::function<void()> on_stopped_;
+};
+
+}  // namespace rattanramp::gateway
--- /dev/null
+++ b/gateway/generation_exchange.cc
@@ -0,0 +1,510 @@
+#include "gateway/generation_exchange.h"
+
+#include <spdlog/fmt/fmt.h>
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "base/log.h"
+#include "core/placement.h"
+
+namespace rattanramp::gateway {
+namespace {
+
+// A prompt waits at most core::kMaxPrefillQueueMs and takes up to 200 ms itself; beyond three times
+// that the engine counts as silent.
+constexpr Milliseconds kPrefillTimeout{1'500};
+
+// First event of a decode whose prompt was prefilled elsewhere: a transfer of a few ms, a step and
+// the tokens of one event (about 50 ms).
+constexpr Milliseconds kFirstEventTimeout{1'200};
+
+// The same when the engine prefills the prompt itself, between other tokens.
+constexpr Milliseconds kInPlaceFirstEventTimeout{2'500};
+
+// Callers abandon a stream after a gap of 2 s or more; an event normally comes every 50 ms.
+constexpr Milliseconds kSilenceTimeout{1'200};
+
+// From the start of a prefill to the first event at an engine with room: 100 to 200 ms.
+constexpr Milliseconds kLeastServiceTime{250};
+
+// Mean time of a stream before one was seen (70 events of 50 ms on the users' sheets), and the
+// weight of a new one.
+constexpr double kFirstHoldMs = 3'500;
+constexpr double kHoldWeight = 0.05;
+
+// Bounds of the time after which refused callers come back. They honour at most a third of the time
+// that they have left, which is 14 s at first.
+constexpr std::int64_t kLeastRetryMs = 800;
+constexpr std::int64_t kMostRetryMs = 4'000;
+
+// Left of the time for which a prefilled prompt is kept: a round trip and the start of the
+// transfer.
+constexpr Milliseconds kHoldMargin{80};
+
+// Failures without a run before the request is refused.
+constexpr std::int64_t kMaxNotRun = 4;
+
+// Bytes that the caller has not taken before the engine is no longer read.
+constexpr std::size_t kMaxUnsentBytes = 256 * 1024;
+
+// When a caller may come back after a refusal for lack of room: a share of a stream's duration, in
+// which some of the running ones end.
+constexpr std::int64_t kFullRetryMs = 800;
+constexpr std::int64_t kNoUpstreamRetryMs = 500;
+
+}  // namespace
+
+std::unique_ptr<GenerationExchange> GenerationExchange::Start(RequestContext request,
+                                                              Services& services,
+                                                              CallerSink& sink) {
+  std::unique_ptr<GenerationExchange> exchange(
+      new GenerationExchange(std::move(request), services, sink));
+  exchange->deadline_timer_.expires_at(exchange->request_.deadline);
+  exchange->deadline_timer_.async_wait(
+      [raw = exchange.get(),
+       alive = std::weak_ptr<bool>(exchange->is_alive_)](const std::error_code& error) {
+        if (!error && alive.lock()) {
+          raw->OnDeadline();
+        }
+      });
+  if (exchange->RefuseIfLineIsLong()) {
+    return exchange;
+  }
+  const core::RouteRule& route = *exchange->request_.route;
+  exchange->patience_timer_.expires_at(
+      exchange->request_.arrived +
+      core::StreamPatience(route.target_latency_ms, route.target_gap_ms) - kLeastServiceTime);
+  exchange->patience_timer_.async_wait(
+      [raw = exchange.get(),
+       alive = std::weak_ptr<bool>(exchange->is_alive_)](const std::error_code& error) {
+        if (!error && alive.lock()) {
+          raw->OnPatienceEnd();
+        }
+      });
+  exchange->Wait();
+  return exchange;
+}
+
+GenerationExchange::GenerationExchange(RequestContext request, Services& services, CallerSink& sink)
+    : request_(std::move(request)),
+      services_(services),
+      sink_(sink),
+      deadline_timer_(services.context),
+      patience_timer_(services.context) {}
+
+GenerationExchange::~GenerationExchange() {
+  if (waiting_id_ != 0) {
+    services_.dispatcher.Remove(request_.service->name, waiting_id_);
+  }
+  attempt_.reset();
+  ReleaseDecode();
+  services_.dispatcher.Wake(request_.service->name);
+}
+
+void GenerationExchange::OnCallerGone() {
+  if (phase_ == Phase::kDone) {
+    return;
+  }
+  LogEnd(request_, services_, 499, "caller_gone",
+         is_stream_open_ ? "in the stream" : "before the stream");
+  phase_ = Phase::kDone;
+  attempt_.reset();
+  ReleaseDecode();
+}
+
+void GenerationExchange::OnCallerDrained() {
+  if (is_paused_ && attempt_ && sink_.unsent_bytes() < kMaxUnsentBytes / 2) {
+    is_paused_ = false;
+    attempt_->ResumeReading();
+  }
+}
+
+std::int64_t GenerationExchange::MemoryTokens() const {
+  return core::ExpectedMemoryTokens(
+      {request_.facts.prompt_tokens, request_.facts.max_output_tokens,
+       request_.facts.expected_output_tokens,
+       splitter_.events * request_.service->engine_limits().tokens_per_event});
+}
+
+void GenerationExchange::UpdateReservation() {
+  if (has_reservation_) {
+    const std::int64_t tokens = MemoryTokens();
+    decode_->own.reserved_tokens += tokens - reserved_tokens_;
+    reserved_tokens_ = tokens;
+  }
+}
+
+std::optional<std::int64_t> GenerationExchange::ResumePoint() const {
+  return splitter_.last_id ? splitter_.last_id : request_.facts.resume_after_event;
+}
+
+bool GenerationExchange::RefuseIfLineIsLong() {
+  const std::string& service = request_.service->name;
+  core::LineState line;
+  line.waiting_tokens =
+      services_.dispatcher.waiting_tokens(service) + services_.fleet.PeerWaitingTokens(service);
+  if (line.waiting_tokens == 0) {
+    return false;
+  }
+  const TimePoint now = services_.clock.now();
+  for (const std::shared_ptr<Upstream>& upstream : services_.fleet.OfService(service)) {
+    if (upstream->info.stage == core::UpstreamStage::kDecode && !upstream->info.is_leaving &&
+        !core::IsAvoided(upstream->health, now)) {
+      line.capacity_tokens += request_.service->engine_limits().memory_tokens;
+    }
+  }
+  const auto hold = services_.mean_hold_ms.find(service);
+  line.mean_hold_ms = hold == services_.mean_hold_ms.end() ? kFirstHoldMs : hold->second;
+  const double wait_ms = core::ExpectedWaitMs(line);
+  const double allowed_ms = ToMs(request_.target - now) - ToMs(kLeastServiceTime);
+  if (wait_ms <= allowed_ms) {
+    return false;
+  }
+  phase_ = Phase::kDone;
+  // Callers come back spread over one more wait, so that they do not arrive together.
+  const double spread = static_cast<double>(request_.seed % 1'000) / 1'000.0;
+  const std::int64_t retry_ms =
+      std::clamp(static_cast<std::int64_t>(wait_ms * (1.0 + spread)), kLeastRetryMs, kMostRetryMs);
+  RefuseNotRun(request_, services_, sink_,
+               fmt::format("line of {} tokens takes {:.0f} ms", line.waiting_tokens, wait_ms),
+               retry_ms);
+  return true;
+}
+
+void GenerationExchange::OnPatienceEnd() {
+  if (phase_ != Phase::kWaiting || is_stream_open_ || runs_ > 0) {
+    return;
+  }
+  phase_ = Phase::kDone;
+  RefuseNotRun(request_, services_, sink_, "no room before the caller would leave", kFullRetryMs);
+}
+
+void GenerationExchange::Wait() {
+  phase_ = Phase::kWaiting;
+  core::Waiting waiting;
+  waiting.priority = request_.route->priority;
+  // A stream that the caller is reading already goes first.
+  waiting.due = is_stream_open_ ? request_.arrived : request_.target;
+  waiting.deadline = request_.deadline;
+  waiting_id_ = services_.dispatcher.Add(request_.service->name, waiting, MemoryTokens(),
+                                         [this] { return TryStart(); });
+}
+
+bool GenerationExchange::TryStart() {
+  if (phase_ != Phase::kWaiting) {
+    waiting_id_ = 0;
+    return true;
+  }
+  const TimePoint now = services_.clock.now();
+  std::vector<core::PlacementCandidate> candidates;
+  services_.fleet.FillCandidates(request_.service->name, *request_.service, request_.tried,
+                                 request_.facts.prompt_id, now, candidates);
+  core::GenerationNeed need;
+  need.prompt_tokens = request_.facts.prompt_tokens;
+  need.memory_tokens = MemoryTokens();
+  const std::optional<core::GenerationPlace> place =
+      core::PlaceGeneration(candidates, need, request_.seed);
+  if (!place) {
+    return false;
+  }
+  waiting_id_ = 0;
+  if (!request_.started) {
+    request_.started = now;
+  }
+  const std::span<const std::shared_ptr<Upstream>> upstreams =
+      services_.fleet.OfService(request_.service->name);
+  ReserveDecode(upstreams[place->decode]);
+  if (!kv_source_.empty() && now < kv_source_until_) {
+    // The engine that was meant did not take the prefilled prompt.
+    StartDecode(std::exchange(kv_source_, {}));
+  } else if (place->prefill &&
+             (prefills_ == 0 || TakeExtraArrival(services_, request_.service->name))) {
+    StartPrefill(upstreams[*place->prefill]);
+  } else {
+    StartDecode({});
+  }
+  return true;
+}
+
+void GenerationExchange::ReserveDecode(const std::shared_ptr<Upstream>& decode) {
+  ReleaseDecode();
+  decode_ = decode;
+  has_reservation_ = true;
+  decode_->own.running += 1;
+  reserved_tokens_ = MemoryTokens();
+  reserved_at_ = services_.clock.now();
+  decode_->own.reserved_tokens += reserved_tokens_;
+}
+
+void GenerationExchange::ReleaseDecode() {
+  if (std::exchange(has_reservation_, false)) {
+    decode_->own.running -= 1;
+    decode_->own.reserved_tokens -= reserved_tokens_;
+  }
+}
+
+void GenerationExchange::StartPrefill(const std::shared_ptr<Upstream>& prefill) {
+  phase_ = Phase::kPrefill;
+  request_.tried_ids.push_back(prefill->info.id);
+  const TimePoint now = services_.clock.now();
+  platform::UpstreamRequest call;
+  call.call = platform::UpstreamCall::kPrefill;
+  call.instance = prefill->info.id;
+  call.remaining_ms = RemainingMs(request_, now);
+  call.resume_after_event = ResumePoint();
+  AttemptPlan plan;
+  plan.head = platform::EncodeUpstreamRequest(request_.head, request_.body->size(), call);
+  plan.body = request_.body;
+  plan.request_id = request_.facts.request_id;
+  plan.first_byte_timeout = kPrefillTimeout;
+  plan.silence_timeout = kSilenceTimeout;
+  plan.load.running = 1;
+  plan.load.prefill_tokens = request_.facts.prompt_tokens;
+  answer_body_.clear();
+  attempt_ = Attempt::Start(services_.context, prefill, std::move(plan), *this);
+}
+
+void GenerationExchange::StartDecode(const std::string& kv_source) {
+  phase_ = Phase::kDecode;
+  sent_kv_source_ = kv_source;
+  request_.tried.push_back(decode_->key);
+  request_.tried_ids.push_back(decode_->info.id);
+  const TimePoint now = services_.clock.now();
+  platform::UpstreamRequest call;
+  call.instance = decode_->info.id;
+  call.remaining_ms = RemainingMs(request_, now);
+  call.kv_source = kv_source;
+  call.resume_after_event = ResumePoint();
+  AttemptPlan plan;
+  plan.head = platform::EncodeUpstreamRequest(request_.head, request_.body->size(), call);
+  plan.body = request_.body;
+  plan.request_id = request_.facts.request_id;
+  plan.first_byte_timeout = kv_source.empty() ? kInPlaceFirstEventTimeout : kFirstEventTimeout;
+  plan.silence_timeout = kSilenceTimeout;
+  if (kv_source.empty()) {
+    plan.load.prefill_tokens = request_.facts.prompt_tokens;
+  }
+  answer_body_.clear();
+  is_streaming_ = false;
+  core::DropPartialEvent(splitter_);
+  attempt_ = Attempt::Start(services_.context, decode_, std::move(plan), *this);
+}
+
+void GenerationExchange::OnDeadline() {
+  if (phase_ == Phase::kDone) {
+    return;
+  }
+  const Phase last = std::exchange(phase_, Phase::kDone);
+  attempt_.reset();
+  ReleaseDecode();
+  if (is_stream_open_) {
+    LogEnd(request_, services_, 200, "cut", "deadline passed in the stream");
+    sink_.Break();
+  } else if (last == Phase::kDecode || runs_ > 0) {
+    FailUncertain(request_, services_, sink_, 504, "deadline passed while it ran");
+  } else {
+    RefuseNotRun(request_, services_, sink_, "deadline passed while it waited", std::nullopt);
+  }
+}
+
+void GenerationExchange::OnAnswerHead(const http::ResponseHead& head,
+                                      const core::AnswerFacts& facts) {
+  answer_head_ = head;
+  answer_facts_ = facts;
+  if (phase_ != Phase::kDecode || head.status != 200 || !facts.is_signed) {
+    return;
+  }
+  is_streaming_ = true;
+  if (!is_stream_open_) {
+    is_stream_open_ = true;
+    sink_.StartStream(head.status, platform::CallerFields(head));
+  }
+}
+
+void GenerationExchange::OnAnswerBody(std::string_view bytes) {
+  if (!is_streaming_) {
+    answer_body_.append(bytes);
+    return;
+  }
+  const std::string events = core::TakeWholeEvents(splitter_, bytes);
+  if (events.empty()) {
+    return;
+  }
+  if (!first_event_) {
+    first_event_ = services_.clock.now();
+    services_.metrics.Observe("first_event_ms", ToMs(*first_event_ - request_.arrived));
+  }
+  UpdateReservation();
+  sink_.StreamBytes(events);
+  if (sink_.unsent_bytes() > kMaxUnsentBytes && attempt_) {
+    is_paused_ = true;
+    attempt_->PauseReading();
+  }
+}
+
+void GenerationExchange::OnAnswerComplete() {
+  if (phase_ == Phase::kDone) {
+    return;
+  }
+  services_.dispatcher.Wake(request_.service->name);
+  if (phase_ == Phase::kPrefill) {
+    OnPrefillAnswer();
+    return;
+  }
+  core::UpstreamHealth& health = decode_->health;
+  const TimePoint now = services_.clock.now();
+  if (answer_facts_.wrong_instance) {
+    core::RecordAnswer(health, core::AnswerVerdict::kBad, now);
+    kv_source_ = sent_kv_source_;
+    OnDecodeNotRun("another process has the address");
+    return;
+  }
+  if (answer_facts_.not_run) {
+    core::RecordAnswer(health, core::AnswerVerdict::kPoor, now);
+    OnDecodeNotRun("refused by the engine");
+    return;
+  }
+  if (!is_streaming_) {
+    core::RecordAnswer(
+        health,
+        answer_head_.status >= 500 ? core::AnswerVerdict::kPoor : core::AnswerVerdict::kGood, now);
+    if (answer_head_.status >= 500 || (answer_head_.status == 200 && !answer_facts_.is_signed)) {
+      OnDecodeBroken(AttemptFailure::kBroken);
+      return;
+    }
+    PassAnswer();
+    return;
+  }
+  core::RecordAnswer(health, core::AnswerVerdict::kGood, now);
+  phase_ = Phase::kDone;
+  double& hold_ms =
+      services_.mean_hold_ms.try_emplace(request_.service->name, kFirstHoldMs).first->second;
+  hold_ms += kHoldWeight * (ToMs(now - reserved_at_) - hold_ms);
+  ReleaseDecode();
+  sink_.StreamBytes(splitter_.partial);
+  LogEnd(request_, services_, 200, "answered",
+         fmt::format("{} events, first after {:.0f} ms", splitter_.events,
+                     ToMs(first_event_.value_or(now) - request_.arrived)));
+  sink_.EndStream();
+}
+
+void GenerationExchange::PassAnswer() {
+  phase_ = Phase::kDone;
+  ReleaseDecode();
+  if (is_stream_open_) {
+    LogEnd(request_, services_, answer_head_.status, "cut", "the stream could not be continued");
+    sink_.Break();
+    return;
+  }
+  LogEnd(request_, services_, answer_head_.status, "answered", "");
+  sink_.Answer(answer_head_.status, platform::CallerFields(answer_head_), std::move(answer_body_));
+}
+
+void GenerationExchange::OnPrefillAnswer() {
+  Upstream& prefill = attempt_->upstream();
+  const TimePoint now = services_.clock.now();
+  if (answer_head_.status != 200) {
+    core::RecordAnswer(
+        prefill.health,
+        answer_facts_.wrong_instance ? core::AnswerVerdict::kBad : core::AnswerVerdict::kPoor, now);
+    OnPrefillFailure(fmt::format("prefill answered {}", answer_head_.status));
+    return;
+  }
+  ++prefills_;
+  const Result<std::string> handle = platform::DecodePrefill(answer_body_);
+  if (!handle) {
+    core::RecordAnswer(prefill.health, core::AnswerVerdict::kBad, now);
+    OnPrefillFailure(handle.error().message);
+    return;
+  }
+  core::RecordAnswer(prefill.health, core::AnswerVerdict::kGood, now);
+  kv_source_until_ =
+      now + Milliseconds(request_.service->engine_limits().prefill_hold_ms) - kHoldMargin;
+  const std::string source =
+      fmt::format("{}:{}/{}", prefill.info.address, prefill.info.port, handle.value());
+  attempt_.reset();
+  if (decode_->is_gone || decode_->info.is_leaving) {
+    kv_source_ = source;
+    OnDecodeNotRun("engine left meanwhile");
+    return;
+  }
+  StartDecode(source);
+}
+
+void GenerationExchange::OnPrefillFailure(std::string_view why) {
+  LogStep(request_, "prefill_failed", attempt_->upstream(), why);
+  attempt_.reset();
+  if (++not_run_ >= kMaxNotRun || !TakeExtraArrival(services_, request_.service->name)) {
+    EndInRefusal("prefill failed", kFullRetryMs);
+    return;
+  }
+  ReleaseDecode();
+  Wait();
+}
+
+void GenerationExchange::OnDecodeNotRun(std::string_view why) {
+  LogStep(request_, "decode_not_run", *decode_, why);
+  attempt_.reset();
+  ReleaseDecode();
+  if (++not_run_ >= kMaxNotRun || !TakeExtraArrival(services_, request_.service->name)) {
+    EndInRefusal(why, kFullRetryMs);
+    return;
+  }
+  if (not_run_ >= 2) {
+    // The engines that refused may have room again.
+    request_.tried.clear();
+  }
+  Wait();
+}
+
+void GenerationExchange::EndInRefusal(std::string_view why, std::int64_t retry_ms) {
+  phase_ = Phase::kDone;
+  ReleaseDecode();
+  if (is_stream_open_) {
+    LogEnd(request_, services_, 200, "cut", why);
+    sink_.Break();
+  } else if (runs_ > 0) {
+    FailUncertain(request_, services_, sink_, 502, why);
+  } else {
+    RefuseNotRun(request_, services_, sink_, why, retry_ms);
+  }
+}
+
+void GenerationExchange::OnDecodeBroken(AttemptFailure failure) {
+  ++runs_;
+  LogStep(request_, "decode_broke", *decode_,
+          failure == AttemptFailure::kSilent ? "silent" : "broke off");
+  attempt_.reset();
+  ReleaseDecode();
+  const bool may_continue = core::MayRunAgain(*request_.route) &&
+                            runs_ < request_.route->max_upstreams &&
+                            TakeExtraArrival(services_, request_.service->name);
+  if (!may_continue) {
+    EndInRefusal("the engine broke off", kNoUpstreamRetryMs);
+    return;
+  }
+  Wait();
+}
+
+void GenerationExchange::OnAttemptFailure(AttemptFailure failure) {
+  if (phase_ == Phase::kDone) {
+    return;
+  }
+  services_.dispatcher.Wake(request_.service->name);
+  const TimePoint now = services_.clock.now();
+  core::RecordAnswer(attempt_->upstream().health, core::AnswerVerdict::kBad, now);
+  if (phase_ == Phase::kPrefill) {
+    OnPrefillFailure(failure == AttemptFailure::kNotSent ? "no connection" : "broke off");
+    return;
+  }
+  if (failure == AttemptFailure::kNotSent) {
+    kv_source_ = sent_kv_source_;
+    OnDecodeNotRun("no connection");
+    return;
+  }
+  OnDecodeBroken(failure);
+}
+
+}  // namespace rattanramp::gateway
--- /dev/null
+++ b/gateway/load_exchange.cc
@@ -0,0 +1,172 @@
+#include "gateway/load_exchange.h"
+
+#include <algorithm>
+
+#include "base/log.h"
+#include "wire/gateway_codec.h"
+
+namespace rattanramp::gateway {
+namespace {
+
+// About as long as a prefill of a usual prompt takes: choices in between are made on one's own
+// count.
+constexpr Milliseconds kInterval{80};
+
+// Unchanged load is repeated at this pace, so that a lost datagram does not count for long.
+constexpr Milliseconds kRepeatInterval{400};
+
+// Four repeats lost in a row: the peer is gone, and its work with it.
+constexpr Milliseconds kPeerTimeout{1'700};
+
+bool IsSame(const std::vector<PeerLoad>& a, const std::vector<PeerLoad>& b) {
+  return std::equal(a.begin(), a.end(), b.begin(), b.end(),
+                    [](const PeerLoad& x, const PeerLoad& y) {
+                      return x.key == y.key && x.load.running == y.load.running &&
+                             x.load.reserved_tokens == y.load.reserved_tokens &&
+                             x.load.prefill_tokens == y.load.prefill_tokens;
+                    });
+}
+
+}  // namespace
+
+Result<std::unique_ptr<LoadExchange>> LoadExchange::Create(
+    asio::io_context& context, const Clock& clock, Fleet& fleet, const Dispatcher& dispatcher,
+    std::string own_name, const asio::ip::udp::endpoint& listen, std::function<void()> on_change) {
+  std::unique_ptr<LoadExchange> exchange(new LoadExchange(
+      context, clock, fleet, dispatcher, std::move(own_name), std::move(on_change)));
+  std::error_code error;
+  exchange->socket_.open(asio::ip::udp::v4(), error);
+  if (!error) {
+    exchange->socket_.bind(listen, error);
+  }
+  if (!error) {
+    exchange->socket_.non_blocking(true, error);
+  }
+  if (error) {
+    return Error{ErrorKind::kIo,
+                 "UDP port " + std::to_string(listen.port()) + ": " + error.message(),
+                 "set /peer_ports to a free port"};
+  }
+  // Starts at the time of day, so that a restarted process is not taken for a late datagram.
+  exchange->sequence_ = clock.unix_ms();
+  exchange->Receive();
+  exchange->Tick();
+  return exchange;
+}
+
+LoadExchange::LoadExchange(asio::io_context& context, const Clock& clock, Fleet& fleet,
+                           const Dispatcher& dispatcher, std::string own_name,
+                           std::function<void()> on_change)
+    : clock_(clock),
+      fleet_(fleet),
+      dispatcher_(dispatcher),
+      own_name_(std::move(own_name)),
+      on_change_(std::move(on_change)),
+      socket_(context),
+      timer_(context) {}
+
+void LoadExchange::SetPeers(std::map<std::string, asio::ip::udp::endpoint> peers) {
+  peers_ = std::move(peers);
+}
+
+void LoadExchange::Stop() {
+  is_stopped_ = true;
+  timer_.cancel();
+  std::error_code ignored;  // the descriptor is released anyway
+  socket_.close(ignored);
+}
+
+void LoadExchange::Receive() {
+  socket_.async_receive_from(asio::buffer(datagram_), sender_,
+                             [this](const std::error_code& error, std::size_t size) {
+                               if (is_stopped_) {
+                                 return;
+                               }
+                               if (!error) {
+                                 OnDatagram(size);
+                               }
+                               Receive();
+                             });
+}
+
+void LoadExchange::OnDatagram(std::size_t size) {
+  const Result<wire::GatewayLoad> load =
+      wire::DecodeGatewayLoad(std::string_view(datagram_.data(), size));
+  if (!load) {
+    Log(LogLevel::kWarning, "load_report_unreadable",
+        {{"sender", sender_.address().to_string()}, {"error", load.error().message}});
+    return;
+  }
+  const wire::GatewayLoad& report = load.value();
+  if (report.gateway == own_name_) {
+    return;
+  }
+  Heard& heard = heard_[report.gateway];
+  if (report.sequence <= heard.sequence) {
+    return;
+  }
+  heard = {report.sequence, clock_.now()};
+  std::vector<PeerLoad> loads;
+  loads.reserve(report.upstreams.size());
+  for (const wire::GatewayUpstreamLoad& upstream : report.upstreams) {
+    loads.push_back({upstream.upstream_key,
+                     {upstream.running, upstream.reserved_tokens, upstream.prefill_tokens}});
+  }
+  fleet_.SetPeerLoad(report.gateway, std::move(loads), report.waiting_tokens);
+  on_change_();
+}
+
+void LoadExchange::Tick() {
+  const TimePoint now = clock_.now();
+  for (auto heard = heard_.begin(); heard != heard_.end();) {
+    if (now - heard->second.at > kPeerTimeout) {
+      Log(LogLevel::kInfo, "peer_lost",
+          {{"peer", heard->first}, {"silent_ms", ToMs(now - heard->second.at)}});
+      fleet_.ForgetPeer(heard->first);
+      heard = heard_.erase(heard);
+      on_change_();
+    } else {
+      ++heard;
+    }
+  }
+  Send();
+  timer_.expires_after(kInterval);
+  timer_.async_wait([this](const std::error_code& error) {
+    if (!error && !is_stopped_) {
+      Tick();
+    }
+  });
+}
+
+void LoadExchange::Send() {
+  const TimePoint now = clock_.now();
+  std::vector<PeerLoad> loads = fleet_.OwnLoad();
+  std::map<std::string, std::int64_t> waiting = dispatcher_.waiting_tokens_by_service();
+  if (IsSame(loads, last_sent_) && waiting == last_waiting_ &&
+      now - last_sent_at_ < kRepeatInterval) {
+    return;
+  }
+  wire::GatewayLoad report;
+  report.gateway = own_name_;
+  report.sequence = ++sequence_;
+  for (const PeerLoad& load : loads) {
+    wire::GatewayUpstreamLoad upstream;
+    upstream.upstream_key = load.key;
+    upstream.running = load.load.running;
+    upstream.reserved_tokens = load.load.reserved_tokens;
+    upstream.prefill_tokens = load.load.prefill_tokens;
+    report.upstreams.push_back(upstream);
+  }
+  report.waiting_tokens = waiting;
+  const std::string datagram = wire::EncodeGatewayLoad(report);
+  for (const auto& [name, endpoint] : peers_) {
+    // A datagram that cannot be sent is as good as lost; the next one follows soon.
+    std::error_code ignored;
+    socket_.send_to(asio::buffer(datagram), endpoint, 0, ignored);
+  }
+  last_sent_ = std::move(loads);
+  last_waiting_ = std::move(waiting);
+  last_sent_at_ = now;
+}
+
+}  // namespace rattanramp::gateway
--- /dev/null
+++ b/gateway/load_exchange.h
@@ -0,0 +1,68 @@
+// Tells peer gateways this one's load by UDP, and takes in theirs.
+#pragma once
+
+#include <array>
+#include <asio/io_context.hpp>
+#include <asio/ip/udp.hpp>
+#include <asio/steady_timer.hpp>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/result.h"
+#include "gateway/dispatcher.h"
+#include "gateway/fleet.h"
+
+namespace rattanramp::gateway {
+
+class LoadExchange {
+ public:
+  /// Errors: kIo when the port cannot be bound.
+  static Result<std::unique_ptr<LoadExchange>> Create(asio::io_context& context, const Clock& clock,
+                                                      Fleet& fleet, const Dispatcher& dispatcher,
+                                                      std::string own_name,
+                                                      const asio::ip::udp::endpoint& listen,
+                                                      std::function<void()> on_change);
+
+  /// Replaces the peers that are told.
+  void SetPeers(std::map<std::string, asio::ip::udp::endpoint> peers);
+  /// Peers that were heard lately.
+  std::size_t live_peers() const { return heard_.size(); }
+  void Stop();
+
+ private:
+  struct Heard {
+    std::int64_t sequence = 0;
+    TimePoint at;
+  };
+
+  LoadExchange(asio::io_context& context, const Clock& clock, Fleet& fleet,
+               const Dispatcher& dispatcher, std::string own_name, std::function<void()> on_change);
+
+  void Receive();
+  void OnDatagram(std::size_t size);
+  void Tick();
+  void Send();
+
+  const Clock& clock_;
+  Fleet& fleet_;
+  const Dispatcher& dispatcher_;
+  std::string own_name_;
+  std::function<void()> on_change_;
+  asio::ip::udp::socket socket_;
+  asio::steady_timer timer_;
+  std::array<char, 64 * 1024> datagram_{};
+  asio::ip::udp::endpoint sender_;
+  std::map<std::string, asio::ip::udp::endpoint> peers_;
+  std::map<std::string, Heard> heard_;
+  std::vector<PeerLoad> last_sent_;
+  std::map<std::string, std::int64_t> last_waiting_;
+  TimePoint last_sent_at_;
+  std::int64_t sequence_ = 0;
+  bool is_stopped_ = false;
+};
+
+}  // namespace rattanramp::gateway
--- /dev/null
+++ b/gateway/plain_exchange.cc
@@ -0,0 +1,241 @@
+#include "gateway/plain_exchange.h"
+
+#include <spdlog/fmt/fmt.h>
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "core/placement.h"
+
+namespace rattanramp::gateway {
+namespace {
+
+// Share of the latency target after which a repeatable request is tried elsewhere. Work takes a
+// fifth of the target in the mean and above two thirds in one of a hundred.
+constexpr double kGiveUpShare = 0.7;
+
+// When a caller may come back to a service without a usable upstream: the first pause after bad
+// answers is over by then.
+constexpr std::int64_t kNoUpstreamRetryMs = 400;
+
+// When a caller may come back after a refusal for lack of room: a few times the work of one
+// request.
+constexpr std::int64_t kFullRetryMs = 100;
+
+// Connections in vain for one request before it is given up.
+constexpr std::int64_t kMaxNotSent = 4;
+
+}  // namespace
+
+std::unique_ptr<PlainExchange> PlainExchange::Start(RequestContext request, Services& services,
+                                                    CallerSink& sink) {
+  std::unique_ptr<PlainExchange> exchange(new PlainExchange(std::move(request), services, sink));
+  exchange->deadline_timer_.expires_at(exchange->request_.deadline);
+  exchange->deadline_timer_.async_wait(
+      [raw = exchange.get(),
+       alive = std::weak_ptr<bool>(exchange->is_alive_)](const std::error_code& error) {
+        if (!error && alive.lock()) {
+          raw->OnDeadline();
+        }
+      });
+  exchange->Wait();
+  return exchange;
+}
+
+PlainExchange::PlainExchange(RequestContext request, Services& services, CallerSink& sink)
+    : request_(std::move(request)),
+      services_(services),
+      sink_(sink),
+      deadline_timer_(services.context) {}
+
+PlainExchange::~PlainExchange() {
+  if (waiting_id_ != 0) {
+    services_.dispatcher.Remove(request_.service->name, waiting_id_);
+  }
+  attempt_.reset();
+  services_.dispatcher.Wake(request_.service->name);
+}
+
+void PlainExchange::OnCallerGone() {
+  if (std::exchange(is_done_, true)) {
+    return;
+  }
+  LogEnd(request_, services_, 499, "caller_gone", attempt_ ? "while it ran" : "while it waited");
+  attempt_.reset();
+}
+
+void PlainExchange::Wait() {
+  core::Waiting waiting;
+  waiting.priority = request_.route->priority;
+  waiting.due = request_.target;
+  waiting.deadline = request_.deadline;
+  waiting_id_ =
+      services_.dispatcher.Add(request_.service->name, waiting, 0, [this] { return TryStart(); });
+}
+
+bool PlainExchange::TryStart() {
+  if (is_done_) {
+    waiting_id_ = 0;
+    return true;
+  }
+  const TimePoint now = services_.clock.now();
+  std::vector<core::PlacementCandidate> candidates;
+  services_.fleet.FillCandidates(request_.service->name, *request_.service, request_.tried, {}, now,
+                                 candidates);
+  const std::optional<std::size_t> place = core::PlacePlain(candidates, request_.seed);
+  if (!place) {
+    const bool has_usable =
+        std::any_of(candidates.begin(), candidates.end(),
+                    [](const core::PlacementCandidate& c) { return c.is_usable; });
+    if (has_usable) {
+      return false;
+    }
+    waiting_id_ = 0;
+    is_done_ = true;
+    RefuseNotRun(request_, services_, sink_, "no usable upstream", kNoUpstreamRetryMs);
+    return true;
+  }
+  waiting_id_ = 0;
+  const std::shared_ptr<Upstream>& upstream =
+      services_.fleet.OfService(request_.service->name)[*place];
+  request_.tried.push_back(upstream->key);
+  request_.tried_ids.push_back(upstream->info.id);
+  if (!request_.started) {
+    request_.started = now;
+  }
+  attempt_started_ = now;
+  AttemptPlan plan;
+  platform::UpstreamRequest call;
+  call.instance = upstream->info.id;
+  call.remaining_ms = RemainingMs(request_, now);
+  plan.head = platform::EncodeUpstreamRequest(request_.head, request_.body->size(), call);
+  plan.body = request_.body;
+  plan.request_id = request_.facts.request_id;
+  plan.is_head_request = request_.head.method == "HEAD";
+  plan.load.running = 1;
+  const bool may_go_elsewhere = request_.route->kind == core::RequestKind::kRepeatable &&
+                                runs_ + 1 < request_.route->max_upstreams;
+  if (may_go_elsewhere) {
+    plan.first_byte_timeout = Milliseconds(static_cast<std::int64_t>(
+        kGiveUpShare * static_cast<double>(request_.route->target_latency_ms)));
+  }
+  ++arrivals_;
+  answer_body_.clear();
+  attempt_ = Attempt::Start(services_.context, upstream, std::move(plan), *this);
+  return true;
+}
+
+void PlainExchange::OnDeadline() {
+  if (std::exchange(is_done_, true)) {
+    return;
+  }
+  if (attempt_ || runs_ > 0) {
+    attempt_.reset();
+    FailUncertain(request_, services_, sink_, 504, "deadline passed while it ran");
+    return;
+  }
+  RefuseNotRun(request_, services_, sink_, "deadline passed while it waited", std::nullopt);
+}
+
+bool PlainExchange::TryAgain(bool may_have_run, std::string_view why) {
+  if (may_have_run && (request_.route->kind != core::RequestKind::kRepeatable ||
+                       runs_ >= request_.route->max_upstreams)) {
+    return false;
+  }
+  const bool has_arrived = arrivals_ > 0;
+  if (has_arrived && !TakeExtraArrival(services_, request_.service->name)) {
+    return false;
+  }
+  LogStep(request_, "try_again", attempt_->upstream(), why);
+  attempt_.reset();
+  if (services_.fleet.OfService(request_.service->name).size() <= request_.tried.size()) {
+    request_.tried.clear();
+  }
+  Wait();
+  return true;
+}
+
+void PlainExchange::OnAnswerHead(const http::ResponseHead& head, const core::AnswerFacts& facts) {
+  answer_head_ = head;
+  answer_facts_ = facts;
+}
+
+void PlainExchange::OnAnswerBody(std::string_view bytes) { answer_body_.append(bytes); }
+
+void PlainExchange::OnAnswerComplete() {
+  if (is_done_) {
+    return;
+  }
+  const TimePoint now = services_.clock.now();
+  const int status = answer_head_.status;
+  core::UpstreamHealth& health = attempt_->upstream().health;
+  services_.dispatcher.Wake(request_.service->name);
+  if (answer_facts_.wrong_instance) {
+    core::RecordAnswer(health, core::AnswerVerdict::kBad, now);
+    if (!TryAgain(false, "another process has the address")) {
+      is_done_ = true;
+      RefuseNotRun(request_, services_, sink_, "upstream was replaced", kFullRetryMs);
+    }
+    return;
+  }
+  if (answer_facts_.not_run) {
+    core::RecordAnswer(health, core::AnswerVerdict::kPoor, now);
+    if (!TryAgain(false, "refused by the upstream")) {
+      is_done_ = true;
+      RefuseNotRun(request_, services_, sink_, "upstreams are full", kFullRetryMs);
+    }
+    return;
+  }
+  ++runs_;
+  const bool is_success = status >= 200 && status < 300;
+  if (is_success && !answer_facts_.is_signed) {
+    core::RecordAnswer(health, core::AnswerVerdict::kBad, now);
+    if (!TryAgain(true, "answer without a signature")) {
+      is_done_ = true;
+      FailUncertain(request_, services_, sink_, 502, "answer without a signature");
+    }
+    return;
+  }
+  core::RecordAnswer(health,
+                     status >= 500 ? core::AnswerVerdict::kPoor : core::AnswerVerdict::kGood, now);
+  if (status >= 500 && TryAgain(true, "upstream failed")) {
+    return;
+  }
+  PassAnswer();
+}
+
+void PlainExchange::PassAnswer() {
+  is_done_ = true;
+  LogEnd(request_, services_, answer_head_.status, "answered", "");
+  sink_.Answer(answer_head_.status, platform::CallerFields(answer_head_), std::move(answer_body_));
+}
+
+void PlainExchange::OnAttemptFailure(AttemptFailure failure) {
+  if (is_done_) {
+    return;
+  }
+  const TimePoint now = services_.clock.now();
+  services_.dispatcher.Wake(request_.service->name);
+  if (failure == AttemptFailure::kNotSent) {
+    core::RecordAnswer(attempt_->upstream().health, core::AnswerVerdict::kBad, now);
+    --arrivals_;
+    if (++not_sent_ >= kMaxNotSent || !TryAgain(false, "no connection")) {
+      is_done_ = true;
+      RefuseNotRun(request_, services_, sink_, "upstreams cannot be reached", kNoUpstreamRetryMs);
+    }
+    return;
+  }
+  ++runs_;
+  // Work that takes longer than usual says little about its upstream.
+  core::RecordAnswer(
+      attempt_->upstream().health,
+      failure == AttemptFailure::kSilent ? core::AnswerVerdict::kPoor : core::AnswerVerdict::kBad,
+      now);
+  if (!TryAgain(true, failure == AttemptFailure::kSilent ? "silent" : "connection broke")) {
+    is_done_ = true;
+    FailUncertain(request_, services_, sink_, 502, "upstream broke off");
+  }
+}
+
+}  // namespace rattanramp::gateway
--- /dev/null
+++ b/gateway/plain_exchange.h
@@ -0,0 +1,59 @@
+// Serves one request of a plain service: one whole answer from one upstream.
+#pragma once
+
+#include <asio/steady_timer.hpp>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "gateway/attempt.h"
+#include "gateway/caller_sink.h"
+#include "gateway/request_context.h"
+
+namespace rattanramp::gateway {
+
+class PlainExchange final : public Exchange, private AttemptOwner {
+ public:
+  static std::unique_ptr<PlainExchange> Start(RequestContext request, Services& services,
+                                              CallerSink& sink);
+  ~PlainExchange() override;
+
+  void OnCallerGone() override;
+  void OnCallerDrained() override {}
+
+ private:
+  PlainExchange(RequestContext request, Services& services, CallerSink& sink);
+
+  void Wait();
+  bool TryStart();
+  void OnDeadline();
+  /// Sends the request elsewhere if that is allowed. `may_have_run` is about the last attempt.
+  bool TryAgain(bool may_have_run, std::string_view why);
+  void PassAnswer();
+
+  void OnAnswerHead(const http::ResponseHead& head, const core::AnswerFacts& facts) override;
+  void OnAnswerBody(std::string_view bytes) override;
+  void OnAnswerComplete() override;
+  void OnAttemptFailure(AttemptFailure failure) override;
+
+  RequestContext request_;
+  Services& services_;
+  CallerSink& sink_;
+  asio::steady_timer deadline_timer_;
+  std::shared_ptr<bool> is_alive_ = std::make_shared<bool>(true);
+  std::unique_ptr<Attempt> attempt_;
+  std::uint64_t waiting_id_ = 0;
+  http::ResponseHead answer_head_;
+  core::AnswerFacts answer_facts_;
+  std::string answer_body_;
+  TimePoint attempt_started_;
+  /// Upstreams that may have run it.
+  std::int64_t runs_ = 0;
+  bool is_done_ = false;
+  /// Connections that could not be made.
+  std::int64_t not_sent_ = 0;
+  /// Attempts that arrived at an upstream.
+  std::int64_t arrivals_ = 0;
+};
+
+}  // namespace rattanramp::gateway
--- /dev/null
+++ b/gateway/program.cc
@@ -0,0 +1,130 @@
+#include "gateway/program.h"
+
+#include <asio/io_context.hpp>
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+#include <csignal>
+#include <iostream>
+#include <memory>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "gateway/gateway.h"
+#include "gateway/settings.h"
+#include "platform/config_format.h"
+#include "platform/store_client.h"
+
+namespace rattanramp::gateway {
+namespace {
+
+constexpr int kExitAddress = 1;
+constexpr int kExitSettings = 2;
+
+// Log lines wait this long in memory; one system call then writes them all.
+constexpr Milliseconds kLogFlushInterval{250};
+
+StoreSource MakeSource(asio::io_context& context, const Settings& settings) {
+  StoreSource source;
+  source.config_table = platform::ConfigTable();
+  source.config_key = platform::ConfigKey();
+  source.upstream_table = platform::UpstreamTable();
+  source.gateway_table = "rattanramp_gateways";
+  source.make_client = [&context, server = settings.table_service] {
+    return platform::StoreClient::Create(context, server);
+  };
+  return source;
+}
+
+void ReloadSettings(const std::string& path, Gateway& gateway) {
+  const Result<Settings> settings = ReadSettingsFile(path);
+  if (!settings) {
+    Log(LogLevel::kError, "settings_rejected",
+        {{"error", settings.error().message}, {"remedy", settings.error().remedy}});
+    return;
+  }
+  gateway.Reload(settings.value());
+  Log(LogLevel::kInfo, "settings_reloaded");
+}
+
+class Program {
+ public:
+  Program(asio::io_context& context, Gateway& gateway, std::string settings_path)
+      : context_(context),
+        gateway_(gateway),
+        settings_path_(std::move(settings_path)),
+        signals_(context, SIGTERM, SIGINT, SIGHUP),
+        flush_timer_(context) {
+    WaitForSignal();
+    FlushLog();
+  }
+
+ private:
+  void WaitForSignal() {
+    signals_.async_wait([this](const std::error_code& error, int signal) {
+      if (error) {
+        return;
+      }
+      if (signal == SIGHUP) {
+        ReloadSettings(settings_path_, gateway_);
+      } else {
+        Log(LogLevel::kInfo, "stopping", {{"signal", signal}});
+        gateway_.Stop([this] { context_.stop(); });
+      }
+      WaitForSignal();
+    });
+  }
+
+  void FlushLog() {
+    FlushBufferedLog();
+    flush_timer_.expires_after(kLogFlushInterval);
+    flush_timer_.async_wait([this](const std::error_code& error) {
+      if (!error) {
+        FlushLog();
+      }
+    });
+  }
+
+  asio::io_context& context_;
+  Gateway& gateway_;
+  std::string settings_path_;
+  asio::signal_set signals_;
+  asio::steady_timer flush_timer_;
+};
+
+}  // namespace
+
+int RunProgram(const ProgramOptions& options) {
+  const Result<Settings> settings = ReadSettingsFile(options.settings_path);
+  if (!settings) {
+    std::cerr << settings.error().message << "; " << settings.error().remedy << "\n";
+    return kExitSettings;
+  }
+  if (options.check_only) {
+    std::cout << "settings are valid\n";
+    return 0;
+  }
+  const Result<void> logging = InitBufferedLogging(settings.value().node, options.log_level);
+  if (!logging) {
+    std::cerr << logging.error().message << "; " << logging.error().remedy << "\n";
+    return kExitSettings;
+  }
+  // A write to a connection that the peer has closed reports an error instead.
+  std::signal(SIGPIPE, SIG_IGN);
+  // One thread runs everything; no locks are needed.
+  asio::io_context context(1);
+  Result<std::unique_ptr<Gateway>> gateway = Gateway::Create(
+      context, DefaultClock(), settings.value(), MakeSource(context, settings.value()));
+  if (!gateway) {
+    Log(LogLevel::kError, "cannot_start",
+        {{"error", gateway.error().message}, {"remedy", gateway.error().remedy}});
+    FlushBufferedLog();
+    return kExitAddress;
+  }
+  Log(LogLevel::kInfo, "started", {{"failure_domain", settings.value().failure_domain}});
+  Program program(context, *gateway.value(), options.settings_path);
+  context.run();
+  FlushBufferedLog();
+  return 0;
+}
+
+}  // namespace rattanramp::gateway
--- /dev/null
+++ b/gateway/request_context.cc
@@ -0,0 +1,66 @@
+#include "gateway/request_context.h"
+
+#include <spdlog/fmt/fmt.h>
+
+#include <algorithm>
+
+#include "base/log.h"
+
+namespace rattanramp::gateway {
+
+std::int64_t RemainingMs(const RequestContext& request, TimePoint now) {
+  const std::int64_t left =
+      std::chrono::duration_cast<Milliseconds>(request.deadline - now).count();
+  return std::max<std::int64_t>(1, left);
+}
+
+void RefuseNotRun(RequestContext& request, Services& services, CallerSink& sink,
+                  std::string_view reason, std::optional<std::int64_t> retry_after_ms) {
+  LogEnd(request, services, 503, "not_run", reason);
+  sink.Answer(503, platform::RefusalFields(request.facts.request_id, retry_after_ms),
+              fmt::format("not run: {}\n", reason));
+}
+
+void FailUncertain(RequestContext& request, Services& services, CallerSink& sink, int status,
+                   std::string_view reason) {
+  LogEnd(request, services, status, "unknown", reason);
+  sink.Answer(status, platform::RefusalFields(request.facts.request_id, std::nullopt),
+              fmt::format("outcome unknown: {}\n", reason));
+}
+
+void LogEnd(const RequestContext& request, Services& services, int status, std::string_view outcome,
+            std::string_view reason) {
+  const TimePoint now = services.clock.now();
+  const double total_ms = ToMs(now - request.arrived);
+  services.metrics.Count(
+      fmt::format("requests_total{{route=\"{}\",outcome=\"{}\"}}", request.route->name, outcome));
+  services.metrics.Observe(fmt::format("request_ms{{route=\"{}\"}}", request.route->name),
+                           total_ms);
+  Log(LogLevel::kInfo, "request_end",
+      {{"request", request.facts.request_id},
+       {"route", request.route->name},
+       {"config_version", request.table->version()},
+       {"status", status},
+       {"outcome", outcome},
+       {"reason", reason},
+       {"upstreams", request.tried_ids},
+       {"prompt_tokens", request.facts.prompt_tokens},
+       {"max_output", request.facts.max_output_tokens},
+       {"output_estimate", request.facts.expected_output_tokens.value_or(0)},
+       {"wait_ms", ToMs(request.started.value_or(now) - request.arrived)},
+       {"total_ms", total_ms},
+       {"deadline_ms", ToMs(request.deadline - request.arrived)}});
+}
+
+void LogStep(const RequestContext& request, std::string_view event, const Upstream& upstream,
+             std::string_view detail) {
+  Log(LogLevel::kInfo, event,
+      {{"request", request.facts.request_id},
+       {"upstream", upstream.info.id},
+       {"detail", detail},
+       {"running_own", upstream.own.running},
+       {"running_peers", upstream.peers.running},
+       {"poor_share", upstream.health.poor_share}});
+}
+
+}  // namespace rattanramp::gateway
--- /dev/null
+++ b/gateway/settings.cc
@@ -0,0 +1,144 @@
+#include "gateway/settings.h"
+
+#include <spdlog/fmt/fmt.h>
+
+#include <asio/ip/address_v4.hpp>
+#include <charconv>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+namespace rattanramp::gateway {
+namespace {
+
+using nlohmann::json;
+
+Error Invalid(std::string_view field, const json& value, std::string_view allowed) {
+  return Error{ErrorKind::kInvalidArgument, fmt::format("settings: {} is {}", field, value.dump()),
+               fmt::format("set it to {}", allowed)};
+}
+
+const json& Find(const json& object, std::string_view pointer) {
+  static const json kMissing;
+  const json::json_pointer path{std::string(pointer)};
+  return object.contains(path) ? object[path] : kMissing;
+}
+
+Result<std::string> ReadText(const json& object, std::string_view pointer) {
+  const json& value = Find(object, pointer);
+  if (!value.is_string() || value.get_ref<const std::string&>().empty()) {
+    return Invalid(pointer, value, "a text");
+  }
+  return value.get<std::string>();
+}
+
+Result<asio::ip::tcp::endpoint> ReadEndpoint(const json& object, std::string_view pointer) {
+  const Result<std::string> text = ReadText(object, pointer);
+  if (!text) {
+    return text.error();
+  }
+  const std::string& value = text.value();
+  const std::size_t colon = value.rfind(':');
+  std::uint16_t port = 0;
+  std::error_code error;
+  const asio::ip::address_v4 address = asio::ip::make_address_v4(value.substr(0, colon), error);
+  if (colon != std::string::npos && !error) {
+    const std::from_chars_result read =
+        std::from_chars(value.data() + colon + 1, value.data() + value.size(), port);
+    if (read.ec == std::errc() && read.ptr == value.data() + value.size()) {
+      return asio::ip::tcp::endpoint(address, port);
+    }
+  }
+  return Invalid(pointer, value, "IP:PORT");
+}
+
+// Numbers may come as texts, because the file is made from a template.
+Result<double> ReadNumber(const json& object, std::string_view pointer, double least) {
+  const json& value = Find(object, pointer);
+  std::optional<double> number;
+  if (value.is_number()) {
+    number = value.get<double>();
+  } else if (value.is_string()) {
+    const std::string& text = value.get_ref<const std::string&>();
+    double parsed = 0;
+    const std::from_chars_result read =
+        std::from_chars(text.data(), text.data() + text.size(), parsed);
+    if (read.ec == std::errc() && read.ptr == text.data() + text.size()) {
+      number = parsed;
+    }
+  }
+  if (!number || *number < least) {
+    return Invalid(pointer, value, fmt::format("a number of {} or more", least));
+  }
+  return *number;
+}
+
+Duration Seconds(double seconds) {
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
+}  // namespace
+
+Result<Settings> ParseSettings(std::string_view text) {
+  const json parsed = json::parse(text, nullptr, false);
+  if (!parsed.is_object()) {
+    return Error{ErrorKind::kInvalidArgument, "settings: the file is not a JSON object",
+                 "write one JSON object"};
+  }
+  Settings settings;
+  for (const auto& [pointer, target] :
+       {std::pair{"/node", &settings.node}, {"/failure_domain", &settings.failure_domain}}) {
+    const Result<std::string> value = ReadText(parsed, pointer);
+    if (!value) {
+      return value.error();
+    }
+    *target = value.value();
+  }
+  const Result<std::string> address = ReadText(parsed, "/address");
+  if (!address) {
+    return address.error();
+  }
+  std::error_code address_error;
+  settings.address = asio::ip::make_address_v4(address.value(), address_error);
+  if (address_error) {
+    return Invalid("/address", address.value(), "an IPv4 address");
+  }
+  for (const auto& [pointer, target] : {std::pair{"/listen/callers", &settings.callers},
+                                        {"/listen/readiness", &settings.readiness},
+                                        {"/table_service", &settings.table_service}}) {
+    const Result<asio::ip::tcp::endpoint> endpoint = ReadEndpoint(parsed, pointer);
+    if (!endpoint) {
+      return endpoint.error();
+    }
+    *target = endpoint.value();
+  }
+  const Result<double> metrics = ReadNumber(parsed, "/listen/metrics_port", 0);
+  const Result<double> peer = ReadNumber(parsed, "/peer_ports/0", 1);
+  const Result<double> grace = ReadNumber(parsed, "/stop_grace_s", 0);
+  const Result<double> ratio = ReadNumber(parsed, "/retry_bound/ratio", 0);
+  const Result<double> slack = ReadNumber(parsed, "/retry_bound/slack", 0);
+  const Result<double> window = ReadNumber(parsed, "/retry_bound/window_s", 0.1);
+  for (const Result<double>* number : {&metrics, &peer, &grace, &ratio, &slack, &window}) {
+    if (!*number) {
+      return number->error();
+    }
+  }
+  settings.metrics_port = static_cast<std::uint16_t>(metrics.value());
+  settings.peer_port = static_cast<std::uint16_t>(peer.value());
+  settings.stop_grace = Seconds(grace.value());
+  settings.retry_bound = {ratio.value(), slack.value(), Seconds(window.value())};
+  return settings;
+}
+
+Result<Settings> ReadSettingsFile(const std::string& path) {
+  std::ifstream file(path);
+  std::ostringstream text;
+  text << file.rdbuf();
+  if (!file) {
+    return Error{ErrorKind::kIo, "settings file '" + path + "' cannot be read",
+                 "check its path and permissions"};
+  }
+  return ParseSettings(text.str());
+}
+
+}  // namespace rattanramp::gateway
--- /dev/null
+++ b/gateway/settings.h
@@ -0,0 +1,36 @@
+// Settings of a gateway process, read from a JSON file.
+#pragma once
+
+#include <asio/ip/tcp.hpp>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "base/result.h"
+#include "core/retry_window.h"
+
+namespace rattanramp::gateway {
+
+struct Settings {
+  std::string node;
+  std::string failure_domain;
+  asio::ip::address_v4 address;
+  asio::ip::tcp::endpoint callers;
+  asio::ip::tcp::endpoint readiness;
+  /// Port on `address` that serves counters as text.
+  std::uint16_t metrics_port = 0;
+  /// UDP port on which gateways tell each other their load; the same on all VMs.
+  std::uint16_t peer_port = 0;
+  asio::ip::tcp::endpoint table_service;
+  /// Time between the stop signal and the kill.
+  Duration stop_grace = Milliseconds(8'000);
+  core::RetryBound retry_bound;
+};
+
+/// Errors: kInvalidArgument names the field, its value and what is allowed.
+Result<Settings> ParseSettings(std::string_view text);
+
+/// Errors: as ParseSettings, and kIo when the file cannot be read.
+Result<Settings> ReadSettingsFile(const std::string& path);
+
+}  // namespace rattanramp::gateway
--- /dev/null
+++ b/http/client_connection.cc
@@ -0,0 +1,232 @@
+#include "http/client_connection.h"
+
+#include <array>
+#include <asio/buffer.hpp>
+#include <asio/write.hpp>
+#include <utility>
+#include <vector>
+
+namespace rattanramp::http {
+namespace {
+
+// One read; a token event or a plain answer fits.
+constexpr std::size_t kReadBytes = 8 * 1024;
+
+}  // namespace
+
+std::shared_ptr<ClientConnection> ClientConnection::Create(asio::io_context& context,
+                                                           const asio::ip::tcp::endpoint& server,
+                                                           Duration connect_timeout) {
+  return std::shared_ptr<ClientConnection>(new ClientConnection(context, server, connect_timeout));
+}
+
+ClientConnection::ClientConnection(asio::io_context& context, const asio::ip::tcp::endpoint& server,
+                                   Duration connect_timeout)
+    : context_(context),
+      server_(server),
+      connect_timeout_(connect_timeout),
+      socket_(context),
+      connect_timer_(context) {}
+
+void ClientConnection::Send(std::string head, std::shared_ptr<const std::string> body,
+                            bool is_head_request, ResponseListener& listener) {
+  head_out_ = std::move(head);
+  body_out_ = std::move(body);
+  is_head_request_ = is_head_request;
+  listener_ = &listener;
+  parser_.emplace(is_head_request);
+  is_head_told_ = false;
+  is_dropping_ = false;
+  is_paused_ = false;
+  if (is_connected_) {
+    Write();
+  } else {
+    Connect();
+  }
+}
+
+void ClientConnection::Close() {
+  if (is_closed_) {
+    return;
+  }
+  is_closed_ = true;
+  listener_ = nullptr;
+  on_idle_end_ = nullptr;
+  connect_timer_.cancel();
+  // Closing is best effort: the descriptor is released whatever the peer's state is.
+  std::error_code ignored;
+  socket_.close(ignored);
+}
+
+void ClientConnection::ResumeReading() {
+  if (is_paused_) {
+    is_paused_ = false;
+    Read();
+  }
+}
+
+void ClientConnection::Connect() {
+  std::shared_ptr<ClientConnection> self = shared_from_this();
+  connect_timer_.expires_after(connect_timeout_);
+  connect_timer_.async_wait([self](const std::error_code& error) {
+    if (!error && !self->is_connected_ && !self->is_closed_) {
+      self->Fail(ExchangeFailure::kNotConnected);
+    }
+  });
+  socket_.async_connect(server_, [self](const std::error_code& error) {
+    if (self->is_closed_) {
+      return;
+    }
+    self->connect_timer_.cancel();
+    if (error) {
+      self->Fail(ExchangeFailure::kNotConnected);
+      return;
+    }
+    self->is_connected_ = true;
+    // Without it small requests wait for the acknowledgement of the one before. A socket that
+    // refuses the option still works.
+    std::error_code ignored;
+    self->socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+    self->Read();
+    self->Write();
+  });
+}
+
+void ClientConnection::Write() {
+  ++requests_sent_;
+  is_writing_ = true;
+  std::array<asio::const_buffer, 2> buffers = {asio::buffer(head_out_), asio::const_buffer()};
+  if (body_out_) {
+    buffers[1] = asio::buffer(*body_out_);
+  }
+  std::shared_ptr<ClientConnection> self = shared_from_this();
+  asio::async_write(socket_, buffers,
+                    [self, body = body_out_](const std::error_code& error, std::size_t /*size*/) {
+                      self->is_writing_ = false;
+                      // A failed write is followed by a failed read, which reports it once.
+                      if (error && !self->is_closed_ && !self->is_reading_) {
+                        self->Fail(ExchangeFailure::kBroken);
+                      }
+                    });
+}
+
+void ClientConnection::Read() {
+  if (is_reading_ || is_closed_ || is_paused_) {
+    return;
+  }
+  is_reading_ = true;
+  const std::size_t old_size = buffer_.size();
+  buffer_.resize(old_size + kReadBytes);
+  std::shared_ptr<ClientConnection> self = shared_from_this();
+  socket_.async_read_some(asio::buffer(buffer_.data() + old_size, kReadBytes),
+                          [self, old_size](const std::error_code& error, std::size_t size) {
+                            self->is_reading_ = false;
+                            self->buffer_.resize(old_size + (error ? 0 : size));
+                            self->OnRead(error, size);
+                          });
+}
+
+void ClientConnection::OnRead(const std::error_code& error, std::size_t /*size*/) {
+  if (is_closed_) {
+    return;
+  }
+  if (error) {
+    OnEndOfInput(error == asio::error::eof);
+    return;
+  }
+  std::shared_ptr<ClientConnection> self = shared_from_this();
+  if (ParseBuffer()) {
+    Read();
+  }
+}
+
+bool ClientConnection::ParseBuffer() {
+  while (!buffer_.empty()) {
+    if (listener_ == nullptr) {
+      // Bytes that belong to no request: the connection cannot be trusted any more.
+      OnEndOfInput(false);
+      return false;
+    }
+    const Result<std::size_t> used = parser_->Feed(buffer_);
+    if (!used) {
+      Fail(ExchangeFailure::kMalformed);
+      return false;
+    }
+    buffer_.erase(0, used.value());
+    if (parser_->has_head() && !is_head_told_) {
+      is_head_told_ = true;
+      is_dropping_ = parser_->head().status < 200 || !listener_->OnHead(parser_->head());
+      if (is_closed_) {
+        return false;
+      }
+    }
+    const std::string body = parser_->TakeBody();
+    if (!body.empty() && !is_dropping_) {
+      listener_->OnBody(body);
+      if (is_closed_) {
+        return false;
+      }
+    }
+    if (parser_->is_complete()) {
+      if (!FinishResponse()) {
+        return false;
+      }
+      continue;
+    }
+    if (used.value() == 0) {
+      break;
+    }
+  }
+  return true;
+}
+
+bool ClientConnection::FinishResponse() {
+  const bool keep_alive = parser_->head().keep_alive && !parser_->head().ends_with_connection;
+  if (is_dropping_) {
+    if (!keep_alive && parser_->head().status >= 200) {
+      Fail(ExchangeFailure::kBroken);
+      return false;
+    }
+    parser_.emplace(is_head_request_);
+    is_head_told_ = false;
+    is_dropping_ = false;
+    return true;
+  }
+  // A server may answer before it has read the whole body; what it would read next is that body.
+  const bool is_reusable = keep_alive && !is_writing_ && buffer_.empty();
+  ResponseListener* listener = std::exchange(listener_, nullptr);
+  parser_.reset();
+  if (!is_reusable) {
+    Close();
+  }
+  listener->OnComplete(is_reusable);
+  return !is_closed_;
+}
+
+void ClientConnection::OnEndOfInput(bool in_order) {
+  if (listener_ == nullptr) {
+    std::function<void()> on_end = std::move(on_idle_end_);
+    Close();
+    if (on_end) {
+      on_end();
+    }
+    return;
+  }
+  if (in_order && is_head_told_ && !is_dropping_ && parser_->FinishAtEnd()) {
+    ResponseListener* listener = std::exchange(listener_, nullptr);
+    Close();
+    listener->OnComplete(false);
+    return;
+  }
+  Fail(ExchangeFailure::kBroken);
+}
+
+void ClientConnection::Fail(ExchangeFailure failure) {
+  ResponseListener* listener = std::exchange(listener_, nullptr);
+  Close();
+  if (listener != nullptr) {
+    listener->OnFailure(failure);
+  }
+}
+
+}  // namespace rattanramp::http
--- /dev/null
+++ b/http/message.cc
@@ -0,0 +1,94 @@
+#include "http/message.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/beast/http/status.hpp>
+#include <cctype>
+#include <ostream>
+
+namespace rattanramp::http {
+namespace {
+
+constexpr std::array<std::string_view, 9> kHopByHop = {
+    "connection",        "keep-alive", "proxy-connection",
+    "transfer-encoding", "te",         "trailer",
+    "content-length",    "upgrade",    "expect"};
+
+char Lower(char c) { return static_cast<char>(std::tolower(static_cast<unsigned char>(c))); }
+
+/// Calls visit for each comma-separated token.
+template <typename Visit>
+void ForEachToken(std::string_view list, Visit visit) {
+  while (!list.empty()) {
+    const std::size_t comma = list.find(',');
+    std::string_view token = list.substr(0, comma);
+    list = comma == std::string_view::npos ? std::string_view() : list.substr(comma + 1);
+    while (!token.empty() && (token.front() == ' ' || token.front() == '\t')) {
+      token.remove_prefix(1);
+    }
+    while (!token.empty() && (token.back() == ' ' || token.back() == '\t')) {
+      token.remove_suffix(1);
+    }
+    if (!token.empty()) {
+      visit(token);
+    }
+  }
+}
+
+}  // namespace
+
+bool EqualsIgnoreCase(std::string_view a, std::string_view b) {
+  return a.size() == b.size() && std::equal(a.begin(), a.end(), b.begin(),
+                                            [](char x, char y) { return Lower(x) == Lower(y); });
+}
+
+const std::string* FindField(std::span<const Field> fields, std::string_view name) {
+  for (const Field& field : fields) {
+    if (EqualsIgnoreCase(field.name, name)) {
+      return &field.value;
+    }
+  }
+  return nullptr;
+}
+
+bool IsHopByHop(std::string_view name) {
+  return std::any_of(kHopByHop.begin(), kHopByHop.end(),
+                     [&](std::string_view known) { return EqualsIgnoreCase(known, name); });
+}
+
+Fields EndToEndFields(std::span<const Field> fields) {
+  std::vector<std::string_view> named;
+  for (const Field& field : fields) {
+    if (EqualsIgnoreCase(field.name, "connection")) {
+      ForEachToken(field.value, [&](std::string_view token) { named.push_back(token); });
+    }
+  }
+  Fields kept;
+  kept.reserve(fields.size());
+  for (const Field& field : fields) {
+    const bool is_named = std::any_of(named.begin(), named.end(), [&](std::string_view name) {
+      return EqualsIgnoreCase(name, field.name);
+    });
+    if (!is_named && !IsHopByHop(field.name)) {
+      kept.push_back(field);
+    }
+  }
+  return kept;
+}
+
+void AppendFields(std::span<const Field> fields, std::string& out) {
+  for (const Field& field : fields) {
+    out.append(field.name).append(": ").append(field.value).append("\r\n");
+  }
+}
+
+std::string_view ReasonPhrase(int status) {
+  const boost::beast::string_view phrase =
+      boost::beast::http::obsolete_reason(boost::beast::http::int_to_status(status));
+  return phrase.empty() ? std::string_view("Status")
+                        : std::string_view(phrase.data(), phrase.size());
+}
+
+std::string_view PathOf(std::string_view target) { return target.substr(0, target.find('?')); }
+
+}  // namespace rattanramp::http
--- /dev/null
+++ b/http/parser.cc
@@ -0,0 +1,240 @@
+#include "http/parser.h"
+
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/optional.hpp>
+#include <limits>
+#include <ostream>
+#include <utility>
+
+namespace rattanramp::http {
+namespace {
+
+namespace beast = boost::beast;
+using beast::http::basic_parser;
+using beast::http::field;
+using beast::http::verb;
+using ErrorCode = beast::error_code;
+
+std::string ToString(beast::string_view text) { return {text.data(), text.size()}; }
+
+// Beast takes an unknown coding for a message without a body, so that the body would be read as the
+// next message.
+void CheckTransferEncoding(const Fields& fields, bool chunked, ErrorCode& ec) {
+  if (!chunked && FindField(fields, "Transfer-Encoding") != nullptr) {
+    ec = beast::http::error::bad_transfer_encoding;
+  }
+}
+
+Error Malformed(const char* what, const ErrorCode& code) {
+  return Error{ErrorKind::kProtocol, std::string(what) + ": " + code.message(),
+               "send well-formed HTTP/1.1"};
+}
+
+}  // namespace
+
+struct RequestParser::Impl final : basic_parser<true> {
+  Impl(std::size_t max_head_bytes, std::uint64_t max_body_bytes) : max_body(max_body_bytes) {
+    header_limit(static_cast<std::uint32_t>(max_head_bytes));
+    body_limit(std::numeric_limits<std::uint64_t>::max());
+    eager(true);
+  }
+
+  void on_request_impl(verb /*method*/, beast::string_view method, beast::string_view target,
+                       int version, ErrorCode& ec) override {
+    ec = {};
+    head.method = ToString(method);
+    head.target = ToString(target);
+    head.minor_version = version % 10;
+  }
+  void on_response_impl(int /*status*/, beast::string_view /*reason*/, int /*version*/,
+                        ErrorCode& ec) override {
+    ec = {};
+  }
+  void on_field_impl(field /*name*/, beast::string_view name, beast::string_view value,
+                     ErrorCode& ec) override {
+    ec = {};
+    head.fields.push_back({ToString(name), ToString(value)});
+  }
+  void on_header_impl(ErrorCode& ec) override {
+    ec = {};
+    head.keep_alive = keep_alive();
+    Check(content_length() ? *content_length() : 0, ec);
+    CheckTransferEncoding(head.fields, chunked(), ec);
+  }
+  void on_body_init_impl(const boost::optional<std::uint64_t>& /*length*/, ErrorCode& ec) override {
+    ec = {};
+  }
+  std::size_t on_body_impl(beast::string_view bytes, ErrorCode& ec) override {
+    return Append(bytes, ec);
+  }
+  void on_chunk_header_impl(std::uint64_t /*size*/, beast::string_view /*extensions*/,
+                            ErrorCode& ec) override {
+    ec = {};
+  }
+  std::size_t on_chunk_body_impl(std::uint64_t /*remain*/, beast::string_view bytes,
+                                 ErrorCode& ec) override {
+    return Append(bytes, ec);
+  }
+  void on_finish_impl(ErrorCode& ec) override { ec = {}; }
+
+  std::size_t Append(beast::string_view bytes, ErrorCode& ec) {
+    ec = {};
+    Check(body.size() + bytes.size(), ec);
+    body.append(bytes.data(), bytes.size());
+    return bytes.size();
+  }
+
+  void Check(std::uint64_t size, ErrorCode& ec) {
+    if (size > max_body) {
+      too_large = true;
+      ec = beast::http::error::body_limit;
+    }
+  }
+
+  RequestHead head;
+  std::string body;
+  std::uint64_t max_body;
+  bool too_large = false;
+};
+
+RequestParser::RequestParser(std::size_t max_head_bytes, std::uint64_t max_body_bytes)
+    : impl_(std::make_unique<Impl>(max_head_bytes, max_body_bytes)) {}
+RequestParser::~RequestParser() = default;
+RequestParser::RequestParser(RequestParser&&) noexcept = default;
+RequestParser& RequestParser::operator=(RequestParser&&) noexcept = default;
+
+Result<std::size_t> RequestParser::Feed(std::string_view bytes) {
+  std::size_t used = 0;
+  while (used < bytes.size() && !impl_->is_done()) {
+    ErrorCode ec;
+    const std::size_t step =
+        impl_->put(boost::asio::const_buffer(bytes.data() + used, bytes.size() - used), ec);
+    used += step;
+    if (ec == beast::http::error::need_more) {
+      break;
+    }
+    if (ec == beast::http::error::header_limit || ec == beast::http::error::body_limit) {
+      return Error{ErrorKind::kOverloaded, "request is too large: " + ec.message(),
+                   "send a smaller head or body"};
+    }
+    if (ec) {
+      return Malformed("malformed request", ec);
+    }
+    if (step == 0) {
+      break;
+    }
+  }
+  return used;
+}
+
+bool RequestParser::has_head() const { return impl_->is_header_done(); }
+bool RequestParser::is_complete() const { return impl_->is_done(); }
+bool RequestParser::body_too_large() const { return impl_->too_large; }
+bool RequestParser::expects_continue() const {
+  const std::string* expect = FindField(impl_->head.fields, "Expect");
+  return expect != nullptr && EqualsIgnoreCase(*expect, "100-continue");
+}
+const RequestHead& RequestParser::head() const { return impl_->head; }
+std::string& RequestParser::body() { return impl_->body; }
+
+struct ResponseParser::Impl final : basic_parser<false> {
+  explicit Impl(bool is_head_request) {
+    header_limit(static_cast<std::uint32_t>(kMaxHeadBytes));
+    body_limit(std::numeric_limits<std::uint64_t>::max());
+    skip(is_head_request);
+  }
+
+  void on_request_impl(verb /*method*/, beast::string_view /*name*/, beast::string_view /*target*/,
+                       int /*version*/, ErrorCode& ec) override {
+    ec = {};
+  }
+  void on_response_impl(int status, beast::string_view /*reason*/, int /*version*/,
+                        ErrorCode& ec) override {
+    ec = {};
+    head.status = status;
+  }
+  void on_field_impl(field /*name*/, beast::string_view name, beast::string_view value,
+                     ErrorCode& ec) override {
+    ec = {};
+    head.fields.push_back({ToString(name), ToString(value)});
+  }
+  void on_header_impl(ErrorCode& ec) override {
+    ec = {};
+    CheckTransferEncoding(head.fields, chunked(), ec);
+  }
+  void on_body_init_impl(const boost::optional<std::uint64_t>& /*length*/, ErrorCode& ec) override {
+    ec = {};
+  }
+  std::size_t on_body_impl(beast::string_view bytes, ErrorCode& ec) override {
+    return Append(bytes, ec);
+  }
+  void on_chunk_header_impl(std::uint64_t /*size*/, beast::string_view /*extensions*/,
+                            ErrorCode& ec) override {
+    ec = {};
+  }
+  std::size_t on_chunk_body_impl(std::uint64_t /*remain*/, beast::string_view bytes,
+                                 ErrorCode& ec) override {
+    return Append(bytes, ec);
+  }
+  void on_finish_impl(ErrorCode& ec) override { ec = {}; }
+
+  std::size_t Append(beast::string_view bytes, ErrorCode& ec) {
+    ec = {};
+    body.append(bytes.data(), bytes.size());
+    return bytes.size();
+  }
+
+  ResponseHead head;
+  std::string body;
+};
+
+ResponseParser::ResponseParser(bool is_head_request)
+    : impl_(std::make_unique<Impl>(is_head_request)) {}
+ResponseParser::~ResponseParser() = default;
+ResponseParser::ResponseParser(ResponseParser&&) noexcept = default;
+ResponseParser& ResponseParser::operator=(ResponseParser&&) noexcept = default;
+
+Result<std::size_t> ResponseParser::Feed(std::string_view bytes) {
+  std::size_t used = 0;
+  while (used < bytes.size() && !impl_->is_done()) {
+    const bool had_head = impl_->is_header_done();
+    // A body may follow in later pieces; the head alone is presented first.
+    impl_->eager(had_head);
+    ErrorCode ec;
+    const std::size_t step =
+        impl_->put(boost::asio::const_buffer(bytes.data() + used, bytes.size() - used), ec);
+    used += step;
+    if (ec && ec != beast::http::error::need_more) {
+      return Malformed("malformed response", ec);
+    }
+    if (!had_head && impl_->is_header_done()) {
+      impl_->head.keep_alive = impl_->keep_alive();
+      impl_->head.ends_with_connection = impl_->need_eof();
+      break;
+    }
+    if (ec == beast::http::error::need_more || step == 0) {
+      break;
+    }
+  }
+  return used;
+}
+
+bool ResponseParser::FinishAtEnd() {
+  if (!impl_->is_header_done()) {
+    return false;
+  }
+  if (impl_->is_done()) {
+    return true;
+  }
+  ErrorCode ec;
+  impl_->put_eof(ec);
+  return !ec && impl_->is_done();
+}
+
+bool ResponseParser::has_head() const { return impl_->is_header_done(); }
+bool ResponseParser::is_complete() const { return impl_->is_done(); }
+const ResponseHead& ResponseParser::head() const { return impl_->head; }
+std::string ResponseParser::TakeBody() { return std::exchange(impl_->body, {}); }
+
+}  // namespace rattanramp::http
--- a/platform/http_platform.cc
+++ b/store/http_platform.cc
@@ -1,11 +1,11 @@
-#include "platform/http_platform.h"
+#include "store/http_platform.h"
 
 #include <httplib.h>
 
 #include <nlohmann/json.hpp>
 #include <utility>
 
-namespace rattanramp::platform {
+namespace rattanramp::store {
 namespace {
 
 using nlohmann::json;
@@ -204,4 +204,4 @@
   return list;
 }
 
-}  // namespace rattanramp::platform
+}  // namespace rattanramp::store
--- a/platform/http_platform.h
+++ b/store/http_platform.h
@@ -5,9 +5,9 @@
 #include <string>
 
 #include "base/clock.h"
-#include "platform/platform_store.h"
+#include "store/platform_store.h"
 
-namespace rattanramp::platform {
+namespace rattanramp::store {
 
 class HttpPlatform : public PlatformStore {
  public:
@@ -28,4 +28,4 @@
   Milliseconds timeout_;
 };
 
-}  // namespace rattanramp::platform
+}  // namespace rattanramp::store
--- a/platform/platform_store.h
+++ b/store/platform_store.h
@@ -8,7 +8,7 @@
 
 #include "base/result.h"
 
-namespace rattanramp::platform {
+namespace rattanramp::store {
 
 /// Row of the table service. Versions start at 1 and grow with each write of the key.
 struct Row {
@@ -72,4 +72,4 @@
   virtual Result<VmList> ListVms() = 0;
 };
 
-}  // namespace rattanramp::platform
+}  // namespace rattanramp::store
--- a/tests/agent/calls_test.cc
+++ b/tests/agent/calls_test.cc
@@ -21,7 +21,7 @@
 // Guards against a claim that runs twice when its caller repeats it with an issued key.
 Test(calls, issued_key_runs_once_and_replays) {
   Fixture fixture = StartReadyAgent("service");
-  fixture.platform->SetFault(platform::FakePlatform::Fault::kDown);
+  fixture.platform->SetFault(store::FakePlatform::Fault::kDown);
   const std::string key = fixture.entry->IssueKey();
   fixture.entry->Submit(Call("c1", key, false));
   fixture.entry->Submit(Call("c2", key, false));
@@ -38,13 +38,13 @@
 // against a key that cannot be used afterwards.
 Test(calls, own_key_is_not_run_while_the_table_is_down) {
   Fixture fixture = StartReadyAgent("service");
-  fixture.platform->SetFault(platform::FakePlatform::Fault::kDown);
+  fixture.platform->SetFault(store::FakePlatform::Fault::kDown);
   fixture.entry->Submit(Call("c1", "k1", false));
   cr_assert(fixture.entry->WaitEnd("c1"));
   cr_assert_eq(fixture.entry->Of("c1").refused->kind, wire::RefusalKind::STORE_UNAVAILABLE);
   cr_assert_eq(fixture.entry->Of("c1").refused->outcome, wire::Outcome::NOT_RUN);
   cr_assert_eq(fixture.upstream->RunsOf("k1"), 0);
-  fixture.platform->SetFault(platform::FakePlatform::Fault::kNone);
+  fixture.platform->SetFault(store::FakePlatform::Fault::kNone);
   fixture.entry->Submit(Call("c2", "k1", false));
   cr_assert(fixture.entry->WaitEnd("c2"));
   cr_assert(fixture.entry->Of("c2").end->complete);
@@ -55,7 +55,7 @@
 // without proof.
 Test(calls, lost_reply_is_resolved_by_reading_back) {
   Fixture fixture = StartReadyAgent("service");
-  fixture.platform->SetFault(platform::FakePlatform::Fault::kWriteReplyLost);
+  fixture.platform->SetFault(store::FakePlatform::Fault::kWriteReplyLost);
   fixture.entry->Submit(Call("c1", "k1", false));
   cr_assert(fixture.entry->WaitEnd("c1"));
   cr_assert(fixture.entry->Of("c1").end && fixture.entry->Of("c1").end->complete);
@@ -71,7 +71,7 @@
   other.incarnation = 99;
   other.attempt = "x";
   other.body_hash = 1;
-  platform::Transaction transaction;
+  store::Transaction transaction;
   transaction.writes.push_back({CallRowKey("claims/k2"), core::FormatIntent(other)});
   cr_assert(fixture.platform->Commit(transaction).has_value());
   for (int i = 1; i <= 3; ++i) {
@@ -100,7 +100,7 @@
   cr_assert_eq(fixture.entry->Of("c2").refused->outcome, wire::Outcome::UNKNOWN);
   cr_assert_eq(fixture.upstream->RunsOf("k1"), 1);
   cr_assert(WaitUntil([&] {
-    const Result<std::optional<platform::Row>> row =
+    const Result<std::optional<store::Row>> row =
         fixture.platform->Read(CallRowKey("claims/k1"));
     return row && row.value() && core::ParseIntent(row.value()->value).value().state == "unknown";
   }));
--- a/tests/agent/fixture.h
+++ b/tests/agent/fixture.h
@@ -14,13 +14,13 @@
 
 struct Fixture {
   FakeUpstream* upstream = nullptr;
-  platform::FakePlatform* platform = nullptr;
+  store::FakePlatform* platform = nullptr;
   std::shared_ptr<Agent> agent;
   std::shared_ptr<TestEntry> entry;
 };
 
-inline Fixture StartAgent(const std::string& kind, platform::FakePlatform::Fault fault =
-                                                       platform::FakePlatform::Fault::kNone) {
+inline Fixture StartAgent(const std::string& kind, store::FakePlatform::Fault fault =
+                                                       store::FakePlatform::Fault::kNone) {
   Fixture fixture;
   AgentParts parts;
   parts.boot.id = "agent-1";
@@ -32,7 +32,7 @@
   parts.boot.upstream.model = kind == "engine" ? "m1" : "";
   parts.boot.upstream.role = "both";
   std::unique_ptr<FakeUpstream> upstream = std::make_unique<FakeUpstream>();
-  std::unique_ptr<platform::FakePlatform> platform = std::make_unique<platform::FakePlatform>();
+  std::unique_ptr<store::FakePlatform> platform = std::make_unique<store::FakePlatform>();
   platform->SetFault(fault);
   fixture.upstream = upstream.get();
   fixture.platform = platform.get();
--- a/tests/agent/lifecycle_test.cc
+++ b/tests/agent/lifecycle_test.cc
@@ -29,7 +29,7 @@
 
 // Guards against orders without a fencing number, and against refusing to serve during an outage.
 Test(lifecycle, serves_without_epoch_but_gives_no_orders) {
-  Fixture fixture = StartAgent("engine", platform::FakePlatform::Fault::kDown);
+  Fixture fixture = StartAgent("engine", store::FakePlatform::Fault::kDown);
   fixture.entry->PushSettings(1, kFastSettings);
   cr_assert(fixture.entry->WaitReady());
   fixture.entry->Submit(Generation("a1", wire::WorkKind::GENERATE, 5));
@@ -37,20 +37,20 @@
   cr_assert(fixture.entry->Of("a1").end->complete);
   cr_assert(!fixture.agent->Give(Order{"load_model", "m2", ""}).has_value());
   cr_assert_eq(fixture.upstream->orders, 0);
-  fixture.platform->SetFault(platform::FakePlatform::Fault::kNone);
+  fixture.platform->SetFault(store::FakePlatform::Fault::kNone);
   cr_assert(WaitUntil([&] { return fixture.agent->Give({"load_model", "m2", ""}).has_value(); }));
   cr_assert_eq(fixture.upstream->fence, 1);
 }
 
 // Guards against two agents with the same epoch and against one that takes two after a lost reply.
 Test(lifecycle, epoch_grows_and_survives_a_lost_reply) {
-  platform::FakePlatform platform;
+  store::FakePlatform platform;
   cr_assert_eq(TakeEpoch(platform, "a", 10).value(), 1);
-  platform.SetFault(platform::FakePlatform::Fault::kWriteReplyLost);
+  platform.SetFault(store::FakePlatform::Fault::kWriteReplyLost);
   cr_assert_eq(TakeEpoch(platform, "a", 11).value(), 2);
-  platform.SetFault(platform::FakePlatform::Fault::kReplyLost);
+  platform.SetFault(store::FakePlatform::Fault::kReplyLost);
   cr_assert(!TakeEpoch(platform, "a", 12).has_value());
-  platform.SetFault(platform::FakePlatform::Fault::kNone);
+  platform.SetFault(store::FakePlatform::Fault::kNone);
   cr_assert_eq(TakeEpoch(platform, "a", 11).value(), 2);
   cr_assert_eq(TakeEpoch(platform, "a", 12).value(), 3);
 }
--- a/tests/control/settings_race_test.cc
+++ b/tests/control/settings_race_test.cc
@@ -16,10 +16,10 @@
 using rattanramp::control::ChangeRequest;
 using rattanramp::control::ChangeResult;
 using rattanramp::control::SettingsReplica;
-using rattanramp::platform::CommitResult;
-using rattanramp::platform::FakePlatform;
-using rattanramp::platform::Row;
-using rattanramp::platform::Transaction;
+using rattanramp::store::CommitResult;
+using rattanramp::store::FakePlatform;
+using rattanramp::store::Row;
+using rattanramp::store::Transaction;
 namespace control = rattanramp::control;
 namespace wire = rattanramp::wire;
 
--- a/tests/control/settings_replica_test.cc
+++ b/tests/control/settings_replica_test.cc
@@ -15,7 +15,7 @@
 using rattanramp::control::SettingsPullState;
 using rattanramp::control::SettingsPushOutcome;
 using rattanramp::control::SettingsReplica;
-using rattanramp::platform::FakePlatform;
+using rattanramp::store::FakePlatform;
 using rattanramp::settings::SettingsTree;
 namespace control = rattanramp::control;
 namespace wire = rattanramp::wire;
--- a/tests/control/settings_service_test.cc
+++ b/tests/control/settings_service_test.cc
@@ -12,7 +12,7 @@
 using rattanramp::control::SettingsPullState;
 using rattanramp::control::SettingsReplica;
 using rattanramp::control::SettingsService;
-using rattanramp::platform::FakePlatform;
+using rattanramp::store::FakePlatform;
 namespace control = rattanramp::control;
 namespace wire = rattanramp::wire;
 
--- a/tests/control/vm_directory_test.cc
+++ b/tests/control/vm_directory_test.cc
@@ -7,9 +7,9 @@
 using rattanramp::control::SettingsReplica;
 using rattanramp::control::VmChanges;
 using rattanramp::control::VmDirectory;
-using rattanramp::platform::FakePlatform;
-using rattanramp::platform::Vm;
-using rattanramp::platform::VmList;
+using rattanramp::store::FakePlatform;
+using rattanramp::store::Vm;
+using rattanramp::store::VmList;
 namespace wire = rattanramp::wire;
 
 namespace {
--- /dev/null
+++ b/tests/core/placement_test.cc
@@ -0,0 +1,172 @@
+#include "core/placement.h"
+
+#include <criterion/criterion.h>
+
+#include <random>
+#include <vector>
+
+#include "core/upstream_health.h"
+#include "core/waiting_line.h"
+
+using namespace rattanramp;
+using core::PlacementCandidate;
+using core::UpstreamStage;
+
+namespace {
+
+PlacementCandidate Candidate(UpstreamStage stage) {
+  PlacementCandidate candidate;
+  candidate.stage = stage;
+  candidate.is_usable = true;
+  candidate.slots = 64;
+  candidate.memory_tokens = 100'000;
+  return candidate;
+}
+
+std::vector<PlacementCandidate> Engines(int prefill, int decode) {
+  std::vector<PlacementCandidate> engines;
+  for (int i = 0; i < prefill; ++i) {
+    engines.push_back(Candidate(UpstreamStage::kPrefill));
+  }
+  for (int i = 0; i < decode; ++i) {
+    engines.push_back(Candidate(UpstreamStage::kDecode));
+  }
+  return engines;
+}
+
+}  // namespace
+
+// Load pattern: a burst of generations on few engines. Guards against filling engines beyond their
+// memory, where they preempt running streams.
+Test(placement, burst_fills_engines_evenly_and_then_waits) {
+  std::vector<PlacementCandidate> engines = Engines(2, 3);
+  const core::GenerationNeed need{5'000, 9'000};
+  int placed = 0;
+  while (true) {
+    const std::optional<core::GenerationPlace> place = core::PlaceGeneration(engines, need, placed);
+    if (!place) {
+      break;
+    }
+    engines[place->decode].load.running += 1;
+    engines[place->decode].load.reserved_tokens += need.memory_tokens;
+    ++placed;
+  }
+  cr_assert_eq(placed, 30);
+  for (int i = 2; i < 5; ++i) {
+    cr_assert_eq(engines[i].load.running, 10);
+  }
+}
+
+// Load pattern: all prefill engines are gone. Guards against refusing while decode engines could
+// prefill in place, and against two prompts at once delaying the streams there.
+Test(placement, prefills_in_place_when_no_prefill_engine_is_usable) {
+  std::vector<PlacementCandidate> engines = Engines(1, 1);
+  engines[0].is_usable = false;
+  const std::optional<core::GenerationPlace> place =
+      core::PlaceGeneration(engines, {5'000, 9'000}, 1);
+  cr_assert(place.has_value());
+  cr_assert(!place->prefill.has_value());
+}
+
+// Load pattern: prefill engines are busy for longer than a third of the target. Guards against a
+// prompt that joins a long queue while a decode engine is free to read it.
+Test(placement, long_prefill_queue_overflows_in_place_one_at_a_time) {
+  std::vector<PlacementCandidate> engines = Engines(1, 1);
+  engines[0].load.prefill_tokens = 100'000;
+  const std::optional<core::GenerationPlace> place =
+      core::PlaceGeneration(engines, {5'000, 9'000}, 1);
+  cr_assert(place.has_value());
+  cr_assert(!place->prefill.has_value());
+  engines[1].load.prefill_tokens = 5'000;
+  cr_assert(!core::PlaceGeneration(engines, {5'000, 9'000}, 1).has_value());
+}
+
+// Load pattern: a server that comes back after a crash. Guards against a whole burst being sent to
+// it before one answer has shown that it is sound.
+Test(placement, upstream_on_trial_gets_one_request) {
+  std::vector<PlacementCandidate> servers = {Candidate(UpstreamStage::kPlain)};
+  servers[0].is_on_trial = true;
+  cr_assert(core::PlacePlain(servers, 1).has_value());
+  servers[0].load.running = 1;
+  cr_assert(!core::PlacePlain(servers, 1).has_value());
+}
+
+// Load pattern: one grey server that fails half of its answers. Guards against it drawing requests
+// because it is always free.
+Test(placement, server_with_poor_answers_is_passed_over) {
+  std::vector<PlacementCandidate> servers(3, Candidate(UpstreamStage::kPlain));
+  for (PlacementCandidate& server : servers) {
+    server.slots = 6;
+    server.load.running = 2;
+  }
+  servers[1].poor_share = 0.5;
+  servers[1].load.running = 0;
+  for (std::uint64_t seed = 0; seed < 50; ++seed) {
+    cr_assert_neq(*core::PlacePlain(servers, seed), 1);
+  }
+}
+
+// Load pattern: steady state at full memory. Guards against reserving each stream's peak, which
+// leaves a third of the memory unused, and against overfilling it.
+Test(placement, expected_memory_tracks_the_sum_over_running_streams) {
+  std::mt19937_64 random(7);
+  std::uniform_real_distribution<double> unit(0, 1);
+  double expected = 0;
+  double real = 0;
+  for (int i = 0; i < 20'000; ++i) {
+    const std::int64_t output = 5'000;
+    const std::int64_t made = static_cast<std::int64_t>(unit(random) * output);
+    expected += static_cast<double>(core::ExpectedMemoryTokens({5'000, 9'360, output, made}));
+    real += 5'000.0 + static_cast<double>(made);
+  }
+  // Streams grow during the time that a reservation is for: between the present and the peak.
+  cr_assert_gt(expected, real);
+  cr_assert_lt(expected, 20'000 * 10'000.0);
+}
+
+// Guards against requests that wait for what cannot come: the wait follows the tokens in the line.
+Test(placement, expected_wait_grows_with_the_line) {
+  cr_assert_eq(core::ExpectedWaitMs({0, 500'000, 3'500}), 0);
+  const double wait = core::ExpectedWaitMs({475'000, 500'000, 3'500});
+  cr_assert_float_eq(wait, 3'500, 1);
+  cr_assert_gt(core::ExpectedWaitMs({475'000, 250'000, 3'500}), 1.9 * wait);
+}
+
+// Load pattern: a burst that makes some requests late. Guards against the line serving late
+// requests first, which makes every following one late as well.
+Test(waiting_line, on_time_requests_pass_late_ones) {
+  core::WaitingLine line;
+  TimePoint now{};
+  line.Push({1, 0, now + Milliseconds(100), now + Milliseconds(5'000)});
+  line.Push({2, 0, now + Milliseconds(900), now + Milliseconds(4'000)});
+  line.Push({3, 0, now + Milliseconds(500), now + Milliseconds(6'000)});
+  std::vector<std::uint64_t> ids;
+  line.Next(now, 3, ids);
+  cr_assert(ids == std::vector<std::uint64_t>({1, 3, 2}));
+  now += Milliseconds(200);
+  line.Next(now, 3, ids);
+  cr_assert(ids == std::vector<std::uint64_t>({3, 2, 1}));
+  cr_assert(line.Remove(3));
+  cr_assert(!line.Remove(3));
+  cr_assert_eq(line.size(), 2);
+}
+
+// Guards against hammering a dead server and against leaving a restarted one idle for long.
+Test(upstream_health, pauses_double_and_end_with_a_good_answer) {
+  core::UpstreamHealth health;
+  TimePoint now{};
+  core::RecordAnswer(health, core::AnswerVerdict::kBad, now);
+  cr_assert(core::IsAvoided(health, now + Milliseconds(399)));
+  cr_assert(!core::IsAvoided(health, now + Milliseconds(400)));
+  now += Milliseconds(400);
+  core::RecordAnswer(health, core::AnswerVerdict::kBad, now);
+  cr_assert(core::IsAvoided(health, now + Milliseconds(799)));
+  for (int i = 0; i < 20; ++i) {
+    core::RecordAnswer(health, core::AnswerVerdict::kBad, now);
+  }
+  cr_assert(!core::IsAvoided(health, now + core::kLongestPause));
+  cr_assert(core::IsOnTrial(health));
+  core::RecordAnswer(health, core::AnswerVerdict::kGood, now);
+  cr_assert(!core::IsAvoided(health, now));
+  cr_assert(!core::IsOnTrial(health));
+}
--- a/tests/ctl/command_line_test.cc
+++ b/tests/ctl/command_line_test.cc
@@ -17,7 +17,7 @@
 using rattanramp::ManualClock;
 using rattanramp::control::SettingsReplica;
 using rattanramp::control::SettingsService;
-using rattanramp::platform::FakePlatform;
+using rattanramp::store::FakePlatform;
 namespace ctl = rattanramp::ctl;
 
 namespace {
--- /dev/null
+++ b/tests/platform/config_format_test.cc
@@ -0,0 +1,72 @@
+#include "platform/config_format.h"
+
+#include <criterion/criterion.h>
+
+using namespace rattanramp;
+
+namespace {
+
+constexpr const char* kConfig = R"({"version":7,"routes":[
+  {"name":"r","host":"h","prefix":"/p/","kind":"streaming","timeout_ms":14000,
+   "target_latency_ms":900,"priority":1,"service":"llm","max_attempts":2,"sticky":true,
+   "resumable":true,"target_gap_ms":300},
+  {"name":"s","host":"h","prefix":"/q/","kind":"idempotent","timeout_ms":1500,
+   "traffic_split":[{"service":"a","weight":90},{"service":"b","weight":10}],"max_attempts":2}],
+  "services":[{"name":"llm","health_path":"/healthz","max_conns":370,
+   "engine":{"slots":64,"kv_tokens":107085,"stride":72,"kv_hold_s":0.5}}],
+  "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,
+   "idle_timeout_ms":15000}})";
+
+store::TableRow Row(const std::string& key, const std::string& value) {
+  return {key, value, 1, false};
+}
+
+}  // namespace
+
+// Guards against misreading the operator's configuration.
+Test(config_format, decodes_routes_services_and_limits) {
+  const Result<core::RoutingRules> rules = platform::DecodeConfig(kConfig);
+  cr_assert(rules.has_value());
+  cr_assert_eq(rules.value().version, 7);
+  const core::RouteRule& stream = rules.value().routes[0];
+  cr_assert(stream.kind == core::RequestKind::kStream);
+  cr_assert(stream.is_resumable);
+  cr_assert_eq(stream.max_upstreams, 2);
+  cr_assert_eq(stream.target_gap_ms, 300);
+  cr_assert_eq(rules.value().routes[1].services.size(), 2);
+  cr_assert_eq(rules.value().services[0].engine->memory_tokens, 107'085);
+  cr_assert_eq(rules.value().services[0].engine->prefill_hold_ms, 500);
+  cr_assert_eq(rules.value().limits.idle_timeout_ms, 15'000);
+}
+
+// Guards against a broken configuration replacing the one in force.
+Test(config_format, wrong_types_are_named) {
+  cr_assert(!platform::DecodeConfig("not json").has_value());
+  cr_assert(!platform::DecodeConfig(R"({"version":1})").has_value());
+  const Result<core::RoutingRules> rules = platform::DecodeConfig(
+      R"({"version":1,"services":[],"routes":[{"name":"r","host":"h","prefix":"/p/",
+          "kind":"idempotent","timeout_ms":"long","service":"a"}]})");
+  cr_assert(!rules.has_value());
+  cr_assert_neq(rules.error().message.find("timeout_ms"), std::string::npos);
+}
+
+// Guards against one malformed row of another writer hiding the sound upstreams.
+Test(config_format, malformed_rows_name_no_upstream) {
+  const std::string sound =
+      R"({"service":"s","addr":"10.0.0.9:80","zone":"z","slots":6,"state":"ready","stage":"decode",
+          "born":1700000000123,"seq":4})";
+  const std::vector<store::TableRow> rows = {
+      Row("good", sound),
+      Row("bytes", "\xff\xfe"),
+      Row("no-address", R"({"service":"s","state":"ready"})"),
+      Row("bad-address", R"({"service":"s","addr":"10.0.0.9:http","state":"ready"})"),
+      Row("bad-state", R"({"service":"s","addr":"10.0.0.9:80","state":"dancing"})"),
+      Row("bad-slots", R"({"service":"s","addr":"10.0.0.9:80","state":"ready","slots":"six"})"),
+      Row("leaving", R"({"service":"s","addr":"10.0.0.8:80","state":"draining","slots":6})")};
+  const platform::DecodedUpstreams decoded = platform::DecodeUpstreams(rows);
+  cr_assert_eq(decoded.upstreams.size(), 2);
+  cr_assert_eq(decoded.unreadable.size(), 5);
+  cr_assert(decoded.upstreams[0].stage == core::UpstreamStage::kDecode);
+  cr_assert_eq(decoded.upstreams[0].started_unix_ms, 1'700'000'000'123);
+  cr_assert(decoded.upstreams[1].is_leaving);
+}
--- /dev/null
+++ b/tests/platform/request_format_test.cc
@@ -0,0 +1,98 @@
+#include "platform/request_format.h"
+
+#include <criterion/criterion.h>
+
+using namespace rattanramp;
+
+namespace {
+
+http::RequestHead Head(http::Fields fields) {
+  http::RequestHead head;
+  head.method = "POST";
+  head.target = "/a/b?c=d";
+  head.fields = std::move(fields);
+  return head;
+}
+
+}  // namespace
+
+// Guards against a caller steering the system: fields that are the system's to set do not pass.
+Test(request_format, system_fields_of_the_caller_are_replaced) {
+  const http::RequestHead head = Head({{"Host", "h"},
+                                       {"Request-Id", "r1"},
+                                       {"Deadline-Ms", "14000"},
+                                       {"Kv-Source", "1.2.3.4:5/x"},
+                                       {"serving-stage", "prefill"},
+                                       {"Pin-Ms", "9"},
+                                       {"Kv-Hold", "h"},
+                                       {"Kv-Backup", "1.2.3.4:5"},
+                                       {"Request-Priority", "0"},
+                                       {"Model-Id", "m"},
+                                       {"Token-Count", "10,20"}});
+  platform::UpstreamRequest request;
+  request.instance = "i-1";
+  request.remaining_ms = 900;
+  const std::string text = platform::EncodeUpstreamRequest(head, 3, request);
+  cr_assert(text.starts_with("POST /a/b?c=d HTTP/1.1\r\n"));
+  for (const char* gone : {"Kv-Source", "serving-stage", "Pin-Ms", "Kv-Hold", "Kv-Backup",
+                           "Request-Priority", "14000"}) {
+    cr_assert_eq(text.find(gone), std::string::npos, "%s passed", gone);
+  }
+  for (const char* kept :
+       {"Request-Id: r1\r\n", "Model-Id: m\r\n", "Token-Count: 10,20\r\n", "Deadline-Ms: 900\r\n",
+        "Expect-Instance: i-1\r\n", "Content-Length: 3\r\n"}) {
+    cr_assert_neq(text.find(kept), std::string::npos, "%s is missing", kept);
+  }
+}
+
+// Guards against a continued stream starting at the wrong event.
+Test(request_format, continuation_replaces_the_callers_position) {
+  const http::RequestHead head = Head({{"Request-Id", "r1"}, {"Last-Event-Id", "3"}});
+  platform::UpstreamRequest request;
+  request.resume_after_event = 12;
+  const std::string text = platform::EncodeUpstreamRequest(head, 0, request);
+  cr_assert_neq(text.find("Last-Event-Id: 12\r\n"), std::string::npos);
+  cr_assert_eq(text.find("Last-Event-Id: 3\r\n"), std::string::npos);
+  request.resume_after_event.reset();
+  cr_assert_neq(platform::EncodeUpstreamRequest(head, 0, request).find("Last-Event-Id: 3\r\n"),
+                std::string::npos);
+}
+
+// Guards against numbers that are no numbers being read as zero.
+Test(request_format, malformed_headers_are_named) {
+  cr_assert(!platform::DecodeRequest(Head({})).has_value());
+  for (const http::Field& field :
+       {http::Field{"Deadline-Ms", "soon"}, http::Field{"Token-Count", "1,x"},
+        http::Field{"Last-Event-Id", "-1"}, http::Field{"Request-Id", "twice"}}) {
+    const Result<core::RequestFacts> facts =
+        platform::DecodeRequest(Head({{"Request-Id", "r1"}, field}));
+    cr_assert(!facts.has_value());
+    cr_assert_neq(facts.error().message.find(field.name), std::string::npos);
+  }
+}
+
+// Guards against a promise that the upstream did not make, and against missing one that it made.
+Test(request_format, answers_tell_whether_the_request_ran) {
+  http::ResponseHead head;
+  head.status = 503;
+  cr_assert(!platform::DecodeAnswer(head).not_run);
+  head.fields = {{"Not-Executed", "1"}};
+  cr_assert(platform::DecodeAnswer(head).not_run);
+  head.fields = {};
+  head.status = 421;
+  cr_assert(platform::DecodeAnswer(head).not_run);
+  cr_assert(platform::DecodeAnswer(head).wrong_instance);
+  head.status = 200;
+  head.fields = {{"Response-Seal", "x"}, {"Keep-Alive", "timeout=4, max=9"}};
+  const core::AnswerFacts facts = platform::DecodeAnswer(head);
+  cr_assert(facts.is_signed);
+  cr_assert_eq(*facts.idle_timeout_ms, 4'000);
+}
+
+// Guards against a decode that is sent without the memory of its prompt.
+Test(request_format, prefill_answer_without_a_handle_is_an_error) {
+  cr_assert_eq(platform::DecodePrefill(R"({"kv_handle":"3fa","tokens":5})").value(), "3fa");
+  for (const char* body : {"", "[]", "{}", R"({"kv_handle":5})", R"({"kv_handle":""})"}) {
+    cr_assert(!platform::DecodePrefill(body).has_value());
+  }
+}
--- a/tests/platform/http_platform_test.cc
+++ b/tests/store/http_platform_test.cc
@@ -1,4 +1,4 @@
-#include "platform/http_platform.h"
+#include "store/http_platform.h"
 
 #include <criterion/criterion.h>
 
@@ -12,7 +12,7 @@
 using rattanramp::HttpServerOptions;
 using rattanramp::Milliseconds;
 using rattanramp::Result;
-namespace platform = rattanramp::platform;
+namespace store = rattanramp::store;
 
 namespace {
 
@@ -29,13 +29,13 @@
     server->routes().Get(".*", answer);
     server->routes().Post(".*", answer);
     server->Start();
-    store = std::move(platform::HttpPlatform::Create(
+    store = std::move(store::HttpPlatform::Create(
                           "http://127.0.0.1:" + std::to_string(server->port()), Milliseconds(1000))
                           .value());
   }
 
   std::unique_ptr<HttpServer> server;
-  std::unique_ptr<platform::HttpPlatform> store;
+  std::unique_ptr<store::HttpPlatform> store;
 };
 
 }  // namespace
@@ -44,7 +44,7 @@
 Test(http_platform, server_error_on_a_write_is_uncertain) {
   for (const int status : {500, 502, 503, 504}) {
     const FixedAnswer fixed(status, "{}");
-    const Result<platform::CommitResult> result = fixed.store->Commit({});
+    const Result<store::CommitResult> result = fixed.store->Commit({});
     cr_assert(!result.has_value());
     cr_assert_eq(result.error().kind, ErrorKind::kReplyLost, "status %d", status);
   }
--- a/tests/support/entry_fixture.h
+++ b/tests/support/entry_fixture.h
@@ -15,25 +15,25 @@
 namespace rattanramp::test_support {
 
 /// Platform with a fixed settings snapshot and VM list; writes are refused.
-class FixedPlatform : public platform::PlatformStore {
+class FixedPlatform : public store::PlatformStore {
  public:
   std::string snapshot;
-  platform::VmList vms;
+  store::VmList vms;
 
-  Result<std::optional<platform::Row>> Read(const std::string& key) override {
+  Result<std::optional<store::Row>> Read(const std::string& key) override {
     if (key == "settings/head" && !snapshot.empty()) {
       const nlohmann::json head = {{"version", nlohmann::json::parse(snapshot)["version"]}};
-      return std::optional<platform::Row>(platform::Row{key, head.dump(), 1});
+      return std::optional<store::Row>(store::Row{key, head.dump(), 1});
     }
     if (key != "settings/snapshot" || snapshot.empty()) {
-      return std::optional<platform::Row>();
+      return std::optional<store::Row>();
     }
-    return std::optional<platform::Row>(platform::Row{key, snapshot, 1});
+    return std::optional<store::Row>(store::Row{key, snapshot, 1});
   }
-  Result<std::vector<platform::Row>> Scan(const std::string&) override {
-    return std::vector<platform::Row>();
+  Result<std::vector<store::Row>> Scan(const std::string&) override {
+    return std::vector<store::Row>();
   }
-  Result<platform::CommitResult> Commit(const platform::Transaction&) override {
+  Result<store::CommitResult> Commit(const store::Transaction&) override {
     return Error{ErrorKind::kUnavailable, "read only", "none"};
   }
   Result<std::optional<std::string>> ReadObject(const std::string&) override {
@@ -42,7 +42,7 @@
   Result<void> WriteObject(const std::string&, const std::string&) override {
     return Error{ErrorKind::kUnavailable, "read only", "none"};
   }
-  Result<platform::VmList> ListVms() override { return vms; }
+  Result<store::VmList> ListVms() override { return vms; }
 };
 
 /// Services "chat" (language, model m1), "long" (the same with separate prefill), "lookups"
--- a/tests/support/fake_platform.h
+++ b/tests/support/fake_platform.h
@@ -7,9 +7,9 @@
 #include <thread>
 
 #include "base/clock.h"
-#include "platform/platform_store.h"
+#include "store/platform_store.h"
 
-namespace rattanramp::platform {
+namespace rattanramp::store {
 
 class FakePlatform : public PlatformStore {
  public:
@@ -162,4 +162,4 @@
   VmList vms_;
 };
 
-}  // namespace rattanramp::platform
+}  // namespace rattanramp::store
--- /dev/null
+++ b/wire/gateway_codec.cc
@@ -0,0 +1,43 @@
+#include "wire/gateway_codec.h"
+
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+#include <exception>
+#include <memory>
+
+namespace rattanramp::wire {
+namespace {
+
+using apache::thrift::protocol::TCompactProtocolT;
+using apache::thrift::transport::TMemoryBuffer;
+
+// A datagram has at most 64 KB; no list in it can have more entries than bytes.
+constexpr std::int32_t kMaxBytes = 64 * 1024;
+
+}  // namespace
+
+std::string EncodeGatewayLoad(const GatewayLoad& load) {
+  std::shared_ptr<TMemoryBuffer> buffer = std::make_shared<TMemoryBuffer>();
+  TCompactProtocolT<TMemoryBuffer> protocol(buffer);
+  load.write(&protocol);
+  return buffer->getBufferAsString();
+}
+
+Result<GatewayLoad> DecodeGatewayLoad(std::string_view datagram) {
+  // TMemoryBuffer in OBSERVE mode takes a non-const pointer but does not write to it.
+  std::shared_ptr<TMemoryBuffer> buffer = std::make_shared<TMemoryBuffer>(
+      reinterpret_cast<std::uint8_t*>(const_cast<char*>(datagram.data())),
+      static_cast<std::uint32_t>(datagram.size()), TMemoryBuffer::OBSERVE);
+  TCompactProtocolT<TMemoryBuffer> protocol(buffer, kMaxBytes, kMaxBytes);
+  GatewayLoad load;
+  try {
+    load.read(&protocol);
+  } catch (const std::exception& error) {
+    return Error{ErrorKind::kProtocol, std::string("malformed load report: ") + error.what(),
+                 "check that all gateways run the same version"};
+  }
+  return load;
+}
+
+}  // namespace rattanramp::wire
