--- a/wire/gen-cpp/rattanramp_types.cpp
+++ b/wire/gen-cpp/rattanramp_types.cpp
@@ -5696,4 +5696,396 @@
   out << ")";
 }
 
+
+GatewayUpstreamLoad::~GatewayUpstreamLoad() noexcept {
+}
+
+
+void GatewayUpstreamLoad::__set_upstream_key(const int64_t val) {
+  this->upstream_key = val;
+}
+
+void GatewayUpstreamLoad::__set_running(const int64_t val) {
+  this->running = val;
+}
+
+void GatewayUpstreamLoad::__set_reserved_tokens(const int64_t val) {
+  this->reserved_tokens = val;
+}
+
+void GatewayUpstreamLoad::__set_prefill_tokens(const int64_t val) {
+  this->prefill_tokens = val;
+}
+std::ostream& operator<<(std::ostream& out, const GatewayUpstreamLoad& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t GatewayUpstreamLoad::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_upstream_key = false;
+  bool isset_running = false;
+  bool isset_reserved_tokens = false;
+  bool isset_prefill_tokens = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->upstream_key);
+          isset_upstream_key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->running);
+          isset_running = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->reserved_tokens);
+          isset_reserved_tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->prefill_tokens);
+          isset_prefill_tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_upstream_key)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_running)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_reserved_tokens)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_prefill_tokens)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t GatewayUpstreamLoad::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("GatewayUpstreamLoad");
+
+  xfer += oprot->writeFieldBegin("upstream_key", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->upstream_key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->running);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("reserved_tokens", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->reserved_tokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("prefill_tokens", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->prefill_tokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(GatewayUpstreamLoad &a, GatewayUpstreamLoad &b) {
+  using ::std::swap;
+  swap(a.upstream_key, b.upstream_key);
+  swap(a.running, b.running);
+  swap(a.reserved_tokens, b.reserved_tokens);
+  swap(a.prefill_tokens, b.prefill_tokens);
+}
+
+GatewayUpstreamLoad::GatewayUpstreamLoad(const GatewayUpstreamLoad& other151) noexcept {
+  upstream_key = other151.upstream_key;
+  running = other151.running;
+  reserved_tokens = other151.reserved_tokens;
+  prefill_tokens = other151.prefill_tokens;
+}
+GatewayUpstreamLoad::GatewayUpstreamLoad(GatewayUpstreamLoad&& other152) noexcept {
+  upstream_key = other152.upstream_key;
+  running = other152.running;
+  reserved_tokens = other152.reserved_tokens;
+  prefill_tokens = other152.prefill_tokens;
+}
+GatewayUpstreamLoad& GatewayUpstreamLoad::operator=(const GatewayUpstreamLoad& other153) noexcept {
+  upstream_key = other153.upstream_key;
+  running = other153.running;
+  reserved_tokens = other153.reserved_tokens;
+  prefill_tokens = other153.prefill_tokens;
+  return *this;
+}
+GatewayUpstreamLoad& GatewayUpstreamLoad::operator=(GatewayUpstreamLoad&& other154) noexcept {
+  upstream_key = other154.upstream_key;
+  running = other154.running;
+  reserved_tokens = other154.reserved_tokens;
+  prefill_tokens = other154.prefill_tokens;
+  return *this;
+}
+void GatewayUpstreamLoad::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "GatewayUpstreamLoad(";
+  out << "upstream_key=" << to_string(upstream_key);
+  out << ", " << "running=" << to_string(running);
+  out << ", " << "reserved_tokens=" << to_string(reserved_tokens);
+  out << ", " << "prefill_tokens=" << to_string(prefill_tokens);
+  out << ")";
+}
+
+
+GatewayLoad::~GatewayLoad() noexcept {
+}
+
+
+void GatewayLoad::__set_gateway(const std::string& val) {
+  this->gateway = val;
+}
+
+void GatewayLoad::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void GatewayLoad::__set_upstreams(const std::vector<GatewayUpstreamLoad> & val) {
+  this->upstreams = val;
+}
+
+void GatewayLoad::__set_waiting_tokens(const std::map<std::string, int64_t> & val) {
+  this->waiting_tokens = val;
+}
+std::ostream& operator<<(std::ostream& out, const GatewayLoad& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t GatewayLoad::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_gateway = false;
+  bool isset_sequence = false;
+  bool isset_upstreams = false;
+  bool isset_waiting_tokens = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->gateway);
+          isset_gateway = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          isset_sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->upstreams.clear();
+            uint32_t _size155;
+            ::apache::thrift::protocol::TType _etype158;
+            xfer += iprot->readListBegin(_etype158, _size155);
+            this->upstreams.resize(_size155);
+            uint32_t _i159;
+            for (_i159 = 0; _i159 < _size155; ++_i159)
+            {
+              xfer += this->upstreams[_i159].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_upstreams = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->waiting_tokens.clear();
+            uint32_t _size160;
+            ::apache::thrift::protocol::TType _ktype161;
+            ::apache::thrift::protocol::TType _vtype162;
+            xfer += iprot->readMapBegin(_ktype161, _vtype162, _size160);
+            uint32_t _i164;
+            for (_i164 = 0; _i164 < _size160; ++_i164)
+            {
+              std::string _key165;
+              xfer += iprot->readString(_key165);
+              int64_t& _val166 = this->waiting_tokens[_key165];
+              xfer += iprot->readI64(_val166);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          isset_waiting_tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_gateway)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_sequence)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_upstreams)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_waiting_tokens)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t GatewayLoad::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("GatewayLoad");
+
+  xfer += oprot->writeFieldBegin("gateway", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->gateway);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("upstreams", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->upstreams.size()));
+    std::vector<GatewayUpstreamLoad> ::const_iterator _iter167;
+    for (_iter167 = this->upstreams.begin(); _iter167 != this->upstreams.end(); ++_iter167)
+    {
+      xfer += (*_iter167).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("waiting_tokens", ::apache::thrift::protocol::T_MAP, 4);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->waiting_tokens.size()));
+    std::map<std::string, int64_t> ::const_iterator _iter168;
+    for (_iter168 = this->waiting_tokens.begin(); _iter168 != this->waiting_tokens.end(); ++_iter168)
+    {
+      xfer += oprot->writeString(_iter168->first);
+      xfer += oprot->writeI64(_iter168->second);
+    }
+    xfer += oprot->writeMapEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(GatewayLoad &a, GatewayLoad &b) {
+  using ::std::swap;
+  swap(a.gateway, b.gateway);
+  swap(a.sequence, b.sequence);
+  swap(a.upstreams, b.upstreams);
+  swap(a.waiting_tokens, b.waiting_tokens);
+}
+
+GatewayLoad::GatewayLoad(const GatewayLoad& other169) {
+  gateway = other169.gateway;
+  sequence = other169.sequence;
+  upstreams = other169.upstreams;
+  waiting_tokens = other169.waiting_tokens;
+}
+GatewayLoad::GatewayLoad(GatewayLoad&& other170) noexcept {
+  gateway = std::move(other170.gateway);
+  sequence = other170.sequence;
+  upstreams = std::move(other170.upstreams);
+  waiting_tokens = std::move(other170.waiting_tokens);
+}
+GatewayLoad& GatewayLoad::operator=(const GatewayLoad& other171) {
+  gateway = other171.gateway;
+  sequence = other171.sequence;
+  upstreams = other171.upstreams;
+  waiting_tokens = other171.waiting_tokens;
+  return *this;
+}
+GatewayLoad& GatewayLoad::operator=(GatewayLoad&& other172) noexcept {
+  gateway = std::move(other172.gateway);
+  sequence = other172.sequence;
+  upstreams = std::move(other172.upstreams);
+  waiting_tokens = std::move(other172.waiting_tokens);
+  return *this;
+}
+void GatewayLoad::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "GatewayLoad(";
+  out << "gateway=" << to_string(gateway);
+  out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "upstreams=" << to_string(upstreams);
+  out << ", " << "waiting_tokens=" << to_string(waiting_tokens);
+  out << ")";
+}
+
 }} // namespace
--- a/wire/gen-cpp/rattanramp_types.h
+++ b/wire/gen-cpp/rattanramp_types.h
@@ -178,6 +178,10 @@
 
 class Frame;
 
+class GatewayUpstreamLoad;
+
+class GatewayLoad;
+
 typedef struct _Hello__isset {
   _Hello__isset() : protocol_version(false), process_id(false), role(false), incarnation(false), failure_domain(false), region(false), settings_version(false) {}
   bool protocol_version :1;
@@ -2285,6 +2289,127 @@
 
 std::ostream& operator<<(std::ostream& out, const Frame& obj);
 
+
+class GatewayUpstreamLoad : public virtual ::apache::thrift::TBase {
+ public:
+
+  GatewayUpstreamLoad(const GatewayUpstreamLoad&) noexcept;
+  GatewayUpstreamLoad(GatewayUpstreamLoad&&) noexcept;
+  GatewayUpstreamLoad& operator=(const GatewayUpstreamLoad&) noexcept;
+  GatewayUpstreamLoad& operator=(GatewayUpstreamLoad&&) noexcept;
+  GatewayUpstreamLoad() noexcept
+                      : upstream_key(0),
+                        running(0),
+                        reserved_tokens(0),
+                        prefill_tokens(0) {
+  }
+
+  virtual ~GatewayUpstreamLoad() noexcept;
+  int64_t upstream_key;
+  int64_t running;
+  int64_t reserved_tokens;
+  int64_t prefill_tokens;
+
+  void __set_upstream_key(const int64_t val);
+
+  void __set_running(const int64_t val);
+
+  void __set_reserved_tokens(const int64_t val);
+
+  void __set_prefill_tokens(const int64_t val);
+
+  bool operator == (const GatewayUpstreamLoad & rhs) const
+  {
+    if (!(upstream_key == rhs.upstream_key))
+      return false;
+    if (!(running == rhs.running))
+      return false;
+    if (!(reserved_tokens == rhs.reserved_tokens))
+      return false;
+    if (!(prefill_tokens == rhs.prefill_tokens))
+      return false;
+    return true;
+  }
+  bool operator != (const GatewayUpstreamLoad &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const GatewayUpstreamLoad & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(GatewayUpstreamLoad &a, GatewayUpstreamLoad &b);
+
+std::ostream& operator<<(std::ostream& out, const GatewayUpstreamLoad& obj);
+
+
+/**
+ * Work of one gateway, sent to its peers in one datagram.
+ */
+class GatewayLoad : public virtual ::apache::thrift::TBase {
+ public:
+
+  GatewayLoad(const GatewayLoad&);
+  GatewayLoad(GatewayLoad&&) noexcept;
+  GatewayLoad& operator=(const GatewayLoad&);
+  GatewayLoad& operator=(GatewayLoad&&) noexcept;
+  GatewayLoad() noexcept
+              : gateway(),
+                sequence(0) {
+  }
+
+  virtual ~GatewayLoad() noexcept;
+  std::string gateway;
+  /**
+   * Grows with each report of a process; a smaller one that arrives late is dropped.
+   */
+  int64_t sequence;
+  std::vector<GatewayUpstreamLoad>  upstreams;
+  /**
+   * Memory that waiting generations need, in tokens, by service.
+   */
+  std::map<std::string, int64_t>  waiting_tokens;
+
+  void __set_gateway(const std::string& val);
+
+  void __set_sequence(const int64_t val);
+
+  void __set_upstreams(const std::vector<GatewayUpstreamLoad> & val);
+
+  void __set_waiting_tokens(const std::map<std::string, int64_t> & val);
+
+  bool operator == (const GatewayLoad & rhs) const
+  {
+    if (!(gateway == rhs.gateway))
+      return false;
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(upstreams == rhs.upstreams))
+      return false;
+    if (!(waiting_tokens == rhs.waiting_tokens))
+      return false;
+    return true;
+  }
+  bool operator != (const GatewayLoad &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const GatewayLoad & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(GatewayLoad &a, GatewayLoad &b);
+
+std::ostream& operator<<(std::ostream& out, const GatewayLoad& obj);
+
 }} // namespace
 
 #endif
--- a/wire/rattanramp.thrift
+++ b/wire/rattanramp.thrift
@@ -264,3 +264,20 @@
   19: SuspicionNotice suspicion_notice
   20: Drain drain
 }
+
+struct GatewayUpstreamLoad {
+  1: required i64 upstream_key
+  2: required i64 running
+  3: required i64 reserved_tokens
+  4: required i64 prefill_tokens
+}
+
+/** Work of one gateway, sent to its peers in one datagram. */
+struct GatewayLoad {
+  1: required string gateway
+  /** Grows with each report of a process; a smaller one that arrives late is dropped. */
+  2: required i64 sequence
+  3: required list<GatewayUpstreamLoad> upstreams
+  /** Memory that waiting generations need, in tokens, by service. */
+  4: required map<string, i64> waiting_tokens
+}
