Name no stream position in a prefill, so that continued streams keep their prompt

Ruled out: expired handles (the answers named none), crashes of the prefill engines (they answered).

Change: Last-Event-Id is left out of prefills; the decode names it. A test of the header text guards it.

--- a/gateway/generation_exchange.cc
+++ b/gateway/generation_exchange.cc
@@ -253,7 +253,6 @@
   call.call = platform::UpstreamCall::kPrefill;
   call.instance = prefill->info.id;
   call.remaining_ms = RemainingMs(request_, now);
-  call.resume_after_event = ResumePoint();
   AttemptPlan plan;
   plan.head = platform::EncodeUpstreamRequest(request_.head, request_.body->size(), call);
   plan.body = request_.body;
--- a/tests/platform/request_format_test.cc
+++ b/tests/platform/request_format_test.cc
@@ -58,6 +58,18 @@
                 std::string::npos);
 }
 
+// Guards against prefills in vain: an engine that gets a position with a prefill leaves no KV cache,
+// so that every continued stream read its prompt four times and was then cut.
+Test(request_format, prefill_names_no_position) {
+  const http::RequestHead head = Head({{"Request-Id", "r1"}, {"Last-Event-Id", "3"}});
+  platform::UpstreamRequest request;
+  request.call = platform::UpstreamCall::kPrefill;
+  request.resume_after_event = 12;
+  const std::string text = platform::EncodeUpstreamRequest(head, 0, request);
+  cr_assert_eq(text.find("Last-Event-Id"), std::string::npos);
+  cr_assert_neq(text.find("Serving-Stage: prefill\r\n"), std::string::npos);
+}
+
 // Guards against numbers that are no numbers being read as zero.
 Test(request_format, malformed_headers_are_named) {
   cr_assert(!platform::DecodeRequest(Head({})).has_value());
