Let returning callers wait as late requests; open streams go first

Ruled out: longer lines for first attempts (they make all of them late).

Change: a refused caller is told to come back after 2.2 to 4.4 s, beyond the usual burst; one that has spent time already may wait until it would leave, behind those that can be on time; the line puts open streams first. Test of the line's order.

--- a/gateway/generation_exchange.cc
+++ b/gateway/generation_exchange.cc
@@ -35,13 +35,16 @@
 constexpr double kFirstHoldMs = 3'500;
 constexpr double kHoldWeight = 0.05;
 
-// Bounds of the time after which refused callers come back. They honour at most a third of the time
-// that they have left, which is 14 s at first.
-constexpr std::int64_t kLeastRetryMs = 800;
-constexpr std::int64_t kMostRetryMs = 4'000;
+// When refused callers come back, and over which time they are spread. Users see bursts of 4 to 5
+// s; callers honour at most a third of the time that they have left, which is 14 s at first.
+constexpr std::int64_t kLeastRetryMs = 2'200;
+constexpr std::int64_t kRetrySpreadMs = 2'200;
 
-// Left of the time for which a prefilled prompt is kept: a round trip and the start of the
-// transfer.
+// A caller with less than this share of the route's time left has spent the rest on attempts
+// before. The users' callers state 85% of it or more at first.
+constexpr double kFirstAttemptShare = 0.85;
+
+// Left of the time for which a prefilled prompt is kept: a round trip and the start of the transfer.
 constexpr Milliseconds kHoldMargin{80};
 
 // Time in which a start at one gateway is known at the others: the delay of a report, a few ms on
@@ -77,10 +80,7 @@
   if (exchange->RefuseIfLineIsLong()) {
     return exchange;
   }
-  const core::RouteRule& route = *exchange->request_.route;
-  exchange->patience_timer_.expires_at(
-      exchange->request_.arrived +
-      core::StreamPatience(route.target_latency_ms, route.target_gap_ms) - kLeastServiceTime);
+  exchange->patience_timer_.expires_at(exchange->PatienceEnd() - kLeastServiceTime);
   exchange->patience_timer_.async_wait(
       [raw = exchange.get(),
        alive = std::weak_ptr<bool>(exchange->is_alive_)](const std::error_code& error) {
@@ -145,6 +145,16 @@
   return splitter_.last_id ? splitter_.last_id : request_.facts.resume_after_event;
 }
 
+bool GenerationExchange::HasComeBack() const {
+  const double given = static_cast<double>(request_.facts.deadline_ms.value_or(0));
+  return given > 0 && given < kFirstAttemptShare * static_cast<double>(request_.route->timeout_ms);
+}
+
+TimePoint GenerationExchange::PatienceEnd() const {
+  return request_.arrived +
+         core::StreamPatience(request_.route->target_latency_ms, request_.route->target_gap_ms);
+}
+
 bool GenerationExchange::RefuseIfLineIsLong() {
   const std::string& service = request_.service->name;
   core::LineState line;
@@ -163,15 +173,16 @@
   const auto hold = services_.mean_hold_ms.find(service);
   line.mean_hold_ms = hold == services_.mean_hold_ms.end() ? kFirstHoldMs : hold->second;
   const double wait_ms = core::ExpectedWaitMs(line);
-  const double allowed_ms = ToMs(request_.target - now) - ToMs(kLeastServiceTime);
-  if (wait_ms <= allowed_ms) {
+  const TimePoint latest = HasComeBack() ? PatienceEnd() : request_.target;
+  if (wait_ms <= ToMs(latest - now) - ToMs(kLeastServiceTime)) {
     return false;
   }
   phase_ = Phase::kDone;
-  // Callers come back spread over one more wait, so that they do not arrive together.
-  const double spread = static_cast<double>(request_.seed % 1'000) / 1'000.0;
+  // The answer will be late in any case; bursts last some seconds, and callers spread over the time
+  // do not arrive together.
   const std::int64_t retry_ms =
-      std::clamp(static_cast<std::int64_t>(wait_ms * (1.0 + spread)), kLeastRetryMs, kMostRetryMs);
+      kLeastRetryMs +
+      static_cast<std::int64_t>(request_.seed % static_cast<std::uint64_t>(kRetrySpreadMs));
   RefuseNotRun(request_, services_, sink_,
                fmt::format("line of {} tokens takes {:.0f} ms", line.waiting_tokens, wait_ms),
                retry_ms);
@@ -190,8 +201,15 @@
   phase_ = Phase::kWaiting;
   core::Waiting waiting;
   waiting.priority = request_.route->priority;
-  // A stream that the caller is reading already goes first.
-  waiting.due = is_stream_open_ ? request_.arrived : request_.target;
+  waiting.due = request_.target;
+  if (is_stream_open_) {
+    // The caller is reading this stream: it goes before all that have not begun.
+    waiting.priority -= 1;
+    waiting.due = request_.deadline;
+  } else if (HasComeBack()) {
+    // Late already: it waits behind those that can be on time, but is not refused again.
+    waiting.due = request_.arrived - Milliseconds(1);
+  }
   waiting.deadline = request_.deadline;
   waiting_id_ = services_.dispatcher.Add(request_.service->name, waiting, MemoryTokens(),
                                          [this] { return TryStart(); });
--- a/gateway/generation_exchange.h
+++ b/gateway/generation_exchange.h
@@ -32,6 +32,10 @@
   GenerationExchange(RequestContext request, Services& services, CallerSink& sink);
 
   void Wait();
+  /// The caller has spent a part of its time on earlier attempts.
+  bool HasComeBack() const;
+  /// When the caller leaves for want of a first event.
+  TimePoint PatienceEnd() const;
   /// Refuses at once when the line is so long that the first event would be late.
   bool RefuseIfLineIsLong();
   bool TryStart();
--- a/tests/core/placement_test.cc
+++ b/tests/core/placement_test.cc
@@ -182,6 +182,20 @@
   cr_assert_eq(line.size(), 2);
 }
 
+// Load pattern: an engine dies in a burst. Guards against its open streams waiting behind requests
+// that have not begun: their callers see the pause.
+Test(waiting_line, open_streams_go_first) {
+  core::WaitingLine line;
+  TimePoint now{};
+  line.Push({1, 1, now + Milliseconds(100), now + Milliseconds(5'000)});
+  line.Push({2, 0, now + Milliseconds(9'000), now + Milliseconds(9'000)});
+  std::vector<std::uint64_t> ids;
+  line.Next(now + Milliseconds(50), 1, ids);
+  cr_assert(ids == std::vector<std::uint64_t>({2}));
+  line.Next(now + Milliseconds(2'000), 1, ids);
+  cr_assert(ids == std::vector<std::uint64_t>({2}));
+}
+
 // Guards against hammering a dead server and against leaving a restarted one idle for long.
 Test(upstream_health, pauses_double_and_end_with_a_good_answer) {
   core::UpstreamHealth health;
