Count late waiting requests apart from those that can be on time

Change: waiting memory is summed for on-time and late requests, here and in the reports of peers; a first attempt counts only what can be on time before it; a late one takes no room while a peer has some that can be on time.

--- a/core/placement.cc
+++ b/core/placement.cc
@@ -127,11 +127,16 @@
 }
 
 bool MayTakeContended(const ContendedRoom& room, double draw) {
-  if (room.peer_waiting_tokens <= 0) {
+  if (room.is_late && room.peers.on_time > 0) {
+    return false;
+  }
+  const std::int64_t peers = room.is_late ? room.peers.late : room.peers.on_time;
+  if (peers <= 0) {
     return true;
   }
-  const double own = static_cast<double>(std::max<std::int64_t>(1, room.own_waiting_tokens));
-  const double share = own / (own + static_cast<double>(room.peer_waiting_tokens));
+  const double own = static_cast<double>(
+      std::max<std::int64_t>(1, room.is_late ? room.own.late : room.own.on_time));
+  const double share = own / (own + static_cast<double>(peers));
   return draw < share * static_cast<double>(std::max<std::int64_t>(1, room.fits));
 }
 
--- a/core/placement.h
+++ b/core/placement.h
@@ -104,13 +104,22 @@
 /// Expected wait for room of a generation at the end of the line, in ms.
 double ExpectedWaitMs(const LineState& line);
 
+/// Memory that waiting generations will take, in tokens.
+struct WaitingTokens {
+  /// Of those that can still be on time.
+  std::int64_t on_time = 0;
+  /// Of those that are late already; they go behind the others.
+  std::int64_t late = 0;
+};
+
 /// Room that several processes want at the same time.
 struct ContendedRoom {
   /// Generations of the wanted size that fit on all decode upstreams.
   std::int64_t fits = 0;
-  /// Memory that waits for room at this process and at its peers, in tokens.
-  std::int64_t own_waiting_tokens = 0;
-  std::int64_t peer_waiting_tokens = 0;
+  /// The request that wants room is late already.
+  bool is_late = false;
+  WaitingTokens own;
+  WaitingTokens peers;
 };
 
 /// Generations of a size that fit on the decode upstreams now.
--- a/gateway/dispatcher.cc
+++ b/gateway/dispatcher.cc
@@ -21,8 +21,7 @@
   waiting.id = next_id_++;
   Line& line = lines_[service];
   line.order.Push(waiting);
-  line.entries[waiting.id] = {std::move(try_start), tokens};
-  line.tokens += tokens;
+  line.entries[waiting.id] = {std::move(try_start), tokens, waiting.due};
   Wake(service);
   return waiting.id;
 }
@@ -30,11 +29,7 @@
 void Dispatcher::Remove(const std::string& service, std::uint64_t id) {
   Line& line = lines_[service];
   line.order.Remove(id);
-  const auto entry = line.entries.find(id);
-  if (entry != line.entries.end()) {
-    line.tokens -= entry->second.tokens;
-    line.entries.erase(entry);
-  }
+  line.entries.erase(id);
 }
 
 void Dispatcher::Wake(const std::string& service) {
@@ -57,16 +52,26 @@
   return line == lines_.end() ? 0 : line->second.entries.size();
 }
 
-std::int64_t Dispatcher::waiting_tokens(const std::string& service) const {
+core::WaitingTokens Dispatcher::Sum(const Line& line) const {
+  core::WaitingTokens sum;
+  const TimePoint now = clock_.now();
+  for (const auto& [id, entry] : line.entries) {
+    (entry.due < now ? sum.late : sum.on_time) += entry.tokens;
+  }
+  return sum;
+}
+
+core::WaitingTokens Dispatcher::waiting_tokens(const std::string& service) const {
   const auto line = lines_.find(service);
-  return line == lines_.end() ? 0 : line->second.tokens;
+  return line == lines_.end() ? core::WaitingTokens() : Sum(line->second);
 }
 
-std::map<std::string, std::int64_t> Dispatcher::waiting_tokens_by_service() const {
-  std::map<std::string, std::int64_t> tokens;
+std::map<std::string, core::WaitingTokens> Dispatcher::waiting_tokens_by_service() const {
+  std::map<std::string, core::WaitingTokens> tokens;
   for (const auto& [service, line] : lines_) {
-    if (line.tokens > 0) {
-      tokens[service] = line.tokens;
+    const core::WaitingTokens sum = Sum(line);
+    if (sum.on_time > 0 || sum.late > 0) {
+      tokens[service] = sum;
     }
   }
   return tokens;
--- a/gateway/dispatcher.h
+++ b/gateway/dispatcher.h
@@ -9,6 +9,7 @@
 #include <unordered_map>
 
 #include "base/clock.h"
+#include "core/placement.h"
 #include "core/waiting_line.h"
 
 namespace rattanramp::gateway {
@@ -32,24 +33,25 @@
   void WakeAll();
 
   std::size_t waiting(const std::string& service) const;
-  /// Memory that the waiting requests of a service will take, in tokens.
-  std::int64_t waiting_tokens(const std::string& service) const;
+  /// Memory that the waiting requests of a service will take.
+  core::WaitingTokens waiting_tokens(const std::string& service) const;
   /// The same by service, without those where nothing waits.
-  std::map<std::string, std::int64_t> waiting_tokens_by_service() const;
+  std::map<std::string, core::WaitingTokens> waiting_tokens_by_service() const;
 
  private:
   struct Entry {
     TryStart try_start;
     std::int64_t tokens = 0;
+    TimePoint due;
   };
   struct Line {
     core::WaitingLine order;
     std::unordered_map<std::uint64_t, Entry> entries;
-    std::int64_t tokens = 0;
     bool is_woken = false;
   };
 
   void Run(const std::string& service);
+  core::WaitingTokens Sum(const Line& line) const;
 
   asio::io_context& context_;
   const Clock& clock_;
--- a/gateway/fleet.cc
+++ b/gateway/fleet.cc
@@ -92,18 +92,21 @@
 }
 
 void Fleet::SetPeerLoad(const std::string& peer, std::vector<PeerLoad> load,
-                        std::map<std::string, std::int64_t> waiting_tokens) {
+                        std::map<std::string, core::WaitingTokens> waiting_tokens) {
   peer_states_[peer] = {std::move(load), std::move(waiting_tokens)};
   SumPeerLoads();
 }
 
-std::int64_t Fleet::PeerWaitingTokens(const std::string& service) const {
-  std::int64_t tokens = 0;
+core::WaitingTokens Fleet::PeerWaitingTokens(const std::string& service) const {
+  core::WaitingTokens sum;
   for (const auto& [peer, state] : peer_states_) {
     const auto waiting = state.waiting_tokens.find(service);
-    tokens += waiting == state.waiting_tokens.end() ? 0 : waiting->second;
+    if (waiting != state.waiting_tokens.end()) {
+      sum.on_time += waiting->second.on_time;
+      sum.late += waiting->second.late;
+    }
   }
-  return tokens;
+  return sum;
 }
 
 void Fleet::ForgetPeer(const std::string& peer) {
--- a/gateway/fleet.h
+++ b/gateway/fleet.h
@@ -63,11 +63,11 @@
 
   /// Replaces what a peer said before. waiting_tokens: memory of waiting generations by service.
   void SetPeerLoad(const std::string& peer, std::vector<PeerLoad> load,
-                   std::map<std::string, std::int64_t> waiting_tokens);
+                   std::map<std::string, core::WaitingTokens> waiting_tokens);
   void ForgetPeer(const std::string& peer);
 
-  /// Memory that generations waiting at the peers will take, in tokens.
-  std::int64_t PeerWaitingTokens(const std::string& service) const;
+  /// Memory that generations waiting at the peers will take.
+  core::WaitingTokens PeerWaitingTokens(const std::string& service) const;
 
   /// Upstreams at which this gateway has work.
   std::vector<PeerLoad> OwnLoad() const;
@@ -87,7 +87,7 @@
   std::map<std::string, std::vector<std::shared_ptr<Upstream>>, std::less<>> by_service_;
   struct PeerState {
     std::vector<PeerLoad> loads;
-    std::map<std::string, std::int64_t> waiting_tokens;
+    std::map<std::string, core::WaitingTokens> waiting_tokens;
   };
   std::map<std::string, PeerState> peer_states_;
 };
--- a/gateway/generation_exchange.cc
+++ b/gateway/generation_exchange.cc
@@ -44,7 +44,8 @@
 // before. The users' callers state 85% of it or more at first.
 constexpr double kFirstAttemptShare = 0.85;
 
-// Left of the time for which a prefilled prompt is kept: a round trip and the start of the transfer.
+// Left of the time for which a prefilled prompt is kept: a round trip and the start of the
+// transfer.
 constexpr Milliseconds kHoldMargin{80};
 
 // Time in which a start at one gateway is known at the others: the delay of a report, a few ms on
@@ -158,8 +159,12 @@
 bool GenerationExchange::RefuseIfLineIsLong() {
   const std::string& service = request_.service->name;
   core::LineState line;
-  line.waiting_tokens =
-      services_.dispatcher.waiting_tokens(service) + services_.fleet.PeerWaitingTokens(service);
+  const core::WaitingTokens own = services_.dispatcher.waiting_tokens(service);
+  const core::WaitingTokens peers = services_.fleet.PeerWaitingTokens(service);
+  line.waiting_tokens = own.on_time + peers.on_time;
+  if (HasComeBack()) {
+    line.waiting_tokens += own.late + peers.late;
+  }
   if (line.waiting_tokens == 0) {
     return false;
   }
@@ -258,15 +263,16 @@
                                      const core::GenerationNeed& need, TimePoint now) {
   const std::string& service = request_.service->name;
   core::ContendedRoom room;
-  room.peer_waiting_tokens = services_.fleet.PeerWaitingTokens(service);
-  if (room.peer_waiting_tokens == 0) {
+  room.peers = services_.fleet.PeerWaitingTokens(service);
+  if (is_stream_open_ || (room.peers.on_time == 0 && room.peers.late == 0)) {
     return true;
   }
   if (now < next_try_) {
     return false;
   }
   next_try_ = now + kContendedInterval;
-  room.own_waiting_tokens = services_.dispatcher.waiting_tokens(service);
+  room.is_late = HasComeBack() || now > request_.target;
+  room.own = services_.dispatcher.waiting_tokens(service);
   room.fits = core::CountFits(candidates, need);
   ++tries_;
   const double draw =
--- a/gateway/load_exchange.cc
+++ b/gateway/load_exchange.cc
@@ -131,7 +131,14 @@
     loads.push_back({upstream.upstream_key,
                      {upstream.running, upstream.reserved_tokens, upstream.prefill_tokens}});
   }
-  fleet_.SetPeerLoad(report.gateway, std::move(loads), report.waiting_tokens);
+  std::map<std::string, core::WaitingTokens> waiting;
+  for (const auto& [service, tokens] : report.waiting_tokens) {
+    waiting[service].on_time = tokens;
+  }
+  for (const auto& [service, tokens] : report.late_waiting_tokens) {
+    waiting[service].late = tokens;
+  }
+  fleet_.SetPeerLoad(report.gateway, std::move(loads), std::move(waiting));
   on_change_();
 }
 
@@ -160,8 +167,13 @@
 void LoadExchange::Send() {
   const TimePoint now = clock_.now();
   std::vector<PeerLoad> loads = fleet_.OwnLoad();
-  std::map<std::string, std::int64_t> waiting = dispatcher_.waiting_tokens_by_service();
-  if (IsSame(loads, last_sent_) && waiting == last_waiting_ &&
+  std::map<std::string, std::int64_t> waiting;
+  std::map<std::string, std::int64_t> late;
+  for (const auto& [service, tokens] : dispatcher_.waiting_tokens_by_service()) {
+    waiting[service] = tokens.on_time;
+    late[service] = tokens.late;
+  }
+  if (IsSame(loads, last_sent_) && waiting == last_waiting_ && late == last_late_ &&
       now - last_sent_at_ < kRepeatInterval) {
     return;
   }
@@ -177,6 +189,7 @@
     report.upstreams.push_back(upstream);
   }
   report.waiting_tokens = waiting;
+  report.late_waiting_tokens = late;
   const std::string datagram = wire::EncodeGatewayLoad(report);
   for (const auto& [name, endpoint] : peers_) {
     // A datagram that cannot be sent is as good as lost; the next one follows soon.
@@ -185,6 +198,7 @@
   }
   last_sent_ = std::move(loads);
   last_waiting_ = std::move(waiting);
+  last_late_ = std::move(late);
   last_sent_at_ = now;
 }
 
--- a/gateway/load_exchange.h
+++ b/gateway/load_exchange.h
@@ -64,6 +64,7 @@
   std::map<std::string, Heard> heard_;
   std::vector<PeerLoad> last_sent_;
   std::map<std::string, std::int64_t> last_waiting_;
+  std::map<std::string, std::int64_t> last_late_;
   TimePoint last_sent_at_;
   std::int64_t sequence_ = 0;
   bool is_stopped_ = false;
--- a/tests/core/placement_test.cc
+++ b/tests/core/placement_test.cc
@@ -117,13 +117,23 @@
     constexpr int kRounds = 2'000;
     for (int round = 0; round < kRounds; ++round) {
       for (int process = 0; process < 24; ++process) {
-        taken += core::MayTakeContended({free, 10'000, 23 * 10'000}, unit(random)) ? 1 : 0;
+        taken += core::MayTakeContended({free, false, {10'000, 0}, {23 * 10'000, 0}}, unit(random))
+                     ? 1
+                     : 0;
       }
     }
     cr_assert_lt(taken / kRounds, 1.2 * free);
     cr_assert_gt(taken / kRounds, 0.8 * free);
   }
-  cr_assert(core::MayTakeContended({0, 10'000, 0}, 0.99));
+  cr_assert(core::MayTakeContended({0, false, {10'000, 0}, {0, 0}}, 0.99));
+}
+
+// Load pattern: refused callers come back while a burst lasts. Guards against them taking room at
+// one gateway while requests at another could still be on time.
+Test(placement, late_requests_leave_room_to_those_on_time_elsewhere) {
+  cr_assert(!core::MayTakeContended({5, true, {0, 10'000}, {10'000, 0}}, 0.0));
+  cr_assert(core::MayTakeContended({5, true, {0, 10'000}, {0, 10'000}}, 0.4));
+  cr_assert(core::MayTakeContended({5, false, {10'000, 0}, {0, 90'000}}, 0.99));
 }
 
 // Guards against counting places that a request could not take.
--- a/wire/gen-cpp/rattanramp_types.cpp
+++ b/wire/gen-cpp/rattanramp_types.cpp
@@ -5890,6 +5890,10 @@
 void GatewayLoad::__set_waiting_tokens(const std::map<std::string, int64_t> & val) {
   this->waiting_tokens = val;
 }
+
+void GatewayLoad::__set_late_waiting_tokens(const std::map<std::string, int64_t> & val) {
+  this->late_waiting_tokens = val;
+}
 std::ostream& operator<<(std::ostream& out, const GatewayLoad& obj)
 {
   obj.printTo(out);
@@ -5913,6 +5917,7 @@
   bool isset_sequence = false;
   bool isset_upstreams = false;
   bool isset_waiting_tokens = false;
+  bool isset_late_waiting_tokens = false;
 
   while (true)
   {
@@ -5981,6 +5986,29 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->late_waiting_tokens.clear();
+            uint32_t _size167;
+            ::apache::thrift::protocol::TType _ktype168;
+            ::apache::thrift::protocol::TType _vtype169;
+            xfer += iprot->readMapBegin(_ktype168, _vtype169, _size167);
+            uint32_t _i171;
+            for (_i171 = 0; _i171 < _size167; ++_i171)
+            {
+              std::string _key172;
+              xfer += iprot->readString(_key172);
+              int64_t& _val173 = this->late_waiting_tokens[_key172];
+              xfer += iprot->readI64(_val173);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          isset_late_waiting_tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5998,6 +6026,8 @@
     throw TProtocolException(TProtocolException::INVALID_DATA);
   if (!isset_waiting_tokens)
     throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_late_waiting_tokens)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
@@ -6017,10 +6047,10 @@
   xfer += oprot->writeFieldBegin("upstreams", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->upstreams.size()));
-    std::vector<GatewayUpstreamLoad> ::const_iterator _iter167;
-    for (_iter167 = this->upstreams.begin(); _iter167 != this->upstreams.end(); ++_iter167)
+    std::vector<GatewayUpstreamLoad> ::const_iterator _iter174;
+    for (_iter174 = this->upstreams.begin(); _iter174 != this->upstreams.end(); ++_iter174)
     {
-      xfer += (*_iter167).write(oprot);
+      xfer += (*_iter174).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6029,11 +6059,24 @@
   xfer += oprot->writeFieldBegin("waiting_tokens", ::apache::thrift::protocol::T_MAP, 4);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->waiting_tokens.size()));
-    std::map<std::string, int64_t> ::const_iterator _iter168;
-    for (_iter168 = this->waiting_tokens.begin(); _iter168 != this->waiting_tokens.end(); ++_iter168)
+    std::map<std::string, int64_t> ::const_iterator _iter175;
+    for (_iter175 = this->waiting_tokens.begin(); _iter175 != this->waiting_tokens.end(); ++_iter175)
+    {
+      xfer += oprot->writeString(_iter175->first);
+      xfer += oprot->writeI64(_iter175->second);
+    }
+    xfer += oprot->writeMapEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("late_waiting_tokens", ::apache::thrift::protocol::T_MAP, 5);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->late_waiting_tokens.size()));
+    std::map<std::string, int64_t> ::const_iterator _iter176;
+    for (_iter176 = this->late_waiting_tokens.begin(); _iter176 != this->late_waiting_tokens.end(); ++_iter176)
     {
-      xfer += oprot->writeString(_iter168->first);
-      xfer += oprot->writeI64(_iter168->second);
+      xfer += oprot->writeString(_iter176->first);
+      xfer += oprot->writeI64(_iter176->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -6050,32 +6093,37 @@
   swap(a.sequence, b.sequence);
   swap(a.upstreams, b.upstreams);
   swap(a.waiting_tokens, b.waiting_tokens);
-}
-
-GatewayLoad::GatewayLoad(const GatewayLoad& other169) {
-  gateway = other169.gateway;
-  sequence = other169.sequence;
-  upstreams = other169.upstreams;
-  waiting_tokens = other169.waiting_tokens;
-}
-GatewayLoad::GatewayLoad(GatewayLoad&& other170) noexcept {
-  gateway = std::move(other170.gateway);
-  sequence = other170.sequence;
-  upstreams = std::move(other170.upstreams);
-  waiting_tokens = std::move(other170.waiting_tokens);
-}
-GatewayLoad& GatewayLoad::operator=(const GatewayLoad& other171) {
-  gateway = other171.gateway;
-  sequence = other171.sequence;
-  upstreams = other171.upstreams;
-  waiting_tokens = other171.waiting_tokens;
+  swap(a.late_waiting_tokens, b.late_waiting_tokens);
+}
+
+GatewayLoad::GatewayLoad(const GatewayLoad& other177) {
+  gateway = other177.gateway;
+  sequence = other177.sequence;
+  upstreams = other177.upstreams;
+  waiting_tokens = other177.waiting_tokens;
+  late_waiting_tokens = other177.late_waiting_tokens;
+}
+GatewayLoad::GatewayLoad(GatewayLoad&& other178) noexcept {
+  gateway = std::move(other178.gateway);
+  sequence = other178.sequence;
+  upstreams = std::move(other178.upstreams);
+  waiting_tokens = std::move(other178.waiting_tokens);
+  late_waiting_tokens = std::move(other178.late_waiting_tokens);
+}
+GatewayLoad& GatewayLoad::operator=(const GatewayLoad& other179) {
+  gateway = other179.gateway;
+  sequence = other179.sequence;
+  upstreams = other179.upstreams;
+  waiting_tokens = other179.waiting_tokens;
+  late_waiting_tokens = other179.late_waiting_tokens;
   return *this;
 }
-GatewayLoad& GatewayLoad::operator=(GatewayLoad&& other172) noexcept {
-  gateway = std::move(other172.gateway);
-  sequence = other172.sequence;
-  upstreams = std::move(other172.upstreams);
-  waiting_tokens = std::move(other172.waiting_tokens);
+GatewayLoad& GatewayLoad::operator=(GatewayLoad&& other180) noexcept {
+  gateway = std::move(other180.gateway);
+  sequence = other180.sequence;
+  upstreams = std::move(other180.upstreams);
+  waiting_tokens = std::move(other180.waiting_tokens);
+  late_waiting_tokens = std::move(other180.late_waiting_tokens);
   return *this;
 }
 void GatewayLoad::printTo(std::ostream& out) const {
@@ -6085,6 +6133,7 @@
   out << ", " << "sequence=" << to_string(sequence);
   out << ", " << "upstreams=" << to_string(upstreams);
   out << ", " << "waiting_tokens=" << to_string(waiting_tokens);
+  out << ", " << "late_waiting_tokens=" << to_string(late_waiting_tokens);
   out << ")";
 }
 
--- a/wire/gen-cpp/rattanramp_types.h
+++ b/wire/gen-cpp/rattanramp_types.h
@@ -2370,9 +2370,13 @@
   int64_t sequence;
   std::vector<GatewayUpstreamLoad>  upstreams;
   /**
-   * Memory that waiting generations need, in tokens, by service.
+   * Memory that waiting generations need, in tokens, by service: those that can be on time.
    */
   std::map<std::string, int64_t>  waiting_tokens;
+  /**
+   * The same for those that are late already.
+   */
+  std::map<std::string, int64_t>  late_waiting_tokens;
 
   void __set_gateway(const std::string& val);
 
@@ -2382,6 +2386,8 @@
 
   void __set_waiting_tokens(const std::map<std::string, int64_t> & val);
 
+  void __set_late_waiting_tokens(const std::map<std::string, int64_t> & val);
+
   bool operator == (const GatewayLoad & rhs) const
   {
     if (!(gateway == rhs.gateway))
@@ -2392,6 +2398,8 @@
       return false;
     if (!(waiting_tokens == rhs.waiting_tokens))
       return false;
+    if (!(late_waiting_tokens == rhs.late_waiting_tokens))
+      return false;
     return true;
   }
   bool operator != (const GatewayLoad &rhs) const {
--- a/wire/rattanramp.thrift
+++ b/wire/rattanramp.thrift
@@ -278,6 +278,8 @@
   /** Grows with each report of a process; a smaller one that arrives late is dropped. */
   2: required i64 sequence
   3: required list<GatewayUpstreamLoad> upstreams
-  /** Memory that waiting generations need, in tokens, by service. */
+  /** Memory that waiting generations need, in tokens, by service: those that can be on time. */
   4: required map<string, i64> waiting_tokens
+  /** The same for those that are late already. */
+  5: required map<string, i64> late_waiting_tokens
 }
