--- a/agent/agent.h
+++ b/agent/agent.h
@@ -22,8 +22,8 @@
 #include "control/settings_replica.h"
 #include "link/event_loop.h"
 #include "link/link_listener.h"
-#include "store/platform_store.h"
 #include "settings/boot_config.h"
+#include "store/platform_store.h"
 
 namespace rattanramp::agent {
 
--- a/control/settings_store.cc
+++ b/control/settings_store.cc
@@ -214,8 +214,8 @@
   return result;
 }
 
-store::Transaction MakeTransaction(const wire::SettingsChange& change,
-                                      const std::string& snapshot, std::int64_t head_row_version) {
+store::Transaction MakeTransaction(const wire::SettingsChange& change, const std::string& snapshot,
+                                   std::int64_t head_row_version) {
   const json version = {{"version", change.version}};
   store::Transaction transaction;
   transaction.conditions = {
--- a/control/settings_store.h
+++ b/control/settings_store.h
@@ -14,8 +14,8 @@
 #include "base/clock.h"
 #include "base/result.h"
 #include "control/settings_replica.h"
-#include "store/platform_store.h"
 #include "settings/settings_tree.h"
+#include "store/platform_store.h"
 
 namespace rattanramp::control {
 
--- a/core/placement.h
+++ b/core/placement.h
@@ -23,7 +23,6 @@
 
 struct PlacementCandidate {
   UpstreamStage stage = UpstreamStage::kPlain;
-  bool in_own_domain = false;
   /// Index of the failure domain, to compare two candidates.
   std::uint32_t failure_domain = 0;
   /// Ready, not leaving, not avoided, and not tried by this request.
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -20,8 +20,8 @@
 #include "entry/suspicion_view.h"
 #include "link/event_loop.h"
 #include "link/link_listener.h"
-#include "store/platform_store.h"
 #include "settings/boot_config.h"
+#include "store/platform_store.h"
 
 namespace rattanramp::entry {
 
--- a/entry/main.cc
+++ b/entry/main.cc
@@ -23,8 +23,8 @@
 
 rattanramp::Result<std::unique_ptr<rattanramp::entry::Entry>> MakeEntry(
     const rattanramp::settings::BootConfig& boot) {
-  BOOST_OUTCOME_TRY(
-      platform, rattanramp::store::HttpPlatform::Create(boot.platform_url, kPlatformTimeout));
+  BOOST_OUTCOME_TRY(platform,
+                    rattanramp::store::HttpPlatform::Create(boot.platform_url, kPlatformTimeout));
   return rattanramp::entry::Entry::Create(boot, std::move(platform));
 }
 
--- a/gateway/fleet.cc
+++ b/gateway/fleet.cc
@@ -67,7 +67,6 @@
     core::PlacementCandidate candidate;
     const core::UpstreamInfo& info = upstream->info;
     candidate.stage = info.stage;
-    candidate.in_own_domain = info.failure_domain == own_domain_;
     const auto domain = std::find(domains.begin(), domains.end(), info.failure_domain);
     candidate.failure_domain = static_cast<std::uint32_t>(domain - domains.begin());
     if (domain == domains.end()) {
--- a/gateway/fleet.h
+++ b/gateway/fleet.h
@@ -92,7 +92,7 @@
   std::map<std::string, PeerState> peer_states_;
 };
 
-/// A connection to the upstream, open or new. `min_left`: how long an open one must stay usable.
+/// A connection to the upstream: the open one that was used last, or a new one.
 std::shared_ptr<http::ClientConnection> TakeConnection(Upstream& upstream,
                                                        asio::io_context& context, TimePoint now);
 
--- a/gateway/settings.cc
+++ b/gateway/settings.cc
@@ -19,9 +19,9 @@
 }
 
 const json& Find(const json& object, std::string_view pointer) {
-  static const json kMissing;
+  static const json missing;
   const json::json_pointer path{std::string(pointer)};
-  return object.contains(path) ? object[path] : kMissing;
+  return object.contains(path) ? object[path] : missing;
 }
 
 Result<std::string> ReadText(const json& object, std::string_view pointer) {
--- a/gateway/store_watch.cc
+++ b/gateway/store_watch.cc
@@ -53,13 +53,14 @@
     follower->timer.cancel();
     follower->table->Cancel();
   }
-  gateways_.table->Remove(source_.gateway_table, own_name_, [done](const Result<void>& removed) {
-    if (!removed) {
-      // The row no longer changes and is ignored by the others after some seconds.
-      Log(LogLevel::kInfo, "own_row_left_behind", {{"error", removed.error().message}});
-    }
-    done();
-  });
+  gateways_.table->Remove(
+      source_.gateway_table, own_name_, [done = std::move(done)](const Result<void>& removed) {
+        if (!removed) {
+          // The row no longer changes and is ignored by the others after some seconds.
+          Log(LogLevel::kInfo, "own_row_left_behind", {{"error", removed.error().message}});
+        }
+        done();
+      });
 }
 
 void StoreWatch::ReadConfig() {
--- a/http/client_connection.cc
+++ b/http/client_connection.cc
@@ -16,8 +16,7 @@
 
 ClientConnection::ClientConnection(asio::io_context& context, const asio::ip::tcp::endpoint& server,
                                    Duration connect_timeout)
-    : context_(context),
-      server_(server),
+    : server_(server),
       connect_timeout_(connect_timeout),
       socket_(context),
       connect_timer_(context) {}
--- a/http/client_connection.h
+++ b/http/client_connection.h
@@ -82,7 +82,6 @@
   void OnEndOfInput(bool in_order);
   void Fail(ExchangeFailure failure);
 
-  asio::io_context& context_;
   asio::ip::tcp::endpoint server_;
   Duration connect_timeout_;
   asio::ip::tcp::socket socket_;
--- a/http/parser.h
+++ b/http/parser.h
@@ -16,9 +16,6 @@
 /// Largest head that a parser accepts when its user sets no smaller limit, in bytes.
 inline constexpr std::size_t kMaxHeadBytes = 64 * 1024;
 
-/// What went wrong with the bytes of a message.
-enum class ParseFailure { kMalformed, kHeadTooLarge };
-
 class RequestParser {
  public:
   RequestParser(std::size_t max_head_bytes, std::uint64_t max_body_bytes);
--- a/tests/agent/calls_test.cc
+++ b/tests/agent/calls_test.cc
@@ -100,8 +100,7 @@
   cr_assert_eq(fixture.entry->Of("c2").refused->outcome, wire::Outcome::UNKNOWN);
   cr_assert_eq(fixture.upstream->RunsOf("k1"), 1);
   cr_assert(WaitUntil([&] {
-    const Result<std::optional<store::Row>> row =
-        fixture.platform->Read(CallRowKey("claims/k1"));
+    const Result<std::optional<store::Row>> row = fixture.platform->Read(CallRowKey("claims/k1"));
     return row && row.value() && core::ParseIntent(row.value()->value).value().state == "unknown";
   }));
 }
--- a/tests/agent/fixture.h
+++ b/tests/agent/fixture.h
@@ -19,8 +19,8 @@
   std::shared_ptr<TestEntry> entry;
 };
 
-inline Fixture StartAgent(const std::string& kind, store::FakePlatform::Fault fault =
-                                                       store::FakePlatform::Fault::kNone) {
+inline Fixture StartAgent(const std::string& kind,
+                          store::FakePlatform::Fault fault = store::FakePlatform::Fault::kNone) {
   Fixture fixture;
   AgentParts parts;
   parts.boot.id = "agent-1";
--- a/tests/control/settings_replica_test.cc
+++ b/tests/control/settings_replica_test.cc
@@ -15,8 +15,8 @@
 using rattanramp::control::SettingsPullState;
 using rattanramp::control::SettingsPushOutcome;
 using rattanramp::control::SettingsReplica;
-using rattanramp::store::FakePlatform;
 using rattanramp::settings::SettingsTree;
+using rattanramp::store::FakePlatform;
 namespace control = rattanramp::control;
 namespace wire = rattanramp::wire;
 
--- a/tests/platform/request_format_test.cc
+++ b/tests/platform/request_format_test.cc
@@ -58,7 +58,8 @@
                 std::string::npos);
 }
 
-// Guards against a prefill that names the position of a continued stream, which concerns the decode.
+// Guards against a prefill that names the position of a continued stream, which concerns the
+// decode.
 Test(request_format, prefill_names_no_position) {
   const http::RequestHead head = Head({{"Request-Id", "r1"}, {"Last-Event-Id", "3"}});
   platform::UpstreamRequest request;
