--- a/core/routing_table.h
+++ b/core/routing_table.h
@@ -55,6 +55,9 @@
   std::int64_t tokens_per_event = 1;
   /// How long a prefilled KV cache is kept, in ms.
   std::int64_t prefill_hold_ms = 0;
+  /// How long an engine is away after it has finished its work to change its stage, in ms; 0: it
+  /// cannot change.
+  std::int64_t stage_change_ms = 0;
 };
 
 struct ServiceRule {
@@ -95,6 +98,7 @@
   std::int64_t version() const { return rules_.version; }
   const CallerLimits& limits() const { return rules_.limits; }
   std::span<const RouteRule> routes() const { return rules_.routes; }
+  std::span<const ServiceRule> services() const { return rules_.services; }
 
  private:
   RoutingRules rules_;
--- /dev/null
+++ b/core/stage_plan.cc
@@ -0,0 +1,79 @@
+#include "core/stage_plan.h"
+
+#include <algorithm>
+#include <map>
+
+#include "core/placement.h"
+
+namespace rattanramp::core {
+namespace {
+
+// Utilization of the prefill engines when all decode memory is taken. Above it their queue takes
+// more of the first-event target than a transfer and a step leave.
+constexpr double kPrefillFill = 0.75;
+
+// Engines beyond the wanted number before one is turned. Their sum exceeds one engine, so that no
+// engine is turned back and forth.
+constexpr double kPrefillExcess = 0.75;
+constexpr double kDecodeExcess = 1.0;
+
+}  // namespace
+
+void RecordGeneration(GenerationProfile& profile, const GenerationProfile& sample) {
+  profile.prompt_tokens += kProfileWeight * (sample.prompt_tokens - profile.prompt_tokens);
+  profile.memory_tokens += kProfileWeight * (sample.memory_tokens - profile.memory_tokens);
+  profile.hold_ms += kProfileWeight * (sample.hold_ms - profile.hold_ms);
+}
+
+double PrefillShare(const GenerationProfile& profile, std::int64_t memory_tokens,
+                    std::int64_t slots) {
+  const double prefill_ms = profile.prompt_tokens / kPrefillTokensPerMs / kPrefillFill;
+  const double by_memory =
+      profile.memory_tokens /
+      (kMemoryFill * static_cast<double>(std::max<std::int64_t>(1, memory_tokens)));
+  const double by_slots = 1.0 / static_cast<double>(std::max<std::int64_t>(1, slots));
+  const double decode_ms = profile.hold_ms * std::max(by_memory, by_slots);
+  return prefill_ms / std::max(1e-9, prefill_ms + decode_ms);
+}
+
+std::optional<StageChange> NextStageChange(std::span<const PlannedEngine> engines,
+                                           double prefill_share) {
+  const auto count = [&](UpstreamStage stage) {
+    return std::count_if(engines.begin(), engines.end(),
+                         [stage](const PlannedEngine& e) { return e.stage == stage; });
+  };
+  const auto prefills = count(UpstreamStage::kPrefill);
+  const auto decodes = count(UpstreamStage::kDecode);
+  const double excess =
+      static_cast<double>(prefills) - prefill_share * static_cast<double>(prefills + decodes);
+  StageChange change;
+  UpstreamStage from = UpstreamStage::kPlain;
+  if (excess >= kPrefillExcess && prefills > 1) {
+    from = UpstreamStage::kPrefill;
+    change.to = UpstreamStage::kDecode;
+  } else if (excess <= -kDecodeExcess && decodes > 1) {
+    from = UpstreamStage::kDecode;
+    change.to = UpstreamStage::kPrefill;
+  } else {
+    return std::nullopt;
+  }
+  std::map<std::uint32_t, std::int64_t> by_domain;
+  for (const PlannedEngine& engine : engines) {
+    by_domain[engine.failure_domain] += engine.stage == from ? 1 : 0;
+  }
+  std::optional<std::size_t> chosen;
+  for (std::size_t i = 0; i < engines.size(); ++i) {
+    if (engines[i].stage == from && engines[i].may_change &&
+        (!chosen ||
+         by_domain[engines[i].failure_domain] > by_domain[engines[*chosen].failure_domain])) {
+      chosen = i;
+    }
+  }
+  if (!chosen) {
+    return std::nullopt;
+  }
+  change.engine = *chosen;
+  return change;
+}
+
+}  // namespace rattanramp::core
--- a/gateway/fleet.cc
+++ b/gateway/fleet.cc
@@ -1,6 +1,8 @@
 #include "gateway/fleet.h"
 
 #include <algorithm>
+#include <set>
+#include <utility>
 
 #include "base/hash.h"
 
@@ -49,7 +51,7 @@
       Add(info);
     }
   }
-  SumPeerLoads();
+  SumPeerStates();
 }
 
 std::span<const std::shared_ptr<Upstream>> Fleet::OfService(std::string_view service) const {
@@ -72,7 +74,8 @@
     if (domain == domains.end()) {
       domains.push_back(info.failure_domain);
     }
-    candidate.is_usable = !info.is_leaving && !core::IsAvoided(upstream->health, now) &&
+    candidate.is_usable = !info.is_leaving && !upstream->is_changing &&
+                          !core::IsAvoided(upstream->health, now) &&
                           std::find(tried.begin(), tried.end(), upstream->key) == tried.end();
     candidate.is_on_trial = core::IsOnTrial(upstream->health);
     candidate.slots = rule.engine && rule.engine->slots > 0
@@ -90,10 +93,23 @@
   }
 }
 
-void Fleet::SetPeerLoad(const std::string& peer, std::vector<PeerLoad> load,
-                        std::map<std::string, core::WaitingTokens> waiting_tokens) {
-  peer_states_[peer] = {std::move(load), std::move(waiting_tokens)};
-  SumPeerLoads();
+void Fleet::SetPeerState(const std::string& peer, PeerState state) {
+  peer_states_[peer] = std::move(state);
+  SumPeerStates();
+}
+
+void Fleet::SetOwnChanging(std::vector<std::int64_t> keys) {
+  own_changing_ = std::move(keys);
+  SumPeerStates();
+}
+
+const Upstream* Fleet::Find(std::int64_t key) const {
+  for (const auto& [id, upstream] : by_id_) {
+    if (upstream->key == key) {
+      return upstream.get();
+    }
+  }
+  return nullptr;
 }
 
 core::WaitingTokens Fleet::PeerWaitingTokens(const std::string& service) const {
@@ -110,7 +126,7 @@
 
 void Fleet::ForgetPeer(const std::string& peer) {
   if (peer_states_.erase(peer) > 0) {
-    SumPeerLoads();
+    SumPeerStates();
   }
 }
 
@@ -148,9 +164,11 @@
   by_id_.erase(found);
 }
 
-void Fleet::SumPeerLoads() {
+void Fleet::SumPeerStates() {
   std::map<std::int64_t, core::UpstreamLoad> sums;
+  std::set<std::int64_t> changing(own_changing_.begin(), own_changing_.end());
   for (const auto& [peer, state] : peer_states_) {
+    changing.insert(state.changing.begin(), state.changing.end());
     for (const PeerLoad& load : state.loads) {
       core::UpstreamLoad& sum = sums[load.key];
       sum.running += load.load.running;
@@ -161,6 +179,7 @@
   for (const auto& [id, upstream] : by_id_) {
     const auto sum = sums.find(upstream->key);
     upstream->peers = sum == sums.end() ? core::UpstreamLoad() : sum->second;
+    upstream->is_changing = changing.contains(upstream->key);
   }
 }
 
--- a/gateway/fleet.h
+++ b/gateway/fleet.h
@@ -39,6 +39,8 @@
   std::vector<IdleConnection> idle;
   /// No longer in the list, or replaced by another incarnation.
   bool is_gone = false;
+  /// Has an order to change its stage, and takes no work until it has.
+  bool is_changing = false;
 };
 
 /// Load of one upstream as a peer tells it.
@@ -47,6 +49,15 @@
   core::UpstreamLoad load;
 };
 
+/// What a peer tells of its work.
+struct PeerState {
+  std::vector<PeerLoad> loads;
+  /// Memory of waiting generations by service.
+  std::map<std::string, core::WaitingTokens> waiting_tokens;
+  /// Keys of the engines that change their stage on its order.
+  std::vector<std::int64_t> changing;
+};
+
 class Fleet {
  public:
   explicit Fleet(std::string own_domain);
@@ -61,14 +72,20 @@
                       std::span<const std::int64_t> tried, std::string_view prompt_id,
                       TimePoint now, std::vector<core::PlacementCandidate>& candidates) const;
 
-  /// Replaces what a peer said before. waiting_tokens: memory of waiting generations by service.
-  void SetPeerLoad(const std::string& peer, std::vector<PeerLoad> load,
-                   std::map<std::string, core::WaitingTokens> waiting_tokens);
+  /// Replaces what a peer said before.
+  void SetPeerState(const std::string& peer, PeerState state);
   void ForgetPeer(const std::string& peer);
 
   /// Memory that generations waiting at the peers will take.
   core::WaitingTokens PeerWaitingTokens(const std::string& service) const;
 
+  /// Engines that change their stage on this gateway's order.
+  void SetOwnChanging(std::vector<std::int64_t> keys);
+  const std::vector<std::int64_t>& own_changing() const { return own_changing_; }
+
+  /// Null when no upstream has the key.
+  const Upstream* Find(std::int64_t key) const;
+
   /// Upstreams at which this gateway has work.
   std::vector<PeerLoad> OwnLoad() const;
 
@@ -80,16 +97,13 @@
  private:
   void Add(const core::UpstreamInfo& info);
   void Remove(const std::string& id);
-  void SumPeerLoads();
+  void SumPeerStates();
 
   std::string own_domain_;
   std::map<std::string, std::shared_ptr<Upstream>, std::less<>> by_id_;
   std::map<std::string, std::vector<std::shared_ptr<Upstream>>, std::less<>> by_service_;
-  struct PeerState {
-    std::vector<PeerLoad> loads;
-    std::map<std::string, core::WaitingTokens> waiting_tokens;
-  };
   std::map<std::string, PeerState> peer_states_;
+  std::vector<std::int64_t> own_changing_;
 };
 
 /// A connection to the upstream: the open one that was used last, or a new one.
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -99,9 +99,12 @@
   const nlohmann::json row = {{"address", own.address.to_string()},
                               {"peer_port", own.peer_port},
                               {"failure_domain", own.failure_domain}};
+  std::unique_ptr<StageController> stages = std::make_unique<StageController>(
+      gateway->services_, source.make_client(), source.order_table, own.node);
   gateway->watch_ =
       std::make_unique<StoreWatch>(context, clock, static_cast<StoreWatcher&>(*gateway),
                                    std::move(source), own.node, row.dump());
+  gateway->stages_ = std::move(stages);
   gateway->Accept(gateway->callers_, *gateway);
   gateway->Accept(gateway->readiness_, *gateway->status_host_);
   gateway->Accept(gateway->metrics_port_, *gateway->status_host_);
@@ -303,6 +306,7 @@
     }
     peers[name] = {address, row["peer_port"].get<std::uint16_t>()};
   }
+  stages_->SetFirst(!rows.empty() && rows.begin()->first == settings_.node);
   services_.gateways = static_cast<std::int64_t>(peers.size()) + 1;
   load_exchange_->SetPeers(std::move(peers));
 }
@@ -316,6 +320,9 @@
   if (is_stopping_) {
     CheckStopped();
   }
+  if (table_) {
+    stages_->Tick(*table_);
+  }
   dispatcher_.WakeAll();
   timer_.expires_after(kTickInterval);
   timer_.async_wait([this](const std::error_code& error) {
@@ -331,6 +338,7 @@
   }
   is_stopping_ = true;
   stop_began_ = clock_.now();
+  stages_->Stop();
   on_stopped_ = std::move(done);
 }
 
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -22,6 +22,7 @@
 #include "gateway/load_exchange.h"
 #include "gateway/services.h"
 #include "gateway/settings.h"
+#include "gateway/stage_controller.h"
 #include "gateway/store_watch.h"
 
 namespace rattanramp::gateway {
@@ -76,6 +77,7 @@
   std::shared_ptr<const core::RoutingTable> table_;
   std::unique_ptr<LoadExchange> load_exchange_;
   std::unique_ptr<StoreWatch> watch_;
+  std::unique_ptr<StageController> stages_;
   std::unique_ptr<StatusHost> status_host_;
   asio::ip::tcp::acceptor callers_;
   asio::ip::tcp::acceptor readiness_;
--- a/gateway/generation_exchange.cc
+++ b/gateway/generation_exchange.cc
@@ -30,11 +30,6 @@
 // From the start of a prefill to the first event at an engine with room: 100 to 200 ms.
 constexpr Milliseconds kLeastServiceTime{250};
 
-// Mean time of a stream before one was seen (70 events of 50 ms on the users' sheets), and the
-// weight of a new one.
-constexpr double kFirstHoldMs = 3'500;
-constexpr double kHoldWeight = 0.05;
-
 // When refused callers come back, and over which time they are spread. Users see bursts of 4 to 5
 // s; callers honour at most a third of the time that they have left, which is 14 s at first.
 constexpr std::int64_t kLeastRetryMs = 2'200;
@@ -128,10 +123,12 @@
 }
 
 std::int64_t GenerationExchange::MemoryTokens() const {
-  return core::ExpectedMemoryTokens(
-      {request_.facts.prompt_tokens, request_.facts.max_output_tokens,
-       request_.facts.expected_output_tokens,
-       splitter_.events * request_.service->engine_limits().tokens_per_event});
+  return core::ExpectedMemoryTokens({request_.facts.prompt_tokens, request_.facts.max_output_tokens,
+                                     request_.facts.expected_output_tokens, made_tokens()});
+}
+
+std::int64_t GenerationExchange::made_tokens() const {
+  return splitter_.events * request_.service->engine_limits().tokens_per_event;
 }
 
 void GenerationExchange::UpdateReservation() {
@@ -175,8 +172,7 @@
       line.capacity_tokens += request_.service->engine_limits().memory_tokens;
     }
   }
-  const auto hold = services_.mean_hold_ms.find(service);
-  line.mean_hold_ms = hold == services_.mean_hold_ms.end() ? kFirstHoldMs : hold->second;
+  line.mean_hold_ms = ProfileOf(services_, service).hold_ms;
   const double wait_ms = core::ExpectedWaitMs(line);
   const TimePoint latest = HasComeBack() ? PatienceEnd() : request_.target;
   if (wait_ms <= ToMs(latest - now) - ToMs(kLeastServiceTime)) {
@@ -437,9 +433,11 @@
   }
   core::RecordAnswer(health, core::AnswerVerdict::kGood, now);
   phase_ = Phase::kDone;
-  double& hold_ms =
-      services_.mean_hold_ms.try_emplace(request_.service->name, kFirstHoldMs).first->second;
-  hold_ms += kHoldWeight * (ToMs(now - reserved_at_) - hold_ms);
+  core::RecordGeneration(ProfileOf(services_, request_.service->name),
+                         {static_cast<double>(request_.facts.prompt_tokens),
+                          static_cast<double>(core::ExpectedMemoryTokens(
+                              {request_.facts.prompt_tokens, made_tokens(), made_tokens(), 0})),
+                          ToMs(now - reserved_at_)});
   ReleaseDecode();
   sink_.StreamBytes(splitter_.partial);
   LogEnd(request_, services_, 200, "answered",
--- a/gateway/generation_exchange.h
+++ b/gateway/generation_exchange.h
@@ -51,6 +51,8 @@
   void ReleaseDecode();
   /// Memory that the request takes on average for the rest of its run, in tokens.
   std::int64_t MemoryTokens() const;
+  /// Tokens of output that have arrived here.
+  std::int64_t made_tokens() const;
   /// Adjusts the reservation to the progress of the stream.
   void UpdateReservation();
   std::optional<std::int64_t> ResumePoint() const;
--- a/gateway/load_exchange.cc
+++ b/gateway/load_exchange.cc
@@ -125,20 +125,20 @@
     return;
   }
   heard = {report.sequence, clock_.now()};
-  std::vector<PeerLoad> loads;
-  loads.reserve(report.upstreams.size());
+  PeerState state;
+  state.loads.reserve(report.upstreams.size());
   for (const wire::GatewayUpstreamLoad& upstream : report.upstreams) {
-    loads.push_back({upstream.upstream_key,
-                     {upstream.running, upstream.reserved_tokens, upstream.prefill_tokens}});
+    state.loads.push_back({upstream.upstream_key,
+                           {upstream.running, upstream.reserved_tokens, upstream.prefill_tokens}});
   }
-  std::map<std::string, core::WaitingTokens> waiting;
   for (const auto& [service, tokens] : report.waiting_tokens) {
-    waiting[service].on_time = tokens;
+    state.waiting_tokens[service].on_time = tokens;
   }
   for (const auto& [service, tokens] : report.late_waiting_tokens) {
-    waiting[service].late = tokens;
+    state.waiting_tokens[service].late = tokens;
   }
-  fleet_.SetPeerLoad(report.gateway, std::move(loads), std::move(waiting));
+  state.changing = report.changing_upstreams;
+  fleet_.SetPeerState(report.gateway, std::move(state));
   on_change_();
 }
 
@@ -174,7 +174,7 @@
     late[service] = tokens.late;
   }
   if (IsSame(loads, last_sent_) && waiting == last_waiting_ && late == last_late_ &&
-      now - last_sent_at_ < kRepeatInterval) {
+      fleet_.own_changing() == last_changing_ && now - last_sent_at_ < kRepeatInterval) {
     return;
   }
   wire::GatewayLoad report;
@@ -190,6 +190,7 @@
   }
   report.waiting_tokens = waiting;
   report.late_waiting_tokens = late;
+  report.changing_upstreams = fleet_.own_changing();
   const std::string datagram = wire::EncodeGatewayLoad(report);
   for (const auto& [name, endpoint] : peers_) {
     // A datagram that cannot be sent is as good as lost; the next one follows soon.
@@ -199,6 +200,7 @@
   last_sent_ = std::move(loads);
   last_waiting_ = std::move(waiting);
   last_late_ = std::move(late);
+  last_changing_ = std::move(report.changing_upstreams);
   last_sent_at_ = now;
 }
 
--- a/gateway/program.cc
+++ b/gateway/program.cc
@@ -29,6 +29,7 @@
   source.config_key = platform::ConfigKey();
   source.upstream_table = platform::UpstreamTable();
   source.gateway_table = "rattanramp_gateways";
+  source.order_table = "rattanramp_orders";
   source.make_client = [&context, server = settings.table_service] {
     return platform::StoreClient::Create(context, server);
   };
--- /dev/null
+++ b/gateway/stage_controller.cc
@@ -0,0 +1,266 @@
+#include "gateway/stage_controller.h"
+
+#include <spdlog/fmt/fmt.h>
+
+#include <nlohmann/json.hpp>
+#include <utility>
+#include <vector>
+
+#include "base/log.h"
+#include "platform/request_format.h"
+
+namespace rattanramp::gateway {
+namespace {
+
+constexpr Milliseconds kLookInterval{250};
+
+// A bad division must last this long: the list of upstreams fills within a second of a start, and
+// engines that crash are back after some seconds.
+constexpr Milliseconds kSettleTime{1'500};
+
+// An engine answers an order at once; later the order may still be carried out.
+constexpr Milliseconds kOrderTimeout{1'000};
+
+// For the work that an engine finishes before it changes (a stream takes 3 to 8 s) and the time
+// until the list shows the change.
+constexpr Milliseconds kFinishTime{8'000};
+
+constexpr Milliseconds kRetryPause{1'000};
+
+// An engine that refused an order is not asked again for this long.
+constexpr Milliseconds kRefusedPause{15'000};
+
+constexpr std::string_view kRowKey = "last";
+
+Result<core::OrderRecord> DecodeRecord(const std::string& text) {
+  const nlohmann::json row = nlohmann::json::parse(text, nullptr, false);
+  if (!row.is_object() || !row.contains("holder") || !row["holder"].is_string() ||
+      !row.contains("fencing_token") || !row["fencing_token"].is_number_integer() ||
+      !row.contains("clock_ms") || !row["clock_ms"].is_number_integer()) {
+    return Error{ErrorKind::kProtocol, fmt::format("unreadable record of orders: {:.100}", text),
+                 "remove the row; no order is given until then"};
+  }
+  return core::OrderRecord{row["holder"].get<std::string>(),
+                           row["fencing_token"].get<std::int64_t>(),
+                           row["clock_ms"].get<std::int64_t>()};
+}
+
+std::string EncodeRecord(const core::OrderRecord& record) {
+  return nlohmann::json({{"holder", record.holder},
+                         {"fencing_token", record.fencing_token},
+                         {"clock_ms", record.clock_ms}})
+      .dump();
+}
+
+}  // namespace
+
+StageController::StageController(Services& services, std::unique_ptr<store::AsyncTable> table,
+                                 std::string order_table, std::string own_name)
+    : services_(services),
+      table_(std::move(table)),
+      order_table_(std::move(order_table)),
+      own_name_(std::move(own_name)) {}
+
+void StageController::Stop() {
+  is_stopped_ = true;
+  table_->Cancel();
+  attempt_.reset();
+  order_.reset();
+}
+
+void StageController::Tick(const core::RoutingTable& rules) {
+  const TimePoint now = services_.clock.now();
+  if (is_stopped_ || now < next_look_) {
+    return;
+  }
+  next_look_ = now + kLookInterval;
+  EndChanges(now);
+  if (order_ || !is_first_) {
+    return;
+  }
+  for (const core::ServiceRule& service : rules.services()) {
+    std::optional<Order> order = NextOrder(service, now);
+    if (!order) {
+      uneven_since_.erase(service.name);
+      continue;
+    }
+    const TimePoint since = uneven_since_.try_emplace(service.name, now).first->second;
+    if (now - since >= kSettleTime) {
+      order_ = std::move(order);
+      ReadLastOrder();
+      return;
+    }
+  }
+}
+
+void StageController::EndChanges(TimePoint now) {
+  const auto ended = std::erase_if(changing_, [&](const auto& entry) {
+    const Upstream* upstream = services_.fleet.Find(entry.first);
+    return upstream == nullptr || upstream->info.stage == entry.second.to ||
+           now >= entry.second.until;
+  });
+  std::erase_if(refused_until_, [now](const auto& entry) { return now >= entry.second; });
+  if (ended > 0) {
+    TellChanging();
+  }
+}
+
+std::optional<StageController::Order> StageController::NextOrder(const core::ServiceRule& service,
+                                                                 TimePoint now) {
+  if (!service.engine || service.engine->stage_change_ms <= 0) {
+    return std::nullopt;
+  }
+  std::vector<core::PlacementCandidate> candidates;
+  services_.fleet.FillCandidates(service.name, service, {}, {}, now, candidates);
+  const std::span<const std::shared_ptr<Upstream>> upstreams =
+      services_.fleet.OfService(service.name);
+  std::vector<core::PlannedEngine> engines;
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    const auto change = changing_.find(upstreams[i]->key);
+    core::PlannedEngine engine;
+    engine.stage = change == changing_.end() ? candidates[i].stage : change->second.to;
+    engine.failure_domain = candidates[i].failure_domain;
+    engine.may_change = candidates[i].is_usable && change == changing_.end() &&
+                        !refused_until_.contains(upstreams[i]->key);
+    if (upstreams[i]->info.is_leaving) {
+      engine.stage = core::UpstreamStage::kPlain;
+    }
+    engines.push_back(engine);
+  }
+  const double share = core::PrefillShare(ProfileOf(services_, service.name),
+                                          service.engine->memory_tokens, service.engine->slots);
+  const std::optional<core::StageChange> change = core::NextStageChange(engines, share);
+  if (!change) {
+    return std::nullopt;
+  }
+  Order order;
+  order.upstream = upstreams[change->engine];
+  order.to = change->to;
+  order.change_time = Milliseconds(service.engine->stage_change_ms);
+  return order;
+}
+
+void StageController::ReadLastOrder() {
+  table_->ReadAll(order_table_, [this](const Result<store::TableRows>& rows) {
+    if (!rows) {
+      GiveUp(rows.error().message, kRetryPause);
+      return;
+    }
+    OnLastOrder(rows.value());
+  });
+}
+
+void StageController::OnLastOrder(const store::TableRows& rows) {
+  core::OrderRecord last;
+  std::int64_t version = 0;
+  for (const store::TableRow& row : rows.rows) {
+    if (row.key == kRowKey) {
+      const Result<core::OrderRecord> record = DecodeRecord(row.value);
+      if (!record) {
+        GiveUp(record.error().message, core::kHolderPause);
+        return;
+      }
+      last = record.value();
+      version = row.version;
+    }
+  }
+  if (!core::MayOrder(last, own_name_, rows.clock_ms)) {
+    GiveUp(fmt::format("{} ordered {} ms ago", last.holder, rows.clock_ms - last.clock_ms),
+           kRetryPause);
+    return;
+  }
+  order_->record = {own_name_, last.fencing_token + 1, rows.clock_ms};
+  order_->asked = services_.clock.now();
+  table_->WriteIf(order_table_, kRowKey, EncodeRecord(order_->record), version,
+                  [this](const Result<void>& written) {
+                    if (!written) {
+                      GiveUp(written.error().message, kRetryPause);
+                    } else if (services_.clock.now() - order_->asked > core::kOrderValidity) {
+                      GiveUp("the record was written late", kRetryPause);
+                    } else if (order_->upstream->is_gone) {
+                      GiveUp("the engine is gone", kRetryPause);
+                    } else {
+                      SendOrder();
+                    }
+                  });
+}
+
+void StageController::SendOrder() {
+  const Upstream& upstream = *order_->upstream;
+  platform::StageOrder order;
+  order.instance = upstream.info.id;
+  order.address = fmt::format("{}:{}", upstream.info.address, upstream.info.port);
+  order.stage = order_->to;
+  order.holder = own_name_;
+  order.fencing_token = order_->record.fencing_token;
+  platform::EncodedCall call = platform::EncodeStageOrder(order);
+  AttemptPlan plan;
+  plan.head = std::move(call.head);
+  plan.body = std::make_shared<const std::string>(std::move(call.body));
+  plan.first_byte_timeout = kOrderTimeout;
+  plan.silence_timeout = kOrderTimeout;
+  attempt_ = Attempt::Start(services_.context, order_->upstream, std::move(plan), *this);
+}
+
+void StageController::GiveUp(std::string_view why, Duration pause) {
+  Log(LogLevel::kInfo, "stage_order_not_sent",
+      {{"upstream", order_->upstream->info.id}, {"reason", why}});
+  attempt_.reset();
+  order_.reset();
+  next_look_ = services_.clock.now() + pause;
+}
+
+void StageController::NoteChange(TimePoint now) {
+  changing_[order_->upstream->key] = {order_->to, now + order_->change_time + kFinishTime};
+  services_.metrics.Count("stage_orders_total");
+  TellChanging();
+}
+
+void StageController::TellChanging() {
+  std::vector<std::int64_t> keys;
+  for (const auto& [key, change] : changing_) {
+    keys.push_back(key);
+  }
+  services_.fleet.SetOwnChanging(std::move(keys));
+  services_.on_reservation();
+}
+
+void StageController::OnAnswerHead(const http::ResponseHead& head,
+                                   const core::AnswerFacts& /*facts*/) {
+  answer_status_ = head.status;
+}
+
+void StageController::OnAnswerComplete() {
+  const TimePoint now = services_.clock.now();
+  const platform::OrderVerdict verdict = platform::DecodeOrderAnswer(answer_status_);
+  Log(LogLevel::kInfo, "stage_ordered",
+      {{"upstream", order_->upstream->info.id},
+       {"to", order_->to == core::UpstreamStage::kDecode ? "decode" : "prefill"},
+       {"fencing_token", order_->record.fencing_token},
+       {"status", answer_status_}});
+  if (verdict == platform::OrderVerdict::kRefused) {
+    refused_until_[order_->upstream->key] = now + kRefusedPause;
+  } else {
+    NoteChange(now);
+  }
+  attempt_.reset();
+  order_.reset();
+  next_look_ = now;
+}
+
+void StageController::OnAttemptFailure(AttemptFailure failure) {
+  const TimePoint now = services_.clock.now();
+  if (failure == AttemptFailure::kNotSent) {
+    refused_until_[order_->upstream->key] = now + kRefusedPause;
+    GiveUp("no connection", kRetryPause);
+    return;
+  }
+  // The engine may still carry the order out.
+  Log(LogLevel::kWarning, "stage_order_unanswered",
+      {{"upstream", order_->upstream->info.id}, {"fencing_token", order_->record.fencing_token}});
+  NoteChange(now);
+  attempt_.reset();
+  order_.reset();
+}
+
+}  // namespace rattanramp::gateway
--- a/gateway/store_source.h
+++ b/gateway/store_source.h
@@ -15,6 +15,8 @@
   std::string upstream_table;
   /// The product's own table with a row for each gateway.
   std::string gateway_table;
+  /// The product's own table with the last order to an engine, one row.
+  std::string order_table;
   /// Makes a client; each carries one call at a time.
   std::function<std::unique_ptr<store::AsyncTable>()> make_client;
 };
--- a/store/async_table.h
+++ b/store/async_table.h
@@ -24,6 +24,8 @@
   std::vector<TableRow> rows;
   /// Newest version of the service at the time of the answer.
   std::int64_t version = 0;
+  /// The service's steady clock at the time of the answer, in ms; 0 when it was not stated.
+  std::int64_t clock_ms = 0;
 };
 
 /// One call at a time; the handler is called once on the event loop, never before the call returns.
@@ -43,6 +45,10 @@
                               RowsHandler handler) = 0;
   virtual void Write(std::string_view table, std::string_view key, std::string_view value,
                      DoneHandler handler) = 0;
+  /// Writes a row only if it still has a version; 0: if it does not exist. Further error:
+  /// kConflict.
+  virtual void WriteIf(std::string_view table, std::string_view key, std::string_view value,
+                       std::int64_t expected_version, DoneHandler handler) = 0;
   virtual void Remove(std::string_view table, std::string_view key, DoneHandler handler) = 0;
   /// Drops the call that is in progress without calling its handler.
   virtual void Cancel() = 0;
--- /dev/null
+++ b/tests/core/stage_plan_test.cc
@@ -0,0 +1,143 @@
+#include "core/stage_plan.h"
+
+#include <criterion/criterion.h>
+
+#include <cmath>
+#include <vector>
+
+#include "core/order_turn.h"
+#include "core/placement.h"
+
+using namespace rattanramp;
+using core::GenerationProfile;
+using core::PlannedEngine;
+using core::UpstreamStage;
+
+namespace {
+
+// Means of the users' sheets: 5,200 tokens of prompt, 70 events of 72 tokens and 50 ms.
+constexpr GenerationProfile kUsual = {5'200, 7'700, 3'500};
+
+std::vector<PlannedEngine> Engines(int prefills, int decodes) {
+  std::vector<PlannedEngine> engines;
+  for (int i = 0; i < prefills + decodes; ++i) {
+    engines.push_back({i < prefills ? UpstreamStage::kPrefill : UpstreamStage::kDecode,
+                       static_cast<std::uint32_t>(i % 3), true});
+  }
+  return engines;
+}
+
+int Settle(std::vector<PlannedEngine>& engines, double share) {
+  int changes = 0;
+  while (const std::optional<core::StageChange> change = core::NextStageChange(engines, share)) {
+    engines[change->engine].stage = change->to;
+    if (++changes > 100) {
+      break;
+    }
+  }
+  return changes;
+}
+
+int CountPrefills(const std::vector<PlannedEngine>& engines) {
+  int count = 0;
+  for (const PlannedEngine& engine : engines) {
+    count += engine.stage == UpstreamStage::kPrefill ? 1 : 0;
+  }
+  return count;
+}
+
+/// Requests a second that a division can serve at the usual profile.
+double Capacity(int prefills, int engines, std::int64_t memory_tokens) {
+  const double prefill = prefills * core::kPrefillTokensPerMs * 1'000 / kUsual.prompt_tokens;
+  const double decode = (engines - prefills) * core::kMemoryFill *
+                        static_cast<double>(memory_tokens) / kUsual.memory_tokens /
+                        (kUsual.hold_ms / 1'000);
+  return std::min(prefill, decode);
+}
+
+}  // namespace
+
+// Burst of generations (quiet-1 of all sites): decode memory is full while a third of the engines
+// wait for prompts. Guards against leaving the division as the engines were started.
+Test(stage_plan, burst_is_served_by_engines_that_waited_for_prompts) {
+  struct Site {
+    int prefills;
+    int engines;
+    std::int64_t memory_tokens;
+    std::int64_t slots;
+  };
+  for (const Site& site : {Site{4, 9, 107'085, 64}, Site{5, 14, 74'829, 12},
+                           Site{15, 44, 65'015, 12}, Site{15, 44, 65'421, 16}}) {
+    std::vector<PlannedEngine> engines = Engines(site.prefills, site.engines - site.prefills);
+    const double share = core::PrefillShare(kUsual, site.memory_tokens, site.slots);
+    Settle(engines, share);
+    const double before = Capacity(site.prefills, site.engines, site.memory_tokens);
+    const double after = Capacity(CountPrefills(engines), site.engines, site.memory_tokens);
+    cr_assert_gt(after, before * 1.1, "%d engines: %f to %f requests a second", site.engines,
+                 before, after);
+  }
+}
+
+// Guards against engines that are turned back and forth: each turn takes an engine away for 6 s.
+Test(stage_plan, division_settles_for_every_share_and_size) {
+  for (int engines = 2; engines <= 48; ++engines) {
+    for (int prefills = 0; prefills <= engines; ++prefills) {
+      for (double share = 0.05; share < 1.0; share += 0.05) {
+        std::vector<PlannedEngine> list = Engines(prefills, engines - prefills);
+        const int changes = Settle(list, share);
+        cr_assert_leq(changes, engines);
+        const int left = CountPrefills(list);
+        if (prefills > 0 && prefills < engines) {
+          cr_assert_geq(left, 1);
+          cr_assert_lt(left, engines);
+        }
+      }
+    }
+  }
+}
+
+// Shift from long prompts to long answers and back: the division follows the requests.
+Test(stage_plan, division_follows_the_requests) {
+  const double usual = core::PrefillShare(kUsual, 65'421, 16);
+  cr_assert_gt(core::PrefillShare({11'000, 12'000, 1'000}, 65'421, 16), usual);
+  cr_assert_lt(core::PrefillShare({500, 5'000, 6'000}, 65'421, 16), usual);
+  GenerationProfile profile = kUsual;
+  for (int i = 0; i < 400; ++i) {
+    core::RecordGeneration(profile, {500, 5'000, 6'000});
+  }
+  cr_assert_lt(std::abs(profile.prompt_tokens - 500), 50);
+}
+
+// Guards against orders to engines that are leaving, silent or changing already, and against
+// taking the last engine of a stage.
+Test(stage_plan, only_engines_that_may_change_are_chosen) {
+  std::vector<PlannedEngine> engines = Engines(4, 2);
+  for (std::size_t i = 0; i < 3; ++i) {
+    engines[i].may_change = false;
+  }
+  cr_assert_eq(core::NextStageChange(engines, 0.1)->engine, 3);
+  engines[3].may_change = false;
+  cr_assert(!core::NextStageChange(engines, 0.1));
+  cr_assert(!core::NextStageChange(Engines(1, 8), 0.0));
+  cr_assert(!core::NextStageChange(Engines(8, 1), 1.0));
+}
+
+// Guards against emptying one failure domain of prefill engines.
+Test(stage_plan, engines_are_taken_from_the_fullest_domain) {
+  std::vector<PlannedEngine> engines = Engines(5, 4);
+  for (std::size_t i = 0; i < 5; ++i) {
+    engines[i].failure_domain = i == 0 ? 0 : 1;
+  }
+  const std::optional<core::StageChange> change = core::NextStageChange(engines, 0.3);
+  cr_assert_eq(engines[change->engine].failure_domain, 1);
+  cr_assert_eq(change->to, UpstreamStage::kDecode);
+}
+
+// Guards against two processes that order the same engine within the users' bound.
+Test(order_turn, another_process_waits_after_the_last_order) {
+  const core::OrderRecord last = {"a", 7, 50'000};
+  cr_assert(core::MayOrder({}, "b", 1));
+  cr_assert(core::MayOrder(last, "a", 50'001));
+  cr_assert(!core::MayOrder(last, "b", 50'000 + core::kHolderPause.count() - 1));
+  cr_assert(core::MayOrder(last, "b", 50'000 + core::kHolderPause.count()));
+}
--- /dev/null
+++ b/tests/gateway/fake_table.h
@@ -0,0 +1,138 @@
+// Table service in memory for tests; answers on the event loop.
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <asio/post.hpp>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "store/async_table.h"
+
+namespace rattanramp::tests {
+
+/// State that all clients of a test share.
+struct FakeTables {
+  std::map<std::string, std::map<std::string, store::TableRow>> tables;
+  std::int64_t version = 0;
+  std::int64_t clock_ms = 1'000;
+  int calls = 0;
+  /// Answer of the next calls instead of carrying them out.
+  std::optional<Error> failure;
+  /// The next write takes effect, but its answer is an error.
+  bool loses_next_reply = false;
+};
+
+class FakeTable final : public store::AsyncTable {
+ public:
+  FakeTable(asio::io_context& context, FakeTables& state) : context_(context), state_(state) {}
+
+  void ReadAll(std::string_view table, RowsHandler handler) override {
+    ++state_.calls;
+    if (state_.failure) {
+      Post([handler = std::move(handler), error = *state_.failure] { handler(error); });
+      return;
+    }
+    Post([handler = std::move(handler), rows = Rows(table)] { handler(rows); });
+  }
+
+  /// Answers at once; the rows are those that are newer, or none.
+  void WaitForChanges(std::string_view table, std::int64_t after, Milliseconds /*wait*/,
+                      RowsHandler handler) override {
+    ++state_.calls;
+    if (state_.failure) {
+      Post([handler = std::move(handler), error = *state_.failure] { handler(error); });
+      return;
+    }
+    store::TableRows rows = Rows(table);
+    std::erase_if(rows.rows, [after](const store::TableRow& row) { return row.version <= after; });
+    Post([handler = std::move(handler), rows = std::move(rows)] { handler(rows); });
+  }
+
+  void Write(std::string_view table, std::string_view key, std::string_view value,
+             DoneHandler handler) override {
+    ++state_.calls;
+    Done(std::move(handler),
+         [this, table = std::string(table), key = std::string(key),
+          value = std::string(value)]() -> Result<void> {
+           Put(table, key, value);
+           return Success();
+         });
+  }
+
+  void WriteIf(std::string_view table, std::string_view key, std::string_view value,
+               std::int64_t expected_version, DoneHandler handler) override {
+    ++state_.calls;
+    Done(std::move(handler),
+         [this, table = std::string(table), key = std::string(key), value = std::string(value),
+          expected_version]() -> Result<void> {
+           const auto& rows = state_.tables[table];
+           const auto row = rows.find(key);
+           if ((row == rows.end() ? 0 : row->second.version) != expected_version) {
+             return Error{ErrorKind::kConflict, "row has changed", "read it again"};
+           }
+           Put(table, key, value);
+           return Success();
+         });
+  }
+
+  void Remove(std::string_view table, std::string_view key, DoneHandler handler) override {
+    ++state_.calls;
+    Done(std::move(handler), [this, table = std::string(table), key = std::string(key)] {
+      state_.tables[table].erase(key);
+      return Result<void>(Success());
+    });
+  }
+
+  void Cancel() override {
+    *is_alive_ = false;
+    is_alive_ = std::make_shared<bool>(true);
+  }
+
+  ~FakeTable() override { *is_alive_ = false; }
+
+ private:
+  store::TableRows Rows(std::string_view table) {
+    store::TableRows rows;
+    rows.version = state_.version;
+    rows.clock_ms = state_.clock_ms;
+    for (const auto& [key, row] : state_.tables[std::string(table)]) {
+      rows.rows.push_back(row);
+    }
+    return rows;
+  }
+
+  void Put(const std::string& table, const std::string& key, const std::string& value) {
+    state_.tables[table][key] = {key, value, ++state_.version, false};
+  }
+
+  template <typename Change>
+  void Done(DoneHandler handler, Change change) {
+    if (state_.failure) {
+      Post([handler = std::move(handler), error = *state_.failure] { handler(error); });
+      return;
+    }
+    Result<void> result = change();
+    if (std::exchange(state_.loses_next_reply, false)) {
+      result = Error{ErrorKind::kReplyLost, "no answer", "it may still take effect"};
+    }
+    Post([handler = std::move(handler), result = std::move(result)] { handler(result); });
+  }
+
+  template <typename Work>
+  void Post(Work work) {
+    asio::post(context_, [work = std::move(work), alive = is_alive_] {
+      if (*alive) {
+        work();
+      }
+    });
+  }
+
+  asio::io_context& context_;
+  FakeTables& state_;
+  std::shared_ptr<bool> is_alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace rattanramp::tests
--- /dev/null
+++ b/tests/gateway/stage_controller_test.cc
@@ -0,0 +1,193 @@
+#include "gateway/stage_controller.h"
+
+#include <criterion/criterion.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "tests/gateway/exchange_fixture.h"
+#include "tests/gateway/fake_engine.h"
+#include "tests/gateway/fake_table.h"
+
+using namespace rattanramp;
+using core::UpstreamStage;
+using tests::FakeAnswer;
+using tests::FakeEngine;
+using tests::FakeTable;
+using tests::FakeTables;
+
+namespace {
+
+constexpr const char* kOrderTable = "orders";
+constexpr Milliseconds kStep{250};
+
+/// Nine engines with four of them for prefill, as kivu-tartan starts, and gateways that order them.
+class Site {
+ public:
+  explicit Site(const FakeEngine::Script& script) {
+    for (int i = 0; i < 9; ++i) {
+      engines_.push_back(std::make_unique<FakeEngine>(script));
+    }
+    core::ServiceRule service;
+    service.name = "s";
+    service.engine = core::EngineLimits{64, 107'085, 72, 500, 6'000};
+    core::RoutingRules rules;
+    rules.services = {service};
+    rules_ = core::RoutingTable::Create(rules).value();
+  }
+
+  struct Gateway {
+    Gateway(Site& site, const std::string& name)
+        : fleet("domain-a"),
+          dispatcher(site.context_, site.clock_),
+          services{site.context_, site.clock_, settings, fleet, dispatcher,
+                   metrics,       windows,     [] {},    {},    1},
+          stages(services, std::make_unique<FakeTable>(site.context_, site.tables), kOrderTable,
+                 name) {
+      stages.SetFirst(true);
+    }
+    gateway::Settings settings;
+    gateway::Fleet fleet;
+    Metrics metrics;
+    gateway::Dispatcher dispatcher;
+    std::map<std::string, core::RetryWindow> windows;
+    gateway::Services services;
+    gateway::StageController stages;
+  };
+
+  Gateway& AddGateway(const std::string& name) {
+    gateways_.push_back(std::make_unique<Gateway>(*this, name));
+    core::DirectoryChange change;
+    for (std::size_t i = 0; i < engines_.size(); ++i) {
+      change.added.push_back(Info(i));
+    }
+    gateways_.back()->fleet.Apply(change);
+    return *gateways_.back();
+  }
+
+  core::UpstreamInfo Info(std::size_t i) const {
+    core::UpstreamInfo info;
+    info.id = "e" + std::to_string(i);
+    info.service = "s";
+    info.failure_domain = "domain-" + std::to_string(i % 3);
+    info.address = "127.0.0.1";
+    info.port = engines_[i]->port();
+    info.stage = i < 4 ? UpstreamStage::kPrefill : UpstreamStage::kDecode;
+    info.slots = 64;
+    return info;
+  }
+
+  void Run(Duration time) {
+    for (Duration passed{}; passed < time; passed += kStep) {
+      clock_.Advance(kStep);
+      tables.clock_ms += kStep.count();
+      for (const std::unique_ptr<Gateway>& gateway : gateways_) {
+        gateway->stages.Tick(*rules_);
+      }
+      context_.restart();
+      context_.run_for(Milliseconds(30));
+    }
+  }
+
+  std::size_t orders() const {
+    std::size_t count = 0;
+    for (const std::unique_ptr<FakeEngine>& engine : engines_) {
+      count += engine->heads().size();
+    }
+    return count;
+  }
+
+  FakeTables tables;
+
+ private:
+  asio::io_context context_;
+  ManualClock clock_;
+  std::vector<std::unique_ptr<FakeEngine>> engines_;
+  std::shared_ptr<const core::RoutingTable> rules_;
+  std::vector<std::unique_ptr<Gateway>> gateways_;
+};
+
+FakeAnswer Accept(const std::string& /*head*/, int /*number*/) {
+  return {"HTTP/1.1 202 X\r\nContent-Length: 2\r\n\r\n{}", false};
+}
+
+std::size_t CountUsable(Site::Gateway& gateway) {
+  core::ServiceRule service;
+  service.name = "s";
+  std::vector<core::PlacementCandidate> candidates;
+  gateway.fleet.FillCandidates("s", service, {}, {}, DefaultClock().now(), candidates);
+  std::size_t usable = 0;
+  for (const core::PlacementCandidate& candidate : candidates) {
+    usable += candidate.is_usable ? 1 : 0;
+  }
+  return usable;
+}
+
+}  // namespace
+
+// Guards against the burst of quiet-1 meeting an engine division that leaves decode memory short,
+// and against work being sent to an engine while it changes.
+Test(stage_controller, one_of_four_prefill_engines_is_turned, .timeout = 30) {
+  Site site(Accept);
+  Site::Gateway& gateway = site.AddGateway("a");
+  site.Run(Milliseconds(6'000));
+  cr_assert_eq(site.orders(), 1);
+  cr_assert_eq(CountUsable(gateway), 8);
+  core::DirectoryChange change;
+  for (std::size_t i = 0; i < 4; ++i) {
+    const core::UpstreamInfo info = site.Info(i);
+    if (gateway.fleet.upstreams().at(info.id)->is_changing) {
+      change.updated = {info};
+      change.updated[0].stage = UpstreamStage::kDecode;
+    }
+  }
+  gateway.fleet.Apply(change);
+  site.Run(Milliseconds(20'000));
+  cr_assert_eq(site.orders(), 1);
+  cr_assert_eq(CountUsable(gateway), 9);
+}
+
+// Guards against two gateways that both take themselves for the first one and order engines in
+// turns: after a start each knows only itself.
+Test(stage_controller, two_gateways_do_not_take_turns, .timeout = 30) {
+  Site site(Accept);
+  site.AddGateway("a");
+  Site::Gateway& second = site.AddGateway("b");
+  site.Run(Milliseconds(9'000));
+  cr_assert_eq(site.orders(), 1);
+  const std::string record = site.tables.tables[kOrderTable]["last"].value;
+  cr_assert_neq(record.find("\"a\""), std::string::npos, "%s", record.c_str());
+  cr_assert_eq(second.fleet.own_changing().size(), 0);
+}
+
+// Guards against an order whose record may or may not be in the store: another gateway could hold
+// the turn.
+Test(stage_controller, no_order_follows_a_lost_reply, .timeout = 30) {
+  Site site(Accept);
+  site.AddGateway("a");
+  site.tables.loses_next_reply = true;
+  site.Run(Milliseconds(2'250));
+  cr_assert_eq(site.orders(), 0);
+  site.Run(Milliseconds(4'000));
+  cr_assert_eq(site.orders(), 1);
+}
+
+// Guards against orders from what is in the store's memory only by chance: a store that is away
+// means no order.
+Test(stage_controller, no_order_without_the_store, .timeout = 30) {
+  Site site(Accept);
+  site.AddGateway("a");
+  site.tables.failure = Error{ErrorKind::kUnavailable, "away", "wait"};
+  site.Run(Milliseconds(6'000));
+  cr_assert_eq(site.orders(), 0);
+}
+
+// Guards against ordering a second engine because the first did not answer: it may carry the order
+// out seconds later (applied_late).
+Test(stage_controller, unanswered_order_counts_until_its_time_is_over, .timeout = 30) {
+  Site site([](const std::string& /*head*/, int /*number*/) -> FakeAnswer { return {"", true}; });
+  site.AddGateway("a");
+  site.Run(Milliseconds(12'000));
+  cr_assert_eq(site.orders(), 1);
+}
--- a/tests/platform/request_format_test.cc
+++ b/tests/platform/request_format_test.cc
@@ -101,6 +101,22 @@
   cr_assert_eq(*facts.idle_timeout_ms, 4'000);
 }
 
+// Guards against an order that reaches another process at the same address, or that an engine
+// cannot tell from an older one.
+Test(request_format, stage_order_names_process_holder_and_token) {
+  const platform::EncodedCall call = platform::EncodeStageOrder(
+      {"i-7", "10.1.64.9:8080", core::UpstreamStage::kDecode, "node-7", 41});
+  cr_assert_neq(call.head.find("POST /rattanramp/order HTTP/1.1\r\n"), std::string::npos);
+  cr_assert_neq(call.head.find("Expect-Instance: i-7\r\n"), std::string::npos);
+  cr_assert_neq(call.head.find("Content-Length: " + std::to_string(call.body.size()) + "\r\n\r\n"),
+                std::string::npos);
+  cr_assert_eq(call.body, R"({"fence":41,"holder":"node-7","op":"stage","stage":"decode"})");
+  cr_assert(platform::DecodeOrderAnswer(202) == platform::OrderVerdict::kAccepted);
+  cr_assert(platform::DecodeOrderAnswer(200) == platform::OrderVerdict::kAccepted);
+  cr_assert(platform::DecodeOrderAnswer(409) == platform::OrderVerdict::kBusy);
+  cr_assert(platform::DecodeOrderAnswer(421) == platform::OrderVerdict::kRefused);
+}
+
 // Guards against a decode that is sent without the memory of its prompt.
 Test(request_format, prefill_answer_without_a_handle_is_an_error) {
   cr_assert_eq(platform::DecodePrefill(R"({"kv_handle":"3fa","tokens":5})").value(), "3fa");
--- a/wire/gen-cpp/rattanramp_types.cpp
+++ b/wire/gen-cpp/rattanramp_types.cpp
@@ -5894,6 +5894,10 @@
 void GatewayLoad::__set_late_waiting_tokens(const std::map<std::string, int64_t> & val) {
   this->late_waiting_tokens = val;
 }
+
+void GatewayLoad::__set_changing_upstreams(const std::vector<int64_t> & val) {
+  this->changing_upstreams = val;
+}
 std::ostream& operator<<(std::ostream& out, const GatewayLoad& obj)
 {
   obj.printTo(out);
@@ -5918,6 +5922,7 @@
   bool isset_upstreams = false;
   bool isset_waiting_tokens = false;
   bool isset_late_waiting_tokens = false;
+  bool isset_changing_upstreams = false;
 
   while (true)
   {
@@ -6009,6 +6014,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->changing_upstreams.clear();
+            uint32_t _size174;
+            ::apache::thrift::protocol::TType _etype177;
+            xfer += iprot->readListBegin(_etype177, _size174);
+            this->changing_upstreams.resize(_size174);
+            uint32_t _i178;
+            for (_i178 = 0; _i178 < _size174; ++_i178)
+            {
+              xfer += iprot->readI64(this->changing_upstreams[_i178]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_changing_upstreams = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6028,6 +6053,8 @@
     throw TProtocolException(TProtocolException::INVALID_DATA);
   if (!isset_late_waiting_tokens)
     throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_changing_upstreams)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
@@ -6047,10 +6074,10 @@
   xfer += oprot->writeFieldBegin("upstreams", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->upstreams.size()));
-    std::vector<GatewayUpstreamLoad> ::const_iterator _iter174;
-    for (_iter174 = this->upstreams.begin(); _iter174 != this->upstreams.end(); ++_iter174)
+    std::vector<GatewayUpstreamLoad> ::const_iterator _iter179;
+    for (_iter179 = this->upstreams.begin(); _iter179 != this->upstreams.end(); ++_iter179)
     {
-      xfer += (*_iter174).write(oprot);
+      xfer += (*_iter179).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6059,11 +6086,11 @@
   xfer += oprot->writeFieldBegin("waiting_tokens", ::apache::thrift::protocol::T_MAP, 4);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->waiting_tokens.size()));
-    std::map<std::string, int64_t> ::const_iterator _iter175;
-    for (_iter175 = this->waiting_tokens.begin(); _iter175 != this->waiting_tokens.end(); ++_iter175)
+    std::map<std::string, int64_t> ::const_iterator _iter180;
+    for (_iter180 = this->waiting_tokens.begin(); _iter180 != this->waiting_tokens.end(); ++_iter180)
     {
-      xfer += oprot->writeString(_iter175->first);
-      xfer += oprot->writeI64(_iter175->second);
+      xfer += oprot->writeString(_iter180->first);
+      xfer += oprot->writeI64(_iter180->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -6072,16 +6099,28 @@
   xfer += oprot->writeFieldBegin("late_waiting_tokens", ::apache::thrift::protocol::T_MAP, 5);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->late_waiting_tokens.size()));
-    std::map<std::string, int64_t> ::const_iterator _iter176;
-    for (_iter176 = this->late_waiting_tokens.begin(); _iter176 != this->late_waiting_tokens.end(); ++_iter176)
+    std::map<std::string, int64_t> ::const_iterator _iter181;
+    for (_iter181 = this->late_waiting_tokens.begin(); _iter181 != this->late_waiting_tokens.end(); ++_iter181)
     {
-      xfer += oprot->writeString(_iter176->first);
-      xfer += oprot->writeI64(_iter176->second);
+      xfer += oprot->writeString(_iter181->first);
+      xfer += oprot->writeI64(_iter181->second);
     }
     xfer += oprot->writeMapEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("changing_upstreams", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->changing_upstreams.size()));
+    std::vector<int64_t> ::const_iterator _iter182;
+    for (_iter182 = this->changing_upstreams.begin(); _iter182 != this->changing_upstreams.end(); ++_iter182)
+    {
+      xfer += oprot->writeI64((*_iter182));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6094,36 +6133,41 @@
   swap(a.upstreams, b.upstreams);
   swap(a.waiting_tokens, b.waiting_tokens);
   swap(a.late_waiting_tokens, b.late_waiting_tokens);
-}
-
-GatewayLoad::GatewayLoad(const GatewayLoad& other177) {
-  gateway = other177.gateway;
-  sequence = other177.sequence;
-  upstreams = other177.upstreams;
-  waiting_tokens = other177.waiting_tokens;
-  late_waiting_tokens = other177.late_waiting_tokens;
-}
-GatewayLoad::GatewayLoad(GatewayLoad&& other178) noexcept {
-  gateway = std::move(other178.gateway);
-  sequence = other178.sequence;
-  upstreams = std::move(other178.upstreams);
-  waiting_tokens = std::move(other178.waiting_tokens);
-  late_waiting_tokens = std::move(other178.late_waiting_tokens);
-}
-GatewayLoad& GatewayLoad::operator=(const GatewayLoad& other179) {
-  gateway = other179.gateway;
-  sequence = other179.sequence;
-  upstreams = other179.upstreams;
-  waiting_tokens = other179.waiting_tokens;
-  late_waiting_tokens = other179.late_waiting_tokens;
+  swap(a.changing_upstreams, b.changing_upstreams);
+}
+
+GatewayLoad::GatewayLoad(const GatewayLoad& other183) {
+  gateway = other183.gateway;
+  sequence = other183.sequence;
+  upstreams = other183.upstreams;
+  waiting_tokens = other183.waiting_tokens;
+  late_waiting_tokens = other183.late_waiting_tokens;
+  changing_upstreams = other183.changing_upstreams;
+}
+GatewayLoad::GatewayLoad(GatewayLoad&& other184) noexcept {
+  gateway = std::move(other184.gateway);
+  sequence = other184.sequence;
+  upstreams = std::move(other184.upstreams);
+  waiting_tokens = std::move(other184.waiting_tokens);
+  late_waiting_tokens = std::move(other184.late_waiting_tokens);
+  changing_upstreams = std::move(other184.changing_upstreams);
+}
+GatewayLoad& GatewayLoad::operator=(const GatewayLoad& other185) {
+  gateway = other185.gateway;
+  sequence = other185.sequence;
+  upstreams = other185.upstreams;
+  waiting_tokens = other185.waiting_tokens;
+  late_waiting_tokens = other185.late_waiting_tokens;
+  changing_upstreams = other185.changing_upstreams;
   return *this;
 }
-GatewayLoad& GatewayLoad::operator=(GatewayLoad&& other180) noexcept {
-  gateway = std::move(other180.gateway);
-  sequence = other180.sequence;
-  upstreams = std::move(other180.upstreams);
-  waiting_tokens = std::move(other180.waiting_tokens);
-  late_waiting_tokens = std::move(other180.late_waiting_tokens);
+GatewayLoad& GatewayLoad::operator=(GatewayLoad&& other186) noexcept {
+  gateway = std::move(other186.gateway);
+  sequence = other186.sequence;
+  upstreams = std::move(other186.upstreams);
+  waiting_tokens = std::move(other186.waiting_tokens);
+  late_waiting_tokens = std::move(other186.late_waiting_tokens);
+  changing_upstreams = std::move(other186.changing_upstreams);
   return *this;
 }
 void GatewayLoad::printTo(std::ostream& out) const {
@@ -6134,6 +6178,7 @@
   out << ", " << "upstreams=" << to_string(upstreams);
   out << ", " << "waiting_tokens=" << to_string(waiting_tokens);
   out << ", " << "late_waiting_tokens=" << to_string(late_waiting_tokens);
+  out << ", " << "changing_upstreams=" << to_string(changing_upstreams);
   out << ")";
 }
 
--- a/wire/gen-cpp/rattanramp_types.h
+++ b/wire/gen-cpp/rattanramp_types.h
@@ -2377,6 +2377,10 @@
    * The same for those that are late already.
    */
   std::map<std::string, int64_t>  late_waiting_tokens;
+  /**
+   * Keys of the engines that change their stage on this gateway's order.
+   */
+  std::vector<int64_t>  changing_upstreams;
 
   void __set_gateway(const std::string& val);
 
@@ -2388,6 +2392,8 @@
 
   void __set_late_waiting_tokens(const std::map<std::string, int64_t> & val);
 
+  void __set_changing_upstreams(const std::vector<int64_t> & val);
+
   bool operator == (const GatewayLoad & rhs) const
   {
     if (!(gateway == rhs.gateway))
@@ -2400,6 +2406,8 @@
       return false;
     if (!(late_waiting_tokens == rhs.late_waiting_tokens))
       return false;
+    if (!(changing_upstreams == rhs.changing_upstreams))
+      return false;
     return true;
   }
   bool operator != (const GatewayLoad &rhs) const {
