Read the store at the slowest pace that keeps the bounds

Ruled out: the feed for the list (it returns for every heartbeat); one reader for all (its loss would have to be found first). Change: the intervals follow from the operator's bounds on contact and on leaving upstreams, both new settings. Reads are spread over the interval, and the gateway that first sees an upstream leave tells the others, which withhold new work from it; the same list carries engines that change their stage. Peers that are not known yet are noticed by their load reports. The first gateway is the first live one by its reports.

--- a/core/upstream_directory.cc
+++ b/core/upstream_directory.cc
@@ -5,8 +5,8 @@
 namespace rattanramp::core {
 
 DirectoryChange ApplySnapshot(UpstreamDirectory& directory, std::span<const UpstreamInfo> snapshot,
-                              TimePoint now) {
-  if (directory.has_read && now - directory.last_read > kOutageAfter) {
+                              bool has_failed, TimePoint now) {
+  if (directory.has_read && (has_failed || now - directory.last_read > kOutageAfter)) {
     directory.keep_missing_until = now + kReturnAfterOutage;
   }
   directory.has_read = true;
--- a/gateway/fleet.cc
+++ b/gateway/fleet.cc
@@ -24,12 +24,12 @@
   return {asio::ip::make_address_v4(info.address), info.port};
 }
 
+}  // namespace
+
 std::int64_t KeyOf(const core::UpstreamInfo& info) {
   return SignedHash64(info.id, static_cast<std::uint64_t>(info.started_unix_ms));
 }
 
-}  // namespace
-
 Fleet::Fleet(std::string own_domain) : own_domain_(std::move(own_domain)) {}
 
 void Fleet::Apply(const core::DirectoryChange& change) {
@@ -74,7 +74,7 @@
     if (domain == domains.end()) {
       domains.push_back(info.failure_domain);
     }
-    candidate.is_usable = !info.is_leaving && !upstream->is_changing &&
+    candidate.is_usable = !info.is_leaving && !upstream->is_withheld &&
                           !core::IsAvoided(upstream->health, now) &&
                           std::find(tried.begin(), tried.end(), upstream->key) == tried.end();
     candidate.is_on_trial = core::IsOnTrial(upstream->health);
@@ -98,11 +98,30 @@
   SumPeerStates();
 }
 
-void Fleet::SetOwnChanging(std::vector<std::int64_t> keys) {
-  own_changing_ = std::move(keys);
+void Fleet::Withhold(std::int64_t key, TimePoint until) {
+  own_withheld_[key] = until;
   SumPeerStates();
 }
 
+void Fleet::Release(std::int64_t key) {
+  own_withheld_.erase(key);
+  SumPeerStates();
+}
+
+void Fleet::EndWithholding(TimePoint now) {
+  if (std::erase_if(own_withheld_, [now](const auto& entry) { return now >= entry.second; }) > 0) {
+    SumPeerStates();
+  }
+}
+
+std::vector<std::int64_t> Fleet::OwnWithheld() const {
+  std::vector<std::int64_t> keys;
+  for (const auto& [key, until] : own_withheld_) {
+    keys.push_back(key);
+  }
+  return keys;
+}
+
 const Upstream* Fleet::Find(std::int64_t key) const {
   for (const auto& [id, upstream] : by_id_) {
     if (upstream->key == key) {
@@ -166,9 +185,12 @@
 
 void Fleet::SumPeerStates() {
   std::map<std::int64_t, core::UpstreamLoad> sums;
-  std::set<std::int64_t> changing(own_changing_.begin(), own_changing_.end());
+  std::set<std::int64_t> withheld;
+  for (const auto& [key, until] : own_withheld_) {
+    withheld.insert(key);
+  }
   for (const auto& [peer, state] : peer_states_) {
-    changing.insert(state.changing.begin(), state.changing.end());
+    withheld.insert(state.withheld.begin(), state.withheld.end());
     for (const PeerLoad& load : state.loads) {
       core::UpstreamLoad& sum = sums[load.key];
       sum.running += load.load.running;
@@ -179,7 +201,7 @@
   for (const auto& [id, upstream] : by_id_) {
     const auto sum = sums.find(upstream->key);
     upstream->peers = sum == sums.end() ? core::UpstreamLoad() : sum->second;
-    upstream->is_changing = changing.contains(upstream->key);
+    upstream->is_withheld = withheld.contains(upstream->key);
   }
 }
 
--- a/gateway/fleet.h
+++ b/gateway/fleet.h
@@ -39,10 +39,13 @@
   std::vector<IdleConnection> idle;
   /// No longer in the list, or replaced by another incarnation.
   bool is_gone = false;
-  /// Has an order to change its stage, and takes no work until it has.
-  bool is_changing = false;
+  /// This gateway or a peer knows that it leaves or changes its stage: it gets no new work.
+  bool is_withheld = false;
 };
 
+/// Upstream::key of an entry of the list.
+std::int64_t KeyOf(const core::UpstreamInfo& info);
+
 /// Load of one upstream as a peer tells it.
 struct PeerLoad {
   std::int64_t key = 0;
@@ -54,8 +57,8 @@
   std::vector<PeerLoad> loads;
   /// Memory of waiting generations by service.
   std::map<std::string, core::WaitingTokens> waiting_tokens;
-  /// Keys of the engines that change their stage on its order.
-  std::vector<std::int64_t> changing;
+  /// Keys of upstreams that must get no new work.
+  std::vector<std::int64_t> withheld;
 };
 
 class Fleet {
@@ -79,9 +82,12 @@
   /// Memory that generations waiting at the peers will take.
   core::WaitingTokens PeerWaitingTokens(const std::string& service) const;
 
-  /// Engines that change their stage on this gateway's order.
-  void SetOwnChanging(std::vector<std::int64_t> keys);
-  const std::vector<std::int64_t>& own_changing() const { return own_changing_; }
+  /// Keeps new work from an upstream until then, here and at the peers, which may not know yet.
+  void Withhold(std::int64_t key, TimePoint until);
+  void Release(std::int64_t key);
+  void EndWithholding(TimePoint now);
+  /// Keys of the upstreams that this gateway withholds.
+  std::vector<std::int64_t> OwnWithheld() const;
 
   /// Null when no upstream has the key.
   const Upstream* Find(std::int64_t key) const;
@@ -103,7 +109,8 @@
   std::map<std::string, std::shared_ptr<Upstream>, std::less<>> by_id_;
   std::map<std::string, std::vector<std::shared_ptr<Upstream>>, std::less<>> by_service_;
   std::map<std::string, PeerState> peer_states_;
-  std::vector<std::int64_t> own_changing_;
+  /// By key: until when.
+  std::map<std::int64_t, TimePoint> own_withheld_;
 };
 
 /// A connection to the upstream: the open one that was used last, or a new one.
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -35,6 +35,9 @@
 // Left of the grace time for the end of the process itself.
 constexpr Milliseconds kExitMargin{500};
 
+// How long the peers are told of an upstream that leaves: each has read the list itself by then.
+constexpr Milliseconds kLeavingNotice{4'000};
+
 // When callers may come back to a process that has no configuration yet.
 constexpr std::int64_t kNoConfigRetryMs = 500;
 
@@ -90,7 +93,8 @@
   }
   Result<std::unique_ptr<LoadExchange>> exchange = LoadExchange::Create(
       context, clock, gateway->fleet_, gateway->dispatcher_, own.node, {own.address, own.peer_port},
-      [raw = gateway.get()] { raw->dispatcher_.WakeAll(); });
+      [raw = gateway.get()] { raw->dispatcher_.WakeAll(); },
+      [raw = gateway.get()] { raw->watch_->RefreshGateways(); });
   if (!exchange) {
     return exchange.error();
   }
@@ -101,9 +105,9 @@
                               {"failure_domain", own.failure_domain}};
   std::unique_ptr<StageController> stages = std::make_unique<StageController>(
       gateway->services_, source.make_client(), source.order_table, own.node);
-  gateway->watch_ =
-      std::make_unique<StoreWatch>(context, clock, static_cast<StoreWatcher&>(*gateway),
-                                   std::move(source), own.node, row.dump());
+  gateway->watch_ = std::make_unique<StoreWatch>(
+      context, clock, static_cast<StoreWatcher&>(*gateway), std::move(source),
+      PaceFor(own.disconnected_after, own.upstream_leave), own.node, row.dump());
   gateway->stages_ = std::move(stages);
   gateway->Accept(gateway->callers_, *gateway);
   gateway->Accept(gateway->readiness_, *gateway->status_host_);
@@ -270,10 +274,10 @@
        {"routes", table_->routes().size()}});
 }
 
-void Gateway::OnUpstreamRows(const std::vector<store::TableRow>& rows) {
+void Gateway::OnUpstreamRows(const std::vector<store::TableRow>& rows, bool has_failed) {
   const platform::DecodedUpstreams decoded = platform::DecodeUpstreams(rows);
   const core::DirectoryChange change =
-      core::ApplySnapshot(directory_, decoded.upstreams, clock_.now());
+      core::ApplySnapshot(directory_, decoded.upstreams, has_failed, clock_.now());
   for (const auto& [what, infos] : {std::pair{"upstream_added", &change.added},
                                     {"upstream_changed", &change.updated},
                                     {"upstream_removed", &change.removed}}) {
@@ -287,6 +291,15 @@
     }
   }
   fleet_.Apply(change);
+  // The peers read the list at other times.
+  for (const std::vector<core::UpstreamInfo>* infos : {&change.updated, &change.removed}) {
+    for (const core::UpstreamInfo& info : *infos) {
+      if (info.is_leaving || infos == &change.removed) {
+        fleet_.Withhold(KeyOf(info), clock_.now() + kLeavingNotice);
+        load_exchange_->TellSoon();
+      }
+    }
+  }
   dispatcher_.WakeAll();
 }
 
@@ -306,7 +319,6 @@
     }
     peers[name] = {address, row["peer_port"].get<std::uint16_t>()};
   }
-  stages_->SetFirst(!rows.empty() && rows.begin()->first == settings_.node);
   services_.gateways = static_cast<std::int64_t>(peers.size()) + 1;
   load_exchange_->SetPeers(std::move(peers));
 }
@@ -321,7 +333,7 @@
     CheckStopped();
   }
   if (table_) {
-    stages_->Tick(*table_);
+    stages_->Tick(*table_, load_exchange_->is_first());
   }
   dispatcher_.WakeAll();
   timer_.expires_after(kTickInterval);
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -62,7 +62,7 @@
   void OnConnectionEnd(const CallerConnection* connection) override;
 
   void OnConfigRow(const std::string& text, std::int64_t row_version) override;
-  void OnUpstreamRows(const std::vector<store::TableRow>& rows) override;
+  void OnUpstreamRows(const std::vector<store::TableRow>& rows, bool has_failed) override;
   void OnGatewayRows(const std::map<std::string, std::string>& rows) override;
 
   asio::io_context& context_;
--- a/gateway/load_exchange.cc
+++ b/gateway/load_exchange.cc
@@ -35,9 +35,11 @@
 
 Result<std::unique_ptr<LoadExchange>> LoadExchange::Create(
     asio::io_context& context, const Clock& clock, Fleet& fleet, const Dispatcher& dispatcher,
-    std::string own_name, const asio::ip::udp::endpoint& listen, std::function<void()> on_change) {
-  std::unique_ptr<LoadExchange> exchange(new LoadExchange(
-      context, clock, fleet, dispatcher, std::move(own_name), std::move(on_change)));
+    std::string own_name, const asio::ip::udp::endpoint& listen, std::function<void()> on_change,
+    std::function<void()> on_unknown_peer) {
+  std::unique_ptr<LoadExchange> exchange(new LoadExchange(context, clock, fleet, dispatcher,
+                                                          std::move(own_name), std::move(on_change),
+                                                          std::move(on_unknown_peer)));
   std::error_code error;
   exchange->socket_.open(asio::ip::udp::v4(), error);
   if (!error) {
@@ -60,12 +62,13 @@
 
 LoadExchange::LoadExchange(asio::io_context& context, const Clock& clock, Fleet& fleet,
                            const Dispatcher& dispatcher, std::string own_name,
-                           std::function<void()> on_change)
+                           std::function<void()> on_change, std::function<void()> on_unknown_peer)
     : clock_(clock),
       fleet_(fleet),
       dispatcher_(dispatcher),
       own_name_(std::move(own_name)),
       on_change_(std::move(on_change)),
+      on_unknown_peer_(std::move(on_unknown_peer)),
       socket_(context),
       timer_(context),
       soon_timer_(context) {}
@@ -120,6 +123,9 @@
   if (report.gateway == own_name_) {
     return;
   }
+  if (!peers_.contains(report.gateway)) {
+    on_unknown_peer_();
+  }
   Heard& heard = heard_[report.gateway];
   if (report.sequence <= heard.sequence) {
     return;
@@ -137,13 +143,14 @@
   for (const auto& [service, tokens] : report.late_waiting_tokens) {
     state.waiting_tokens[service].late = tokens;
   }
-  state.changing = report.changing_upstreams;
+  state.withheld = report.withheld_upstreams;
   fleet_.SetPeerState(report.gateway, std::move(state));
   on_change_();
 }
 
 void LoadExchange::Tick() {
   const TimePoint now = clock_.now();
+  fleet_.EndWithholding(now);
   for (auto heard = heard_.begin(); heard != heard_.end();) {
     if (now - heard->second.at > kPeerTimeout) {
       Log(LogLevel::kInfo, "peer_lost",
@@ -167,6 +174,7 @@
 void LoadExchange::Send() {
   const TimePoint now = clock_.now();
   std::vector<PeerLoad> loads = fleet_.OwnLoad();
+  std::vector<std::int64_t> withheld = fleet_.OwnWithheld();
   std::map<std::string, std::int64_t> waiting;
   std::map<std::string, std::int64_t> late;
   for (const auto& [service, tokens] : dispatcher_.waiting_tokens_by_service()) {
@@ -174,7 +182,7 @@
     late[service] = tokens.late;
   }
   if (IsSame(loads, last_sent_) && waiting == last_waiting_ && late == last_late_ &&
-      fleet_.own_changing() == last_changing_ && now - last_sent_at_ < kRepeatInterval) {
+      withheld == last_withheld_ && now - last_sent_at_ < kRepeatInterval) {
     return;
   }
   wire::GatewayLoad report;
@@ -190,7 +198,7 @@
   }
   report.waiting_tokens = waiting;
   report.late_waiting_tokens = late;
-  report.changing_upstreams = fleet_.own_changing();
+  report.withheld_upstreams = withheld;
   const std::string datagram = wire::EncodeGatewayLoad(report);
   for (const auto& [name, endpoint] : peers_) {
     // A datagram that cannot be sent is as good as lost; the next one follows soon.
@@ -200,7 +208,7 @@
   last_sent_ = std::move(loads);
   last_waiting_ = std::move(waiting);
   last_late_ = std::move(late);
-  last_changing_ = std::move(report.changing_upstreams);
+  last_withheld_ = std::move(withheld);
   last_sent_at_ = now;
 }
 
--- a/gateway/load_exchange.h
+++ b/gateway/load_exchange.h
@@ -25,7 +25,8 @@
                                                       Fleet& fleet, const Dispatcher& dispatcher,
                                                       std::string own_name,
                                                       const asio::ip::udp::endpoint& listen,
-                                                      std::function<void()> on_change);
+                                                      std::function<void()> on_change,
+                                                      std::function<void()> on_unknown_peer);
 
   /// Replaces the peers that are told.
   void SetPeers(std::map<std::string, asio::ip::udp::endpoint> peers);
@@ -33,6 +34,8 @@
   void TellSoon();
   /// Peers that were heard lately.
   std::size_t live_peers() const { return heard_.size(); }
+  /// No live peer has a name that comes before this gateway's.
+  bool is_first() const { return heard_.empty() || own_name_ < heard_.begin()->first; }
   void Stop();
 
  private:
@@ -42,7 +45,8 @@
   };
 
   LoadExchange(asio::io_context& context, const Clock& clock, Fleet& fleet,
-               const Dispatcher& dispatcher, std::string own_name, std::function<void()> on_change);
+               const Dispatcher& dispatcher, std::string own_name, std::function<void()> on_change,
+               std::function<void()> on_unknown_peer);
 
   void Receive();
   void OnDatagram(std::size_t size);
@@ -54,6 +58,7 @@
   const Dispatcher& dispatcher_;
   std::string own_name_;
   std::function<void()> on_change_;
+  std::function<void()> on_unknown_peer_;
   asio::ip::udp::socket socket_;
   asio::steady_timer timer_;
   asio::steady_timer soon_timer_;
@@ -65,7 +70,7 @@
   std::vector<PeerLoad> last_sent_;
   std::map<std::string, std::int64_t> last_waiting_;
   std::map<std::string, std::int64_t> last_late_;
-  std::vector<std::int64_t> last_changing_;
+  std::vector<std::int64_t> last_withheld_;
   TimePoint last_sent_at_;
   std::int64_t sequence_ = 0;
   bool is_stopped_ = false;
--- a/gateway/settings.cc
+++ b/gateway/settings.cc
@@ -115,10 +115,13 @@
   const Result<double> metrics = ReadNumber(parsed, "/listen/metrics_port", 0);
   const Result<double> peer = ReadNumber(parsed, "/peer_ports/0", 1);
   const Result<double> grace = ReadNumber(parsed, "/stop_grace_s", 0);
+  const Result<double> disconnected = ReadNumber(parsed, "/disconnected_after_ms", 1);
+  const Result<double> leave = ReadNumber(parsed, "/upstream_leave_ms", 1);
   const Result<double> ratio = ReadNumber(parsed, "/retry_bound/ratio", 0);
   const Result<double> slack = ReadNumber(parsed, "/retry_bound/slack", 0);
   const Result<double> window = ReadNumber(parsed, "/retry_bound/window_s", 0.1);
-  for (const Result<double>* number : {&metrics, &peer, &grace, &ratio, &slack, &window}) {
+  for (const Result<double>* number :
+       {&metrics, &peer, &grace, &disconnected, &leave, &ratio, &slack, &window}) {
     if (!*number) {
       return number->error();
     }
@@ -126,6 +129,8 @@
   settings.metrics_port = static_cast<std::uint16_t>(metrics.value());
   settings.peer_port = static_cast<std::uint16_t>(peer.value());
   settings.stop_grace = Seconds(grace.value());
+  settings.disconnected_after = Seconds(disconnected.value() / 1'000);
+  settings.upstream_leave = Seconds(leave.value() / 1'000);
   settings.retry_bound = {ratio.value(), slack.value(), Seconds(window.value())};
   return settings;
 }
--- a/gateway/settings.h
+++ b/gateway/settings.h
@@ -24,6 +24,10 @@
   asio::ip::tcp::endpoint table_service;
   /// Time between the stop signal and the kill.
   Duration stop_grace = Milliseconds(8'000);
+  /// A VM without contact for this long counts as disconnected; until then it must have noticed.
+  Duration disconnected_after = Milliseconds(3'000);
+  /// Time in which a gateway must stop sending to an upstream that leaves.
+  Duration upstream_leave = Milliseconds(2'000);
   core::RetryBound retry_bound;
 };
 
--- a/gateway/stage_controller.cc
+++ b/gateway/stage_controller.cc
@@ -68,14 +68,14 @@
   order_.reset();
 }
 
-void StageController::Tick(const core::RoutingTable& rules) {
+void StageController::Tick(const core::RoutingTable& rules, bool is_first) {
   const TimePoint now = services_.clock.now();
   if (is_stopped_ || now < next_look_) {
     return;
   }
   next_look_ = now + kLookInterval;
   EndChanges(now);
-  if (order_ || !is_first_) {
+  if (order_ || !is_first) {
     return;
   }
   for (const core::ServiceRule& service : rules.services()) {
@@ -94,15 +94,16 @@
 }
 
 void StageController::EndChanges(TimePoint now) {
-  const auto ended = std::erase_if(changing_, [&](const auto& entry) {
+  std::erase_if(changing_, [&](const auto& entry) {
     const Upstream* upstream = services_.fleet.Find(entry.first);
-    return upstream == nullptr || upstream->info.stage == entry.second.to ||
-           now >= entry.second.until;
+    const bool has_ended =
+        upstream == nullptr || upstream->info.stage == entry.second.to || now >= entry.second.until;
+    if (has_ended) {
+      services_.fleet.Release(entry.first);
+    }
+    return has_ended;
   });
   std::erase_if(refused_until_, [now](const auto& entry) { return now >= entry.second; });
-  if (ended > 0) {
-    TellChanging();
-  }
 }
 
 std::optional<StageController::Order> StageController::NextOrder(const core::ServiceRule& service,
@@ -211,17 +212,10 @@
 }
 
 void StageController::NoteChange(TimePoint now) {
-  changing_[order_->upstream->key] = {order_->to, now + order_->change_time + kFinishTime};
+  const TimePoint until = now + order_->change_time + kFinishTime;
+  changing_[order_->upstream->key] = {order_->to, until};
   services_.metrics.Count("stage_orders_total");
-  TellChanging();
-}
-
-void StageController::TellChanging() {
-  std::vector<std::int64_t> keys;
-  for (const auto& [key, change] : changing_) {
-    keys.push_back(key);
-  }
-  services_.fleet.SetOwnChanging(std::move(keys));
+  services_.fleet.Withhold(order_->upstream->key, until);
   services_.on_reservation();
 }
 
--- a/gateway/stage_controller.h
+++ b/gateway/stage_controller.h
@@ -23,9 +23,8 @@
                   std::string order_table, std::string own_name);
 
   /// Looks at the division of all services' engines and begins at most one order.
-  void Tick(const core::RoutingTable& rules);
-  /// Whether this gateway is the one that orders.
-  void SetFirst(bool is_first) { is_first_ = is_first; }
+  /// is_first: this gateway is the one that orders.
+  void Tick(const core::RoutingTable& rules, bool is_first);
   void Stop();
 
  private:
@@ -49,7 +48,6 @@
   void SendOrder();
   void GiveUp(std::string_view why, Duration pause);
   void NoteChange(TimePoint now);
-  void TellChanging();
 
   void OnAnswerHead(const http::ResponseHead& head, const core::AnswerFacts& facts) override;
   void OnAnswerBody(std::string_view /*bytes*/) override {}
@@ -60,7 +58,6 @@
   std::unique_ptr<store::AsyncTable> table_;
   std::string order_table_;
   std::string own_name_;
-  bool is_first_ = false;
   bool is_stopped_ = false;
   TimePoint next_look_;
   /// Since when a service's engines are divided badly.
--- a/gateway/store_watch.cc
+++ b/gateway/store_watch.cc
@@ -3,23 +3,31 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/hash.h"
 #include "base/log.h"
 
 namespace rattanramp::gateway {
 namespace {
 
-// A leaving upstream must be known within 2 s of the table's acknowledgement (the users' bound
-// drain_ms); this leaves room for one failed call.
-constexpr Milliseconds kUpstreamInterval{600};
+// A call that the service holds is given up this long after its time, and a failed one is repeated
+// after a pause and a connection: what is left of the operator's bound for both.
+constexpr Milliseconds kConfigMargin{1'200};
 
-// The table service holds a call for a change this long. A connection that has gone silent is found
-// soon after; a configuration must be in force within 2 s (config_apply_ms).
-constexpr Milliseconds kConfigWait{1'000};
+// Timeout of a call (1.6 s) and the time of the next one.
+constexpr Milliseconds kUpstreamCallMargin{1'700};
 
-// How often a gateway renews its row, and how long a row that does not change counts. The number of
-// gateways only divides the bound on retries, so a late change does little harm.
-constexpr Milliseconds kGatewayInterval{3'000};
-constexpr Milliseconds kGatewayTimeout{8'000};
+// Time of a call and of what waits before it on the event loop, here and for requests that were
+// sent just before.
+constexpr Milliseconds kUpstreamMargin{900};
+
+constexpr Milliseconds kLeastInterval{300};
+
+// A row that has not changed for this many renewals is ignored. The number of gateways only divides
+// the bound on retries, so a late change does little harm.
+constexpr int kMissedRenewals = 2;
+
+// Reports of unknown peers may come from many at once.
+constexpr Milliseconds kLeastRefresh{1'000};
 
 // Pauses after failed calls, doubling. The platform prices refused calls too.
 constexpr Milliseconds kFirstPause{100};
@@ -27,14 +35,27 @@
 
 }  // namespace
 
+WatchPace PaceFor(Duration disconnected_after, Duration upstream_leave) {
+  const auto whole = [](Duration time) {
+    return std::max(kLeastInterval, std::chrono::duration_cast<Milliseconds>(time));
+  };
+  WatchPace pace;
+  pace.config_wait = whole(disconnected_after - kConfigMargin);
+  pace.upstream_interval =
+      whole(std::min(disconnected_after - kUpstreamCallMargin, upstream_leave - kUpstreamMargin));
+  return pace;
+}
+
 StoreWatch::Follower::Follower(asio::io_context& context, std::unique_ptr<store::AsyncTable> client)
     : table(std::move(client)), timer(context) {}
 
 StoreWatch::StoreWatch(asio::io_context& context, const Clock& clock, StoreWatcher& watcher,
-                       StoreSource source, std::string own_name, std::string own_row)
+                       StoreSource source, const WatchPace& pace, std::string own_name,
+                       std::string own_row)
     : clock_(clock),
       watcher_(watcher),
       source_(std::move(source)),
+      pace_(pace),
       own_name_(std::move(own_name)),
       own_row_(std::move(own_row)),
       config_(context, source_.make_client()),
@@ -76,7 +97,7 @@
 }
 
 void StoreWatch::WaitForConfig() {
-  config_.table->WaitForChanges(source_.config_table, config_seen_, kConfigWait,
+  config_.table->WaitForChanges(source_.config_table, config_seen_, pace_.config_wait,
                                 [this](const Result<store::TableRows>& rows) {
                                   if (rows) {
                                     Succeeded(config_, "configuration");
@@ -111,12 +132,20 @@
       Later(upstreams_, Failed(upstreams_, "upstreams", rows.error()), &StoreWatch::ReadUpstreams);
       return;
     }
+    const bool has_failed = upstreams_.failures > 0;
     Succeeded(upstreams_, "upstreams");
-    watcher_.OnUpstreamRows(rows.value().rows);
-    Later(upstreams_, kUpstreamInterval, &StoreWatch::ReadUpstreams);
+    watcher_.OnUpstreamRows(rows.value().rows, has_failed);
+    Later(upstreams_, is_phase_set_ ? pace_.upstream_interval : FirstInterval(),
+          &StoreWatch::ReadUpstreams);
+    is_phase_set_ = true;
   });
 }
 
+Duration StoreWatch::FirstInterval() const {
+  const double share = static_cast<double>(Hash64(own_name_) % 1'000) / 1'000.0;
+  return std::chrono::duration_cast<Duration>(share * pace_.upstream_interval);
+}
+
 void StoreWatch::WriteOwnRow() {
   gateways_.table->Write(source_.gateway_table, own_name_, own_row_,
                          [this](const Result<void>& written) {
@@ -129,16 +158,26 @@
                          });
 }
 
+void StoreWatch::RefreshGateways() {
+  const TimePoint now = clock_.now();
+  // While a call is in progress its answer, or the next renewal, brings the row.
+  if (is_stopped_ || !gateways_.is_pausing || now - gateways_read_ < kLeastRefresh) {
+    return;
+  }
+  Later(gateways_, Duration::zero(), &StoreWatch::ReadGateways);
+}
+
 void StoreWatch::ReadGateways() {
+  gateways_read_ = clock_.now();
   gateways_.table->ReadAll(source_.gateway_table, [this](const Result<store::TableRows>& rows) {
     if (!rows) {
-      Later(gateways_, Failed(gateways_, "gateways", rows.error()) + kGatewayInterval / 3,
+      Later(gateways_, Failed(gateways_, "gateways", rows.error()) + kLeastRefresh,
             &StoreWatch::WriteOwnRow);
       return;
     }
     Succeeded(gateways_, "gateways");
     OnGateways(rows.value());
-    Later(gateways_, kGatewayInterval, &StoreWatch::WriteOwnRow);
+    Later(gateways_, pace_.gateway_interval, &StoreWatch::WriteOwnRow);
   });
 }
 
@@ -152,7 +191,7 @@
     if (known != seen_gateways_.end() && known->second.version == row.version) {
       entry.changed = known->second.changed;
     }
-    if (now - entry.changed < kGatewayTimeout) {
+    if (now - entry.changed < kMissedRenewals * pace_.gateway_interval + kLeastRefresh) {
       live[row.key] = row.value;
     }
     seen[row.key] = entry;
@@ -162,9 +201,11 @@
 }
 
 void StoreWatch::Later(Follower& follower, Duration wait, void (StoreWatch::*next)()) {
+  follower.is_pausing = true;
   follower.timer.expires_after(wait);
-  follower.timer.async_wait([this, next](const std::error_code& error) {
+  follower.timer.async_wait([this, &follower, next](const std::error_code& error) {
     if (!error && !is_stopped_) {
+      follower.is_pausing = false;
       (this->*next)();
     }
   });
--- a/gateway/store_watch.h
+++ b/gateway/store_watch.h
@@ -22,17 +22,34 @@
  public:
   virtual ~StoreWatcher() = default;
   virtual void OnConfigRow(const std::string& text, std::int64_t row_version) = 0;
-  virtual void OnUpstreamRows(const std::vector<store::TableRow>& rows) = 0;
+  /// has_failed: a read has failed since the last list.
+  virtual void OnUpstreamRows(const std::vector<store::TableRow>& rows, bool has_failed) = 0;
   /// Rows of all gateways by name, this one's included, that have changed lately.
   virtual void OnGatewayRows(const std::map<std::string, std::string>& rows) = 0;
 };
 
+/// How often the tables are read. Each call is priced, and so are its bytes.
+struct WatchPace {
+  /// How long the service holds a call for a change of the configuration. A connection that has
+  /// gone silent is found when this and the call's timeout are over.
+  Milliseconds config_wait{1'000};
+  Milliseconds upstream_interval{600};
+  /// Between renewals of the own row. Peers that are new make themselves known by their reports.
+  Milliseconds gateway_interval{10'000};
+};
+
+/// The slowest pace that finds a silent connection before the VM counts as connected again, and a
+/// leaving upstream in time. Both bounds are the operator's.
+WatchPace PaceFor(Duration disconnected_after, Duration upstream_leave);
+
 class StoreWatch {
  public:
   StoreWatch(asio::io_context& context, const Clock& clock, StoreWatcher& watcher,
-             StoreSource source, std::string own_name, std::string own_row);
+             StoreSource source, const WatchPace& pace, std::string own_name, std::string own_row);
 
   void Start();
+  /// Reads the table of gateways soon: a report came from one that is not known yet.
+  void RefreshGateways();
   /// Takes this gateway's row out of the table and stops following.
   void Leave(std::function<void()> done);
 
@@ -42,6 +59,8 @@
     std::unique_ptr<store::AsyncTable> table;
     asio::steady_timer timer;
     bool is_lost = false;
+    /// Between two calls.
+    bool is_pausing = false;
     std::int64_t failures = 0;
   };
 
@@ -49,6 +68,9 @@
   void WaitForConfig();
   void OnConfig(const store::TableRows& rows);
   void ReadUpstreams();
+  /// Spreads the reads of gateways that start together; the first that sees an upstream leave tells
+  /// the others.
+  Duration FirstInterval() const;
   void WriteOwnRow();
   void ReadGateways();
   void OnGateways(const store::TableRows& rows);
@@ -60,6 +82,7 @@
   const Clock& clock_;
   StoreWatcher& watcher_;
   StoreSource source_;
+  WatchPace pace_;
   std::string own_name_;
   std::string own_row_;
   Follower config_;
@@ -68,6 +91,8 @@
   std::int64_t config_seen_ = 0;
   std::int64_t config_row_version_ = 0;
   bool is_stopped_ = false;
+  bool is_phase_set_ = false;
+  TimePoint gateways_read_;
   struct SeenRow {
     std::int64_t version = 0;
     TimePoint changed;
--- a/tests/gateway/fake_table.h
+++ b/tests/gateway/fake_table.h
@@ -3,6 +3,7 @@
 
 #include <asio/io_context.hpp>
 #include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
 #include <map>
 #include <memory>
 #include <optional>
@@ -27,7 +28,8 @@
 
 class FakeTable final : public store::AsyncTable {
  public:
-  FakeTable(asio::io_context& context, FakeTables& state) : context_(context), state_(state) {}
+  FakeTable(asio::io_context& context, FakeTables& state)
+      : context_(context), state_(state), timer_(context) {}
 
   void ReadAll(std::string_view table, RowsHandler handler) override {
     ++state_.calls;
@@ -38,17 +40,26 @@
     Post([handler = std::move(handler), rows = Rows(table)] { handler(rows); });
   }
 
-  /// Answers at once; the rows are those that are newer, or none.
-  void WaitForChanges(std::string_view table, std::int64_t after, Milliseconds /*wait*/,
+  /// Looks for newer rows at once and when the time is over.
+  void WaitForChanges(std::string_view table, std::int64_t after, Milliseconds wait,
                       RowsHandler handler) override {
     ++state_.calls;
     if (state_.failure) {
       Post([handler = std::move(handler), error = *state_.failure] { handler(error); });
       return;
     }
-    store::TableRows rows = Rows(table);
-    std::erase_if(rows.rows, [after](const store::TableRow& row) { return row.version <= after; });
-    Post([handler = std::move(handler), rows = std::move(rows)] { handler(rows); });
+    store::TableRows rows = NewRows(table, after);
+    if (!rows.rows.empty()) {
+      Post([handler = std::move(handler), rows = std::move(rows)] { handler(rows); });
+      return;
+    }
+    timer_.expires_after(wait);
+    timer_.async_wait([this, handler = std::move(handler), table = std::string(table), after,
+                       alive = is_alive_](const std::error_code& error) {
+      if (!error && *alive) {
+        handler(NewRows(table, after));
+      }
+    });
   }
 
   void Write(std::string_view table, std::string_view key, std::string_view value,
@@ -104,6 +115,12 @@
     return rows;
   }
 
+  store::TableRows NewRows(std::string_view table, std::int64_t after) {
+    store::TableRows rows = Rows(table);
+    std::erase_if(rows.rows, [after](const store::TableRow& row) { return row.version <= after; });
+    return rows;
+  }
+
   void Put(const std::string& table, const std::string& key, const std::string& value) {
     state_.tables[table][key] = {key, value, ++state_.version, false};
   }
@@ -132,6 +149,7 @@
 
   asio::io_context& context_;
   FakeTables& state_;
+  asio::steady_timer timer_;
   std::shared_ptr<bool> is_alive_ = std::make_shared<bool>(true);
 };
 
--- a/tests/gateway/stage_controller_test.cc
+++ b/tests/gateway/stage_controller_test.cc
@@ -44,9 +44,7 @@
           services{site.context_, site.clock_, settings, fleet, dispatcher,
                    metrics,       windows,     [] {},    {},    1},
           stages(services, std::make_unique<FakeTable>(site.context_, site.tables), kOrderTable,
-                 name) {
-      stages.SetFirst(true);
-    }
+                 name) {}
     gateway::Settings settings;
     gateway::Fleet fleet;
     Metrics metrics;
@@ -83,7 +81,7 @@
       clock_.Advance(kStep);
       tables.clock_ms += kStep.count();
       for (const std::unique_ptr<Gateway>& gateway : gateways_) {
-        gateway->stages.Tick(*rules_);
+        gateway->stages.Tick(*rules_, true);
       }
       context_.restart();
       context_.run_for(Milliseconds(30));
@@ -137,7 +135,7 @@
   core::DirectoryChange change;
   for (std::size_t i = 0; i < 4; ++i) {
     const core::UpstreamInfo info = site.Info(i);
-    if (gateway.fleet.upstreams().at(info.id)->is_changing) {
+    if (gateway.fleet.upstreams().at(info.id)->is_withheld) {
       change.updated = {info};
       change.updated[0].stage = UpstreamStage::kDecode;
     }
@@ -158,7 +156,7 @@
   cr_assert_eq(site.orders(), 1);
   const std::string record = site.tables.tables[kOrderTable]["last"].value;
   cr_assert_neq(record.find("\"a\""), std::string::npos, "%s", record.c_str());
-  cr_assert_eq(second.fleet.own_changing().size(), 0);
+  cr_assert_eq(second.fleet.OwnWithheld().size(), 0);
 }
 
 // Guards against an order whose record may or may not be in the store: another gateway could hold
--- a/wire/gen-cpp/rattanramp_types.cpp
+++ b/wire/gen-cpp/rattanramp_types.cpp
@@ -5895,8 +5895,8 @@
   this->late_waiting_tokens = val;
 }
 
-void GatewayLoad::__set_changing_upstreams(const std::vector<int64_t> & val) {
-  this->changing_upstreams = val;
+void GatewayLoad::__set_withheld_upstreams(const std::vector<int64_t> & val) {
+  this->withheld_upstreams = val;
 }
 std::ostream& operator<<(std::ostream& out, const GatewayLoad& obj)
 {
@@ -5922,7 +5922,7 @@
   bool isset_upstreams = false;
   bool isset_waiting_tokens = false;
   bool isset_late_waiting_tokens = false;
-  bool isset_changing_upstreams = false;
+  bool isset_withheld_upstreams = false;
 
   while (true)
   {
@@ -6017,19 +6017,19 @@
       case 6:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->changing_upstreams.clear();
+            this->withheld_upstreams.clear();
             uint32_t _size174;
             ::apache::thrift::protocol::TType _etype177;
             xfer += iprot->readListBegin(_etype177, _size174);
-            this->changing_upstreams.resize(_size174);
+            this->withheld_upstreams.resize(_size174);
             uint32_t _i178;
             for (_i178 = 0; _i178 < _size174; ++_i178)
             {
-              xfer += iprot->readI64(this->changing_upstreams[_i178]);
+              xfer += iprot->readI64(this->withheld_upstreams[_i178]);
             }
             xfer += iprot->readListEnd();
           }
-          isset_changing_upstreams = true;
+          isset_withheld_upstreams = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -6053,7 +6053,7 @@
     throw TProtocolException(TProtocolException::INVALID_DATA);
   if (!isset_late_waiting_tokens)
     throw TProtocolException(TProtocolException::INVALID_DATA);
-  if (!isset_changing_upstreams)
+  if (!isset_withheld_upstreams)
     throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
@@ -6109,11 +6109,11 @@
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("changing_upstreams", ::apache::thrift::protocol::T_LIST, 6);
+  xfer += oprot->writeFieldBegin("withheld_upstreams", ::apache::thrift::protocol::T_LIST, 6);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->changing_upstreams.size()));
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->withheld_upstreams.size()));
     std::vector<int64_t> ::const_iterator _iter182;
-    for (_iter182 = this->changing_upstreams.begin(); _iter182 != this->changing_upstreams.end(); ++_iter182)
+    for (_iter182 = this->withheld_upstreams.begin(); _iter182 != this->withheld_upstreams.end(); ++_iter182)
     {
       xfer += oprot->writeI64((*_iter182));
     }
@@ -6133,7 +6133,7 @@
   swap(a.upstreams, b.upstreams);
   swap(a.waiting_tokens, b.waiting_tokens);
   swap(a.late_waiting_tokens, b.late_waiting_tokens);
-  swap(a.changing_upstreams, b.changing_upstreams);
+  swap(a.withheld_upstreams, b.withheld_upstreams);
 }
 
 GatewayLoad::GatewayLoad(const GatewayLoad& other183) {
@@ -6142,7 +6142,7 @@
   upstreams = other183.upstreams;
   waiting_tokens = other183.waiting_tokens;
   late_waiting_tokens = other183.late_waiting_tokens;
-  changing_upstreams = other183.changing_upstreams;
+  withheld_upstreams = other183.withheld_upstreams;
 }
 GatewayLoad::GatewayLoad(GatewayLoad&& other184) noexcept {
   gateway = std::move(other184.gateway);
@@ -6150,7 +6150,7 @@
   upstreams = std::move(other184.upstreams);
   waiting_tokens = std::move(other184.waiting_tokens);
   late_waiting_tokens = std::move(other184.late_waiting_tokens);
-  changing_upstreams = std::move(other184.changing_upstreams);
+  withheld_upstreams = std::move(other184.withheld_upstreams);
 }
 GatewayLoad& GatewayLoad::operator=(const GatewayLoad& other185) {
   gateway = other185.gateway;
@@ -6158,7 +6158,7 @@
   upstreams = other185.upstreams;
   waiting_tokens = other185.waiting_tokens;
   late_waiting_tokens = other185.late_waiting_tokens;
-  changing_upstreams = other185.changing_upstreams;
+  withheld_upstreams = other185.withheld_upstreams;
   return *this;
 }
 GatewayLoad& GatewayLoad::operator=(GatewayLoad&& other186) noexcept {
@@ -6167,7 +6167,7 @@
   upstreams = std::move(other186.upstreams);
   waiting_tokens = std::move(other186.waiting_tokens);
   late_waiting_tokens = std::move(other186.late_waiting_tokens);
-  changing_upstreams = std::move(other186.changing_upstreams);
+  withheld_upstreams = std::move(other186.withheld_upstreams);
   return *this;
 }
 void GatewayLoad::printTo(std::ostream& out) const {
@@ -6178,7 +6178,7 @@
   out << ", " << "upstreams=" << to_string(upstreams);
   out << ", " << "waiting_tokens=" << to_string(waiting_tokens);
   out << ", " << "late_waiting_tokens=" << to_string(late_waiting_tokens);
-  out << ", " << "changing_upstreams=" << to_string(changing_upstreams);
+  out << ", " << "withheld_upstreams=" << to_string(withheld_upstreams);
   out << ")";
 }
 
--- a/wire/gen-cpp/rattanramp_types.h
+++ b/wire/gen-cpp/rattanramp_types.h
@@ -2378,9 +2378,9 @@
    */
   std::map<std::string, int64_t>  late_waiting_tokens;
   /**
-   * Keys of the engines that change their stage on this gateway's order.
+   * Keys of upstreams that must get no new work: they leave, or change their stage.
    */
-  std::vector<int64_t>  changing_upstreams;
+  std::vector<int64_t>  withheld_upstreams;
 
   void __set_gateway(const std::string& val);
 
@@ -2392,7 +2392,7 @@
 
   void __set_late_waiting_tokens(const std::map<std::string, int64_t> & val);
 
-  void __set_changing_upstreams(const std::vector<int64_t> & val);
+  void __set_withheld_upstreams(const std::vector<int64_t> & val);
 
   bool operator == (const GatewayLoad & rhs) const
   {
@@ -2406,7 +2406,7 @@
       return false;
     if (!(late_waiting_tokens == rhs.late_waiting_tokens))
       return false;
-    if (!(changing_upstreams == rhs.changing_upstreams))
+    if (!(withheld_upstreams == rhs.withheld_upstreams))
       return false;
     return true;
   }
--- a/wire/rattanramp.thrift
+++ b/wire/rattanramp.thrift
@@ -282,6 +282,6 @@
   4: required map<string, i64> waiting_tokens
   /** The same for those that are late already. */
   5: required map<string, i64> late_waiting_tokens
-  /** Keys of the engines that change their stage on this gateway's order. */
-  6: required list<i64> changing_upstreams
+  /** Keys of upstreams that must get no new work: they leave, or change their stage. */
+  6: required list<i64> withheld_upstreams
 }
