Add the fault soak of the gateway

Ruled out: Criterion tests with the product's own stand-ins: they speak another protocol, and a schedule of overlapping faults needs one event loop that sees callers and servers. Steps of the time of day are not injected.

--- /dev/null
+++ b/tests/soak/faults.py
@@ -0,0 +1,188 @@
+"""Faults from outside: signals, links, the store, servers, the operator. They overlap and repeat."""
+
+import asyncio
+import signal
+import time
+
+from site_model import DRAIN_S, STOP_GRACE_S
+
+UNTIL_HEALED_S = 1e9
+
+
+class Faults:
+    def __init__(self, site, rng):
+        self.site, self.rng = site, rng
+        self.kinds = [self.kill, self.freeze, self.term, self.hup, self.store_link,
+                      self.caller_link, self.upstream_link, self.store, self.crash, self.leave,
+                      self.grey, self.config, self.config]
+        self.log = []
+
+    async def run(self, until):
+        tasks = []
+        while time.monotonic() < until:
+            await asyncio.sleep(self.rng.uniform(0.2, 1.6))
+            kind = self.rng.choice(self.kinds)
+            self.log.append((round(time.monotonic(), 2), kind.__name__))
+            tasks.append(asyncio.create_task(kind()))
+        for result in await asyncio.gather(*tasks, return_exceptions=True):
+            if isinstance(result, Exception):
+                raise result
+
+    def _begin(self, faults, slack_s=0.0):
+        now = time.monotonic()
+        span = [now, now + UNTIL_HEALED_S]
+        faults.append(span)
+
+        def end():
+            span[1] = time.monotonic() + slack_s
+        return end
+
+    def _gateway(self):
+        return self.rng.choice(self.site.gateways)
+
+    async def kill(self):
+        gateways = self.rng.sample(self.site.gateways, self.rng.choice((1, 1, 2, 4)))
+        ends = [self._begin(g.faults, 1.0) for g in gateways]
+        processes = [gateway.process for gateway in gateways]
+        for gateway in gateways:
+            gateway.kill()
+        await asyncio.sleep(self.rng.uniform(0.2, 2))
+        for gateway, process, end in zip(gateways, processes, ends):
+            await self._restart(gateway, process)
+            end()
+
+    async def _restart(self, gateway, process):
+        """Starts a gateway again unless an overlapping fault has done so."""
+        await process.wait()
+        if process is gateway.process:
+            await gateway.start()
+
+    async def freeze(self):
+        gateway = self._gateway()
+        end = self._begin(gateway.faults)
+        gateway.send(signal.SIGSTOP)
+        await asyncio.sleep(self.rng.uniform(0.3, 4))
+        gateway.send(signal.SIGCONT)
+        end()
+
+    async def term(self):
+        gateway = self._gateway()
+        if gateway.stop_sent is not None:
+            return
+        gateway.stop()
+        process = gateway.process
+        try:
+            await asyncio.wait_for(process.wait(), STOP_GRACE_S)
+        except asyncio.TimeoutError:
+            if gateway.in_touch(gateway.stop_sent, time.monotonic()):
+                self.site.record.breach("STOP", f"{gateway.name} did not end in its grace time")
+            self._begin(gateway.faults)()
+            gateway.kill()
+        end = self._begin(gateway.faults, 1.0)
+        await self._restart(gateway, process)
+        end()
+
+    async def hup(self):
+        gateway = self._gateway()
+        gateway.write_settings(slack=self.rng.choice((20, 58)))
+        gateway.send(signal.SIGHUP)
+
+    async def _harm(self, proxy):
+        kind = self.rng.choice(("reset", "delay", "silent up", "silent down", "silent", "refuse"))
+        if kind == "reset":
+            proxy.reset_all()
+        elif kind == "delay":
+            proxy.delay_s = self.rng.uniform(0.02, 0.4)
+        elif kind == "refuse":
+            proxy.refuses = True
+            proxy.reset_all()
+        else:
+            for direction in ("up", "down"):
+                proxy.is_silent[direction] = kind in ("silent", "silent " + direction)
+        await asyncio.sleep(self.rng.uniform(0.3, 4))
+        proxy.heal()
+
+    async def store_link(self):
+        gateway = self._gateway()
+        end = self._begin(gateway.faults)
+        await self._harm(gateway.store_link)
+        end()
+
+    async def caller_link(self):
+        gateway = self._gateway()
+        end = self._begin(gateway.faults)
+        await self._harm(gateway.caller_link)
+        end()
+
+    async def upstream_link(self):
+        upstream = self.rng.choice(self.site.upstreams)
+        end = self._begin(upstream.faults)
+        await self._harm(upstream.proxy)
+        end()
+
+    async def store(self):
+        store = self.site.store
+        end = self._begin(self.site.store_faults)
+        kind = self.rng.choice(("away", "partly", "slow", "loses", "forgets"))
+        if kind == "away":
+            store.refuse_share = 1.0
+        elif kind == "partly":
+            store.refuse_share = 0.4
+        elif kind == "slow":
+            store.extra_delay_s = self.rng.uniform(0.2, 1.2)
+        elif kind == "loses":
+            store.lose_share = 0.4
+        else:
+            store.forget_history()
+        await asyncio.sleep(self.rng.uniform(0.5, 4))
+        store.refuse_share = store.lose_share = store.extra_delay_s = 0.0
+        end()
+
+    async def crash(self):
+        upstream = self.rng.choice(self.site.upstreams)
+        if not upstream.is_up or upstream.left_at is not None:
+            return
+        end = self._begin(upstream.faults)
+        upstream.crash()
+        await asyncio.sleep(self.rng.uniform(0.5, 5))
+        await upstream.start()
+        upstream.announce()
+        end()
+
+    async def leave(self):
+        """A planned end: announced, served on for longer than the bound, and replaced."""
+        upstream = self.rng.choice(self.site.upstreams)
+        if not upstream.is_up or upstream.left_at is not None:
+            return
+        if self.rng.random() < 0.3:
+            upstream.left_at = self.site.store.remove("servers", upstream.instance)
+        else:
+            upstream.say_leaving()
+        await asyncio.sleep(DRAIN_S + 4)
+        if not upstream.is_up:
+            return
+        end = self._begin(upstream.faults)
+        self.site.store.remove("servers", upstream.instance)
+        upstream.crash()
+        await upstream.start()
+        upstream.announce()
+        end()
+
+    async def grey(self):
+        upstream = self.rng.choice(self.site.upstreams)
+        end = self._begin(upstream.faults)
+        upstream.fail_share = self.rng.uniform(0.2, 0.8)
+        upstream.extra_work_s = self.rng.choice((0, 0, 0.3))
+        await asyncio.sleep(self.rng.uniform(1, 4))
+        upstream.fail_share = upstream.extra_work_s = 0.0
+        end()
+
+    async def config(self):
+        site = self.site
+        if site.extra_prefixes and self.rng.random() < 0.5:
+            site.extra_prefixes.remove(self.rng.choice(site.extra_prefixes))
+        else:
+            prefix = f"/more{len(site.all_prefixes)}/"
+            site.extra_prefixes.append(prefix)
+            site.all_prefixes.add(prefix)
+        site.put_config()
--- /dev/null
+++ b/tests/soak/http_io.py
@@ -0,0 +1,146 @@
+"""HTTP/1.1 over asyncio streams, parsed by h11."""
+
+import asyncio
+
+import h11
+
+MAX_READ_BYTES = 64 * 1024
+
+
+class Request:
+    def __init__(self, event: h11.Request):
+        self.method = event.method.decode()
+        self.target = event.target.decode()
+        self.headers = {name.decode().lower(): value.decode() for name, value in event.headers}
+        self.body = b""
+
+
+class ServerConnection:
+    """One caller's connection; handler(connection, request) answers each request."""
+
+    def __init__(self, reader, writer):
+        self.reader = reader
+        self.writer = writer
+        self.http = h11.Connection(h11.SERVER)
+
+    async def _next(self):
+        while True:
+            event = self.http.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            self.http.receive_data(await self.reader.read(MAX_READ_BYTES))
+
+    async def send(self, event):
+        data = self.http.send(event)
+        if data:
+            self.writer.write(data)
+            await self.writer.drain()
+
+    async def answer(self, status, body=b"", headers=()):
+        await self.send(h11.Response(status_code=status, headers=[
+            ("Content-Length", str(len(body))), *headers]))
+        await self.send(h11.Data(data=body))
+        await self.send(h11.EndOfMessage())
+
+    def reset(self):
+        transport = self.writer.transport
+        if transport is not None:
+            transport.abort()
+
+    async def serve(self, handler):
+        try:
+            while True:
+                event = await self._next()
+                if not isinstance(event, h11.Request):
+                    break
+                request = Request(event)
+                while True:
+                    event = await self._next()
+                    if isinstance(event, h11.Data):
+                        request.body += event.data
+                    else:
+                        break
+                await handler(self, request)
+                if self.http.our_state is not h11.DONE or self.http.their_state is not h11.DONE:
+                    break
+                self.http.start_next_cycle()
+        except (ConnectionError, h11.ProtocolError, asyncio.IncompleteReadError):
+            pass  # the peer is gone or sends no HTTP; there is nobody to tell
+        finally:
+            self.writer.close()
+
+
+async def listen(host, handler, port=0):
+    """Returns (server, port, connections); closing the set's members cuts open work."""
+    connections = set()
+
+    async def accept(reader, writer):
+        connection = ServerConnection(reader, writer)
+        connections.add(connection)
+        try:
+            await connection.serve(handler)
+        finally:
+            connections.discard(connection)
+
+    server = await asyncio.start_server(accept, host, port, backlog=1024)
+    return server, server.sockets[0].getsockname()[1], connections
+
+
+class Answer:
+    def __init__(self):
+        self.status = 0
+        self.headers = {}
+        self.body = b""
+        self.is_whole = False
+
+
+class ClientConnection:
+    """A kept connection of a caller. request() never raises; an answer that ends early is not whole."""
+
+    def __init__(self, reader, writer):
+        self.reader = reader
+        self.writer = writer
+        self.http = h11.Connection(h11.CLIENT)
+        self.is_open = True
+
+    @staticmethod
+    async def connect(host, port):
+        reader, writer = await asyncio.wait_for(asyncio.open_connection(host, port), 1.0)
+        return ClientConnection(reader, writer)
+
+    async def request(self, method, target, headers, body):
+        answer = Answer()
+        try:
+            self.writer.write(self.http.send(h11.Request(
+                method=method, target=target,
+                headers=[*headers, ("Content-Length", str(len(body)))])))
+            self.writer.write(self.http.send(h11.Data(data=body)) or b"")
+            self.writer.write(self.http.send(h11.EndOfMessage()) or b"")
+            await self.writer.drain()
+            while True:
+                event = self.http.next_event()
+                if event is h11.NEED_DATA:
+                    self.http.receive_data(await self.reader.read(MAX_READ_BYTES))
+                elif isinstance(event, h11.Response):
+                    answer.status = event.status_code
+                    answer.headers = {n.decode().lower(): v.decode() for n, v in event.headers}
+                elif isinstance(event, h11.Data):
+                    answer.body += event.data
+                elif isinstance(event, h11.EndOfMessage):
+                    answer.is_whole = True
+                    break
+                else:
+                    break
+        except (ConnectionError, OSError, h11.ProtocolError):
+            answer.is_whole = False
+        self.is_open = answer.is_whole and self.http.our_state is h11.DONE and \
+            self.http.their_state is h11.DONE
+        if self.is_open:
+            self.http.start_next_cycle()
+        else:
+            self.close()
+        return answer
+
+    def close(self):
+        self.is_open = False
+        self.writer.close()
--- /dev/null
+++ b/tests/soak/site_model.py
@@ -0,0 +1,165 @@
+"""A small deployment: stand-ins, proxies, gateway processes and their configuration."""
+
+import asyncio
+import json
+import os
+import signal
+import time
+
+from proxy import Proxy
+from stand_ins import HEARTBEAT_S, Store, Upstream
+
+CONTACT_S = 3.0
+DRAIN_S = 2.0
+CONFIG_APPLY_S = 2.0
+STOP_GRACE_S = 8.0
+RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW_S = 0.2, 58, 10
+LEASE_S = 3.0
+
+STREAM_PREFIX, ONCE_PREFIX, READ_PREFIX = "/stream/", "/once/", "/read/"
+
+
+class Gateway:
+    """One gateway process with a proxy to the store and one for its callers."""
+
+    def __init__(self, site, number):
+        self.site = site
+        self.number = number
+        self.name = f"gateway-{number}"
+        self.address = f"127.0.1.{number + 1}"
+        self.store_link = Proxy(site.host)
+        self.caller_link = Proxy(site.host)
+        self.process = None
+        self.is_expected_down = True
+        self.stop_sent = None
+        self.exits = []
+        # Spans in which a fault touched the process or its links.
+        self.faults = []
+
+    async def prepare(self):
+        await self.store_link.start(self.site.host, self.site.store.port)
+        await self.caller_link.start(self.address, self.site.ports["callers"])
+
+    def write_settings(self, slack=RETRY_SLACK):
+        ports = self.site.ports
+        settings = {
+            "node": self.name, "failure_domain": "domain-a", "address": self.address,
+            "listen": {"callers": f"{self.address}:{ports['callers']}",
+                       "readiness": f"{self.address}:{ports['readiness']}",
+                       "metrics_port": ports["metrics"]},
+            "peer_ports": [ports["peers"], ports["peers"]],
+            "table_service": f"{self.site.host}:{self.store_link.port}",
+            "stop_grace_s": STOP_GRACE_S, "disconnected_after_ms": int(CONTACT_S * 1000),
+            "upstream_leave_ms": int(DRAIN_S * 1000),
+            "retry_bound": {"ratio": RETRY_RATIO, "slack": slack, "window_s": RETRY_WINDOW_S}}
+        with open(self.settings_path(), "w", encoding="utf-8") as file:
+            json.dump(settings, file)
+
+    def settings_path(self):
+        return os.path.join(self.site.folder, f"{self.name}.json")
+
+    async def start(self):
+        self.write_settings()
+        with open(os.path.join(self.site.folder, f"{self.name}.log"), "ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                self.site.program, "--config", self.settings_path(), stdout=log, stderr=log)
+        self.is_expected_down = False
+        self.stop_sent = None
+        asyncio.create_task(self._watch(self.process))
+
+    async def _watch(self, process):
+        code = await process.wait()
+        if process is self.process and not self.is_expected_down:
+            self.exits.append((time.monotonic(), code))
+
+    def send(self, number):
+        if self.process.returncode is None:
+            self.process.send_signal(number)
+
+    def kill(self):
+        self.is_expected_down = True
+        self.send(signal.SIGCONT)
+        self.send(signal.SIGKILL)
+
+    def stop(self):
+        self.is_expected_down = True
+        self.stop_sent = time.monotonic()
+        self.send(signal.SIGTERM)
+
+    def in_touch(self, begin, end):
+        """No fault touched this gateway, or the store, from CONTACT_S before begin until end."""
+        return not any(b < end and e > begin - CONTACT_S
+                       for b, e in self.faults + self.site.store_faults)
+
+
+class Site:
+    def __init__(self, program, folder, rng, record, ports, gateways=4, engines=5, plain=3):
+        self.host = "127.0.0.1"
+        self.program, self.folder, self.rng, self.record, self.ports = \
+            program, folder, rng, record, ports
+        self.store = Store(self.host, rng)
+        self.store_faults = []
+        self.upstreams = []
+        for i in range(engines):
+            self.upstreams.append(Upstream(self, f"e{i}", "engines", "prefill" if i < 2 else "decode", 12))
+        for i in range(plain):
+            self.upstreams.append(Upstream(self, f"p{i}", "plain", None, 6))
+        self.gateways = [Gateway(self, i) for i in range(gateways)]
+        self.config_version = 0
+        # (time of the acknowledgement, prefixes that are allowed)
+        self.configs = []
+        self.extra_prefixes = []
+
+    async def start(self):
+        await self.store.start()
+        for upstream in self.upstreams:
+            upstream.proxy = Proxy(self.host)
+            await upstream.start()
+        for gateway in self.gateways:
+            await gateway.prepare()
+            await gateway.start()
+        self.put_config()
+        asyncio.create_task(self._heartbeats())
+
+    async def _heartbeats(self):
+        while True:
+            for upstream in self.upstreams:
+                if upstream.is_up and upstream.left_at is None:
+                    upstream.announce()
+            await asyncio.sleep(HEARTBEAT_S)
+
+    def put_config(self):
+        def route(prefix, kind, service, **more):
+            return {"name": "r" + prefix.strip("/"), "host": "soak.example", "prefix": prefix,
+                    "kind": kind, "timeout_ms": 6000, "target_latency_ms": 900, "priority": 1,
+                    "service": service, "max_attempts": 2, "sticky": False, "resumable": False,
+                    "target_gap_ms": 300, **more}
+        routes = [route(STREAM_PREFIX, "streaming", "engines", resumable=True, sticky=True),
+                  route(ONCE_PREFIX, "non_idempotent", "plain", max_attempts=1),
+                  route(READ_PREFIX, "idempotent", "plain")]
+        routes += [route(prefix, "idempotent", "plain") for prefix in self.extra_prefixes]
+        self.config_version += self.rng.randrange(1, 4)
+        config = {
+            "version": self.config_version, "routes": routes,
+            "services": [
+                {"name": "engines", "health_path": "/healthz", "max_conns": 200,
+                 "engine": {"slots": 12, "kv_tokens": 65000, "stride": 72, "kv_hold_s": 0.5,
+                            "switch_s": 1.0, "models": [{"name": "m"}]}},
+                {"name": "plain", "health_path": "/healthz", "max_conns": 200}],
+            "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304,
+                       "header_timeout_ms": 3000, "idle_timeout_ms": 15000}}
+        acknowledged = self.store.put("op", "config", config)
+        self.configs.append((acknowledged, {r["prefix"] for r in routes}))
+
+    def take_handle(self, source, request_id):
+        """True when the KV cache is there; a cache of another request is recorded as a fault."""
+        address, handle = source.split("/", 1)
+        for upstream in self.upstreams:
+            if address == f"{self.host}:{upstream.proxy.port}":
+                owner, until = upstream.handles.pop(handle, (None, 0))
+                if owner is None or time.monotonic() > until:
+                    return False
+                if owner != request_id:
+                    self.record.breach("MIXED", f"{request_id} goes on from the prompt of {owner}")
+                return True
+        return False
--- /dev/null
+++ b/tests/soak/soak.py
@@ -0,0 +1,125 @@
+#!/usr/bin/python3
+"""Fault soak of rattanramp-gateway: real processes, faults from outside, promises checked.
+
+    tests/soak/soak.py PROGRAM --seeds 1-50 [--seconds 20] [--jobs 4] [--keep FOLDER]
+
+Exit code 1 when a promise is broken in any run. docs/SOAK.md tells what is checked.
+"""
+
+import argparse
+import asyncio
+import os
+import random
+import subprocess
+import sys
+import tempfile
+import time
+
+from clients import Client, probe, watch_readiness
+from faults import Faults
+from record import Record
+from site_model import Site
+
+CLIENTS = 12
+START_S = 2.5
+# From the end of all faults to the requests that must be served: pauses of upstreams (3.2 s) and
+# rows of upstreams that lapsed (2.3 s) are over.
+RECOVERY_S = 6.0
+CALM_S = 3.0
+# The longest fault: a stop that takes the whole grace time, and the start after it.
+LAST_FAULT_S = 12
+PORTS = {"callers": 18144, "readiness": 18140, "metrics": 18464, "peers": 18660}
+
+
+async def play(seed, program, seconds, folder):
+    rng = random.Random(seed)
+    random.seed(seed)
+    record = Record()
+    site = Site(program, folder, rng, record, PORTS)
+    site.all_prefixes = set()
+    # Runs side by side have addresses of their own.
+    for gateway in site.gateways:
+        gateway.address = f"127.{1 + seed // 200 % 200}.{1 + seed % 200}.{gateway.number + 1}"
+    try:
+        return await play_site(site, seed, seconds, rng)
+    finally:
+        for gateway in site.gateways:
+            if gateway.process is not None and gateway.process.returncode is None:
+                gateway.kill()
+                await gateway.process.wait()
+
+
+async def play_site(site, seed, seconds, rng):
+    record = site.record
+    await site.start()
+    for gateway in site.gateways:
+        asyncio.create_task(watch_readiness(site, gateway))
+    await asyncio.sleep(START_S)
+    begin = time.monotonic()
+    end = begin + seconds + LAST_FAULT_S + RECOVERY_S + CALM_S
+    clients = [asyncio.create_task(Client(site, random.Random(rng.random())).run(end))
+               for _ in range(CLIENTS)]
+    clients.append(asyncio.create_task(probe(site, random.Random(rng.random()), end)))
+    faults = Faults(site, rng)
+    await faults.run(begin + seconds)
+    healed = time.monotonic()
+    await asyncio.sleep(RECOVERY_S + CALM_S)
+    for client in clients:
+        client.cancel()
+    await asyncio.gather(*clients, return_exceptions=True)
+    for gateway in site.gateways:
+        for at, code in gateway.exits:
+            record.breach("EXIT", f"{gateway.name} ended by itself with {code} at {at - begin:.1f} s")
+    record.check_end(site, healed + RECOVERY_S)
+    answered = [s for s in record.sent.values() if s.answer is not None]
+    whole = sum(1 for s in answered if s.answer.is_whole and s.answer.status == 200)
+    print(f"seed {seed}: {len(record.sent)} requests, {whole} served, {len(faults.log)} faults, "
+          f"{sum(len(s.runs) for s in record.sent.values())} runs, "
+          f"{len(record.orders)} orders, {len(record.breaches)} broken promises")
+    for rule, text in record.breaches[:20]:
+        print(f"  {rule}: {text}")
+    if record.breaches:
+        print("  faults:", " ".join(f"{at - begin:.1f}:{kind}" for at, kind in faults.log))
+    return not record.breaches
+
+
+def play_one(args, seed):
+    folder = args.keep or tempfile.mkdtemp(prefix="soak-")
+    os.makedirs(folder, exist_ok=True)
+    return asyncio.run(play(seed, args.program, args.seconds, folder))
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("program", help="path of rattanramp-gateway")
+    parser.add_argument("--seeds", default="1", help="N, A-B, or a list with commas")
+    parser.add_argument("--seconds", type=float, default=20, help="time in which faults begin")
+    parser.add_argument("--jobs", type=int, default=1, help="runs side by side")
+    parser.add_argument("--keep", help="folder for settings and logs of the processes")
+    args = parser.parse_args()
+    seeds = []
+    for part in args.seeds.split(","):
+        first, _, last = part.partition("-")
+        seeds += range(int(first), int(last or first) + 1)
+    if len(seeds) == 1:
+        sys.exit(0 if play_one(args, seeds[0]) else 1)
+    failed, running = [], {}
+    while seeds or running:
+        while seeds and len(running) < args.jobs:
+            seed = seeds.pop(0)
+            keep = ["--keep", os.path.join(args.keep, str(seed))] if args.keep else []
+            running[seed] = subprocess.Popen(
+                [sys.executable, __file__, args.program, "--seeds", str(seed),
+                 "--seconds", str(args.seconds), *keep])
+        time.sleep(0.1)
+        for seed, process in list(running.items()):
+            if process.poll() is not None:
+                if process.returncode != 0:
+                    failed.append(seed)
+                del running[seed]
+    print(f"failed seeds: {failed or 'none'}")
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/soak/stand_ins.py
@@ -0,0 +1,265 @@
+"""Stand-ins for the platform's store, its engines and plain services. They record what reaches them."""
+
+import asyncio
+import base64
+import hashlib
+import json
+import random
+import time
+from urllib.parse import parse_qs, unquote, urlsplit
+
+from http_io import listen
+
+HEARTBEAT_S = 1.2
+STORE_ANSWER_S = 0.004
+FIRST_EVENT_S = 0.03
+EVENT_S = 0.02
+PREFILL_S = 0.02
+PREFILL_HOLD_S = 0.5
+STAGE_CHANGE_S = 1.0
+
+
+def event_count(request_id):
+    return 10 + int(hashlib.sha1(request_id.encode()).hexdigest(), 16) % 50
+
+
+def signature(body):
+    return "seal-" + hashlib.sha1(body).hexdigest()
+
+
+class Store:
+    """Rows with versions; history can be forgotten, answers lost, delayed or refused."""
+
+    def __init__(self, host, rng):
+        self.host = host
+        self.rng = rng
+        self.port = 0
+        self.version = 0
+        self.rows = {}
+        self.history = []
+        self.oldest = 0
+        self.changed = asyncio.Event()
+        self.refuse_share = 0.0
+        self.lose_share = 0.0
+        self.extra_delay_s = 0.0
+        self.calls = 0
+
+    async def start(self):
+        _, self.port, _ = await listen(self.host, self.handle)
+
+    def put(self, table, key, value):
+        """Writes as the platform itself; returns the time of the acknowledgement."""
+        self._change(table, key, json.dumps(value).encode())
+        return time.monotonic()
+
+    def remove(self, table, key):
+        self._change(table, key, None)
+        return time.monotonic()
+
+    def forget_history(self):
+        self.history.clear()
+        self.oldest = self.version
+
+    def _change(self, table, key, value):
+        if value is None and (table, key) not in self.rows:
+            return
+        self.version += 1
+        row = {"table": table, "part": "", "key": key, "ver": self.version}
+        if value is None:
+            del self.rows[table, key]
+            self.history.append({**row, "deleted": True})
+        else:
+            row["value"] = base64.b64encode(value).decode()
+            self.rows[table, key] = row
+            self.history.append(row)
+        del self.history[:-500]
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def _rows_answer(self, rows):
+        return {"rows": rows, "ver": self.version, "now_ms": int(time.monotonic() * 1000),
+                "has_more": False}
+
+    async def handle(self, connection, request):
+        self.calls += 1
+        await asyncio.sleep(STORE_ANSWER_S + self.extra_delay_s)
+        if self.rng.random() < self.refuse_share:
+            await connection.answer(503)
+            return
+        status, body = await self._carry_out(request)
+        if self.rng.random() < self.lose_share:
+            connection.reset()
+            return
+        await connection.answer(status, json.dumps(body).encode(),
+                                [("Content-Type", "application/json")])
+
+    async def _carry_out(self, request):
+        url = urlsplit(request.target)
+        query = {k: unquote(v[0]) for k, v in parse_qs(url.query).items()}
+        call = url.path.rsplit("/", 1)[1]
+        if call == "rows-get":
+            rows = [row for (table, _), row in sorted(self.rows.items()) if table == query["table"]]
+            return 200, self._rows_answer(rows)
+        if call == "rows-feed":
+            after = int(query["after"])
+            deadline = time.monotonic() + int(query["wait_ms"]) / 1000
+            while True:
+                if after < self.oldest:
+                    return 410, {}
+                rows = [r for r in self.history if r["ver"] > after and r["table"] == query["table"]]
+                left = deadline - time.monotonic()
+                if rows or left <= 0:
+                    return 200, self._rows_answer(rows)
+                try:
+                    await asyncio.wait_for(self.changed.wait(), left)
+                except asyncio.TimeoutError:
+                    pass  # the loop answers with no rows
+        if call == "rows-tx":
+            change = json.loads(request.body)
+            for row in change["expected"]:
+                if self.rows.get((row["table"], row["key"]), {"ver": 0})["ver"] != row["ver"]:
+                    return 412, self._rows_answer([])
+            for row in change["writes"]:
+                self._change(row["table"], row["key"], base64.b64decode(row["value"]))
+            for row in change["remove"]:
+                self._change(row["table"], row["key"], None)
+            return 200, self._rows_answer([])
+        return 400, {}
+
+
+class Upstream:
+    """One engine or plain server behind its proxy."""
+
+    def __init__(self, site, name, service, stage, slots):
+        self.site = site
+        self.name = name
+        self.service = service
+        self.stage = stage
+        self.slots = slots
+        self.instance = ""
+        self.born = 0
+        self.is_up = False
+        self.state = "ready"
+        self.left_at = None
+        self.running = 0
+        self.handles = {}
+        self.fail_share = 0.0
+        self.extra_work_s = 0.0
+        self.connections = set()
+        self.server = None
+        self.beat = 0
+        self.proxy = None
+        # Spans in which a fault touched the server or its link.
+        self.faults = []
+
+    async def start(self):
+        self.instance = f"i-{self.name}-{random.randrange(16 ** 8):08x}"
+        self.born = int(time.time() * 1000)
+        self.state, self.left_at, self.running, self.handles = "ready", None, 0, {}
+        self.server, port, self.connections = await listen(self.site.host, self.handle)
+        if self.proxy.port:
+            self.proxy.target = (self.site.host, port)
+        else:
+            await self.proxy.start(self.site.host, port)
+        self.is_up = True
+
+    def crash(self):
+        """Ends at once; the entry lapses after three missed heartbeats."""
+        self.is_up = False
+        self.server.close()
+        for connection in list(self.connections):
+            connection.reset()
+        instance = self.instance
+        asyncio.get_running_loop().call_later(
+            3 * HEARTBEAT_S, lambda: self.site.store.remove("servers", instance))
+
+    def say_leaving(self):
+        self.state = "draining"
+        self.left_at = self.announce()
+
+    def announce(self):
+        self.beat += 1
+        entry = {"service": self.service, "addr": f"{self.site.host}:{self.proxy.port}",
+                 "zone": "domain-a", "version": "v1", "slots": self.slots, "state": self.state,
+                 "cold_left_ms": 0, "seq": self.beat, "born": self.born}
+        if self.stage in ("prefill", "decode"):
+            entry["stage"] = self.stage
+        return self.site.store.put("servers", self.instance, entry)
+
+    async def handle(self, connection, request):
+        now = time.monotonic()
+        headers = request.headers
+        request_id = headers.get("request-id", "")
+        echo = [("Request-Id", request_id), ("Keep-Alive", "timeout=5")]
+        not_run = [*echo, ("Not-Executed", "1")]
+        if headers.get("expect-instance", self.instance) != self.instance:
+            await connection.answer(421, headers=echo)
+            return
+        if request.target == "/rattanramp/order":
+            await self.take_order(connection, json.loads(request.body), now)
+            return
+        self.site.record.arrival(self, request, now)
+        if self.running >= self.slots:
+            await connection.answer(503, headers=not_run)
+            return
+        if headers.get("serving-stage") == "prefill":
+            if self.stage != "prefill":
+                await connection.answer(421, headers=not_run)
+                return
+            await asyncio.sleep(PREFILL_S + self.extra_work_s)
+            handle = f"h{random.randrange(16 ** 8):08x}"
+            self.handles[handle] = (request_id, now + PREFILL_HOLD_S + PREFILL_S)
+            await connection.answer(200, json.dumps(
+                {"kv_handle": handle, "tokens": 100, "version": 1}).encode(), echo)
+            return
+        source = headers.get("kv-source")
+        if source and not self.site.take_handle(source, request_id):
+            await connection.answer(503, headers=not_run)
+            return
+        if self.stage == "prefill":
+            await connection.answer(421, headers=not_run)
+            return
+        self.running += 1
+        run = self.site.record.run_begins(self, request, now)
+        try:
+            if self.stage:
+                await self.stream(connection, request, echo)
+            else:
+                await self.work(connection, request, echo)
+            run.is_whole = True
+        finally:
+            run.end = time.monotonic()
+            self.running -= 1
+
+    async def take_order(self, connection, order, now):
+        self.site.record.order(self, order, now)
+        self.stage = "changing"
+        await connection.answer(202, b"{}")
+        await asyncio.sleep(STAGE_CHANGE_S)
+        self.stage = order["stage"]
+
+    async def work(self, connection, request, echo):
+        await asyncio.sleep(random.uniform(0.005, 0.03) + self.extra_work_s)
+        body = (f"{request.headers['request-id']} {self.instance} ".encode()
+                + hashlib.sha1(request.body).hexdigest().encode() + b"." * random.randrange(3000))
+        if random.random() < self.fail_share:
+            connection.reset()
+            raise ConnectionResetError
+        await connection.answer(200, body, [*echo, ("Response-Seal", signature(body))])
+
+    async def stream(self, connection, request, echo):
+        import h11
+        request_id = request.headers["request-id"]
+        await asyncio.sleep(FIRST_EVENT_S + self.extra_work_s)
+        await connection.send(h11.Response(status_code=200, headers=[
+            *echo, ("Response-Seal", "stream"), ("Content-Type", "text/event-stream"),
+            ("Transfer-Encoding", "chunked")]))
+        begin = int(request.headers.get("last-event-id", "0")) + 1
+        for number in range(begin, event_count(request_id) + 1):
+            await asyncio.sleep(EVENT_S)
+            if random.random() < self.fail_share / 20:
+                connection.reset()
+                raise ConnectionResetError
+            await connection.send(h11.Data(
+                data=f"id: {number}\ndata: {request_id}.{number}\n\n".encode()))
+        await connection.send(h11.EndOfMessage())
