Renew the gateway's own row on time whatever unknown peers do

Cause: found in reading the diff: each report of a peer that is not in the table asks for a read of the table, at most once a second, and the next renewal counted from that read. While the store refuses one gateway's writes, the others would stop renewing their rows and be forgotten. Ruled out: renewing with each refresh: a write for each read. Change: the renewal keeps its own due time. Also: a gateway that is no longer first forgets since when a division was uneven, and a prompt that was read for an engine that is withheld by now goes to another one.

--- a/gateway/generation_exchange.cc
+++ b/gateway/generation_exchange.cc
@@ -484,7 +484,7 @@
   const std::string source =
       fmt::format("{}:{}/{}", prefill.info.address, prefill.info.port, handle.value());
   attempt_.reset();
-  if (decode_->is_gone || decode_->info.is_leaving) {
+  if (decode_->is_gone || decode_->info.is_leaving || decode_->is_withheld) {
     kv_source_ = source;
     OnDecodeNotRun("engine left meanwhile");
     return;
--- a/gateway/stage_controller.cc
+++ b/gateway/stage_controller.cc
@@ -75,7 +75,11 @@
   }
   next_look_ = now + kLookInterval;
   EndChanges(now);
-  if (order_ || !is_first) {
+  if (!is_first) {
+    uneven_since_.clear();
+    return;
+  }
+  if (order_) {
     return;
   }
   for (const core::ServiceRule& service : rules.services()) {
--- a/gateway/store_watch.cc
+++ b/gateway/store_watch.cc
@@ -149,6 +149,7 @@
 void StoreWatch::WriteOwnRow() {
   gateways_.table->Write(source_.gateway_table, own_name_, own_row_,
                          [this](const Result<void>& written) {
+                           own_row_due_ = clock_.now() + pace_.gateway_interval;
                            if (!written) {
                              Later(gateways_, Failed(gateways_, "gateways", written.error()),
                                    &StoreWatch::ReadGateways);
@@ -177,7 +178,8 @@
     }
     Succeeded(gateways_, "gateways");
     OnGateways(rows.value());
-    Later(gateways_, pace_.gateway_interval, &StoreWatch::WriteOwnRow);
+    const Duration wait = std::max(Duration::zero(), own_row_due_ - clock_.now());
+    Later(gateways_, wait, &StoreWatch::WriteOwnRow);
   });
 }
 
--- a/gateway/store_watch.h
+++ b/gateway/store_watch.h
@@ -93,6 +93,7 @@
   bool is_stopped_ = false;
   bool is_phase_set_ = false;
   TimePoint gateways_read_;
+  TimePoint own_row_due_;
   struct SeenRow {
     std::int64_t version = 0;
     TimePoint changed;
--- a/tests/gateway/store_watch_test.cc
+++ b/tests/gateway/store_watch_test.cc
@@ -38,9 +38,9 @@
 /// A watch with a pace fast enough for a test.
 class Fixture {
  public:
-  Fixture()
+  explicit Fixture(Milliseconds gateway_interval = Milliseconds(150))
       : watch_(context_, DefaultClock(), watcher, Source(),
-               WatchPace{Milliseconds(200), Milliseconds(50), Milliseconds(150)}, "a", "row a") {
+               WatchPace{Milliseconds(200), Milliseconds(50), gateway_interval}, "a", "row a") {
     Put("config", "c", "one");
     watch_.Start();
   }
@@ -143,6 +143,20 @@
   cr_assert_eq(fixture.watcher.gateways.size(), 1);
 }
 
+// Guards against a peer that is never in the table (the store refuses its writes) keeping this
+// gateway from renewing its own row: each of its reports asks for a read.
+Test(store_watch, refreshes_do_not_put_off_the_own_row, .timeout = 30) {
+  Fixture fixture(Milliseconds(1'500));
+  fixture.Run(Milliseconds(60));
+  const std::int64_t first = fixture.tables.tables["gateways"]["a"].version;
+  for (int i = 0; i < 40; ++i) {
+    fixture.watch().RefreshGateways();
+    fixture.Run(Milliseconds(100));
+  }
+  const std::int64_t last = fixture.tables.tables["gateways"]["a"].version;
+  cr_assert_geq(last - first, 2, "%ld renewals in 4 s", static_cast<long>(last - first));
+}
+
 // Guards against a gateway that is stopped and goes on counting as a live one.
 Test(store_watch, own_row_is_taken_out, .timeout = 30) {
   Fixture fixture;
