--- a/core/placement.cc
+++ b/core/placement.cc
@@ -80,6 +80,36 @@
   return candidate.is_usable && !(candidate.is_on_trial && candidate.load.running > 0);
 }
 
+/// Memory of a decode upstream with a further generation, relative to its size.
+double FilledShare(const PlacementCandidate& candidate, const GenerationNeed& need) {
+  const double memory = static_cast<double>(std::max<std::int64_t>(1, candidate.memory_tokens));
+  return static_cast<double>(candidate.load.reserved_tokens + need.memory_tokens) / memory;
+}
+
+/// The less loaded of two drawn decode upstreams with room, preferring the domain of the prefill.
+std::optional<std::size_t> PlaceDecode(std::span<const PlacementCandidate> candidates,
+                                       const GenerationNeed& need,
+                                       std::optional<std::size_t> prefill, std::uint64_t seed) {
+  Draw draw(seed);
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    const PlacementCandidate& candidate = candidates[i];
+    if (candidate.stage != UpstreamStage::kDecode || !MayTake(candidate)) {
+      continue;
+    }
+    const double filled = FilledShare(candidate, need);
+    const double slots = static_cast<double>(std::max<std::int64_t>(1, candidate.slots));
+    const double taken = static_cast<double>(candidate.load.running + 1) / slots;
+    // A request that is larger than the usual fill goes to an empty engine.
+    if (taken > 1.0 || (filled > kMemoryFill && candidate.load.running > 0)) {
+      continue;
+    }
+    const bool is_far = prefill && candidates[*prefill].failure_domain != candidate.failure_domain;
+    draw.Add(i, std::max(filled, taken) + (is_far ? kDomainLoad : 0.0) +
+                    kPoorWeight * candidate.poor_share);
+  }
+  return draw.Best();
+}
+
 }  // namespace
 
 Duration StreamPatience(std::int64_t target_latency_ms, std::int64_t target_gap_ms) {
@@ -190,34 +220,6 @@
   return best;
 }
 
-double FilledShare(const PlacementCandidate& candidate, const GenerationNeed& need) {
-  const double memory = static_cast<double>(std::max<std::int64_t>(1, candidate.memory_tokens));
-  return static_cast<double>(candidate.load.reserved_tokens + need.memory_tokens) / memory;
-}
-
-std::optional<std::size_t> PlaceDecode(std::span<const PlacementCandidate> candidates,
-                                       const GenerationNeed& need,
-                                       std::optional<std::size_t> prefill, std::uint64_t seed) {
-  Draw draw(seed);
-  for (std::size_t i = 0; i < candidates.size(); ++i) {
-    const PlacementCandidate& candidate = candidates[i];
-    if (candidate.stage != UpstreamStage::kDecode || !MayTake(candidate)) {
-      continue;
-    }
-    const double filled = FilledShare(candidate, need);
-    const double slots = static_cast<double>(std::max<std::int64_t>(1, candidate.slots));
-    const double taken = static_cast<double>(candidate.load.running + 1) / slots;
-    // A request that is larger than the usual fill goes to an empty engine.
-    if (taken > 1.0 || (filled > kMemoryFill && candidate.load.running > 0)) {
-      continue;
-    }
-    const bool is_far = prefill && candidates[*prefill].failure_domain != candidate.failure_domain;
-    draw.Add(i, std::max(filled, taken) + (is_far ? kDomainLoad : 0.0) +
-                    kPoorWeight * candidate.poor_share);
-  }
-  return draw.Best();
-}
-
 std::optional<GenerationPlace> PlaceGeneration(std::span<const PlacementCandidate> candidates,
                                                const GenerationNeed& need, std::uint64_t seed) {
   const std::optional<std::size_t> prefill = PlacePrefill(candidates, need.prompt_tokens, seed);
