State where the least interval of reads comes from

Cause: found in reading the diff, a constant had no line on its origin. Ruled out: a setting for it; no deployment needs another value. Change: the line; only a comment.

--- a/gateway/store_watch.cc
+++ b/gateway/store_watch.cc
@@ -20,6 +20,8 @@
 // sent just before.
 constexpr Milliseconds kUpstreamMargin{900};
 
+// Bounds too tight for any pace are missed rather than answered by calls without a pause: 600 nodes
+// at three calls a second are within the 2,000 reads a second of the users' store.
 constexpr Milliseconds kLeastInterval{300};
 
 // A row that has not changed for this many renewals is ignored. The number of gateways only divides
