--- a/base/clock.cc
+++ b/base/clock.cc
@@ -1,5 +1,7 @@
 #include "base/clock.h"
 
+#include <ctime>
+
 namespace rattanramp {
 
 TimePoint SystemClock::now() const { return std::chrono::steady_clock::now(); }
@@ -10,6 +12,14 @@
       .count();
 }
 
+TimePoint SuspensionClock::now() const {
+  timespec time{};
+  if (clock_gettime(CLOCK_BOOTTIME, &time) != 0) {
+    return SystemClock::now();
+  }
+  return TimePoint(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
+}
+
 TimePoint ManualClock::now() const {
   const std::lock_guard<std::mutex> lock(mutex_);
   return now_;
--- a/base/clock.h
+++ b/base/clock.h
@@ -27,6 +27,13 @@
   std::int64_t unix_ms() const override;
 };
 
+/// Also counts the time for which the VM was suspended, which the steady clock leaves out. Waits of
+/// the runtime do not count it: they are set by a duration, not by a point of this clock.
+class SuspensionClock : public SystemClock {
+ public:
+  TimePoint now() const override;
+};
+
 class ManualClock : public Clock {
  public:
   TimePoint now() const override;
--- a/core/event_splitter.h
+++ b/core/event_splitter.h
@@ -2,6 +2,7 @@
 // stream without a missing, duplicated or merged event.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -9,6 +10,9 @@
 
 namespace rattanramp::core {
 
+/// Largest event that is accepted, in bytes. The users' events have at most some KB.
+inline constexpr std::size_t kMaxEventBytes = 64 * 1024;
+
 struct EventSplitter {
   /// Bytes received of the event that is not complete yet.
   std::string partial;
--- a/gateway/attempt.cc
+++ b/gateway/attempt.cc
@@ -15,23 +15,24 @@
 
 }  // namespace
 
-std::unique_ptr<Attempt> Attempt::Start(asio::io_context& context,
+std::unique_ptr<Attempt> Attempt::Start(asio::io_context& context, const Clock& clock,
                                         std::shared_ptr<Upstream> upstream, AttemptPlan plan,
                                         AttemptListener& listener) {
   std::unique_ptr<Attempt> attempt(
-      new Attempt(context, std::move(upstream), std::move(plan), listener));
+      new Attempt(context, clock, std::move(upstream), std::move(plan), listener));
   attempt->ArmTimer(attempt->plan_.first_byte_timeout);
   attempt->connection_->Send(std::move(attempt->plan_.head), attempt->plan_.body,
                              attempt->plan_.is_head_request, *attempt);
   return attempt;
 }
 
-Attempt::Attempt(asio::io_context& context, std::shared_ptr<Upstream> upstream, AttemptPlan plan,
-                 AttemptListener& listener)
-    : upstream_(std::move(upstream)),
+Attempt::Attempt(asio::io_context& context, const Clock& clock, std::shared_ptr<Upstream> upstream,
+                 AttemptPlan plan, AttemptListener& listener)
+    : clock_(clock),
+      upstream_(std::move(upstream)),
       plan_(std::move(plan)),
       listener_(listener),
-      connection_(AcquireConnection(*upstream_, context, DefaultClock().now())),
+      connection_(AcquireConnection(*upstream_, context, plan_.request_id, clock.now())),
       timer_(context),
       timer_sequence_(std::make_shared<std::uint64_t>(0)) {
   AddLoad(upstream_->local_load, plan_.load, 1);
@@ -44,11 +45,27 @@
   }
 }
 
+void Attempt::PauseReading() {
+  is_paused_ = true;
+  ++*timer_sequence_;
+  timer_.cancel();
+  connection_->PauseReading();
+}
+
+void Attempt::ResumeReading() {
+  is_paused_ = false;
+  ArmTimer(plan_.read_timeout);
+  connection_->ResumeReading();
+}
+
 bool Attempt::OnHead(const http::ResponseHead& head) {
   const core::AnswerFacts facts = platform::DecodeAnswer(head);
-  // An upstream may first send the delayed answer of an earlier request on this connection. Such an
-  // answer carries another request id and is skipped.
-  if (!facts.request_id.empty() && facts.request_id != plan_.request_id) {
+  // An upstream may first send the delayed answer of an earlier request on this connection. It is
+  // skipped. Upstreams state the request id in each answer; without it, only the first answer on a
+  // connection can be attributed.
+  const bool is_attributed = facts.request_id.empty() ? connection_->requests_sent() == 1
+                                                      : facts.request_id == plan_.request_id;
+  if (!is_attributed) {
     return false;
   }
   facts_ = facts;
@@ -58,12 +75,21 @@
 }
 
 void Attempt::OnBody(std::string_view bytes) {
-  ArmTimer(plan_.read_timeout);
   if (has_local_load_) {
     // The answer begins after prefill, so the prompt no longer counts as queued prefill.
     upstream_->local_load.prefill_tokens -= std::exchange(plan_.load.prefill_tokens, 0);
   }
-  listener_.OnAnswerBody(bytes);
+  const std::weak_ptr<std::uint64_t> lifetime = timer_sequence_;
+  const BodyProgress progress = listener_.OnAnswerBody(bytes);
+  if (lifetime.expired()) {
+    return;
+  }
+  if (progress == BodyProgress::kProgress) {
+    ArmTimer(plan_.read_timeout);
+  } else if (progress == BodyProgress::kTooLarge) {
+    connection_->Close();
+    OnFailure(http::ExchangeFailure::kMalformed);
+  }
 }
 
 void Attempt::OnComplete(bool is_reusable) {
@@ -72,8 +98,8 @@
   ReleaseLoad();
   std::shared_ptr<http::ClientConnection> connection = std::move(connection_);
   if (is_reusable) {
-    ReleaseConnection(upstream_, std::move(connection), facts_.idle_timeout_ms,
-                      DefaultClock().now());
+    ReleaseConnection(upstream_, std::move(connection), plan_.request_id, facts_.idle_timeout_ms,
+                      clock_.now());
   }
   listener_.OnAnswerComplete();
 }
@@ -89,21 +115,32 @@
 
 void Attempt::ArmTimer(Duration wait) {
   const std::uint64_t number = ++*timer_sequence_;
-  if (wait == Duration::zero()) {
+  if (wait == Duration::zero() || is_paused_) {
     timer_.cancel();
     return;
   }
-  timer_.expires_after(wait);
+  const bool has_suspicion = plan_.suspect_after != Duration::zero() && plan_.suspect_after < wait;
+  const Duration first_wait = has_suspicion ? plan_.suspect_after : wait;
+  timer_.expires_after(first_wait);
   std::weak_ptr<std::uint64_t> lifetime = timer_sequence_;
-  timer_.async_wait([this, lifetime, number](const std::error_code& error) {
-    const std::shared_ptr<std::uint64_t> current = lifetime.lock();
-    if (error || !current || *current != number) {
-      return;
-    }
-    connection_->Close();
-    ReleaseLoad();
-    listener_.OnAttemptFailure(AttemptFailure::kTimedOut);
-  });
+  timer_.async_wait(
+      [this, lifetime, number, remaining = wait - first_wait](const std::error_code& error) {
+        const std::shared_ptr<std::uint64_t> current = lifetime.lock();
+        if (!error && current && *current == number) {
+          OnTimer(remaining);
+        }
+      });
+}
+
+void Attempt::OnTimer(Duration remaining) {
+  if (remaining > Duration::zero()) {
+    core::RecordAnswer(upstream_->health, core::AnswerResult::kNoAnswer, clock_.now());
+    ArmTimer(remaining);
+    return;
+  }
+  connection_->Close();
+  ReleaseLoad();
+  listener_.OnAttemptFailure(AttemptFailure::kTimedOut);
 }
 
 void Attempt::ReleaseLoad() {
--- a/gateway/attempt.h
+++ b/gateway/attempt.h
@@ -23,11 +23,21 @@
   kTimedOut,
 };
 
+/// What the bytes of an answer mean for the attempt.
+enum class BodyProgress {
+  /// The wait for further bytes starts anew.
+  kProgress,
+  /// The bytes do not show that the upstream works on the request.
+  kNone,
+  /// The answer exceeds a limit; the attempt fails.
+  kTooLarge,
+};
+
 class AttemptListener {
  public:
   virtual ~AttemptListener() = default;
   virtual void OnAnswerHead(const http::ResponseHead& head, const core::AnswerFacts& facts) = 0;
-  virtual void OnAnswerBody(std::string_view bytes) = 0;
+  virtual BodyProgress OnAnswerBody(std::string_view bytes) = 0;
   virtual void OnAnswerComplete() = 0;
   virtual void OnAttemptFailure(AttemptFailure failure) = 0;
 };
@@ -37,10 +47,16 @@
   std::shared_ptr<const std::string> body;
   std::string request_id;
   bool is_head_request = false;
+  /// The request is not sent later than this, for example because the process was paused while it
+  /// connected.
+  TimePoint send_before = TimePoint::max();
   /// Longest wait for the head of the answer; zero: no limit.
   Duration first_byte_timeout{};
-  /// Longest wait for further bytes after the head; zero: no limit.
+  /// Longest wait for further progress after the head; zero: no limit.
   Duration read_timeout{};
+  /// A wait of this length counts against the upstream's health although the attempt goes on; zero:
+  /// none does.
+  Duration suspect_after{};
   /// Added to the upstream's local_load for the duration of the attempt.
   core::UpstreamLoad load;
 };
@@ -48,7 +64,7 @@
 /// The destructor closes the connection and subtracts the attempt's load from the upstream's.
 class Attempt final : private http::ResponseListener {
  public:
-  static std::unique_ptr<Attempt> Start(asio::io_context& context,
+  static std::unique_ptr<Attempt> Start(asio::io_context& context, const Clock& clock,
                                         std::shared_ptr<Upstream> upstream, AttemptPlan plan,
                                         AttemptListener& listener);
   ~Attempt() override;
@@ -56,21 +72,25 @@
   Attempt& operator=(const Attempt&) = delete;
 
   Upstream& upstream() { return *upstream_; }
-  void PauseReading() { connection_->PauseReading(); }
-  void ResumeReading() { connection_->ResumeReading(); }
+  /// While reading is paused, the upstream's silence is not timed.
+  void PauseReading();
+  void ResumeReading();
 
  private:
-  Attempt(asio::io_context& context, std::shared_ptr<Upstream> upstream, AttemptPlan plan,
-          AttemptListener& listener);
+  Attempt(asio::io_context& context, const Clock& clock, std::shared_ptr<Upstream> upstream,
+          AttemptPlan plan, AttemptListener& listener);
 
+  bool MaySend() override { return clock_.now() <= plan_.send_before; }
   bool OnHead(const http::ResponseHead& head) override;
   void OnBody(std::string_view bytes) override;
   void OnComplete(bool is_reusable) override;
   void OnFailure(http::ExchangeFailure failure) override;
 
   void ArmTimer(Duration wait);
+  void OnTimer(Duration remaining);
   void ReleaseLoad();
 
+  const Clock& clock_;
   std::shared_ptr<Upstream> upstream_;
   AttemptPlan plan_;
   AttemptListener& listener_;
@@ -81,6 +101,7 @@
   std::shared_ptr<std::uint64_t> timer_sequence_;
   core::AnswerFacts facts_;
   bool has_local_load_ = true;
+  bool is_paused_ = false;
 };
 
 }  // namespace rattanramp::gateway
--- a/gateway/caller_connection.cc
+++ b/gateway/caller_connection.cc
@@ -44,7 +44,7 @@
 }
 
 void CallerConnection::CloseIfIdle() {
-  if (!is_answering_ && buffer_.empty() && !parser_ && unsent_bytes() == 0) {
+  if (has_answered_ && !is_answering_ && buffer_.empty() && !parser_ && unsent_bytes() == 0) {
     Close();
   }
 }
@@ -244,6 +244,7 @@
 
 void CallerConnection::FinishAnswer() {
   is_answering_ = false;
+  has_answered_ = true;
   if (exchange_) {
     // The exchange is still on the call stack, so it is destroyed later, from the event loop.
     asio::post(socket_.get_executor(),
--- a/gateway/caller_connection.h
+++ b/gateway/caller_connection.h
@@ -39,7 +39,8 @@
   ~CallerConnection() override;
 
   void Start();
-  /// Closes the connection if no request is in progress or partly received.
+  /// Closes the connection if no request is in progress or partly received, and at least one was
+  /// answered. The first request of a new connection may be on its way.
   void CloseIfIdle();
   void Close();
   bool is_serving() const { return exchange_ != nullptr || is_answering_; }
@@ -92,6 +93,7 @@
   bool close_after_write_ = false;
   bool is_lingering_ = false;
   bool has_sent_continue_ = false;
+  bool has_answered_ = false;
 };
 
 }  // namespace rattanramp::gateway
--- a/gateway/fleet.cc
+++ b/gateway/fleet.cc
@@ -1,7 +1,6 @@
 #include "gateway/fleet.h"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 #include "base/hash.h"
@@ -32,8 +31,6 @@
   return SignedHash64(info.id, static_cast<std::uint64_t>(info.started_unix_ms));
 }
 
-Fleet::Fleet(std::string own_domain) : own_domain_(std::move(own_domain)) {}
-
 void Fleet::Apply(const core::DirectoryChange& change) {
   for (const core::UpstreamInfo& info : change.removed) {
     Remove(info.id);
@@ -53,7 +50,6 @@
       Add(info);
     }
   }
-  SumPeerStates();
 }
 
 std::span<const std::shared_ptr<Upstream>> Fleet::OfService(std::string_view service) const {
@@ -96,24 +92,31 @@
 }
 
 void Fleet::SetPeerState(const std::string& peer, PeerState state) {
-  peer_states_[peer] = std::move(state);
-  SumPeerStates();
+  PeerState& current = peer_states_[peer];
+  AddToSums(current, -1);
+  current = std::move(state);
+  AddToSums(current, 1);
 }
 
 void Fleet::Exclude(std::int64_t key, TimePoint until) {
   local_exclusions_[key] = until;
-  SumPeerStates();
+  UpdateFromSums(key);
 }
 
 void Fleet::EndExclusion(std::int64_t key) {
   local_exclusions_.erase(key);
-  SumPeerStates();
+  UpdateFromSums(key);
 }
 
 void Fleet::ExpireExclusions(TimePoint now) {
-  if (std::erase_if(local_exclusions_, [now](const auto& entry) { return now >= entry.second; }) >
-      0) {
-    SumPeerStates();
+  for (auto entry = local_exclusions_.begin(); entry != local_exclusions_.end();) {
+    if (now < entry->second) {
+      ++entry;
+      continue;
+    }
+    const std::int64_t key = entry->first;
+    entry = local_exclusions_.erase(entry);
+    UpdateFromSums(key);
   }
 }
 
@@ -126,29 +129,20 @@
 }
 
 const Upstream* Fleet::Find(std::int64_t key) const {
-  for (const auto& [id, upstream] : by_id_) {
-    if (upstream->key == key) {
-      return upstream.get();
-    }
-  }
-  return nullptr;
+  const auto found = by_key_.find(key);
+  return found == by_key_.end() ? nullptr : found->second.get();
 }
 
 core::WaitingTokens Fleet::PeerWaitingTokens(const std::string& service) const {
-  core::WaitingTokens sum;
-  for (const auto& [peer, state] : peer_states_) {
-    const auto waiting = state.waiting_tokens.find(service);
-    if (waiting != state.waiting_tokens.end()) {
-      sum.on_time += waiting->second.on_time;
-      sum.late += waiting->second.late;
-    }
-  }
-  return sum;
+  const auto waiting = peer_waiting_.find(service);
+  return waiting == peer_waiting_.end() ? core::WaitingTokens() : waiting->second;
 }
 
 void Fleet::RemovePeer(const std::string& peer) {
-  if (peer_states_.erase(peer) > 0) {
-    SumPeerStates();
+  const auto found = peer_states_.find(peer);
+  if (found != peer_states_.end()) {
+    AddToSums(found->second, -1);
+    peer_states_.erase(found);
   }
 }
 
@@ -168,7 +162,9 @@
   upstream->endpoint = EndpointOf(info);
   upstream->key = KeyOf(info);
   by_service_[info.service].push_back(upstream);
-  by_id_[info.id] = std::move(upstream);
+  by_key_[upstream->key] = upstream;
+  by_id_[info.id] = upstream;
+  UpdateFromSums(upstream->key);
 }
 
 void Fleet::Remove(const std::string& id) {
@@ -183,38 +179,59 @@
   }
   upstream->idle.clear();
   std::erase(by_service_[upstream->info.service], upstream);
+  const auto keyed = by_key_.find(upstream->key);
+  if (keyed != by_key_.end() && keyed->second == upstream) {
+    by_key_.erase(keyed);
+  }
   by_id_.erase(found);
 }
 
-void Fleet::SumPeerStates() {
-  std::map<std::int64_t, core::UpstreamLoad> sums;
-  std::set<std::int64_t> excluded;
-  for (const auto& [key, until] : local_exclusions_) {
-    excluded.insert(key);
+void Fleet::AddToSums(const PeerState& state, std::int64_t sign) {
+  for (const PeerLoad& load : state.loads) {
+    PeerSum& sum = peer_sums_[load.key];
+    sum.load.running += sign * load.load.running;
+    sum.load.reserved_tokens += sign * load.load.reserved_tokens;
+    sum.load.prefill_tokens += sign * load.load.prefill_tokens;
+    UpdateFromSums(load.key);
   }
-  for (const auto& [peer, state] : peer_states_) {
-    excluded.insert(state.excluded.begin(), state.excluded.end());
-    for (const PeerLoad& load : state.loads) {
-      core::UpstreamLoad& sum = sums[load.key];
-      sum.running += load.load.running;
-      sum.reserved_tokens += load.load.reserved_tokens;
-      sum.prefill_tokens += load.load.prefill_tokens;
-    }
+  for (const std::int64_t key : state.excluded) {
+    peer_sums_[key].exclusions += sign;
+    UpdateFromSums(key);
   }
-  for (const auto& [id, upstream] : by_id_) {
-    const auto sum = sums.find(upstream->key);
-    upstream->peer_load = sum == sums.end() ? core::UpstreamLoad() : sum->second;
-    upstream->is_excluded = excluded.contains(upstream->key);
+  for (const auto& [service, tokens] : state.waiting_tokens) {
+    core::WaitingTokens& sum = peer_waiting_[service];
+    sum.on_time += sign * tokens.on_time;
+    sum.late += sign * tokens.late;
+  }
+}
+
+void Fleet::UpdateFromSums(std::int64_t key) {
+  const auto sum = peer_sums_.find(key);
+  const PeerSum total = sum == peer_sums_.end() ? PeerSum() : sum->second;
+  const auto upstream = by_key_.find(key);
+  if (upstream != by_key_.end()) {
+    upstream->second->peer_load = total.load;
+    upstream->second->is_excluded = total.exclusions > 0 || local_exclusions_.contains(key);
+  }
+  const bool is_empty = total.load.running == 0 && total.load.reserved_tokens == 0 &&
+                        total.load.prefill_tokens == 0 && total.exclusions == 0;
+  if (is_empty && sum != peer_sums_.end()) {
+    peer_sums_.erase(sum);
   }
 }
 
 std::shared_ptr<http::ClientConnection> AcquireConnection(Upstream& upstream,
                                                           asio::io_context& context,
+                                                          std::string_view request_id,
                                                           TimePoint now) {
   CloseExpiredConnections(upstream, now);
-  while (!upstream.idle.empty()) {
-    std::shared_ptr<http::ClientConnection> connection = std::move(upstream.idle.back().connection);
-    upstream.idle.pop_back();
+  for (std::size_t i = upstream.idle.size(); i > 0 && !request_id.empty(); --i) {
+    IdleConnection& idle = upstream.idle[i - 1];
+    if (idle.last_request_id == request_id) {
+      continue;
+    }
+    std::shared_ptr<http::ClientConnection> connection = std::move(idle.connection);
+    upstream.idle.erase(upstream.idle.begin() + static_cast<std::ptrdiff_t>(i - 1));
     if (connection->is_open()) {
       connection->SetIdleEndHandler(nullptr);
       return connection;
@@ -224,7 +241,7 @@
 }
 
 void ReleaseConnection(const std::shared_ptr<Upstream>& upstream,
-                       std::shared_ptr<http::ClientConnection> connection,
+                       std::shared_ptr<http::ClientConnection> connection, std::string request_id,
                        std::optional<std::int64_t> idle_timeout_ms, TimePoint now) {
   const Duration usable =
       idle_timeout_ms ? Milliseconds(*idle_timeout_ms) - kIdleMargin : Duration(kDefaultIdleTime);
@@ -241,7 +258,7 @@
                     [raw](const IdleConnection& idle) { return idle.connection.get() == raw; });
     }
   });
-  upstream->idle.push_back({std::move(connection), now + usable});
+  upstream->idle.push_back({std::move(connection), now + usable, std::move(request_id)});
 }
 
 void CloseExpiredConnections(Upstream& upstream, TimePoint now) {
--- a/gateway/fleet.h
+++ b/gateway/fleet.h
@@ -10,6 +10,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "base/clock.h"
@@ -25,6 +26,8 @@
   std::shared_ptr<http::ClientConnection> connection;
   /// Until this time the upstream keeps the connection open.
   TimePoint usable_until;
+  /// Id of the last request on the connection; empty: it had none.
+  std::string last_request_id;
 };
 
 struct Upstream {
@@ -64,8 +67,6 @@
 
 class Fleet {
  public:
-  explicit Fleet(std::string own_domain);
-
   void Apply(const core::DirectoryChange& change);
 
   /// Upstreams of a service, in the same order as the candidates of FillCandidates.
@@ -77,7 +78,8 @@
                       std::span<const std::int64_t> tried, std::string_view prompt_id,
                       TimePoint now, std::vector<core::PlacementCandidate>& candidates) const;
 
-  /// Replaces the previous report of a peer.
+  /// Replaces the previous report of a peer. The cost depends on the size of both reports, not on
+  /// the number of peers or upstreams.
   void SetPeerState(const std::string& peer, PeerState state);
   void RemovePeer(const std::string& peer);
 
@@ -107,24 +109,40 @@
  private:
   void Add(const core::UpstreamInfo& info);
   void Remove(const std::string& id);
-  void SumPeerStates();
+  /// Adds a peer's report to the sums, or subtracts it (sign -1).
+  void AddToSums(const PeerState& state, std::int64_t sign);
+  /// Copies the sums of one upstream key to the upstream.
+  void UpdateFromSums(std::int64_t key);
+
+  /// What all peers together report about one upstream.
+  struct PeerSum {
+    core::UpstreamLoad load;
+    std::int64_t exclusions = 0;
+  };
 
-  std::string own_domain_;
   std::map<std::string, std::shared_ptr<Upstream>, std::less<>> by_id_;
+  std::unordered_map<std::int64_t, std::shared_ptr<Upstream>> by_key_;
   std::map<std::string, std::vector<std::shared_ptr<Upstream>>, std::less<>> by_service_;
   std::map<std::string, PeerState> peer_states_;
+  /// By key; also of upstreams that this gateway has not read from the list yet.
+  std::unordered_map<std::int64_t, PeerSum> peer_sums_;
+  std::map<std::string, core::WaitingTokens> peer_waiting_;
   /// By key: until when.
   std::map<std::int64_t, TimePoint> local_exclusions_;
 };
 
-/// Returns a connection to the upstream: the most recently used idle one, or a new one.
+/// Returns a connection to the upstream: the most recently used idle one, or a new one. An idle
+/// connection whose last request had the same id is not used: a second copy of its answer could not
+/// be told from the answer to this request. Requests without an id get a new connection.
 std::shared_ptr<http::ClientConnection> AcquireConnection(Upstream& upstream,
-                                                          asio::io_context& context, TimePoint now);
+                                                          asio::io_context& context,
+                                                          std::string_view request_id,
+                                                          TimePoint now);
 
 /// Stores a connection as idle for a later request. idle_timeout_ms: the value that the upstream
 /// stated; empty: it stated none.
 void ReleaseConnection(const std::shared_ptr<Upstream>& upstream,
-                       std::shared_ptr<http::ClientConnection> connection,
+                       std::shared_ptr<http::ClientConnection> connection, std::string request_id,
                        std::optional<std::int64_t> idle_timeout_ms, TimePoint now);
 
 /// Closes the idle connections whose usable_until has passed: the upstream may close them soon.
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -127,7 +127,6 @@
     : context_(context),
       clock_(clock),
       settings_(std::move(settings)),
-      fleet_(settings_.failure_domain),
       dispatcher_(context, clock),
       state_{context, clock, settings_, fleet_, dispatcher_, metrics_, retry_windows_, {}, {}, 1},
       status_host_(std::make_unique<StatusHost>(*this)),
@@ -207,7 +206,7 @@
     sink.Answer(503, platform::RefusalFields(id, kNoConfigRetryMs), "no configuration yet\n");
     return nullptr;
   }
-  if (is_stopping_ && clock_.now() - stop_started_ > kAcceptWorkTime) {
+  if (!AcceptsWork()) {
     Log(LogLevel::kInfo, "request_refused", {{"request", id}, {"reason", "stopping"}});
     sink.Answer(503, platform::RefusalFields(id, kStoppingRetryMs), "stopping\n");
     return nullptr;
@@ -359,30 +358,35 @@
   on_stopped_ = std::move(done);
 }
 
+bool Gateway::AcceptsWork() const {
+  return !is_stopping_ || (!is_finishing_ && clock_.now() - stop_started_ <= kAcceptWorkTime);
+}
+
 void Gateway::CheckStopped() {
   const Duration elapsed = clock_.now() - stop_started_;
   if (elapsed < kBalancerRemovalTime || !on_stopped_) {
     return;
   }
-  if (elapsed > kAcceptWorkTime && caller_acceptor_.is_open()) {
-    std::error_code ignored;  // the descriptor is released even if close fails
-    caller_acceptor_.close(ignored);
-  }
   std::vector<std::shared_ptr<CallerConnection>> connections;
   for (const auto& [key, connection] : connections_) {
     connections.push_back(connection);
   }
-  const bool is_serving =
-      std::any_of(connections.begin(), connections.end(),
-                  [](const std::shared_ptr<CallerConnection>& c) { return c->is_serving(); });
+  const bool is_busy = std::any_of(connections.begin(), connections.end(),
+                                   [](const std::shared_ptr<CallerConnection>& c) {
+                                     return c->is_serving() || c->unsent_bytes() > 0;
+                                   });
   for (const std::shared_ptr<CallerConnection>& connection : connections) {
     connection->CloseIfIdle();
   }
-  if (is_serving && elapsed < settings_.stop_grace - kExitMargin) {
+  if (is_busy && elapsed < settings_.stop_grace - kExitMargin) {
     return;
   }
-  Log(LogLevel::kInfo, "stopped", {{"after_ms", ToMs(elapsed)}, {"open_requests", is_serving}});
-  watch_->Deregister(std::exchange(on_stopped_, nullptr));
+  if (!std::exchange(is_finishing_, true)) {
+    Log(LogLevel::kInfo, "stopped", {{"after_ms", ToMs(elapsed)}, {"open_requests", is_busy}});
+    watch_->Deregister([this] { is_deregistered_ = true; });
+  } else if (is_deregistered_) {
+    std::exchange(on_stopped_, nullptr)();
+  }
 }
 
 std::string Gateway::StateDump() const {
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -35,7 +35,8 @@
   ~Gateway() override;
 
   /// Starts the shutdown: new requests are accepted for kAcceptWorkTime more, running requests are
-  /// finished within the grace time, then `done` is called.
+  /// finished within the grace time. Then this gateway's row is removed, and `done` is called.
+  /// Connections are accepted until then; requests that are not accepted are refused as not run.
   void Stop(std::function<void()> done);
 
   /// Applies the settings that can change while the process runs: retry_bound and stop_grace.
@@ -55,6 +56,7 @@
   void Accept(asio::ip::tcp::acceptor& acceptor, CallerHost& host);
   void Tick();
   void CheckStopped();
+  bool AcceptsWork() const;
 
   std::unique_ptr<Exchange> StartExchange(CallerSink& sink, http::RequestHead head,
                                           std::string body) override;
@@ -87,6 +89,9 @@
   std::map<const CallerConnection*, std::shared_ptr<CallerConnection>> connections_;
   bool is_stopping_ = false;
   TimePoint stop_started_;
+  /// No request is running any more, and none is accepted.
+  bool is_finishing_ = false;
+  bool is_deregistered_ = false;
   std::function<void()> on_stopped_;
 };
 
--- a/gateway/gateway_state.h
+++ b/gateway/gateway_state.h
@@ -10,6 +10,7 @@
 
 #include "base/clock.h"
 #include "base/metrics.h"
+#include "core/answer_budget.h"
 #include "core/retry_window.h"
 #include "core/routing_table.h"
 #include "core/stage_plan.h"
@@ -33,6 +34,8 @@
   std::map<std::string, core::GenerationProfile> profiles;
   /// Number of gateways that share the bound on retries, including this one.
   std::int64_t gateways = 1;
+  /// Shared by the answers that are kept until they are complete.
+  core::AnswerBudget answer_budget = {};
 };
 
 /// Profile of a service until its first generation has ended. The values are the means of the
--- a/gateway/generation_exchange.cc
+++ b/gateway/generation_exchange.cc
@@ -71,7 +71,8 @@
                                                               CallerSink& sink) {
   std::unique_ptr<GenerationExchange> exchange(
       new GenerationExchange(std::move(request), state, sink));
-  exchange->deadline_timer_.expires_at(exchange->request_.deadline);
+  const TimePoint now = state.clock.now();
+  exchange->deadline_timer_.expires_after(exchange->request_.deadline - now);
   exchange->deadline_timer_.async_wait(
       [raw = exchange.get(),
        lifetime = std::weak_ptr<bool>(exchange->lifetime_)](const std::error_code& error) {
@@ -82,7 +83,8 @@
   if (exchange->RefuseIfQueueIsLong()) {
     return exchange;
   }
-  exchange->caller_timeout_timer_.expires_at(exchange->CallerTimeoutAt() - kMinServiceTime);
+  exchange->caller_timeout_timer_.expires_after(exchange->CallerTimeoutAt() - kMinServiceTime -
+                                                now);
   exchange->caller_timeout_timer_.async_wait(
       [raw = exchange.get(),
        lifetime = std::weak_ptr<bool>(exchange->lifetime_)](const std::error_code& error) {
@@ -100,7 +102,8 @@
       state_(state),
       sink_(sink),
       deadline_timer_(state.context),
-      caller_timeout_timer_(state.context) {}
+      caller_timeout_timer_(state.context),
+      answer_allowance_(state.answer_budget) {}
 
 GenerationExchange::~GenerationExchange() {
   if (queue_id_ != 0) {
@@ -150,6 +153,10 @@
   return splitter_.last_id ? splitter_.last_id : request_.facts.resume_after_event;
 }
 
+bool GenerationExchange::MayMoveLater() const {
+  return core::MayRunAgain(*request_.route) && possible_runs_ + 1 < request_.route->max_upstreams;
+}
+
 bool GenerationExchange::IsRetriedByCaller() const {
   const double stated_ms = static_cast<double>(request_.facts.deadline_ms.value_or(0));
   return stated_ms > 0 &&
@@ -234,6 +241,15 @@
     return true;
   }
   const TimePoint now = state_.clock.now();
+  if (now >= request_.deadline) {
+    // The process was paused, so the deadline timer has not expired yet.
+    queue_id_ = 0;
+    OnDeadline();
+    return true;
+  }
+  if (now < next_capacity_try_) {
+    return false;
+  }
   std::vector<core::PlacementCandidate> candidates;
   state_.fleet.FillCandidates(request_.service->name, *request_.service, request_.tried,
                               request_.facts.prompt_id, now, candidates);
@@ -278,9 +294,6 @@
   if (is_stream_open_ || (contended.peers.on_time == 0 && contended.peers.late == 0)) {
     return true;
   }
-  if (now < next_capacity_try_) {
-    return false;
-  }
   next_capacity_try_ = now + kContendedInterval;
   contended.is_late = IsRetriedByCaller() || now > request_.target;
   contended.local = state_.dispatcher.waiting_tokens(service);
@@ -330,9 +343,11 @@
   plan.load.running = 1;
   plan.load.prefill_tokens = request_.facts.prompt_tokens;
   answer_body_.clear();
+  answer_allowance_.Release();
+  plan.send_before = request_.deadline;
   // When a stream is resumed, it was the answer of an earlier attempt, not of this prefill.
   is_streaming_ = false;
-  attempt_ = Attempt::Start(state_.context, prefill, std::move(plan), *this);
+  attempt_ = Attempt::Start(state_.context, state_.clock, prefill, std::move(plan), *this);
 }
 
 void GenerationExchange::StartDecode(const std::string& kv_source) {
@@ -350,15 +365,25 @@
   plan.head = platform::EncodeUpstreamRequest(request_.head, request_.body->size(), call);
   plan.body = request_.body;
   plan.request_id = request_.facts.request_id;
+  plan.send_before = request_.deadline;
   plan.first_byte_timeout = kv_source.empty() ? kInPlaceFirstEventTimeout : kFirstEventTimeout;
   plan.read_timeout = kReadTimeout;
+  if (!MayMoveLater()) {
+    // Ending the attempt would lose the stream, so it goes on for as long as the caller waits.
+    const Duration caller_gap =
+        core::FirstEventTimeout(request_.route->target_latency_ms, request_.route->target_gap_ms);
+    plan.suspect_after = plan.first_byte_timeout;
+    plan.first_byte_timeout = std::max(plan.first_byte_timeout, caller_gap);
+    plan.read_timeout = std::max(plan.read_timeout, caller_gap);
+  }
   if (kv_source.empty()) {
     plan.load.prefill_tokens = request_.facts.prompt_tokens;
   }
   answer_body_.clear();
+  answer_allowance_.Release();
   is_streaming_ = false;
   core::DropPartialEvent(splitter_);
-  attempt_ = Attempt::Start(state_.context, decode_, std::move(plan), *this);
+  attempt_ = Attempt::Start(state_.context, state_.clock, decode_, std::move(plan), *this);
 }
 
 void GenerationExchange::OnDeadline() {
@@ -394,14 +419,21 @@
   }
 }
 
-void GenerationExchange::OnAnswerBody(std::string_view bytes) {
+BodyProgress GenerationExchange::OnAnswerBody(std::string_view bytes) {
   if (!is_streaming_) {
+    if (!answer_allowance_.Take(bytes.size())) {
+      return BodyProgress::kTooLarge;
+    }
     answer_body_.append(bytes);
-    return;
+    return BodyProgress::kProgress;
   }
+  const std::int64_t events_before = splitter_.events;
   const std::string events = core::TakeCompleteEvents(splitter_, bytes);
+  if (splitter_.partial.size() > core::kMaxEventBytes) {
+    return BodyProgress::kTooLarge;
+  }
   if (events.empty()) {
-    return;
+    return BodyProgress::kNone;
   }
   if (!first_event_) {
     first_event_ = state_.clock.now();
@@ -413,6 +445,7 @@
     is_paused_ = true;
     attempt_->PauseReading();
   }
+  return splitter_.events > events_before ? BodyProgress::kProgress : BodyProgress::kNone;
 }
 
 void GenerationExchange::OnAnswerComplete() {
--- a/gateway/generation_exchange.h
+++ b/gateway/generation_exchange.h
@@ -63,6 +63,8 @@
   /// Adjusts the reservation to the progress of the stream.
   void UpdateReservation();
   std::optional<std::int64_t> ResumePoint() const;
+  /// Whether another engine may go on with the request if the next decode attempt breaks.
+  bool MayMoveLater() const;
 
   void OnPrefillAnswer();
   void OnPrefillFailure(std::string_view why);
@@ -72,7 +74,7 @@
   void ForwardAnswer();
 
   void OnAnswerHead(const http::ResponseHead& head, const core::AnswerFacts& facts) override;
-  void OnAnswerBody(std::string_view bytes) override;
+  BodyProgress OnAnswerBody(std::string_view bytes) override;
   void OnAnswerComplete() override;
   void OnAttemptFailure(AttemptFailure failure) override;
 
@@ -96,6 +98,7 @@
   core::AnswerFacts answer_facts_;
   /// Body of an answer that is not a stream; it is forwarded when it is complete.
   std::string answer_body_;
+  core::AnswerAllowance answer_allowance_;
   core::EventSplitter splitter_;
   /// The head of the stream has been sent to the caller.
   bool is_stream_open_ = false;
--- a/gateway/plain_exchange.cc
+++ b/gateway/plain_exchange.cc
@@ -31,7 +31,7 @@
 std::unique_ptr<PlainExchange> PlainExchange::Start(RequestContext request, GatewayState& state,
                                                     CallerSink& sink) {
   std::unique_ptr<PlainExchange> exchange(new PlainExchange(std::move(request), state, sink));
-  exchange->deadline_timer_.expires_at(exchange->request_.deadline);
+  exchange->deadline_timer_.expires_after(exchange->request_.deadline - state.clock.now());
   exchange->deadline_timer_.async_wait(
       [raw = exchange.get(),
        lifetime = std::weak_ptr<bool>(exchange->lifetime_)](const std::error_code& error) {
@@ -44,7 +44,11 @@
 }
 
 PlainExchange::PlainExchange(RequestContext request, GatewayState& state, CallerSink& sink)
-    : request_(std::move(request)), state_(state), sink_(sink), deadline_timer_(state.context) {}
+    : request_(std::move(request)),
+      state_(state),
+      sink_(sink),
+      deadline_timer_(state.context),
+      answer_allowance_(state.answer_budget) {}
 
 PlainExchange::~PlainExchange() {
   if (queue_id_ != 0) {
@@ -78,6 +82,12 @@
     return true;
   }
   const TimePoint now = state_.clock.now();
+  if (now >= request_.deadline) {
+    // The process was paused, so the deadline timer has not expired yet.
+    queue_id_ = 0;
+    OnDeadline();
+    return true;
+  }
   std::vector<core::PlacementCandidate> candidates;
   state_.fleet.FillCandidates(request_.service->name, *request_.service, request_.tried, {}, now,
                               candidates);
@@ -120,7 +130,9 @@
   }
   ++sent_attempts_;
   answer_body_.clear();
-  attempt_ = Attempt::Start(state_.context, upstream, std::move(plan), *this);
+  answer_allowance_.Release();
+  plan.send_before = request_.deadline;
+  attempt_ = Attempt::Start(state_.context, state_.clock, upstream, std::move(plan), *this);
   return true;
 }
 
@@ -161,7 +173,13 @@
   answer_facts_ = facts;
 }
 
-void PlainExchange::OnAnswerBody(std::string_view bytes) { answer_body_.append(bytes); }
+BodyProgress PlainExchange::OnAnswerBody(std::string_view bytes) {
+  if (!answer_allowance_.Take(bytes.size())) {
+    return BodyProgress::kTooLarge;
+  }
+  answer_body_.append(bytes);
+  return BodyProgress::kProgress;
+}
 
 void PlainExchange::OnAnswerComplete() {
   if (is_done_) {
--- a/gateway/plain_exchange.h
+++ b/gateway/plain_exchange.h
@@ -33,7 +33,7 @@
   void ForwardAnswer();
 
   void OnAnswerHead(const http::ResponseHead& head, const core::AnswerFacts& facts) override;
-  void OnAnswerBody(std::string_view bytes) override;
+  BodyProgress OnAnswerBody(std::string_view bytes) override;
   void OnAnswerComplete() override;
   void OnAttemptFailure(AttemptFailure failure) override;
 
@@ -47,6 +47,7 @@
   http::ResponseHead answer_head_;
   core::AnswerFacts answer_facts_;
   std::string answer_body_;
+  core::AnswerAllowance answer_allowance_;
   TimePoint attempt_started_;
   /// Number of attempts that may have run the request.
   std::int64_t possible_runs_ = 0;
--- a/gateway/program.cc
+++ b/gateway/program.cc
@@ -114,8 +114,9 @@
   std::signal(SIGPIPE, SIG_IGN);
   // The event loop runs on one thread, so no locks are needed.
   asio::io_context context(1);
-  Result<std::unique_ptr<Gateway>> gateway = Gateway::Create(
-      context, DefaultClock(), settings.value(), MakeSource(context, settings.value()));
+  const SuspensionClock clock;
+  Result<std::unique_ptr<Gateway>> gateway =
+      Gateway::Create(context, clock, settings.value(), MakeSource(context, settings.value()));
   if (!gateway) {
     Log(LogLevel::kError, "cannot_start",
         {{"error", gateway.error().message}, {"remedy", gateway.error().remedy}});
--- a/gateway/stage_controller.cc
+++ b/gateway/stage_controller.cc
@@ -206,7 +206,8 @@
   plan.body = std::make_shared<const std::string>(std::move(call.body));
   plan.first_byte_timeout = kOrderTimeout;
   plan.read_timeout = kOrderTimeout;
-  attempt_ = Attempt::Start(state_.context, order_->upstream, std::move(plan), *this);
+  plan.send_before = order_->record_requested + core::kOrderValidity;
+  attempt_ = Attempt::Start(state_.context, state_.clock, order_->upstream, std::move(plan), *this);
 }
 
 void StageController::AbandonOrder(std::string_view why, Duration pause) {
--- a/gateway/stage_controller.h
+++ b/gateway/stage_controller.h
@@ -51,7 +51,7 @@
   void RecordChange(TimePoint now);
 
   void OnAnswerHead(const http::ResponseHead& head, const core::AnswerFacts& facts) override;
-  void OnAnswerBody(std::string_view /*bytes*/) override {}
+  BodyProgress OnAnswerBody(std::string_view /*bytes*/) override { return BodyProgress::kNone; }
   void OnAnswerComplete() override;
   void OnAttemptFailure(AttemptFailure failure) override;
 
--- a/http/client_connection.cc
+++ b/http/client_connection.cc
@@ -2,11 +2,24 @@
 
 #include <array>
 #include <asio/buffer.hpp>
+#include <asio/post.hpp>
 #include <asio/write.hpp>
 #include <utility>
 #include <vector>
 
 namespace rattanramp::http {
+namespace {
+
+// Largest part of a response that cannot be parsed before more bytes arrive: a head, a chunk's size
+// line, or the trailers.
+constexpr std::size_t kMaxUnparsedBytes = kMaxHeadBytes;
+
+// Responses to other requests, and informational ones, that are skipped before the response to a
+// request. A server sends one or two.
+constexpr std::size_t kMaxDiscardedResponses = 8;
+constexpr std::size_t kMaxDiscardedBytes = 256 * 1024;
+
+}  // namespace
 
 std::shared_ptr<ClientConnection> ClientConnection::Create(asio::io_context& context,
                                                            const asio::ip::tcp::endpoint& server,
@@ -30,6 +43,8 @@
   parser_.emplace(is_head_request);
   is_head_reported_ = false;
   is_discarding_ = false;
+  discarded_responses_ = 0;
+  discarded_bytes_ = 0;
   is_paused_ = false;
   if (is_connected_) {
     Write();
@@ -86,6 +101,12 @@
 }
 
 void ClientConnection::Write() {
+  if (!listener_->MaySend()) {
+    // Send may be on the call stack, so the failure is reported from the event loop.
+    asio::post(socket_.get_executor(),
+               [self = shared_from_this()] { self->Fail(ExchangeFailure::kNotConnected); });
+    return;
+  }
   ++requests_sent_;
   is_writing_ = true;
   std::array<asio::const_buffer, 2> buffers = {asio::buffer(request_head_), asio::const_buffer()};
@@ -128,9 +149,18 @@
   }
   unparsed_.append(read_buffer_.data(), size);
   std::shared_ptr<ClientConnection> self = shared_from_this();
-  if (ParseBuffer()) {
-    Read();
+  if (!ParseBuffer()) {
+    return;
   }
+  if (unparsed_.size() > kMaxUnparsedBytes) {
+    Fail(ExchangeFailure::kMalformed);
+    return;
+  }
+  Read();
+}
+
+bool ClientConnection::IsDiscardLimitExceeded() const {
+  return discarded_responses_ > kMaxDiscardedResponses || discarded_bytes_ > kMaxDiscardedBytes;
 }
 
 bool ClientConnection::ParseBuffer() {
@@ -155,7 +185,14 @@
       }
     }
     const std::string body = parser_->TakeBody();
-    if (!body.empty() && !is_discarding_) {
+    if (is_discarding_) {
+      discarded_bytes_ += body.size();
+      discarded_responses_ += parser_->is_complete() ? 1 : 0;
+      if (IsDiscardLimitExceeded()) {
+        Fail(ExchangeFailure::kMalformed);
+        return false;
+      }
+    } else if (!body.empty()) {
       listener_->OnBody(body);
       if (is_closed_) {
         return false;
--- a/http/client_connection.h
+++ b/http/client_connection.h
@@ -34,6 +34,9 @@
 class ResponseListener {
  public:
   virtual ~ResponseListener() = default;
+  /// Asked once, immediately before the first byte is sent. False: the exchange fails with
+  /// kNotConnected.
+  virtual bool MaySend() { return true; }
   /// Returns false when the response belongs to another request; it is then read to its end and
   /// discarded.
   virtual bool OnHead(const ResponseHead& head) = 0;
@@ -82,6 +85,8 @@
   void OnRead(const std::error_code& error, std::size_t size);
   /// Parses the bytes that were read. Returns false when the connection was closed meanwhile.
   bool ParseBuffer();
+  /// Whether the response that is being discarded, and those before it, exceed their limits.
+  bool IsDiscardLimitExceeded() const;
   bool FinishResponse();
   void OnEndOfInput(bool is_orderly);
   void Fail(ExchangeFailure failure);
@@ -108,6 +113,9 @@
   bool is_paused_ = false;
   bool is_head_reported_ = false;
   bool is_discarding_ = false;
+  /// Responses that were discarded since the request was sent, and the bytes of their bodies.
+  std::size_t discarded_responses_ = 0;
+  std::size_t discarded_bytes_ = 0;
 };
 
 }  // namespace rattanramp::http
--- a/tests/gateway/caller_connection_test.cc
+++ b/tests/gateway/caller_connection_test.cc
@@ -43,6 +43,8 @@
   std::function<void(gateway::CallerSink&)> serve = [](gateway::CallerSink& sink) {
     sink.Answer(200, {}, "ok");
   };
+  std::function<void(gateway::CallerConnection&)> on_start =
+      [](gateway::CallerConnection& /*connection*/) {};
   core::CallerLimits limits;
   std::vector<std::string> targets;
   bool stop_requested = false;
@@ -65,6 +67,7 @@
   const std::shared_ptr<gateway::CallerConnection> connection =
       gateway::CallerConnection::Create(acceptor.accept(), host);
   connection->Start();
+  host.on_start(*connection);
   context.run();
   thread.join();
   return result;
@@ -184,3 +187,18 @@
   cr_assert_neq(text.find("HTTP/1.1 408"), std::string::npos, "%s", text.c_str());
   cr_assert(host.targets.empty());
 }
+
+// Guards against a planned stop that closes a connection whose first request is on its way: the
+// connection was accepted a moment before.
+Test(caller_connection, stop_does_not_close_a_connection_before_its_first_request, .timeout = 20) {
+  Host host;
+  host.stop_requested = true;
+  host.on_start = [](gateway::CallerConnection& connection) { connection.CloseIfIdle(); };
+  const std::string text = RunClient(host, [](tcp::socket& socket) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    std::error_code error;
+    asio::write(socket, asio::buffer(std::string(kRequest)), error);
+    return ReadToEnd(socket);
+  });
+  cr_assert_neq(text.find("HTTP/1.1 200"), std::string::npos, "%s", text.c_str());
+}
--- a/tests/gateway/exchange_fixture.cc
+++ b/tests/gateway/exchange_fixture.cc
@@ -31,7 +31,7 @@
 }
 
 ExchangeFixture::ExchangeFixture()
-    : fleet("domain-a"),
+    : fleet(),
       dispatcher(context, DefaultClock()),
       state{context, DefaultClock(), settings, fleet, dispatcher,
             metrics, retry_windows,  [] {},    {},    1},
@@ -80,9 +80,9 @@
   request.service = request.table->FindService("s");
   request.head.method = "POST";
   request.head.target = "/p/x";
-  request.head.fields = {{"Host", "h"}, {"Request-Id", "r1"}, {"Token-Count", "5000,100"}};
+  request.head.fields = {{"Host", "h"}, {"Request-Id", request_id}, {"Token-Count", "5000,100"}};
   request.body = std::make_shared<const std::string>();
-  request.facts.request_id = "r1";
+  request.facts.request_id = request_id;
   request.facts.prompt_tokens = 5'000;
   request.facts.max_output_tokens = 100;
   request.arrived = DefaultClock().now();
@@ -94,6 +94,7 @@
   } else {
     exchange = gateway::PlainExchange::Start(std::move(request), state, sink);
   }
+  on_started(*exchange);
   context.run_for(Milliseconds(5'000));
   exchange.reset();
 }
--- a/tests/gateway/exchange_fixture.h
+++ b/tests/gateway/exchange_fixture.h
@@ -3,6 +3,7 @@
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -20,12 +21,14 @@
   void StreamBytes(std::string_view bytes) override { body += bytes; }
   void EndStream() override;
   void Abort() override;
-  std::size_t unsent_bytes() const override { return 0; }
+  std::size_t unsent_bytes() const override { return unsent; }
 
   asio::io_context& context;
   int status = 0;
   http::Fields fields;
   std::string body;
+  /// Bytes that the caller has not read yet.
+  std::size_t unsent = 0;
   bool is_complete = false;
   bool is_aborted = false;
 };
@@ -40,6 +43,9 @@
            std::int64_t timeout_ms = 4'000);
 
   asio::io_context context;
+  std::string request_id = "r1";
+  /// Called with the exchange after it has started.
+  std::function<void(gateway::Exchange&)> on_started = [](gateway::Exchange& /*exchange*/) {};
   gateway::Settings settings;
   gateway::Fleet fleet;
   Metrics metrics;
--- a/tests/gateway/fake_engine.cc
+++ b/tests/gateway/fake_engine.cc
@@ -49,6 +49,11 @@
   return heads_;
 }
 
+std::size_t FakeEngine::connections() const {
+  const std::lock_guard lock(mutex_);
+  return threads_.size();
+}
+
 void FakeEngine::Serve(tcp::socket moved) {
   const std::shared_ptr<tcp::socket> socket = std::make_shared<tcp::socket>(std::move(moved));
   {
@@ -73,6 +78,16 @@
     }
     const FakeAnswer answer = script_(head, number);
     asio::write(*socket, asio::buffer(answer.bytes), error);
+    for (const std::string& bytes : answer.later) {
+      std::this_thread::sleep_for(answer.pause);
+      asio::write(*socket, asio::buffer(bytes), error);
+      if (error || is_stopped_) {
+        return;
+      }
+    }
+    while (!answer.endless.empty() && !error && !is_stopped_) {
+      endless_bytes_ += asio::write(*socket, asio::buffer(answer.endless), error);
+    }
     if (answer.reset) {
       // Waits until the peer has read the bytes: a reset drops bytes that it has not read.
       std::this_thread::sleep_for(std::chrono::milliseconds(30));
--- a/tests/gateway/fake_engine.h
+++ b/tests/gateway/fake_engine.h
@@ -4,6 +4,7 @@
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <atomic>
+#include <chrono>
 #include <functional>
 #include <mutex>
 #include <string>
@@ -16,6 +17,11 @@
   std::string bytes;
   /// Resets the connection after the bytes; otherwise it stays open.
   bool reset = false;
+  /// Sent after `bytes`, one after the other, each after a pause of `pause`.
+  std::vector<std::string> later = {};
+  std::chrono::milliseconds pause{0};
+  /// If not empty: sent after all other bytes, again and again until the peer closes.
+  std::string endless = {};
 };
 
 class FakeEngine {
@@ -28,6 +34,10 @@
   std::uint16_t port() const { return port_; }
   /// Heads of the received requests.
   std::vector<std::string> heads() const;
+  /// Number of connections that were accepted.
+  std::size_t connections() const;
+  /// Endless bytes that were written on all connections.
+  std::size_t endless_bytes() const { return endless_bytes_; }
 
  private:
   void Serve(asio::ip::tcp::socket socket);
@@ -41,6 +51,7 @@
   std::vector<std::thread> threads_;
   std::vector<std::shared_ptr<asio::ip::tcp::socket>> sockets_;
   std::atomic<bool> is_stopped_ = false;
+  std::atomic<std::size_t> endless_bytes_ = 0;
   std::thread accept_thread_;
 };
 
--- a/tests/gateway/fake_table.h
+++ b/tests/gateway/fake_table.h
@@ -24,6 +24,8 @@
   std::optional<Error> failure;
   /// The next write takes effect, but is answered with kReplyLost.
   bool loses_next_reply = false;
+  /// How long the answer to a removal takes.
+  Milliseconds remove_delay{0};
 };
 
 class FakeTable final : public store::AsyncTable {
@@ -91,9 +93,17 @@
 
   void Remove(std::string_view table, std::string_view key, DoneHandler handler) override {
     ++state_.calls;
-    Done(std::move(handler), [this, table = std::string(table), key = std::string(key)] {
-      state_.tables[table].erase(key);
-      return Result<void>(Success());
+    timer_.expires_after(state_.remove_delay);
+    timer_.async_wait([this, handler = std::move(handler), table = std::string(table),
+                       key = std::string(key),
+                       is_active = is_active_](const std::error_code& error) mutable {
+      if (error || !*is_active) {
+        return;
+      }
+      Done(std::move(handler), [this, table, key] {
+        state_.tables[table].erase(key);
+        return Result<void>(Success());
+      });
     });
   }
 
--- /dev/null
+++ b/tests/gateway/gateway_stop_test.cc
@@ -0,0 +1,132 @@
+#include <criterion/criterion.h>
+
+#include <asio/buffer.hpp>
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/read.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/write.hpp>
+#include <string>
+#include <thread>
+
+#include "gateway/gateway.h"
+#include "tests/gateway/fake_engine.h"
+#include "tests/gateway/fake_table.h"
+#include "tests/support/free_port.h"
+
+using namespace rattanramp;
+using asio::ip::tcp;
+using tests::FakeAnswer;
+using tests::FakeEngine;
+
+namespace {
+
+constexpr const char* kConfig = R"({"version":1,"routes":[
+  {"name":"r","host":"h","prefix":"/p/","kind":"non_idempotent","timeout_ms":4000,
+   "target_latency_ms":300,"priority":1,"service":"s","max_attempts":1}],
+  "services":[{"name":"s","health_path":"/healthz","max_conns":100}],
+  "limits":{"max_header_bytes":16384,"max_body_bytes":65536,"header_timeout_ms":3000,
+   "idle_timeout_ms":15000}})";
+
+gateway::Settings TestSettings() {
+  const asio::ip::address_v4 loopback = asio::ip::address_v4::loopback();
+  const auto port = [] { return static_cast<std::uint16_t>(testing::FreePort()); };
+  gateway::Settings settings;
+  settings.node = "g";
+  settings.failure_domain = "domain-a";
+  settings.address = loopback;
+  settings.callers = {loopback, port()};
+  settings.readiness = {loopback, port()};
+  settings.metrics_port = port();
+  settings.peer_port = port();
+  settings.retry_bound = {0.2, 58, Milliseconds(10'000)};
+  return settings;
+}
+
+/// Runs a gateway that is stopped at once and sends it one request on a new connection after
+/// `delay`. Returns all bytes of the answer, or the error.
+std::string RequestDuringStop(Milliseconds delay, Milliseconds work, Milliseconds remove_delay) {
+  FakeEngine server([&](const std::string& head, int /*number*/) -> FakeAnswer {
+    FakeAnswer answer;
+    answer.later = {"HTTP/1.1 200 OK\r\nRequest-Id: " + tests::FieldOf(head, "Request-Id") +
+                    "\r\nResponse-Seal: s\r\nContent-Length: 4\r\n\r\ndone"};
+    answer.pause = work;
+    return answer;
+  });
+  std::unique_ptr<asio::io_context> owned_context = std::make_unique<asio::io_context>();
+  asio::io_context& context = *owned_context;
+  tests::FakeTables tables;
+  tables.remove_delay = remove_delay;
+  tables.tables["config"]["c"] = {"c", kConfig, ++tables.version, false};
+  const std::string upstream = R"({"service":"s","addr":"127.0.0.1:)" +
+                               std::to_string(server.port()) +
+                               R"(","zone":"domain-a","slots":6,"state":"ready"})";
+  tables.tables["upstreams"]["u"] = {"u", upstream, ++tables.version, false};
+  gateway::StoreSource source{"config",
+                              "c",
+                              "upstreams",
+                              "gateways",
+                              "orders",
+                              [&]() -> std::unique_ptr<store::AsyncTable> {
+                                return std::make_unique<tests::FakeTable>(context, tables);
+                              }};
+  const gateway::Settings settings = TestSettings();
+  std::unique_ptr<gateway::Gateway> gateway = std::move(
+      gateway::Gateway::Create(context, DefaultClock(), settings, std::move(source)).value());
+  context.run_for(Milliseconds(100));
+  cr_assert(gateway->is_ready());
+  gateway->Stop([&] { context.stop(); });
+  std::string answer;
+  std::thread caller([&] {
+    std::this_thread::sleep_for(delay);
+    asio::io_context caller_context;
+    tcp::socket socket(caller_context);
+    std::error_code error;
+    socket.connect(settings.callers, error);
+    asio::write(socket,
+                asio::buffer(std::string("POST /p/x HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\n"
+                                         "Deadline-Ms: 4000\r\nContent-Length: 0\r\n\r\n")),
+                error);
+    asio::read(socket, asio::dynamic_buffer(answer), error);
+    if (error != asio::error::eof) {
+      answer += "[" + error.message() + "]";
+    }
+  });
+  context.restart();
+  context.run_for(Milliseconds(9'000));
+  // The process ends here, and with it all connections.
+  gateway.reset();
+  owned_context.reset();
+  caller.join();
+  return answer;
+}
+
+}  // namespace
+
+// Guards against a planned stop that cuts off a request without an answer: it was accepted after
+// the last running request had ended, while the gateway's row was being removed from the store.
+Test(gateway_stop, request_accepted_during_the_last_steps_is_answered, .timeout = 40) {
+  const std::string answer =
+      RequestDuringStop(Milliseconds(3'300), Milliseconds(2'500), Milliseconds(1'500));
+  cr_assert(answer.starts_with("HTTP/1.1 200") || answer.starts_with("HTTP/1.1 503"), "%s",
+            answer.c_str());
+  cr_assert_eq(answer.find('['), std::string::npos, "%s", answer.c_str());
+}
+
+// Guards against refusing connections while the load balancer still sends some: callers get a
+// refusal that says that the request has not run.
+Test(gateway_stop, late_connection_is_refused_with_an_answer, .timeout = 40) {
+  const std::string answer =
+      RequestDuringStop(Milliseconds(4'300), Milliseconds(10), Milliseconds(2'500));
+  cr_assert(answer.starts_with("HTTP/1.1 503"), "%s", answer.c_str());
+  cr_assert_eq(answer.find('['), std::string::npos, "%s", answer.c_str());
+}
+
+// Guards against a stop that is delayed although nothing is left to do.
+Test(gateway_stop, idle_gateway_stops_after_the_balancer_has_removed_it, .timeout = 40) {
+  const TimePoint started = DefaultClock().now();
+  const std::string answer =
+      RequestDuringStop(Milliseconds(1'000), Milliseconds(10), Milliseconds(10));
+  cr_assert(answer.starts_with("HTTP/1.1 200"), "%s", answer.c_str());
+  cr_assert_lt(ToMs(DefaultClock().now() - started), 4'500.0);
+}
--- a/tests/gateway/generation_exchange_test.cc
+++ b/tests/gateway/generation_exchange_test.cc
@@ -161,3 +161,97 @@
   fixture.Run(RequestKind::kStream, false);
   cr_assert_eq(fixture.sink.status, 502);
 }
+
+// Guards against cutting a slow but sound stream: its caller waits up to 3.6 s between events, and
+// the stream cannot go on elsewhere.
+Test(generation_exchange, slow_stream_that_cannot_move_is_not_cut, .timeout = 30) {
+  FakeEngine prefill(PrefillAnswer);
+  FakeEngine decode([](const std::string& /*head*/, int /*number*/) -> FakeAnswer {
+    FakeAnswer answer;
+    answer.later = {kStreamHead + Event(1), Event(2) + "0\r\n\r\n"};
+    answer.pause = std::chrono::milliseconds(1'600);
+    return answer;
+  });
+  ExchangeFixture fixture;
+  fixture.Add("p", UpstreamStage::kPrefill, prefill.port());
+  fixture.Add("d", UpstreamStage::kDecode, decode.port());
+  fixture.Run(RequestKind::kStream, false, 1, 5'000);
+  cr_assert(fixture.sink.is_complete);
+  cr_assert_eq(fixture.sink.status, 200);
+  cr_assert_eq(fixture.sink.body, "id: 1\ndata: x\n\nid: 2\ndata: x\n\n");
+}
+
+// Guards against waiting on a stalled stream because single bytes still arrive. Progress is a
+// complete event; comment lines and parts of an event are not.
+Test(generation_exchange, stalled_stream_with_single_bytes_moves_on, .timeout = 30) {
+  FakeEngine prefill(PrefillAnswer);
+  int decodes = 0;
+  const auto decode_script = [&](const std::string& /*head*/, int /*number*/) -> FakeAnswer {
+    if (++decodes > 1) {
+      return {kStreamHead + Event(2) + "0\r\n\r\n", false};
+    }
+    FakeAnswer answer;
+    answer.bytes = kStreamHead + Event(1);
+    answer.later.assign(30, "3\r\n:\n\n\r\n");
+    answer.pause = std::chrono::milliseconds(200);
+    return answer;
+  };
+  FakeEngine first(decode_script);
+  FakeEngine second(decode_script);
+  ExchangeFixture fixture;
+  fixture.Add("p", UpstreamStage::kPrefill, prefill.port());
+  fixture.Add("d1", UpstreamStage::kDecode, first.port());
+  fixture.Add("d2", UpstreamStage::kDecode, second.port());
+  const TimePoint started = DefaultClock().now();
+  fixture.Run(RequestKind::kStream, true);
+  cr_assert(fixture.sink.is_complete);
+  cr_assert_neq(fixture.sink.body.find("id: 2\n"), std::string::npos);
+  cr_assert_lt(ToMs(DefaultClock().now() - started), 2'500.0);
+}
+
+// Guards against memory that grows without bound when an engine sends an event without an end.
+Test(generation_exchange, event_without_end_ends_the_attempt, .timeout = 30) {
+  FakeEngine prefill(PrefillAnswer);
+  const std::string filler(4'096, 'x');
+  FakeEngine decode([&](const std::string& /*head*/, int /*number*/) -> FakeAnswer {
+    FakeAnswer answer;
+    answer.bytes = kStreamHead + Event(1);
+    answer.endless = "1000\r\n" + filler + "\r\n";
+    return answer;
+  });
+  ExchangeFixture fixture;
+  fixture.Add("p", UpstreamStage::kPrefill, prefill.port());
+  fixture.Add("d", UpstreamStage::kDecode, decode.port());
+  const TimePoint started = DefaultClock().now();
+  fixture.Run(RequestKind::kStream, false);
+  cr_assert(fixture.sink.is_aborted);
+  cr_assert_lt(ToMs(DefaultClock().now() - started), 2'000.0);
+}
+
+// Guards against ending an attempt as silent while the gateway itself does not read from the
+// engine, because the caller reads slowly.
+Test(generation_exchange, slow_caller_does_not_end_the_attempt, .timeout = 30) {
+  FakeEngine prefill(PrefillAnswer);
+  FakeEngine decode([](const std::string& /*head*/, int /*number*/) -> FakeAnswer {
+    FakeAnswer answer;
+    answer.bytes = kStreamHead + Event(1);
+    answer.later = {Event(2) + "0\r\n\r\n"};
+    answer.pause = std::chrono::milliseconds(300);
+    return answer;
+  });
+  ExchangeFixture fixture;
+  fixture.Add("p", UpstreamStage::kPrefill, prefill.port());
+  fixture.Add("d", UpstreamStage::kDecode, decode.port());
+  fixture.sink.unsent = 1'000'000;
+  asio::steady_timer caller_reads(fixture.context);
+  fixture.on_started = [&](gateway::Exchange& exchange) {
+    caller_reads.expires_after(Milliseconds(2'000));
+    caller_reads.async_wait([&](const std::error_code& /*error*/) {
+      fixture.sink.unsent = 0;
+      exchange.OnBytesSent();
+    });
+  };
+  fixture.Run(RequestKind::kStream, true);
+  cr_assert(fixture.sink.is_complete);
+  cr_assert_eq(decode.heads().size(), 1);
+}
--- a/tests/gateway/plain_exchange_test.cc
+++ b/tests/gateway/plain_exchange_test.cc
@@ -127,3 +127,83 @@
   cr_assert_leq(std::stoi(deadline), 700);
   cr_assert_gt(std::stoi(deadline), 400);
 }
+
+// Guards against handing a caller the late second copy of an earlier answer on a reused connection.
+// The copy carries no request id here, so that only its place on the connection speaks for it.
+Test(plain_exchange, late_answer_without_id_on_a_reused_connection_is_skipped, .timeout = 30) {
+  FakeEngine server([](const std::string& head, int number) -> FakeAnswer {
+    const std::string id = FieldOf(head, "Request-Id");
+    const std::string answer = "HTTP/1.1 200 OK\r\nRequest-Id: " + id +
+                               "\r\nResponse-Seal: s\r\nContent-Length: 2\r\n\r\n" + id;
+    const std::string copy = "HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    return {number == 0 ? answer : copy + answer};
+  });
+  ExchangeFixture fixture;
+  fixture.Add("a", UpstreamStage::kPlain, server.port());
+  fixture.Run(RequestKind::kOnce, false);
+  cr_assert_eq(fixture.sink.body, "r1");
+  fixture.request_id = "r2";
+  fixture.sink.body.clear();
+  fixture.context.restart();
+  fixture.Run(RequestKind::kOnce, false);
+  cr_assert_eq(server.connections(), 1);
+  cr_assert_eq(fixture.sink.status, 200);
+  cr_assert_eq(fixture.sink.body, "r2");
+}
+
+// Guards against taking the second copy of a refusal for the answer to the same request's second
+// attempt: the caller would be told that a request has not run that has.
+Test(plain_exchange, second_attempt_does_not_reuse_the_connection_of_the_first, .timeout = 30) {
+  FakeEngine server([](const std::string& /*head*/, int number) -> FakeAnswer {
+    const FakeAnswer refusal = CompleteAnswer(503, "Not-Executed: 1\r\n", "");
+    if (number == 0) {
+      return refusal;
+    }
+    return CompleteAnswer(200, "Response-Seal: s\r\n", "done");
+  });
+  ExchangeFixture fixture;
+  fixture.Add("a", UpstreamStage::kPlain, server.port());
+  fixture.Run(RequestKind::kOnce, false);
+  cr_assert_eq(fixture.sink.status, 200);
+  cr_assert_eq(server.connections(), 2);
+}
+
+namespace {
+
+/// Runs a once-only request against a server that starts an answer with `start` and then sends
+/// `endless` until the connection is closed.
+void ExpectEndlessAnswerEnds(const std::string& start, const std::string& endless) {
+  FakeEngine server([&](const std::string& /*head*/, int /*number*/) -> FakeAnswer {
+    FakeAnswer answer;
+    answer.bytes = start;
+    answer.endless = endless;
+    return answer;
+  });
+  ExchangeFixture fixture;
+  fixture.Add("a", UpstreamStage::kPlain, server.port());
+  const TimePoint started = DefaultClock().now();
+  fixture.Run(RequestKind::kOnce, false);
+  // The request may have run, so the refusal must not say otherwise.
+  cr_assert_eq(fixture.sink.status, 502, "%d after %s", fixture.sink.status, start.c_str());
+  cr_assert_lt(ToMs(DefaultClock().now() - started), 2'000.0);
+  cr_assert_gt(fixture.fleet.upstreams().at("a")->health.failure_share, 0.0);
+}
+
+}  // namespace
+
+// Guards against memory that grows without bound, and requests that hang until their deadline,
+// when a server sends bytes without end.
+Test(plain_exchange, endless_bytes_end_the_attempt, .timeout = 90) {
+  const std::string head = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Seal: s\r\n";
+  const std::string filler(4'096, 'x');
+  ExpectEndlessAnswerEnds("HTTP/1.1 200 OK\r\nX-Long: ", filler);
+  ExpectEndlessAnswerEnds("HTTP/1.1 200 OK\r\n", "X-More: " + filler.substr(0, 100) + "\r\n");
+  ExpectEndlessAnswerEnds("", filler);
+  ExpectEndlessAnswerEnds("", "HTTP/1.1 100 Continue\r\n\r\n");
+  ExpectEndlessAnswerEnds(head + "\r\n", filler);
+  ExpectEndlessAnswerEnds(head + "Transfer-Encoding: chunked\r\n\r\n",
+                          "10\r\n0123456789abcdef\r\n");
+  ExpectEndlessAnswerEnds(head + "Transfer-Encoding: chunked\r\n\r\n1;ext=", filler);
+  ExpectEndlessAnswerEnds(head + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-Trailer: y\r\n");
+  ExpectEndlessAnswerEnds("HTTP/1.1 200 OK\r\nRequest-Id: old\r\n\r\n", filler);
+}
--- a/tests/gateway/stage_controller_test.cc
+++ b/tests/gateway/stage_controller_test.cc
@@ -40,7 +40,7 @@
 
   struct Gateway {
     Gateway(TestSite& site, const std::string& name)
-        : fleet("domain-a"),
+        : fleet(),
           dispatcher(site.context_, site.clock_),
           state{site.context_, site.clock_, settings, fleet, dispatcher,
                 metrics,       windows,     [] {},    {},    1},
