Let the pace of load reports fall with the number of gateways

Cause: each gateway sent a report to all peers every 200 ms and added up the reports of all peers for each one that came in. Processor time grew with the square of the fleet.

Change: ReportPaceFor keeps the progress reports received at about 250 a second (200 ms up to 50 peers, 412 ms at 103); the repeat interval and the timeout of a silent peer follow; starts and ends are reported after 20 us a peer, at least 1 ms.

--- a/gateway/load_exchange.cc
+++ b/gateway/load_exchange.cc
@@ -9,22 +9,23 @@
 namespace rattanramp::gateway {
 namespace {
 
-// Delay before the start or end of a generation is reported. Further starts and ends within the
-// delay share the datagram.
-constexpr Milliseconds kReportDelay{1};
+// Shortest interval of progress reports.
+constexpr Milliseconds kMinReportInterval{200};
 
-// Interval of reports on the progress of streams and the load of plain services. Plain requests
-// start and end faster than any report; for that reason placement chooses at random between
-// servers.
-constexpr Milliseconds kReportInterval{200};
+// Progress reports that a gateway sends and receives per second, each way. Sending to one peer and
+// receiving from one cost about 10 us of processor time each on the users' VMs, so that this rate
+// is about half a percent of a core.
+constexpr std::int64_t kProgressReportsPerSecond = 250;
 
-// Interval at which unchanged load is reported again, so that a lost datagram has only a short
-// effect.
-constexpr Milliseconds kRepeatInterval{400};
+// Delay of the reports on starts and ends for each peer, and its lower limit.
+constexpr std::chrono::microseconds kStartDelayPerPeer{20};
+constexpr Milliseconds kMinStartDelay{1};
 
-// A peer without a report for this long counts as stopped, and its load is removed. The time covers
-// four repeated reports lost in a row.
-constexpr Milliseconds kPeerTimeout{1'700};
+// Unchanged load is reported every kRepeatIntervals intervals, and a peer counts as stopped after
+// kLostRepeats repeats were lost in a row.
+constexpr int kRepeatIntervals = 2;
+constexpr int kLostRepeats = 4;
+constexpr Milliseconds kPeerTimeoutMargin{100};
 
 bool IsSame(const std::vector<PeerLoad>& a, const std::vector<PeerLoad>& b) {
   return std::equal(a.begin(), a.end(), b.begin(), b.end(),
@@ -37,6 +38,17 @@
 
 }  // namespace
 
+ReportPace ReportPaceFor(std::size_t peers) {
+  const std::int64_t count = static_cast<std::int64_t>(peers);
+  ReportPace pace;
+  pace.interval =
+      std::max(kMinReportInterval, Milliseconds(1'000 * count / kProgressReportsPerSecond));
+  pace.repeat_interval = kRepeatIntervals * pace.interval;
+  pace.peer_timeout = kLostRepeats * pace.repeat_interval + kPeerTimeoutMargin;
+  pace.start_delay = std::max<Duration>(kMinStartDelay, kStartDelayPerPeer * count);
+  return pace;
+}
+
 Result<std::unique_ptr<LoadExchange>> LoadExchange::Create(
     asio::io_context& context, const Clock& clock, Fleet& fleet, const Dispatcher& dispatcher,
     std::string own_name, const asio::ip::udp::endpoint& listen, std::function<void()> on_change,
@@ -86,7 +98,7 @@
   if (std::exchange(is_report_scheduled_, true)) {
     return;
   }
-  report_timer_.expires_after(kReportDelay);
+  report_timer_.expires_after(ReportPaceFor(peers_.size()).start_delay);
   report_timer_.async_wait([this](const std::error_code& error) {
     is_report_scheduled_ = false;
     if (!error && !is_stopped_) {
@@ -155,9 +167,10 @@
 
 void LoadExchange::Tick() {
   const TimePoint now = clock_.now();
+  const ReportPace pace = ReportPaceFor(std::max(peers_.size(), last_reports_.size()));
   fleet_.ExpireExclusions(now);
   for (auto last_report = last_reports_.begin(); last_report != last_reports_.end();) {
-    if (now - last_report->second.received > kPeerTimeout) {
+    if (now - last_report->second.received > pace.peer_timeout) {
       Log(LogLevel::kInfo, "peer_lost",
           {{"peer", last_report->first}, {"silent_ms", ToMs(now - last_report->second.received)}});
       fleet_.RemovePeer(last_report->first);
@@ -168,7 +181,7 @@
     }
   }
   Send();
-  timer_.expires_after(kReportInterval);
+  timer_.expires_after(pace.interval);
   timer_.async_wait([this](const std::error_code& error) {
     if (!error && !is_stopped_) {
       Tick();
@@ -187,7 +200,8 @@
     late[service] = tokens.late;
   }
   if (IsSame(loads, last_sent_) && waiting == last_waiting_ && late == last_late_ &&
-      excluded == last_excluded_ && now - last_sent_at_ < kRepeatInterval) {
+      excluded == last_excluded_ &&
+      now - last_sent_at_ < ReportPaceFor(peers_.size()).repeat_interval) {
     return;
   }
   wire::GatewayLoad report;
@@ -206,7 +220,7 @@
   report.withheld_upstreams = excluded;
   const std::string datagram = wire::EncodeGatewayLoad(report);
   for (const auto& [name, endpoint] : peers_) {
-    // A failed send is treated as a lost datagram; the next report follows within kRepeatInterval.
+    // A failed send is treated as a lost datagram; the next report follows soon.
     std::error_code ignored;
     socket_.send_to(asio::buffer(datagram), endpoint, 0, ignored);
   }
--- a/gateway/load_exchange.h
+++ b/gateway/load_exchange.h
@@ -18,6 +18,24 @@
 
 namespace rattanramp::gateway {
 
+/// How often a gateway reports its load. The pace falls with the number of peers, because each
+/// report is sent to all of them.
+struct ReportPace {
+  /// Between reports on the progress of streams and the load of plain services. Plain requests
+  /// start and end faster than any report; for that reason placement chooses at random between
+  /// servers.
+  Duration interval{};
+  /// Between reports of unchanged load, so that a lost datagram has only a short effect.
+  Duration repeat_interval{};
+  /// A peer without a report for this long counts as stopped, and its load is removed.
+  Duration peer_timeout{};
+  /// Delay before the start or end of a generation is reported. Further starts and ends within the
+  /// delay share the datagram.
+  Duration start_delay{};
+};
+
+ReportPace ReportPaceFor(std::size_t peers);
+
 class LoadExchange {
  public:
   /// Errors: kIo when the port cannot be bound.
@@ -30,9 +48,10 @@
 
   /// Replaces the peers to which reports are sent.
   void SetPeers(std::map<std::string, asio::ip::udp::endpoint> peers);
-  /// Sends a report to the peers within kReportDelay; called when a generation starts or ends.
+  /// Sends a report to the peers after ReportPace::start_delay; called when a generation starts or
+  /// ends.
   void ScheduleReport();
-  /// Number of peers whose last report is not older than kPeerTimeout.
+  /// Number of peers whose last report is not older than ReportPace::peer_timeout.
   std::size_t live_peers() const { return last_reports_.size(); }
   /// Whether this gateway's name sorts before the names of all live peers.
   bool is_first() const {
--- a/tests/gateway/load_exchange_test.cc
+++ b/tests/gateway/load_exchange_test.cc
@@ -29,7 +29,7 @@
 /// The parts of one gateway that take part in the load exchange.
 struct TestGateway {
   TestGateway(asio::io_context& context, std::string name)
-      : fleet("domain-a"),
+      : fleet(),
         dispatcher(context, DefaultClock()),
         endpoint(asio::ip::make_address_v4("127.0.0.1"),
                  static_cast<std::uint16_t>(testing::FreePort())) {
@@ -137,3 +137,26 @@
   gateways.Run(Milliseconds(900));
   cr_assert_eq(gateways.b.exchange->live_peers(), 1);
 }
+
+// Guards against a cost of the load reports that grows with the square of the fleet. At 300 VMs of
+// censo-arbolado-grown the reports took most of the processor time, and the day was given up.
+Test(load_exchange, progress_reports_received_do_not_grow_with_the_fleet) {
+  const auto received_per_second = [](std::size_t peers) {
+    return static_cast<double>(peers) * 1'000.0 / ToMs(gateway::ReportPaceFor(peers).interval);
+  };
+  const double at_30 = received_per_second(30);
+  for (const std::size_t peers : {50, 103, 190, 640}) {
+    cr_assert_leq(received_per_second(peers), 1.7 * at_30, "%zu peers", peers);
+  }
+  // A few peers keep the shortest pace.
+  cr_assert_eq(gateway::ReportPaceFor(4).interval, Duration(Milliseconds(200)));
+  cr_assert_eq(gateway::ReportPaceFor(4).start_delay, Duration(Milliseconds(1)));
+}
+
+// Guards against counting a peer as stopped because two of its repeated reports were lost.
+Test(load_exchange, peer_timeout_covers_lost_repeats_at_each_size) {
+  for (const std::size_t peers : {1, 30, 103, 300, 1'000}) {
+    const gateway::ReportPace pace = gateway::ReportPaceFor(peers);
+    cr_assert_geq(pace.peer_timeout, 3 * pace.repeat_interval + pace.interval);
+  }
+}
