Exclude misdirected engines, limit back-off, count memory at the prefill engine

Of 4,639 generations placed, 425 prefills were refused with 503: an engine there keeps seven prompts, and neither prompts being read nor prefilled ones that wait for their decode engine were counted. 334 sends met another process at the engine's address or the wrong stage, mostly repeated by each gateway; 87 requests were refused after four of them. 379 plain requests were refused because all three servers of the service were in a back-off after lost connections.

Change: a 421 excludes the upstream for 4 s here and at the peers, until its stage changes; at most half of the upstreams of a stage are left out for back-offs; a single lost connection starts no back-off; the prompt counts as memory of the prefill engine from the start of its prefill until a decode engine answers.

--- a/core/placement.cc
+++ b/core/placement.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <vector>
 
 #include "base/hash.h"
 
@@ -176,6 +177,35 @@
          kContendedShare * share * static_cast<double>(std::max<std::int64_t>(1, contended.fits));
 }
 
+void LimitBackOff(std::span<PlacementCandidate> candidates) {
+  for (const UpstreamStage stage :
+       {UpstreamStage::kPlain, UpstreamStage::kPrefill, UpstreamStage::kDecode}) {
+    std::size_t usable = 0;
+    std::vector<PlacementCandidate*> backing_off;
+    for (PlacementCandidate& candidate : candidates) {
+      if (candidate.stage != stage) {
+        continue;
+      }
+      usable += candidate.is_usable ? 1 : 0;
+      if (candidate.is_backing_off) {
+        backing_off.push_back(&candidate);
+      }
+    }
+    const std::size_t limit = static_cast<std::size_t>(
+        kMaxBackOffShare * static_cast<double>(usable + backing_off.size()));
+    if (backing_off.size() <= limit) {
+      continue;
+    }
+    std::sort(backing_off.begin(), backing_off.end(),
+              [](const PlacementCandidate* a, const PlacementCandidate* b) {
+                return a->back_off_until < b->back_off_until;
+              });
+    for (std::size_t i = 0; i + limit < backing_off.size(); ++i) {
+      backing_off[i]->is_usable = true;
+    }
+  }
+}
+
 std::optional<std::size_t> PlacePlain(std::span<const PlacementCandidate> candidates,
                                       std::uint64_t seed) {
   CandidateSample sample(seed);
@@ -214,6 +244,11 @@
     if (queue_ms > kMaxPrefillQueueMs) {
       continue;
     }
+    // The prompts that are being read, and those that wait to be taken, cannot yield.
+    if (candidate.memory_tokens > 0 && candidate.load.reserved_tokens > 0 &&
+        MemoryUse(candidate, {prompt_tokens, prompt_tokens}) > kMaxMemoryUse) {
+      continue;
+    }
     const double own_ms = static_cast<double>(prompt_tokens) / kPrefillTokensPerMs;
     const double cached_ms = candidate.affinity == highest_affinity ? kCacheAffinityMs : 0.0;
     const double finish_ms = queue_ms - cached_ms + own_ms * (1 + 2 * candidate.failure_share) +
--- a/core/placement.h
+++ b/core/placement.h
@@ -15,7 +15,8 @@
 /// Work that this process and its peers have placed on an upstream.
 struct UpstreamLoad {
   std::int64_t running = 0;
-  /// Memory reserved for the running generations, in tokens.
+  /// Memory reserved for the running generations, in tokens. On a prefill upstream: for the prompts
+  /// that are being read or that no decode upstream has taken yet.
   std::int64_t reserved_tokens = 0;
   /// Prompt tokens that are waiting for prefill or being prefilled.
   std::int64_t prefill_tokens = 0;
@@ -27,6 +28,9 @@
   std::uint32_t failure_domain = 0;
   /// The upstream is ready, not draining, not backing off, and this request has not tried it yet.
   bool is_usable = false;
+  /// The upstream is not usable only because it is in a back-off, which ends at back_off_until.
+  bool is_backing_off = false;
+  TimePoint back_off_until;
   /// Only one request at a time may be sent to the upstream.
   bool is_on_probation = false;
   std::int64_t slots = 0;
@@ -142,6 +146,15 @@
 /// instead of each placing a generation on the same free slot.
 bool MayTakeContendedCapacity(const ContendedCapacity& contended, double random_fraction);
 
+/// Largest share of the candidates of a stage that back-offs may make unusable. If more fail, the
+/// cause is probably not theirs, and leaving them out would refuse requests that they can serve.
+inline constexpr double kMaxBackOffShare = 0.5;
+
+/// Makes candidates that are backing off usable again while they are more than kMaxBackOffShare of
+/// their stage, first those whose back-off ends first. Candidates that are unusable for another
+/// reason do not count.
+void LimitBackOff(std::span<PlacementCandidate> candidates);
+
 /// Returns the less loaded, relative to its slots, of two plain upstreams that are selected by
 /// `seed`. Empty when none has free capacity.
 std::optional<std::size_t> PlacePlain(std::span<const PlacementCandidate> candidates,
@@ -162,7 +175,8 @@
                                             std::uint64_t seed);
 
 /// Returns the prefill upstream with the earliest estimated finish, preferring the one of highest
-/// affinity by kCacheAffinityMs. Empty when none is usable or all queues exceed kMaxPrefillQueueMs.
+/// affinity by kCacheAffinityMs. Empty when none is usable, or when all have queues above
+/// kMaxPrefillQueueMs or no memory for the prompt.
 std::optional<std::size_t> PlacePrefill(std::span<const PlacementCandidate> candidates,
                                         std::int64_t prompt_tokens, std::uint64_t seed);
 
--- a/core/upstream_health.cc
+++ b/core/upstream_health.cc
@@ -3,11 +3,21 @@
 #include <algorithm>
 
 namespace rattanramp::core {
+namespace {
+
+// Number of lost connections in a row that count as a missing answer.
+constexpr std::int64_t kLossesForBackOff = 2;
+
+}  // namespace
 
 void RecordAnswer(UpstreamHealth& health, AnswerResult result, TimePoint now) {
   const double sample = result == AnswerResult::kSuccess ? 0.0 : 1.0;
   health.failure_share += kFailureShareWeight * (sample - health.failure_share);
-  if (result != AnswerResult::kNoAnswer) {
+  health.consecutive_losses = result == AnswerResult::kLost ? health.consecutive_losses + 1 : 0;
+  if (result == AnswerResult::kLost && health.consecutive_losses < kLossesForBackOff) {
+    return;
+  }
+  if (result != AnswerResult::kNoAnswer && result != AnswerResult::kLost) {
     health.consecutive_failures = 0;
     health.back_off_until = TimePoint();
     return;
--- a/core/upstream_health.h
+++ b/core/upstream_health.h
@@ -12,13 +12,18 @@
   kSuccess,
   /// A failure that a healthy upstream returns too: an application error, a refusal under load.
   kErrorAnswer,
-  /// The upstream was unreachable, reset the connection, timed out or sent an invalid answer.
+  /// The connection was lost after the request had been sent. Sound upstreams lose single
+  /// connections; only the second loss in a row counts as kNoAnswer.
+  kLost,
+  /// The upstream was unreachable, timed out or sent an invalid answer.
   kNoAnswer,
 };
 
 struct UpstreamHealth {
   /// Number of kNoAnswer results since the last other result.
   std::int64_t consecutive_failures = 0;
+  /// Number of kLost results since the last other result.
+  std::int64_t consecutive_losses = 0;
   TimePoint back_off_until;
   /// Share of results other than kSuccess, 0 to 1, as an exponential moving average.
   double failure_share = 0;
--- a/gateway/fleet.cc
+++ b/gateway/fleet.cc
@@ -44,6 +44,10 @@
         found != by_id_.end() && found->second->info.started_unix_ms == info.started_unix_ms &&
         found->second->info.service == info.service && found->second->endpoint == EndpointOf(info);
     if (is_same_process) {
+      if (found->second->info.stage != info.stage) {
+        // The cause of an exclusion, a change of the stage, has ended.
+        EndExclusion(found->second->key);
+      }
       found->second->info = info;
     } else {
       Remove(info.id);
@@ -72,9 +76,11 @@
     if (domain == domains.end()) {
       domains.push_back(info.failure_domain);
     }
-    candidate.is_usable = !info.is_draining && !upstream->is_excluded &&
-                          !core::IsBackingOff(upstream->health, now) &&
-                          std::find(tried.begin(), tried.end(), upstream->key) == tried.end();
+    const bool may_be_used = !info.is_draining && !upstream->is_excluded &&
+                             std::find(tried.begin(), tried.end(), upstream->key) == tried.end();
+    candidate.is_backing_off = may_be_used && core::IsBackingOff(upstream->health, now);
+    candidate.back_off_until = upstream->health.back_off_until;
+    candidate.is_usable = may_be_used && !candidate.is_backing_off;
     candidate.is_on_probation = core::IsOnProbation(upstream->health);
     candidate.slots = rule.engine && rule.engine->slots > 0
                           ? std::min(info.slots, rule.engine->slots)
@@ -89,6 +95,7 @@
                       upstream->local_load.prefill_tokens + upstream->peer_load.prefill_tokens};
     candidates.push_back(candidate);
   }
+  core::LimitBackOff(candidates);
 }
 
 void Fleet::SetPeerState(const std::string& peer, PeerState state) {
@@ -149,7 +156,8 @@
 std::vector<PeerLoad> Fleet::LocalLoad() const {
   std::vector<PeerLoad> loads;
   for (const auto& [id, upstream] : by_id_) {
-    if (upstream->local_load.running > 0 || upstream->local_load.prefill_tokens > 0) {
+    if (upstream->local_load.running > 0 || upstream->local_load.prefill_tokens > 0 ||
+        upstream->local_load.reserved_tokens > 0) {
       loads.push_back({upstream->key, upstream->local_load});
     }
   }
--- a/gateway/gateway_state.h
+++ b/gateway/gateway_state.h
@@ -46,6 +46,16 @@
   return state.profiles.try_emplace(service, kInitialProfile).first->second;
 }
 
+/// Time for which an upstream gets no requests after another process has answered at its address,
+/// or after it has refused its stage. By the end of it each gateway has read the list of upstreams.
+inline constexpr Milliseconds kMisdirectedTime{4'000};
+
+/// Excludes an upstream that refused a request as sent to the wrong process, and tells the peers.
+inline void ExcludeMisdirected(GatewayState& state, const Upstream& upstream) {
+  state.fleet.Exclude(upstream.key, state.clock.now() + kMisdirectedTime);
+  state.on_reservation_change();
+}
+
 /// Uses one retry out of this gateway's part of the service's retry bound. Returns false when that
 /// part is used up.
 inline bool TakeExtraArrival(GatewayState& state, const std::string& service) {
--- a/gateway/generation_exchange.cc
+++ b/gateway/generation_exchange.cc
@@ -111,6 +111,7 @@
   }
   attempt_.reset();
   ReleaseDecode();
+  ReleasePrefill();
   state_.dispatcher.Wake(request_.service->name);
 }
 
@@ -326,8 +327,23 @@
   }
 }
 
+void GenerationExchange::ReservePrefill(const std::shared_ptr<Upstream>& prefill) {
+  ReleasePrefill();
+  prefill_ = prefill;
+  prefill_->local_load.reserved_tokens += request_.facts.prompt_tokens;
+}
+
+void GenerationExchange::ReleasePrefill() {
+  if (prefill_) {
+    prefill_->local_load.reserved_tokens -= request_.facts.prompt_tokens;
+    prefill_.reset();
+    state_.on_reservation_change();
+  }
+}
+
 void GenerationExchange::StartPrefill(const std::shared_ptr<Upstream>& prefill) {
   phase_ = Phase::kPrefill;
+  ReservePrefill(prefill);
   request_.tried_ids.push_back(prefill->info.id);
   const TimePoint now = state_.clock.now();
   platform::UpstreamRequest call;
@@ -412,6 +428,7 @@
   if (phase_ != Phase::kDecode || head.status != 200 || !facts.is_signed) {
     return;
   }
+  ReleasePrefill();
   is_streaming_ = true;
   if (!is_stream_open_) {
     is_stream_open_ = true;
@@ -460,7 +477,7 @@
   core::UpstreamHealth& health = decode_->health;
   const TimePoint now = state_.clock.now();
   if (answer_facts_.wrong_instance) {
-    core::RecordAnswer(health, core::AnswerResult::kNoAnswer, now);
+    ExcludeMisdirected(state_, *decode_);
     kv_source_ = sent_kv_source_;
     OnDecodeNotRun("another process answers at the engine's address");
     return;
@@ -514,10 +531,11 @@
   Upstream& prefill = attempt_->upstream();
   const TimePoint now = state_.clock.now();
   if (answer_head_.status != 200) {
-    core::RecordAnswer(prefill.health,
-                       answer_facts_.wrong_instance ? core::AnswerResult::kNoAnswer
-                                                    : core::AnswerResult::kErrorAnswer,
-                       now);
+    if (answer_facts_.wrong_instance) {
+      ExcludeMisdirected(state_, prefill);
+    } else {
+      core::RecordAnswer(prefill.health, core::AnswerResult::kErrorAnswer, now);
+    }
     OnPrefillFailure(fmt::format("prefill answered {}", answer_head_.status));
     return;
   }
@@ -566,6 +584,7 @@
 void GenerationExchange::OnPrefillFailure(std::string_view why) {
   LogRequestStep(request_, "prefill_failed", attempt_->upstream(), why);
   attempt_.reset();
+  ReleasePrefill();
   if (++failures_without_run_ >= kMaxFailuresWithoutRun ||
       !TakeExtraArrival(state_, request_.service->name)) {
     EndWithFailure("prefill failed", kNoCapacityRetryMs);
@@ -626,7 +645,10 @@
   }
   state_.dispatcher.Wake(request_.service->name);
   const TimePoint now = state_.clock.now();
-  core::RecordAnswer(attempt_->upstream().health, core::AnswerResult::kNoAnswer, now);
+  core::RecordAnswer(attempt_->upstream().health,
+                     failure == AttemptFailure::kConnectionLost ? core::AnswerResult::kLost
+                                                                : core::AnswerResult::kNoAnswer,
+                     now);
   if (phase_ == Phase::kPrefill) {
     OnPrefillFailure(failure == AttemptFailure::kNotConnected ? "connection failed"
                                                               : "no complete answer");
--- a/gateway/generation_exchange.h
+++ b/gateway/generation_exchange.h
@@ -56,6 +56,9 @@
   /// Reserves memory of the decode engine, also while another engine prefills the prompt.
   void ReserveDecode(const std::shared_ptr<Upstream>& decode);
   void ReleaseDecode();
+  /// Reserves memory of the prefill engine until a decode engine has taken the prompt.
+  void ReservePrefill(const std::shared_ptr<Upstream>& prefill);
+  void ReleasePrefill();
   /// Memory that the request is expected to take on average for the rest of its run, in tokens.
   std::int64_t MemoryTokens() const;
   /// Output tokens received from the engines so far.
@@ -88,6 +91,8 @@
   Phase phase_ = Phase::kWaiting;
   std::unique_ptr<Attempt> attempt_;
   std::shared_ptr<Upstream> decode_;
+  /// The engine that reads or keeps the prompt; null: none.
+  std::shared_ptr<Upstream> prefill_;
   bool has_reservation_ = false;
   std::int64_t reserved_tokens_ = 0;
   TimePoint reserved_at_;
--- a/gateway/plain_exchange.cc
+++ b/gateway/plain_exchange.cc
@@ -190,7 +190,7 @@
   core::UpstreamHealth& health = attempt_->upstream().health;
   state_.dispatcher.Wake(request_.service->name);
   if (answer_facts_.wrong_instance) {
-    core::RecordAnswer(health, core::AnswerResult::kNoAnswer, now);
+    ExcludeMisdirected(state_, attempt_->upstream());
     if (!Retry(false, "another process answers at the upstream's address")) {
       is_done_ = true;
       AnswerNotRun(request_, state_, sink_, "the upstream was replaced by another process",
@@ -251,7 +251,7 @@
   // upstream.
   core::RecordAnswer(attempt_->upstream().health,
                      failure == AttemptFailure::kTimedOut ? core::AnswerResult::kErrorAnswer
-                                                          : core::AnswerResult::kNoAnswer,
+                                                          : core::AnswerResult::kLost,
                      now);
   if (!Retry(true,
              failure == AttemptFailure::kTimedOut ? "upstream timed out" : "connection lost")) {
--- a/gateway/request_context.cc
+++ b/gateway/request_context.cc
@@ -61,6 +61,8 @@
        {"running_peers", upstream.peer_load.running},
        {"reserved_own", upstream.local_load.reserved_tokens},
        {"reserved_peers", upstream.peer_load.reserved_tokens},
+       {"prefill_own", upstream.local_load.prefill_tokens},
+       {"prefill_peers", upstream.peer_load.prefill_tokens},
        {"slots", upstream.info.slots},
        {"poor_share", upstream.health.failure_share}});
 }
--- a/tests/core/placement_test.cc
+++ b/tests/core/placement_test.cc
@@ -374,3 +374,26 @@
   cr_assert(!core::IsBackingOff(health, now));
   cr_assert(!core::IsOnProbation(health));
 }
+
+// Load pattern: many prompts at once on engines with little memory, as after a restart of all
+// gateways. Guards against prefills that an engine refuses because prompts that are being read, and
+// prefilled ones that no decode engine has taken yet, fill its memory (425 refusals on
+// hanbit-allot-grown trouble-1, whose engines hold seven prompts).
+Test(placement, prefill_engine_takes_no_more_prompts_than_its_memory_holds) {
+  std::vector<PlacementCandidate> engines = Engines(2, 1);
+  for (PlacementCandidate& engine : engines) {
+    engine.memory_tokens = 24'000;
+  }
+  int placed = 0;
+  for (std::uint64_t seed = 0; seed < 40; ++seed) {
+    const std::optional<std::size_t> prefill = core::PlacePrefill(engines, 3'200, seed);
+    if (prefill) {
+      engines[*prefill].load.reserved_tokens += 3'200;
+      ++placed;
+    }
+  }
+  cr_assert_eq(placed, 14);
+  // A prompt that is larger than the rest of the memory still gets an idle engine.
+  engines[0].load = {};
+  cr_assert(core::PlacePrefill(engines, 23'900, 1) == std::optional<std::size_t>(0));
+}
--- a/tests/gateway/generation_exchange_test.cc
+++ b/tests/gateway/generation_exchange_test.cc
@@ -255,3 +255,49 @@
   cr_assert(fixture.sink.is_complete);
   cr_assert_eq(decode.heads().size(), 1);
 }
+
+// Guards against sending one request after the other to an engine that is no longer at its address,
+// at this gateway and its peers, until the list of upstreams is read again.
+Test(generation_exchange, misdirected_engine_gets_no_further_requests, .timeout = 30) {
+  FakeEngine prefill(PrefillAnswer);
+  FakeEngine gone([](const std::string& /*head*/, int /*number*/) -> FakeAnswer {
+    return {CompleteAnswer(421, "Instance-Id: other\r\n", ""), false};
+  });
+  ExchangeFixture fixture;
+  fixture.Add("p", UpstreamStage::kPrefill, prefill.port());
+  fixture.Add("d", UpstreamStage::kDecode, gone.port());
+  fixture.Run(RequestKind::kStream, false, 2, 1'000);
+  cr_assert_eq(fixture.sink.status, 503);
+  cr_assert_eq(gone.heads().size(), 1);
+  cr_assert(fixture.fleet.upstreams().at("d")->is_excluded);
+  cr_assert_eq(fixture.fleet.LocalExclusions().size(), 1);
+}
+
+// Guards against counting memory of the prefill engine as free while it keeps a prompt that no
+// decode engine has taken, and against counting it as taken afterwards.
+Test(generation_exchange, prefilled_prompt_counts_at_its_engine_until_it_is_taken, .timeout = 30) {
+  FakeEngine prefill(PrefillAnswer);
+  FakeEngine decode([](const std::string& /*head*/, int /*number*/) -> FakeAnswer {
+    FakeAnswer answer;
+    answer.later = {kStreamHead + Event(1), "0\r\n\r\n"};
+    answer.pause = std::chrono::milliseconds(300);
+    return answer;
+  });
+  ExchangeFixture fixture;
+  fixture.Add("p", UpstreamStage::kPrefill, prefill.port());
+  fixture.Add("d", UpstreamStage::kDecode, decode.port());
+  asio::steady_timer before_answer(fixture.context, Milliseconds(200));
+  asio::steady_timer after_answer(fixture.context, Milliseconds(500));
+  std::int64_t waiting_tokens = -1;
+  std::int64_t taken_tokens = -1;
+  before_answer.async_wait([&](const std::error_code& /*error*/) {
+    waiting_tokens = fixture.fleet.upstreams().at("p")->local_load.reserved_tokens;
+  });
+  after_answer.async_wait([&](const std::error_code& /*error*/) {
+    taken_tokens = fixture.fleet.upstreams().at("p")->local_load.reserved_tokens;
+  });
+  fixture.Run(RequestKind::kStream, false);
+  cr_assert(fixture.sink.is_complete);
+  cr_assert_eq(waiting_tokens, 5'000);
+  cr_assert_eq(taken_tokens, 0);
+}
