--- a/core/upstream_directory.cc
+++ b/core/upstream_directory.cc
@@ -38,4 +38,13 @@
   return change;
 }
 
+bool ConfirmDirectory(UpstreamDirectory& directory, std::size_t listed, TimePoint now) {
+  if (!directory.has_read || now - directory.last_read > kOutageThreshold ||
+      now < directory.keep_missing_until || listed != directory.upstreams.size()) {
+    return false;
+  }
+  directory.last_read = now;
+  return true;
+}
+
 }  // namespace rattanramp::core
--- a/core/upstream_directory.h
+++ b/core/upstream_directory.h
@@ -1,6 +1,7 @@
 // Directory of the upstreams in service, updated from snapshots of the platform's list.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <span>
@@ -61,4 +62,8 @@
 DirectoryChange ApplySnapshot(UpstreamDirectory& directory, std::span<const UpstreamInfo> snapshot,
                               bool has_failed, TimePoint now);
 
+/// Records that a list was read at `now` that equals the directory. Returns false when a snapshot
+/// must be applied instead: after an outage, or while missing upstreams are kept.
+bool ConfirmDirectory(UpstreamDirectory& directory, std::size_t listed, TimePoint now);
+
 }  // namespace rattanramp::core
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -98,7 +98,8 @@
   Result<std::unique_ptr<LoadExchange>> exchange = LoadExchange::Create(
       context, clock, gateway->fleet_, gateway->dispatcher_, own.node, {own.address, own.peer_port},
       [raw = gateway.get()] { raw->dispatcher_.WakeAll(); },
-      [raw = gateway.get()] { raw->watch_->RefreshGateways(); });
+      [raw = gateway.get()] { raw->watch_->RefreshGateways(); },
+      [raw = gateway.get()](const core::ListNews& news) { raw->OnListNews(news); });
   if (!exchange) {
     return exchange.error();
   }
@@ -278,10 +279,41 @@
        {"routes", table_->routes().size()}});
 }
 
-void Gateway::OnUpstreamRows(const std::vector<store::TableRow>& rows, bool has_failed) {
+void Gateway::OnUpstreamRows(const std::vector<store::TableRow>& rows, bool has_failed,
+                             std::int64_t clock_ms) {
   const platform::DecodedUpstreams decoded = platform::DecodeUpstreams(rows);
+  const bool has_view = list_view_.read_clock_ms > 0;
+  const core::ListNews news = core::RecordRead(list_view_, decoded.upstreams, clock_ms);
+  ApplyUpstreams(decoded.upstreams, has_failed);
+  // After an outage each gateway finds out by itself how long it must keep missing upstreams.
+  if (clock_ms > 0 && has_view && !has_failed &&
+      news.changed.size() + news.removed.size() <= core::kMaxNewsEntries) {
+    load_exchange_->AnnounceList(news);
+    metrics_.Count("list_announcements_total");
+  }
+}
+
+std::size_t Gateway::ListPeers() const { return load_exchange_->live_peers(); }
+
+void Gateway::OnListNews(const core::ListNews& news) {
+  const std::optional<TimePoint> read_at = watch_->OwnTimeOf(news.read_clock_ms);
+  const TimePoint now = clock_.now();
+  if (is_stopping_ || !read_at || now - *read_at > core::kMaxNewsAge ||
+      !core::ApplyNews(list_view_, news)) {
+    metrics_.Count("list_news_unused_total");
+    return;
+  }
+  metrics_.Count("list_news_total");
+  const bool has_failed = watch_->OnListNews(news.read_clock_ms);
+  const bool is_unchanged = news.changed.empty() && news.removed.empty() && !has_failed;
+  if (!is_unchanged || !core::ConfirmDirectory(directory_, list_view_.upstreams.size(), now)) {
+    ApplyUpstreams(core::Entries(list_view_), has_failed);
+  }
+}
+
+void Gateway::ApplyUpstreams(std::span<const core::UpstreamInfo> upstreams, bool has_failed) {
   const core::DirectoryChange change =
-      core::ApplySnapshot(directory_, decoded.upstreams, has_failed, clock_.now());
+      core::ApplySnapshot(directory_, upstreams, has_failed, clock_.now());
   for (const auto& [what, infos] : {std::pair{"upstream_added", &change.added},
                                     {"upstream_changed", &change.updated},
                                     {"upstream_removed", &change.removed}}) {
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -57,6 +57,10 @@
   void Tick();
   void CheckStopped();
   bool AcceptsWork() const;
+  void OnListNews(const core::ListNews& news);
+  /// Applies a list of upstreams to the directory and the fleet, and tells the peers which
+  /// upstreams leave.
+  void ApplyUpstreams(std::span<const core::UpstreamInfo> upstreams, bool has_failed);
 
   std::unique_ptr<Exchange> StartExchange(CallerSink& sink, http::RequestHead head,
                                           std::string body) override;
@@ -65,7 +69,9 @@
   void OnConnectionEnd(const CallerConnection* connection) override;
 
   void OnConfigRow(const std::string& text, std::int64_t row_version) override;
-  void OnUpstreamRows(const std::vector<store::TableRow>& rows, bool has_failed) override;
+  void OnUpstreamRows(const std::vector<store::TableRow>& rows, bool has_failed,
+                      std::int64_t clock_ms) override;
+  std::size_t ListPeers() const override;
   void OnGatewayRows(const std::map<std::string, std::string>& rows) override;
 
   asio::io_context& context_;
@@ -77,6 +83,7 @@
   std::map<std::string, core::RetryWindow> retry_windows_;
   GatewayState state_;
   core::UpstreamDirectory directory_;
+  core::ListView list_view_;
   std::shared_ptr<const core::RoutingTable> table_;
   std::unique_ptr<LoadExchange> load_exchange_;
   std::unique_ptr<StoreWatch> watch_;
--- a/gateway/load_exchange.cc
+++ b/gateway/load_exchange.cc
@@ -36,6 +36,63 @@
                     });
 }
 
+bool IsSame(const std::map<std::string, core::WaitingTokens>& a,
+            const std::map<std::string, core::WaitingTokens>& b) {
+  return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](const auto& x, const auto& y) {
+    return x.first == y.first && x.second.on_time == y.second.on_time &&
+           x.second.late == y.second.late;
+  });
+}
+
+wire::GatewayListNews EncodeNews(const core::ListNews& news) {
+  wire::GatewayListNews encoded;
+  encoded.read_clock_ms = news.read_clock_ms;
+  encoded.digest = static_cast<std::int64_t>(news.digest);
+  encoded.removed = news.removed;
+  for (const core::UpstreamInfo& info : news.changed) {
+    wire::GatewayListEntry entry;
+    entry.id = info.id;
+    entry.service_name = info.service;
+    entry.failure_domain = info.failure_domain;
+    entry.address = info.address;
+    entry.port = info.port;
+    entry.stage = static_cast<std::int32_t>(info.stage);
+    entry.slots = info.slots;
+    entry.draining = info.is_draining;
+    entry.started_unix_ms = info.started_unix_ms;
+    encoded.changed.push_back(std::move(entry));
+  }
+  return encoded;
+}
+
+/// Empty when a field is outside its range.
+std::optional<core::ListNews> DecodeNews(const wire::GatewayListNews& encoded) {
+  core::ListNews news;
+  news.read_clock_ms = encoded.read_clock_ms;
+  news.digest = static_cast<std::uint64_t>(encoded.digest);
+  news.removed = encoded.removed;
+  for (const wire::GatewayListEntry& entry : encoded.changed) {
+    std::error_code address_error;
+    asio::ip::make_address_v4(entry.address, address_error);
+    if (address_error || entry.port <= 0 || entry.port > 65'535 || entry.stage < 0 ||
+        entry.stage > static_cast<std::int32_t>(core::UpstreamStage::kDecode) || entry.slots < 0) {
+      return std::nullopt;
+    }
+    core::UpstreamInfo info;
+    info.id = entry.id;
+    info.service = entry.service_name;
+    info.failure_domain = entry.failure_domain;
+    info.address = entry.address;
+    info.port = static_cast<std::uint16_t>(entry.port);
+    info.stage = static_cast<core::UpstreamStage>(entry.stage);
+    info.slots = entry.slots;
+    info.is_draining = entry.draining;
+    info.started_unix_ms = entry.started_unix_ms;
+    news.changed.push_back(std::move(info));
+  }
+  return news;
+}
+
 }  // namespace
 
 ReportPace ReportPaceFor(std::size_t peers) {
@@ -52,10 +109,10 @@
 Result<std::unique_ptr<LoadExchange>> LoadExchange::Create(
     asio::io_context& context, const Clock& clock, Fleet& fleet, const Dispatcher& dispatcher,
     std::string own_name, const asio::ip::udp::endpoint& listen, std::function<void()> on_change,
-    std::function<void()> on_unknown_peer) {
-  std::unique_ptr<LoadExchange> exchange(new LoadExchange(context, clock, fleet, dispatcher,
-                                                          std::move(own_name), std::move(on_change),
-                                                          std::move(on_unknown_peer)));
+    std::function<void()> on_unknown_peer, ListNewsHandler on_list_news) {
+  std::unique_ptr<LoadExchange> exchange(
+      new LoadExchange(context, clock, fleet, dispatcher, std::move(own_name), std::move(on_change),
+                       std::move(on_unknown_peer), std::move(on_list_news)));
   std::error_code error;
   exchange->socket_.open(asio::ip::udp::v4(), error);
   if (!error) {
@@ -79,13 +136,15 @@
 
 LoadExchange::LoadExchange(asio::io_context& context, const Clock& clock, Fleet& fleet,
                            const Dispatcher& dispatcher, std::string own_name,
-                           std::function<void()> on_change, std::function<void()> on_unknown_peer)
+                           std::function<void()> on_change, std::function<void()> on_unknown_peer,
+                           ListNewsHandler on_list_news)
     : clock_(clock),
       fleet_(fleet),
       dispatcher_(dispatcher),
       own_name_(std::move(own_name)),
       on_change_(std::move(on_change)),
       on_unknown_peer_(std::move(on_unknown_peer)),
+      on_list_news_(std::move(on_list_news)),
       socket_(context),
       timer_(context),
       report_timer_(context) {}
@@ -162,6 +221,14 @@
   }
   state.excluded = report.withheld_upstreams;
   fleet_.SetPeerState(report.gateway, std::move(state));
+  if (report.__isset.list_news && on_list_news_) {
+    const std::optional<core::ListNews> news = DecodeNews(report.list_news);
+    if (news) {
+      on_list_news_(*news);
+    } else {
+      Log(LogLevel::kWarning, "list_news_unreadable", {{"peer", report.gateway}});
+    }
+  }
   on_change_();
 }
 
@@ -189,25 +256,26 @@
   });
 }
 
+void LoadExchange::AnnounceList(const core::ListNews& news) { SendReport(&news); }
+
 void LoadExchange::Send() {
-  const TimePoint now = clock_.now();
-  std::vector<PeerLoad> loads = fleet_.LocalLoad();
-  std::vector<std::int64_t> excluded = fleet_.LocalExclusions();
-  std::map<std::string, std::int64_t> waiting;
-  std::map<std::string, std::int64_t> late;
-  for (const auto& [service, tokens] : dispatcher_.waiting_tokens_by_service()) {
-    waiting[service] = tokens.on_time;
-    late[service] = tokens.late;
-  }
-  if (IsSame(loads, last_sent_) && waiting == last_waiting_ && late == last_late_ &&
-      excluded == last_excluded_ &&
-      now - last_sent_at_ < ReportPaceFor(peers_.size()).repeat_interval) {
-    return;
+  const bool is_same = fleet_.LocalExclusions() == last_excluded_ &&
+                       IsSame(fleet_.LocalLoad(), last_sent_) &&
+                       IsSame(dispatcher_.waiting_tokens_by_service(), last_waiting_);
+  if (!is_same || clock_.now() - last_sent_at_ >= ReportPaceFor(peers_.size()).repeat_interval) {
+    SendReport(nullptr);
   }
+}
+
+void LoadExchange::SendReport(const core::ListNews* news) {
+  last_sent_ = fleet_.LocalLoad();
+  last_waiting_ = dispatcher_.waiting_tokens_by_service();
+  last_excluded_ = fleet_.LocalExclusions();
+  last_sent_at_ = clock_.now();
   wire::GatewayLoad report;
   report.gateway = own_name_;
   report.sequence = ++sequence_;
-  for (const PeerLoad& load : loads) {
+  for (const PeerLoad& load : last_sent_) {
     wire::GatewayUpstreamLoad upstream;
     upstream.upstream_key = load.key;
     upstream.running = load.load.running;
@@ -215,20 +283,20 @@
     upstream.prefill_tokens = load.load.prefill_tokens;
     report.upstreams.push_back(upstream);
   }
-  report.waiting_tokens = waiting;
-  report.late_waiting_tokens = late;
-  report.withheld_upstreams = excluded;
+  for (const auto& [service, tokens] : last_waiting_) {
+    report.waiting_tokens[service] = tokens.on_time;
+    report.late_waiting_tokens[service] = tokens.late;
+  }
+  report.withheld_upstreams = last_excluded_;
+  if (news != nullptr) {
+    report.__set_list_news(EncodeNews(*news));
+  }
   const std::string datagram = wire::EncodeGatewayLoad(report);
   for (const auto& [name, endpoint] : peers_) {
     // A failed send is treated as a lost datagram; the next report follows soon.
     std::error_code ignored;
     socket_.send_to(asio::buffer(datagram), endpoint, 0, ignored);
   }
-  last_sent_ = std::move(loads);
-  last_waiting_ = std::move(waiting);
-  last_late_ = std::move(late);
-  last_excluded_ = std::move(excluded);
-  last_sent_at_ = now;
 }
 
 }  // namespace rattanramp::gateway
--- a/gateway/load_exchange.h
+++ b/gateway/load_exchange.h
@@ -6,6 +6,7 @@
 #include <asio/ip/udp.hpp>
 #include <asio/steady_timer.hpp>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -13,6 +14,7 @@
 
 #include "base/clock.h"
 #include "base/result.h"
+#include "core/shared_list.h"
 #include "gateway/dispatcher.h"
 #include "gateway/fleet.h"
 
@@ -38,19 +40,21 @@
 
 class LoadExchange {
  public:
+  using ListNewsHandler = std::function<void(const core::ListNews&)>;
+
   /// Errors: kIo when the port cannot be bound.
-  static Result<std::unique_ptr<LoadExchange>> Create(asio::io_context& context, const Clock& clock,
-                                                      Fleet& fleet, const Dispatcher& dispatcher,
-                                                      std::string own_name,
-                                                      const asio::ip::udp::endpoint& listen,
-                                                      std::function<void()> on_change,
-                                                      std::function<void()> on_unknown_peer);
+  static Result<std::unique_ptr<LoadExchange>> Create(
+      asio::io_context& context, const Clock& clock, Fleet& fleet, const Dispatcher& dispatcher,
+      std::string own_name, const asio::ip::udp::endpoint& listen, std::function<void()> on_change,
+      std::function<void()> on_unknown_peer, ListNewsHandler on_list_news = nullptr);
 
   /// Replaces the peers to which reports are sent.
   void SetPeers(std::map<std::string, asio::ip::udp::endpoint> peers);
   /// Sends a report to the peers after ReportPace::start_delay; called when a generation starts or
   /// ends.
   void ScheduleReport();
+  /// Tells the peers at once what a read of the list of upstreams has found.
+  void AnnounceList(const core::ListNews& news);
   /// Number of peers whose last report is not older than ReportPace::peer_timeout.
   std::size_t live_peers() const { return last_reports_.size(); }
   /// Whether this gateway's name sorts before the names of all live peers.
@@ -67,12 +71,14 @@
 
   LoadExchange(asio::io_context& context, const Clock& clock, Fleet& fleet,
                const Dispatcher& dispatcher, std::string own_name, std::function<void()> on_change,
-               std::function<void()> on_unknown_peer);
+               std::function<void()> on_unknown_peer, ListNewsHandler on_list_news);
 
   void Receive();
   void OnDatagram(std::size_t size);
   void Tick();
+  /// Sends a report if the load has changed or the repeat interval has passed.
   void Send();
+  void SendReport(const core::ListNews* news);
 
   const Clock& clock_;
   Fleet& fleet_;
@@ -80,6 +86,7 @@
   std::string own_name_;
   std::function<void()> on_change_;
   std::function<void()> on_unknown_peer_;
+  ListNewsHandler on_list_news_;
   asio::ip::udp::socket socket_;
   asio::steady_timer timer_;
   asio::steady_timer report_timer_;
@@ -89,8 +96,7 @@
   std::map<std::string, asio::ip::udp::endpoint> peers_;
   std::map<std::string, LastReport> last_reports_;
   std::vector<PeerLoad> last_sent_;
-  std::map<std::string, std::int64_t> last_waiting_;
-  std::map<std::string, std::int64_t> last_late_;
+  std::map<std::string, core::WaitingTokens> last_waiting_;
   std::vector<std::int64_t> last_excluded_;
   TimePoint last_sent_at_;
   std::int64_t sequence_ = 0;
--- a/gateway/store_watch.cc
+++ b/gateway/store_watch.cc
@@ -124,6 +124,7 @@
 }
 
 void StoreWatch::OnConfig(const store::TableRows& rows) {
+  core::ObserveStoreClock(store_clock_, rows.clock_ms, clock_.now());
   config_table_version_ = std::max(config_table_version_, rows.version);
   for (const store::TableRow& row : rows.rows) {
     if (row.key == source_.config_key && !row.is_removed && row.version > config_row_version_) {
@@ -142,14 +143,36 @@
     }
     const bool has_failed = upstreams_.failures > 0;
     RecordSuccess(upstreams_, "upstreams");
-    listener_.OnUpstreamRows(rows.value().rows, has_failed);
+    const std::int64_t clock_ms = rows.value().clock_ms;
+    core::ObserveStoreClock(store_clock_, clock_ms, clock_.now());
+    listener_.OnUpstreamRows(rows.value().rows, has_failed, clock_ms);
     ScheduleNext(upstreams_,
-                 has_used_first_interval_ ? intervals_.upstream_interval : FirstInterval(),
+                 has_used_first_interval_ ? NextUpstreamRead(clock_ms) : FirstInterval(),
                  &StoreWatch::ReadUpstreams);
     has_used_first_interval_ = true;
   });
 }
 
+Duration StoreWatch::NextUpstreamRead(std::int64_t read_clock_ms) const {
+  const std::optional<TimePoint> read_at = OwnTimeOf(read_clock_ms);
+  const TimePoint now = clock_.now();
+  if (read_clock_ms == 0 || !read_at) {
+    return intervals_.upstream_interval;
+  }
+  const Duration age =
+      core::ReadAge(intervals_.upstream_interval, own_name_, read_clock_ms, listener_.ListPeers());
+  return std::max(Duration::zero(), *read_at + age - now);
+}
+
+bool StoreWatch::OnListNews(std::int64_t read_clock_ms) {
+  const bool has_failed = upstreams_.failures > 0;
+  RecordSuccess(upstreams_, "upstreams");
+  if (!is_stopped_ && upstreams_.is_waiting) {
+    ScheduleNext(upstreams_, NextUpstreamRead(read_clock_ms), &StoreWatch::ReadUpstreams);
+  }
+  return has_failed;
+}
+
 Duration StoreWatch::FirstInterval() const {
   const double share = static_cast<double>(Hash64(own_name_) % 1'000) / 1'000.0;
   return std::chrono::duration_cast<Duration>(share * intervals_.upstream_interval);
@@ -187,6 +210,7 @@
       return;
     }
     RecordSuccess(gateways_, "gateways");
+    core::ObserveStoreClock(store_clock_, rows.value().clock_ms, clock_.now());
     OnGateways(rows.value());
     const Duration wait = std::max(Duration::zero(), own_row_renewal_ - clock_.now());
     ScheduleNext(gateways_, wait, &StoreWatch::WriteOwnRow);
--- a/gateway/store_watch.h
+++ b/gateway/store_watch.h
@@ -8,10 +8,12 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "base/clock.h"
+#include "core/shared_list.h"
 #include "core/upstream_directory.h"
 #include "gateway/store_source.h"
 #include "store/async_table.h"
@@ -24,7 +26,11 @@
   virtual ~StoreListener() = default;
   virtual void OnConfigRow(const std::string& text, std::int64_t row_version) = 0;
   /// has_failed: at least one read has failed since the previous successful one.
-  virtual void OnUpstreamRows(const std::vector<store::TableRow>& rows, bool has_failed) = 0;
+  /// clock_ms: the store's clock at the read; 0: unknown.
+  virtual void OnUpstreamRows(const std::vector<store::TableRow>& rows, bool has_failed,
+                              std::int64_t clock_ms) = 0;
+  /// Number of gateways from which news about the list of upstreams may come.
+  virtual std::size_t ListPeers() const = 0;
   /// Rows by gateway name, including this gateway's own. Rows that are no longer renewed are left
   /// out.
   virtual void OnGatewayRows(const std::map<std::string, std::string>& rows) = 0;
@@ -54,6 +60,13 @@
   void Start();
   /// Reads the table of gateways ahead of schedule; called when an unknown gateway sends a report.
   void RefreshGateways();
+  /// Called when a peer's read has confirmed or updated the list of upstreams: postpones the next
+  /// own read. Returns whether own reads have failed since the last view.
+  bool OnListNews(std::int64_t read_clock_ms);
+  /// Own time at which the store's clock showed `clock_ms`; empty while it is unknown.
+  std::optional<TimePoint> OwnTimeOf(std::int64_t clock_ms) const {
+    return core::OwnTimeOf(store_clock_, clock_ms);
+  }
   /// Removes this gateway's row from the table and stops all reads.
   void Deregister(std::function<void()> done);
 
@@ -78,6 +91,8 @@
   void WriteOwnRow();
   void ReadGateways();
   void OnGateways(const store::TableRows& rows);
+  /// Time until the list of upstreams must be read again after a view of the given store time.
+  Duration NextUpstreamRead(std::int64_t read_clock_ms) const;
   void ScheduleNext(Poller& poller, Duration wait, void (StoreWatch::*next)());
   /// Counts a failed call and logs the first of a series. Returns the wait before the next call.
   Duration RecordFailure(Poller& poller, const char* what, const Error& error);
@@ -96,6 +111,7 @@
   std::int64_t config_row_version_ = 0;
   bool is_stopped_ = false;
   bool has_used_first_interval_ = false;
+  core::StoreClock store_clock_;
   TimePoint last_gateways_read_;
   TimePoint own_row_renewal_;
   struct GatewayRow {
--- a/tests/gateway/load_exchange_test.cc
+++ b/tests/gateway/load_exchange_test.cc
@@ -160,3 +160,40 @@
     cr_assert_geq(pace.peer_timeout, 3 * pace.repeat_interval + pace.interval);
   }
 }
+
+// Guards against a list entry that changes on its way, and against unusable entries of a faulty
+// peer being taken.
+Test(load_exchange, list_news_reach_the_peers, .timeout = 30) {
+  asio::io_context context;
+  TestGateway sender(context, "a");
+  Fleet fleet;
+  gateway::Dispatcher dispatcher(context, DefaultClock());
+  const asio::ip::udp::endpoint endpoint(asio::ip::make_address_v4("127.0.0.1"),
+                                         static_cast<std::uint16_t>(testing::FreePort()));
+  std::vector<core::ListNews> received;
+  const std::unique_ptr<LoadExchange> receiver =
+      std::move(LoadExchange::Create(
+                    context, DefaultClock(), fleet, dispatcher, "b", endpoint, [] {}, [] {},
+                    [&](const core::ListNews& news) { received.push_back(news); })
+                    .value());
+  sender.exchange->SetPeers({{"b", endpoint}});
+  core::ListNews news;
+  news.read_clock_ms = 5'000;
+  news.digest = 0xfedcba9876543210;
+  news.changed = {Engine("e9")};
+  news.changed[0].is_draining = true;
+  news.changed[0].started_unix_ms = 1'700'000'000'123;
+  news.removed = {"e1"};
+  sender.exchange->AnnounceList(news);
+  context.run_for(Milliseconds(50));
+  cr_assert_eq(received.size(), 1);
+  cr_assert_eq(received[0].read_clock_ms, 5'000);
+  cr_assert_eq(received[0].digest, news.digest);
+  cr_assert(received[0].changed == news.changed);
+  cr_assert(received[0].removed == news.removed);
+  news.changed[0].address = "not an address";
+  sender.exchange->AnnounceList(news);
+  context.restart();
+  context.run_for(Milliseconds(50));
+  cr_assert_eq(received.size(), 1);
+}
--- a/tests/gateway/store_watch_test.cc
+++ b/tests/gateway/store_watch_test.cc
@@ -21,11 +21,13 @@
   void OnConfigRow(const std::string& text, std::int64_t /*row_version*/) override {
     configs.push_back(text);
   }
-  void OnUpstreamRows(const std::vector<store::TableRow>& rows, bool has_failed) override {
+  void OnUpstreamRows(const std::vector<store::TableRow>& rows, bool has_failed,
+                      std::int64_t /*clock_ms*/) override {
     reads_after_failure += has_failed ? 1 : 0;
     ++upstream_reads;
     upstreams = rows.size();
   }
+  std::size_t ListPeers() const override { return 0; }
   void OnGatewayRows(const std::map<std::string, std::string>& rows) override { gateways = rows; }
 
   std::vector<std::string> configs;
--- a/wire/gen-cpp/rattanramp_types.cpp
+++ b/wire/gen-cpp/rattanramp_types.cpp
@@ -5871,6 +5871,519 @@
 }
 
 
+GatewayListEntry::~GatewayListEntry() noexcept {
+}
+
+
+void GatewayListEntry::__set_id(const std::string& val) {
+  this->id = val;
+}
+
+void GatewayListEntry::__set_service_name(const std::string& val) {
+  this->service_name = val;
+}
+
+void GatewayListEntry::__set_failure_domain(const std::string& val) {
+  this->failure_domain = val;
+}
+
+void GatewayListEntry::__set_address(const std::string& val) {
+  this->address = val;
+}
+
+void GatewayListEntry::__set_port(const int32_t val) {
+  this->port = val;
+}
+
+void GatewayListEntry::__set_stage(const int32_t val) {
+  this->stage = val;
+}
+
+void GatewayListEntry::__set_slots(const int64_t val) {
+  this->slots = val;
+}
+
+void GatewayListEntry::__set_draining(const bool val) {
+  this->draining = val;
+}
+
+void GatewayListEntry::__set_started_unix_ms(const int64_t val) {
+  this->started_unix_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const GatewayListEntry& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t GatewayListEntry::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_id = false;
+  bool isset_service_name = false;
+  bool isset_failure_domain = false;
+  bool isset_address = false;
+  bool isset_port = false;
+  bool isset_stage = false;
+  bool isset_slots = false;
+  bool isset_draining = false;
+  bool isset_started_unix_ms = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->id);
+          isset_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->service_name);
+          isset_service_name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->failure_domain);
+          isset_failure_domain = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          isset_address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->port);
+          isset_port = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->stage);
+          isset_stage = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->slots);
+          isset_slots = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->draining);
+          isset_draining = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->started_unix_ms);
+          isset_started_unix_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_id)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_service_name)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_failure_domain)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_address)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_port)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_stage)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_slots)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_draining)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_started_unix_ms)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t GatewayListEntry::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("GatewayListEntry");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("service_name", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->service_name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("failure_domain", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->failure_domain);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("port", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->port);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("stage", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->stage);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("slots", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->slots);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("draining", ::apache::thrift::protocol::T_BOOL, 8);
+  xfer += oprot->writeBool(this->draining);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("started_unix_ms", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->started_unix_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(GatewayListEntry &a, GatewayListEntry &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.service_name, b.service_name);
+  swap(a.failure_domain, b.failure_domain);
+  swap(a.address, b.address);
+  swap(a.port, b.port);
+  swap(a.stage, b.stage);
+  swap(a.slots, b.slots);
+  swap(a.draining, b.draining);
+  swap(a.started_unix_ms, b.started_unix_ms);
+}
+
+GatewayListEntry::GatewayListEntry(const GatewayListEntry& other155) {
+  id = other155.id;
+  service_name = other155.service_name;
+  failure_domain = other155.failure_domain;
+  address = other155.address;
+  port = other155.port;
+  stage = other155.stage;
+  slots = other155.slots;
+  draining = other155.draining;
+  started_unix_ms = other155.started_unix_ms;
+}
+GatewayListEntry::GatewayListEntry(GatewayListEntry&& other156) noexcept {
+  id = std::move(other156.id);
+  service_name = std::move(other156.service_name);
+  failure_domain = std::move(other156.failure_domain);
+  address = std::move(other156.address);
+  port = other156.port;
+  stage = other156.stage;
+  slots = other156.slots;
+  draining = other156.draining;
+  started_unix_ms = other156.started_unix_ms;
+}
+GatewayListEntry& GatewayListEntry::operator=(const GatewayListEntry& other157) {
+  id = other157.id;
+  service_name = other157.service_name;
+  failure_domain = other157.failure_domain;
+  address = other157.address;
+  port = other157.port;
+  stage = other157.stage;
+  slots = other157.slots;
+  draining = other157.draining;
+  started_unix_ms = other157.started_unix_ms;
+  return *this;
+}
+GatewayListEntry& GatewayListEntry::operator=(GatewayListEntry&& other158) noexcept {
+  id = std::move(other158.id);
+  service_name = std::move(other158.service_name);
+  failure_domain = std::move(other158.failure_domain);
+  address = std::move(other158.address);
+  port = other158.port;
+  stage = other158.stage;
+  slots = other158.slots;
+  draining = other158.draining;
+  started_unix_ms = other158.started_unix_ms;
+  return *this;
+}
+void GatewayListEntry::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "GatewayListEntry(";
+  out << "id=" << to_string(id);
+  out << ", " << "service_name=" << to_string(service_name);
+  out << ", " << "failure_domain=" << to_string(failure_domain);
+  out << ", " << "address=" << to_string(address);
+  out << ", " << "port=" << to_string(port);
+  out << ", " << "stage=" << to_string(stage);
+  out << ", " << "slots=" << to_string(slots);
+  out << ", " << "draining=" << to_string(draining);
+  out << ", " << "started_unix_ms=" << to_string(started_unix_ms);
+  out << ")";
+}
+
+
+GatewayListNews::~GatewayListNews() noexcept {
+}
+
+
+void GatewayListNews::__set_read_clock_ms(const int64_t val) {
+  this->read_clock_ms = val;
+}
+
+void GatewayListNews::__set_digest(const int64_t val) {
+  this->digest = val;
+}
+
+void GatewayListNews::__set_changed(const std::vector<GatewayListEntry> & val) {
+  this->changed = val;
+}
+
+void GatewayListNews::__set_removed(const std::vector<std::string> & val) {
+  this->removed = val;
+}
+std::ostream& operator<<(std::ostream& out, const GatewayListNews& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t GatewayListNews::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_read_clock_ms = false;
+  bool isset_digest = false;
+  bool isset_changed = false;
+  bool isset_removed = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->read_clock_ms);
+          isset_read_clock_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->digest);
+          isset_digest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->changed.clear();
+            uint32_t _size159;
+            ::apache::thrift::protocol::TType _etype162;
+            xfer += iprot->readListBegin(_etype162, _size159);
+            this->changed.resize(_size159);
+            uint32_t _i163;
+            for (_i163 = 0; _i163 < _size159; ++_i163)
+            {
+              xfer += this->changed[_i163].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_changed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->removed.clear();
+            uint32_t _size164;
+            ::apache::thrift::protocol::TType _etype167;
+            xfer += iprot->readListBegin(_etype167, _size164);
+            this->removed.resize(_size164);
+            uint32_t _i168;
+            for (_i168 = 0; _i168 < _size164; ++_i168)
+            {
+              xfer += iprot->readString(this->removed[_i168]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_removed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_read_clock_ms)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_digest)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_changed)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_removed)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t GatewayListNews::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("GatewayListNews");
+
+  xfer += oprot->writeFieldBegin("read_clock_ms", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->read_clock_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("digest", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->digest);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("changed", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changed.size()));
+    std::vector<GatewayListEntry> ::const_iterator _iter169;
+    for (_iter169 = this->changed.begin(); _iter169 != this->changed.end(); ++_iter169)
+    {
+      xfer += (*_iter169).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("removed", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->removed.size()));
+    std::vector<std::string> ::const_iterator _iter170;
+    for (_iter170 = this->removed.begin(); _iter170 != this->removed.end(); ++_iter170)
+    {
+      xfer += oprot->writeString((*_iter170));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(GatewayListNews &a, GatewayListNews &b) {
+  using ::std::swap;
+  swap(a.read_clock_ms, b.read_clock_ms);
+  swap(a.digest, b.digest);
+  swap(a.changed, b.changed);
+  swap(a.removed, b.removed);
+}
+
+GatewayListNews::GatewayListNews(const GatewayListNews& other171) {
+  read_clock_ms = other171.read_clock_ms;
+  digest = other171.digest;
+  changed = other171.changed;
+  removed = other171.removed;
+}
+GatewayListNews::GatewayListNews(GatewayListNews&& other172) noexcept {
+  read_clock_ms = other172.read_clock_ms;
+  digest = other172.digest;
+  changed = std::move(other172.changed);
+  removed = std::move(other172.removed);
+}
+GatewayListNews& GatewayListNews::operator=(const GatewayListNews& other173) {
+  read_clock_ms = other173.read_clock_ms;
+  digest = other173.digest;
+  changed = other173.changed;
+  removed = other173.removed;
+  return *this;
+}
+GatewayListNews& GatewayListNews::operator=(GatewayListNews&& other174) noexcept {
+  read_clock_ms = other174.read_clock_ms;
+  digest = other174.digest;
+  changed = std::move(other174.changed);
+  removed = std::move(other174.removed);
+  return *this;
+}
+void GatewayListNews::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "GatewayListNews(";
+  out << "read_clock_ms=" << to_string(read_clock_ms);
+  out << ", " << "digest=" << to_string(digest);
+  out << ", " << "changed=" << to_string(changed);
+  out << ", " << "removed=" << to_string(removed);
+  out << ")";
+}
+
+
 GatewayLoad::~GatewayLoad() noexcept {
 }
 
@@ -5898,6 +6411,11 @@
 void GatewayLoad::__set_withheld_upstreams(const std::vector<int64_t> & val) {
   this->withheld_upstreams = val;
 }
+
+void GatewayLoad::__set_list_news(const GatewayListNews& val) {
+  this->list_news = val;
+__isset.list_news = true;
+}
 std::ostream& operator<<(std::ostream& out, const GatewayLoad& obj)
 {
   obj.printTo(out);
@@ -5952,14 +6470,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->upstreams.clear();
-            uint32_t _size155;
-            ::apache::thrift::protocol::TType _etype158;
-            xfer += iprot->readListBegin(_etype158, _size155);
-            this->upstreams.resize(_size155);
-            uint32_t _i159;
-            for (_i159 = 0; _i159 < _size155; ++_i159)
+            uint32_t _size175;
+            ::apache::thrift::protocol::TType _etype178;
+            xfer += iprot->readListBegin(_etype178, _size175);
+            this->upstreams.resize(_size175);
+            uint32_t _i179;
+            for (_i179 = 0; _i179 < _size175; ++_i179)
             {
-              xfer += this->upstreams[_i159].read(iprot);
+              xfer += this->upstreams[_i179].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5972,17 +6490,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->waiting_tokens.clear();
-            uint32_t _size160;
-            ::apache::thrift::protocol::TType _ktype161;
-            ::apache::thrift::protocol::TType _vtype162;
-            xfer += iprot->readMapBegin(_ktype161, _vtype162, _size160);
-            uint32_t _i164;
-            for (_i164 = 0; _i164 < _size160; ++_i164)
+            uint32_t _size180;
+            ::apache::thrift::protocol::TType _ktype181;
+            ::apache::thrift::protocol::TType _vtype182;
+            xfer += iprot->readMapBegin(_ktype181, _vtype182, _size180);
+            uint32_t _i184;
+            for (_i184 = 0; _i184 < _size180; ++_i184)
             {
-              std::string _key165;
-              xfer += iprot->readString(_key165);
-              int64_t& _val166 = this->waiting_tokens[_key165];
-              xfer += iprot->readI64(_val166);
+              std::string _key185;
+              xfer += iprot->readString(_key185);
+              int64_t& _val186 = this->waiting_tokens[_key185];
+              xfer += iprot->readI64(_val186);
             }
             xfer += iprot->readMapEnd();
           }
@@ -5995,17 +6513,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->late_waiting_tokens.clear();
-            uint32_t _size167;
-            ::apache::thrift::protocol::TType _ktype168;
-            ::apache::thrift::protocol::TType _vtype169;
-            xfer += iprot->readMapBegin(_ktype168, _vtype169, _size167);
-            uint32_t _i171;
-            for (_i171 = 0; _i171 < _size167; ++_i171)
+            uint32_t _size187;
+            ::apache::thrift::protocol::TType _ktype188;
+            ::apache::thrift::protocol::TType _vtype189;
+            xfer += iprot->readMapBegin(_ktype188, _vtype189, _size187);
+            uint32_t _i191;
+            for (_i191 = 0; _i191 < _size187; ++_i191)
             {
-              std::string _key172;
-              xfer += iprot->readString(_key172);
-              int64_t& _val173 = this->late_waiting_tokens[_key172];
-              xfer += iprot->readI64(_val173);
+              std::string _key192;
+              xfer += iprot->readString(_key192);
+              int64_t& _val193 = this->late_waiting_tokens[_key192];
+              xfer += iprot->readI64(_val193);
             }
             xfer += iprot->readMapEnd();
           }
@@ -6018,14 +6536,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->withheld_upstreams.clear();
-            uint32_t _size174;
-            ::apache::thrift::protocol::TType _etype177;
-            xfer += iprot->readListBegin(_etype177, _size174);
-            this->withheld_upstreams.resize(_size174);
-            uint32_t _i178;
-            for (_i178 = 0; _i178 < _size174; ++_i178)
+            uint32_t _size194;
+            ::apache::thrift::protocol::TType _etype197;
+            xfer += iprot->readListBegin(_etype197, _size194);
+            this->withheld_upstreams.resize(_size194);
+            uint32_t _i198;
+            for (_i198 = 0; _i198 < _size194; ++_i198)
             {
-              xfer += iprot->readI64(this->withheld_upstreams[_i178]);
+              xfer += iprot->readI64(this->withheld_upstreams[_i198]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6034,6 +6552,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->list_news.read(iprot);
+          this->__isset.list_news = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6074,10 +6600,10 @@
   xfer += oprot->writeFieldBegin("upstreams", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->upstreams.size()));
-    std::vector<GatewayUpstreamLoad> ::const_iterator _iter179;
-    for (_iter179 = this->upstreams.begin(); _iter179 != this->upstreams.end(); ++_iter179)
+    std::vector<GatewayUpstreamLoad> ::const_iterator _iter199;
+    for (_iter199 = this->upstreams.begin(); _iter199 != this->upstreams.end(); ++_iter199)
     {
-      xfer += (*_iter179).write(oprot);
+      xfer += (*_iter199).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6086,11 +6612,11 @@
   xfer += oprot->writeFieldBegin("waiting_tokens", ::apache::thrift::protocol::T_MAP, 4);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->waiting_tokens.size()));
-    std::map<std::string, int64_t> ::const_iterator _iter180;
-    for (_iter180 = this->waiting_tokens.begin(); _iter180 != this->waiting_tokens.end(); ++_iter180)
+    std::map<std::string, int64_t> ::const_iterator _iter200;
+    for (_iter200 = this->waiting_tokens.begin(); _iter200 != this->waiting_tokens.end(); ++_iter200)
     {
-      xfer += oprot->writeString(_iter180->first);
-      xfer += oprot->writeI64(_iter180->second);
+      xfer += oprot->writeString(_iter200->first);
+      xfer += oprot->writeI64(_iter200->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -6099,11 +6625,11 @@
   xfer += oprot->writeFieldBegin("late_waiting_tokens", ::apache::thrift::protocol::T_MAP, 5);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->late_waiting_tokens.size()));
-    std::map<std::string, int64_t> ::const_iterator _iter181;
-    for (_iter181 = this->late_waiting_tokens.begin(); _iter181 != this->late_waiting_tokens.end(); ++_iter181)
+    std::map<std::string, int64_t> ::const_iterator _iter201;
+    for (_iter201 = this->late_waiting_tokens.begin(); _iter201 != this->late_waiting_tokens.end(); ++_iter201)
     {
-      xfer += oprot->writeString(_iter181->first);
-      xfer += oprot->writeI64(_iter181->second);
+      xfer += oprot->writeString(_iter201->first);
+      xfer += oprot->writeI64(_iter201->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -6112,15 +6638,20 @@
   xfer += oprot->writeFieldBegin("withheld_upstreams", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->withheld_upstreams.size()));
-    std::vector<int64_t> ::const_iterator _iter182;
-    for (_iter182 = this->withheld_upstreams.begin(); _iter182 != this->withheld_upstreams.end(); ++_iter182)
+    std::vector<int64_t> ::const_iterator _iter202;
+    for (_iter202 = this->withheld_upstreams.begin(); _iter202 != this->withheld_upstreams.end(); ++_iter202)
     {
-      xfer += oprot->writeI64((*_iter182));
+      xfer += oprot->writeI64((*_iter202));
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.list_news) {
+    xfer += oprot->writeFieldBegin("list_news", ::apache::thrift::protocol::T_STRUCT, 7);
+    xfer += this->list_news.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6134,40 +6665,50 @@
   swap(a.waiting_tokens, b.waiting_tokens);
   swap(a.late_waiting_tokens, b.late_waiting_tokens);
   swap(a.withheld_upstreams, b.withheld_upstreams);
+  swap(a.list_news, b.list_news);
+  swap(a.__isset, b.__isset);
 }
 
-GatewayLoad::GatewayLoad(const GatewayLoad& other183) {
-  gateway = other183.gateway;
-  sequence = other183.sequence;
-  upstreams = other183.upstreams;
-  waiting_tokens = other183.waiting_tokens;
-  late_waiting_tokens = other183.late_waiting_tokens;
-  withheld_upstreams = other183.withheld_upstreams;
-}
-GatewayLoad::GatewayLoad(GatewayLoad&& other184) noexcept {
-  gateway = std::move(other184.gateway);
-  sequence = other184.sequence;
-  upstreams = std::move(other184.upstreams);
-  waiting_tokens = std::move(other184.waiting_tokens);
-  late_waiting_tokens = std::move(other184.late_waiting_tokens);
-  withheld_upstreams = std::move(other184.withheld_upstreams);
-}
-GatewayLoad& GatewayLoad::operator=(const GatewayLoad& other185) {
-  gateway = other185.gateway;
-  sequence = other185.sequence;
-  upstreams = other185.upstreams;
-  waiting_tokens = other185.waiting_tokens;
-  late_waiting_tokens = other185.late_waiting_tokens;
-  withheld_upstreams = other185.withheld_upstreams;
+GatewayLoad::GatewayLoad(const GatewayLoad& other203) {
+  gateway = other203.gateway;
+  sequence = other203.sequence;
+  upstreams = other203.upstreams;
+  waiting_tokens = other203.waiting_tokens;
+  late_waiting_tokens = other203.late_waiting_tokens;
+  withheld_upstreams = other203.withheld_upstreams;
+  list_news = other203.list_news;
+  __isset = other203.__isset;
+}
+GatewayLoad::GatewayLoad(GatewayLoad&& other204) noexcept {
+  gateway = std::move(other204.gateway);
+  sequence = other204.sequence;
+  upstreams = std::move(other204.upstreams);
+  waiting_tokens = std::move(other204.waiting_tokens);
+  late_waiting_tokens = std::move(other204.late_waiting_tokens);
+  withheld_upstreams = std::move(other204.withheld_upstreams);
+  list_news = std::move(other204.list_news);
+  __isset = other204.__isset;
+}
+GatewayLoad& GatewayLoad::operator=(const GatewayLoad& other205) {
+  gateway = other205.gateway;
+  sequence = other205.sequence;
+  upstreams = other205.upstreams;
+  waiting_tokens = other205.waiting_tokens;
+  late_waiting_tokens = other205.late_waiting_tokens;
+  withheld_upstreams = other205.withheld_upstreams;
+  list_news = other205.list_news;
+  __isset = other205.__isset;
   return *this;
 }
-GatewayLoad& GatewayLoad::operator=(GatewayLoad&& other186) noexcept {
-  gateway = std::move(other186.gateway);
-  sequence = other186.sequence;
-  upstreams = std::move(other186.upstreams);
-  waiting_tokens = std::move(other186.waiting_tokens);
-  late_waiting_tokens = std::move(other186.late_waiting_tokens);
-  withheld_upstreams = std::move(other186.withheld_upstreams);
+GatewayLoad& GatewayLoad::operator=(GatewayLoad&& other206) noexcept {
+  gateway = std::move(other206.gateway);
+  sequence = other206.sequence;
+  upstreams = std::move(other206.upstreams);
+  waiting_tokens = std::move(other206.waiting_tokens);
+  late_waiting_tokens = std::move(other206.late_waiting_tokens);
+  withheld_upstreams = std::move(other206.withheld_upstreams);
+  list_news = std::move(other206.list_news);
+  __isset = other206.__isset;
   return *this;
 }
 void GatewayLoad::printTo(std::ostream& out) const {
@@ -6179,6 +6720,7 @@
   out << ", " << "waiting_tokens=" << to_string(waiting_tokens);
   out << ", " << "late_waiting_tokens=" << to_string(late_waiting_tokens);
   out << ", " << "withheld_upstreams=" << to_string(withheld_upstreams);
+  out << ", " << "list_news="; (__isset.list_news ? (out << to_string(list_news)) : (out << "<null>"));
   out << ")";
 }
 
--- a/wire/gen-cpp/rattanramp_types.h
+++ b/wire/gen-cpp/rattanramp_types.h
@@ -180,6 +180,10 @@
 
 class GatewayUpstreamLoad;
 
+class GatewayListEntry;
+
+class GatewayListNews;
+
 class GatewayLoad;
 
 typedef struct _Hello__isset {
@@ -2347,6 +2351,170 @@
 std::ostream& operator<<(std::ostream& out, const GatewayUpstreamLoad& obj);
 
 
+/**
+ * Entry of the platform's list of upstreams.
+ */
+class GatewayListEntry : public virtual ::apache::thrift::TBase {
+ public:
+
+  GatewayListEntry(const GatewayListEntry&);
+  GatewayListEntry(GatewayListEntry&&) noexcept;
+  GatewayListEntry& operator=(const GatewayListEntry&);
+  GatewayListEntry& operator=(GatewayListEntry&&) noexcept;
+  GatewayListEntry() noexcept
+                   : id(),
+                     service_name(),
+                     failure_domain(),
+                     address(),
+                     port(0),
+                     stage(0),
+                     slots(0),
+                     draining(0),
+                     started_unix_ms(0) {
+  }
+
+  virtual ~GatewayListEntry() noexcept;
+  std::string id;
+  std::string service_name;
+  std::string failure_domain;
+  std::string address;
+  int32_t port;
+  /**
+   * 0 plain, 1 prefill, 2 decode.
+   */
+  int32_t stage;
+  int64_t slots;
+  bool draining;
+  int64_t started_unix_ms;
+
+  void __set_id(const std::string& val);
+
+  void __set_service_name(const std::string& val);
+
+  void __set_failure_domain(const std::string& val);
+
+  void __set_address(const std::string& val);
+
+  void __set_port(const int32_t val);
+
+  void __set_stage(const int32_t val);
+
+  void __set_slots(const int64_t val);
+
+  void __set_draining(const bool val);
+
+  void __set_started_unix_ms(const int64_t val);
+
+  bool operator == (const GatewayListEntry & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (!(service_name == rhs.service_name))
+      return false;
+    if (!(failure_domain == rhs.failure_domain))
+      return false;
+    if (!(address == rhs.address))
+      return false;
+    if (!(port == rhs.port))
+      return false;
+    if (!(stage == rhs.stage))
+      return false;
+    if (!(slots == rhs.slots))
+      return false;
+    if (!(draining == rhs.draining))
+      return false;
+    if (!(started_unix_ms == rhs.started_unix_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const GatewayListEntry &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const GatewayListEntry & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(GatewayListEntry &a, GatewayListEntry &b);
+
+std::ostream& operator<<(std::ostream& out, const GatewayListEntry& obj);
+
+
+/**
+ * What a gateway found when it read the list of upstreams.
+ */
+class GatewayListNews : public virtual ::apache::thrift::TBase {
+ public:
+
+  GatewayListNews(const GatewayListNews&);
+  GatewayListNews(GatewayListNews&&) noexcept;
+  GatewayListNews& operator=(const GatewayListNews&);
+  GatewayListNews& operator=(GatewayListNews&&) noexcept;
+  GatewayListNews() noexcept
+                  : read_clock_ms(0),
+                    digest(0) {
+  }
+
+  virtual ~GatewayListNews() noexcept;
+  /**
+   * The store's clock at the read.
+   */
+  int64_t read_clock_ms;
+  /**
+   * Sum of the hashes of all entries.
+   */
+  int64_t digest;
+  /**
+   * Entries that are new or changed since the gateway's previous view.
+   */
+  std::vector<GatewayListEntry>  changed;
+  std::vector<std::string>  removed;
+
+  void __set_read_clock_ms(const int64_t val);
+
+  void __set_digest(const int64_t val);
+
+  void __set_changed(const std::vector<GatewayListEntry> & val);
+
+  void __set_removed(const std::vector<std::string> & val);
+
+  bool operator == (const GatewayListNews & rhs) const
+  {
+    if (!(read_clock_ms == rhs.read_clock_ms))
+      return false;
+    if (!(digest == rhs.digest))
+      return false;
+    if (!(changed == rhs.changed))
+      return false;
+    if (!(removed == rhs.removed))
+      return false;
+    return true;
+  }
+  bool operator != (const GatewayListNews &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const GatewayListNews & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(GatewayListNews &a, GatewayListNews &b);
+
+std::ostream& operator<<(std::ostream& out, const GatewayListNews& obj);
+
+typedef struct _GatewayLoad__isset {
+  _GatewayLoad__isset() : list_news(false) {}
+  bool list_news :1;
+} _GatewayLoad__isset;
+
 /**
  * Work of one gateway, sent to its peers in one datagram.
  */
@@ -2381,6 +2549,12 @@
    * Keys of upstreams that must get no new work: they leave, or change their stage.
    */
   std::vector<int64_t>  withheld_upstreams;
+  /**
+   * Gateways of earlier versions skip this field.
+   */
+  GatewayListNews list_news;
+
+  _GatewayLoad__isset __isset;
 
   void __set_gateway(const std::string& val);
 
@@ -2394,6 +2568,8 @@
 
   void __set_withheld_upstreams(const std::vector<int64_t> & val);
 
+  void __set_list_news(const GatewayListNews& val);
+
   bool operator == (const GatewayLoad & rhs) const
   {
     if (!(gateway == rhs.gateway))
@@ -2408,6 +2584,10 @@
       return false;
     if (!(withheld_upstreams == rhs.withheld_upstreams))
       return false;
+    if (__isset.list_news != rhs.__isset.list_news)
+      return false;
+    else if (__isset.list_news && !(list_news == rhs.list_news))
+      return false;
     return true;
   }
   bool operator != (const GatewayLoad &rhs) const {
--- a/wire/rattanramp.thrift
+++ b/wire/rattanramp.thrift
@@ -273,6 +273,31 @@
   4: required i64 prefill_tokens
 }
 
+/** Entry of the platform's list of upstreams. */
+struct GatewayListEntry {
+  1: required string id
+  2: required string service_name
+  3: required string failure_domain
+  4: required string address
+  5: required i32 port
+  /** 0 plain, 1 prefill, 2 decode. */
+  6: required i32 stage
+  7: required i64 slots
+  8: required bool draining
+  9: required i64 started_unix_ms
+}
+
+/** What a gateway found when it read the list of upstreams. */
+struct GatewayListNews {
+  /** The store's clock at the read. */
+  1: required i64 read_clock_ms
+  /** Sum of the hashes of all entries. */
+  2: required i64 digest
+  /** Entries that are new or changed since the gateway's previous view. */
+  3: required list<GatewayListEntry> changed
+  4: required list<string> removed
+}
+
 /** Work of one gateway, sent to its peers in one datagram. */
 struct GatewayLoad {
   1: required string gateway
@@ -285,4 +310,6 @@
   5: required map<string, i64> late_waiting_tokens
   /** Keys of upstreams that must get no new work: they leave, or change their stage. */
   6: required list<i64> withheld_upstreams
+  /** Gateways of earlier versions skip this field. */
+  7: optional GatewayListNews list_news
 }
