Pause between reads of the upstream list that are slow

The next read followed from the age of the view alone; where a read takes longer than that age (2,997 entries on the smallest VMs, all gateways after a restart), or where the store's clock stands still, reads followed each other without a pause.

Change: a pause of the last read's duration, between a quarter of the interval and the interval.

Measured: the new test failed without the pause and passes with it.

--- a/gateway/fleet.h
+++ b/gateway/fleet.h
@@ -132,8 +132,8 @@
 };
 
 /// Returns a connection to the upstream: the most recently used idle one, or a new one. An idle
-/// connection whose last request had the same id is not used: a second copy of its answer could not
-/// be told from the answer to this request. Requests without an id get a new connection.
+/// connection whose last request had the same id is not used: a second copy of its answer would
+/// look like the answer to this request. Requests without an id get a new connection.
 std::shared_ptr<http::ClientConnection> AcquireConnection(Upstream& upstream,
                                                           asio::io_context& context,
                                                           std::string_view request_id,
--- a/gateway/store_watch.cc
+++ b/gateway/store_watch.cc
@@ -26,6 +26,11 @@
 // users' store allows.
 constexpr Milliseconds kMinInterval{300};
 
+// Shortest pause between two reads of the upstreams, as a share of their interval. It is at least
+// as long as the last read took: gateways whose reads are slow, as after a restart of a large
+// fleet, would otherwise keep the store and the network busy.
+constexpr double kMinPauseShare = 0.25;
+
 // A row that has not changed for this many renewal intervals is ignored. Late detection is
 // acceptable: the number of gateways only divides the bound on retries.
 constexpr int kMaxMissedRenewals = 2;
@@ -135,6 +140,7 @@
 }
 
 void StoreWatch::ReadUpstreams() {
+  upstream_read_started_ = clock_.now();
   upstreams_.table->ReadAll(source_.upstream_table, [this](const Result<store::TableRows>& rows) {
     if (!rows) {
       ScheduleNext(upstreams_, RecordFailure(upstreams_, "upstreams", rows.error()),
@@ -144,7 +150,12 @@
     const bool has_failed = upstreams_.failures > 0;
     RecordSuccess(upstreams_, "upstreams");
     const std::int64_t clock_ms = rows.value().clock_ms;
-    core::ObserveStoreClock(store_clock_, clock_ms, clock_.now());
+    const TimePoint now = clock_.now();
+    core::ObserveStoreClock(store_clock_, clock_ms, now);
+    min_upstream_pause_ = std::clamp<Duration>(
+        now - upstream_read_started_,
+        std::chrono::duration_cast<Duration>(kMinPauseShare * intervals_.upstream_interval),
+        intervals_.upstream_interval);
     listener_.OnUpstreamRows(rows.value().rows, has_failed, clock_ms);
     ScheduleNext(upstreams_,
                  has_used_first_interval_ ? NextUpstreamRead(clock_ms) : FirstInterval(),
@@ -161,7 +172,7 @@
   }
   const Duration age =
       core::ReadAge(intervals_.upstream_interval, own_name_, read_clock_ms, listener_.ListPeers());
-  return std::max(Duration::zero(), *read_at + age - now);
+  return std::max(min_upstream_pause_, *read_at + age - now);
 }
 
 bool StoreWatch::OnListNews(std::int64_t read_clock_ms) {
--- a/gateway/store_watch.h
+++ b/gateway/store_watch.h
@@ -112,6 +112,8 @@
   bool is_stopped_ = false;
   bool has_used_first_interval_ = false;
   core::StoreClock store_clock_;
+  TimePoint upstream_read_started_;
+  Duration min_upstream_pause_{};
   TimePoint last_gateways_read_;
   TimePoint own_row_renewal_;
   struct GatewayRow {
--- a/tests/gateway/fake_table.h
+++ b/tests/gateway/fake_table.h
@@ -26,6 +26,8 @@
   bool loses_next_reply = false;
   /// How long the answer to a removal takes.
   Milliseconds remove_delay{0};
+  /// How long the answer to a read of all rows takes.
+  Milliseconds read_delay{0};
 };
 
 class FakeTable final : public store::AsyncTable {
@@ -39,7 +41,13 @@
       Post([handler = std::move(handler), error = *state_.failure] { handler(error); });
       return;
     }
-    Post([handler = std::move(handler), rows = Rows(table)] { handler(rows); });
+    timer_.expires_after(state_.read_delay);
+    timer_.async_wait([handler = std::move(handler), rows = Rows(table),
+                       is_active = is_active_](const std::error_code& error) {
+      if (!error && *is_active) {
+        handler(rows);
+      }
+    });
   }
 
   /// Answers at once if there are newer rows; otherwise checks again when the wait is over.
--- a/tests/gateway/plain_exchange_test.cc
+++ b/tests/gateway/plain_exchange_test.cc
@@ -152,7 +152,7 @@
 }
 
 // Guards against taking the second copy of a refusal for the answer to the same request's second
-// attempt: the caller would be told that a request has not run that has.
+// attempt: the caller would get "not run" for a request that has run.
 Test(plain_exchange, second_attempt_does_not_reuse_the_connection_of_the_first, .timeout = 30) {
   FakeEngine server([](const std::string& /*head*/, int number) -> FakeAnswer {
     const FakeAnswer refusal = CompleteAnswer(503, "Not-Executed: 1\r\n", "");
--- a/tests/gateway/store_watch_test.cc
+++ b/tests/gateway/store_watch_test.cc
@@ -134,6 +134,20 @@
   cr_assert_eq(fixture.listener.reads_after_failure, 1);
 }
 
+// Guards against reads without a pause when each takes longer than the view may be old, as after a
+// restart of a large fleet: they would keep the store and the network busy, and so each other slow.
+Test(store_watch, slow_reads_are_followed_by_a_pause, .timeout = 30) {
+  Fixture fixture;
+  fixture.WriteRow("upstreams", "u", "{}");
+  fixture.Run(Milliseconds(100));
+  const int reads = fixture.listener.upstream_reads;
+  fixture.tables.read_delay = Milliseconds(200);
+  fixture.Run(Milliseconds(2'000));
+  // A read and a pause of the interval take 250 ms. Without a pause, ten reads fit.
+  cr_assert_leq(fixture.listener.upstream_reads - reads, 8);
+  cr_assert_geq(fixture.listener.upstream_reads - reads, 6);
+}
+
 // Guards against load reports to gateways that have stopped, and against a new gateway that gets no
 // reports until the next renewal.
 Test(store_watch, gateway_rows_are_added_and_expire, .timeout = 30) {
