Bound the announcements of the upstream list by the number of peers

By reading: an announcement of up to 40 entries goes to 297 peers, 1.3 MB at once on a link of 20 Mbit/s, where datagrams are then lost; peers that lost it read by themselves and announced again to all.

Change: entries times peers of an announcement are bounded (0.1 s of the smallest link); a gateway announces only if it has not heard of a newer read than its previous view. Announcements with a clock in the future do not count as heard.

--- a/core/shared_list.cc
+++ b/core/shared_list.cc
@@ -50,6 +50,12 @@
   return news;
 }
 
+bool MayAnnounce(const ListNews& news, std::int64_t previous_clock_ms, std::int64_t heard_clock_ms,
+                 std::size_t peers) {
+  return previous_clock_ms > 0 && heard_clock_ms <= previous_clock_ms &&
+         (news.changed.size() + news.removed.size()) * peers <= kNewsEntryBudget;
+}
+
 bool ApplyNews(ListView& view, const ListNews& news) {
   if (view.read_clock_ms == 0 || news.read_clock_ms <= view.read_clock_ms) {
     return false;
--- a/core/shared_list.h
+++ b/core/shared_list.h
@@ -36,9 +36,17 @@
   std::vector<std::string> removed;
 };
 
-/// News with more entries are not sent; the others read the list themselves. An entry takes about
-/// 110 bytes, so that the datagram stays below 5 KB.
-inline constexpr std::size_t kMaxNewsEntries = 40;
+/// Entries that one announcement may send to all peers together. An entry takes about 110 bytes, so
+/// that the announcement takes at most 0.1 s of the users' smallest links (20 Mbit/s); datagrams
+/// beyond the capacity of a link are lost.
+inline constexpr std::size_t kNewsEntryBudget = 2'200;
+
+/// Whether a process announces what it has read. Not if the news are too large for the number of
+/// peers, which then read by themselves, and not if a peer has announced a newer read than the
+/// process's previous view: it has read only because it could not use that announcement.
+/// heard_clock_ms: latest read_clock_ms of all news that arrived; 0: none.
+bool MayAnnounce(const ListNews& news, std::int64_t previous_clock_ms, std::int64_t heard_clock_ms,
+                 std::size_t peers);
 
 /// News that are older when they arrive are not used: this process or the network was delayed. A
 /// list of 3,000 entries takes about a second to read on the users' smallest VMs.
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -282,12 +282,12 @@
 void Gateway::OnUpstreamRows(const std::vector<store::TableRow>& rows, bool has_failed,
                              std::int64_t clock_ms) {
   const platform::DecodedUpstreams decoded = platform::DecodeUpstreams(rows);
-  const bool has_view = list_view_.read_clock_ms > 0;
+  const std::int64_t previous_clock_ms = list_view_.read_clock_ms;
   const core::ListNews news = core::RecordRead(list_view_, decoded.upstreams, clock_ms);
   ApplyUpstreams(decoded.upstreams, has_failed);
   // After an outage each gateway finds out by itself how long it must keep missing upstreams.
-  if (clock_ms > 0 && has_view && !has_failed &&
-      news.changed.size() + news.removed.size() <= core::kMaxNewsEntries) {
+  if (clock_ms > 0 && !has_failed &&
+      core::MayAnnounce(news, previous_clock_ms, heard_list_clock_ms_, ListPeers())) {
     load_exchange_->AnnounceList(news);
     metrics_.Count("list_announcements_total");
   }
@@ -298,6 +298,10 @@
 void Gateway::OnListNews(const core::ListNews& news) {
   const std::optional<TimePoint> read_at = watch_->OwnTimeOf(news.read_clock_ms);
   const TimePoint now = clock_.now();
+  // A read in the future comes from a faulty peer.
+  if (read_at && *read_at <= now + core::kMaxNewsAge) {
+    heard_list_clock_ms_ = std::max(heard_list_clock_ms_, news.read_clock_ms);
+  }
   if (is_stopping_ || !read_at || now - *read_at > core::kMaxNewsAge ||
       !core::ApplyNews(list_view_, news)) {
     metrics_.Count("list_news_unused_total");
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -87,6 +87,8 @@
   GatewayState state_;
   core::UpstreamDirectory directory_;
   core::ListView list_view_;
+  /// Latest read of the list that a peer has announced, by the store's clock.
+  std::int64_t heard_list_clock_ms_ = 0;
   std::shared_ptr<const core::RoutingTable> table_;
   std::unique_ptr<LoadExchange> load_exchange_;
   std::unique_ptr<StoreWatch> watch_;
--- a/tests/core/shared_list_test.cc
+++ b/tests/core/shared_list_test.cc
@@ -174,3 +174,22 @@
   cr_assert(time);
   cr_assert_eq(ToMs(*time - start), 2'004.0);
 }
+
+// Load pattern: many changes between two reads, heard by hundreds of peers. Guards against
+// announcements that fill the link of their sender, and against each gateway that could not use one
+// sending another (sweep of kivu-tartan-large at 298 gateways: 1.6 MB a second at the busiest).
+Test(shared_list, announcements_are_bounded_and_not_answered_by_others) {
+  ListNews news;
+  news.read_clock_ms = 300;
+  cr_assert(core::MayAnnounce(news, 200, 0, 297));
+  cr_assert(core::MayAnnounce(news, 200, 200, 297));
+  // A peer has announced a read since.
+  cr_assert(!core::MayAnnounce(news, 200, 250, 297));
+  // The first read of a process: nobody has its previous view.
+  cr_assert(!core::MayAnnounce(news, 0, 0, 297));
+  for (int i = 0; i < 10; ++i) {
+    news.changed.push_back(Upstream(i));
+  }
+  cr_assert(core::MayAnnounce(news, 200, 0, 102));
+  cr_assert(!core::MayAnnounce(news, 200, 0, 297));
+}
