--- a/tests/core/shared_list_test.cc
+++ b/tests/core/shared_list_test.cc
@@ -175,7 +175,7 @@
   cr_assert_eq(ToMs(*time - start), 2'004.0);
 }
 
-// Load pattern: many changes between two reads, heard by hundreds of peers. Guards against
+// Load pattern: many changes between two reads, announced to hundreds of peers. Guards against
 // announcements that fill the link of their sender, and against each gateway that could not use one
 // sending another (sweep of kivu-tartan-large at 298 gateways: 1.6 MB a second at the busiest).
 Test(shared_list, announcements_are_bounded_and_not_answered_by_others) {
