Answer or refuse each request before a stopping process exits

Cause: nothing owned the end of the requests of a stop. The removal of the gateway's row could also delay the exit to the kill.

Change: core/stop_plan decides what is accepted and started during a stop: only what is expected to end before the forced end. Queued requests are refused as not run as soon as that no longer holds. At the forced end each open request gets an answer that says what is known; the process then exits when the answers are written, at the latest 0.1 s before the end of the grace time. stop_started, stop_finishing and stopped log the state of a stop, request_end the time from its start to the arrival of the request.

Conclusion: the class of fault is work without an owner of its end; each request of a stop now has one.

--- a/gateway/caller_connection.cc
+++ b/gateway/caller_connection.cc
@@ -65,6 +65,18 @@
   host_.OnConnectionEnd(this);
 }
 
+void CallerConnection::OnStopProgress() {
+  if (exchange_) {
+    exchange_->OnStopProgress();
+  }
+}
+
+void CallerConnection::EndForStop() {
+  if (exchange_) {
+    exchange_->EndForStop();
+  }
+}
+
 void CallerConnection::Read() {
   if (is_reading_ || is_closed_ || (is_answering_ && buffer_.size() >= kMaxPipelinedBytes)) {
     return;
--- a/gateway/caller_connection.h
+++ b/gateway/caller_connection.h
@@ -43,6 +43,10 @@
   /// answered. The first request of a new connection may be on its way.
   void CloseIfIdle();
   void Close();
+  /// Passes the progress of a stop on to the request in progress; see Exchange.
+  void OnStopProgress();
+  /// Ends the request in progress, because the process is about to exit.
+  void EndForStop();
   bool is_serving() const { return exchange_ != nullptr || is_answering_; }
 
   void Answer(int status, const http::Fields& fields, std::string body) override;
--- a/gateway/caller_sink.h
+++ b/gateway/caller_sink.h
@@ -33,6 +33,10 @@
   virtual void OnCallerDisconnected() = 0;
   /// Bytes were written to the caller's connection; unsent_bytes() has decreased.
   virtual void OnBytesSent() = 0;
+  /// The process is stopping. Refuses the request if it is queued and can no longer end in time.
+  virtual void OnStopProgress() = 0;
+  /// The process is about to exit. Ends the request with what is known of its outcome.
+  virtual void EndForStop() = 0;
 };
 
 }  // namespace rattanramp::gateway
--- a/gateway/dispatcher.cc
+++ b/gateway/dispatcher.cc
@@ -52,6 +52,14 @@
   return queue == queues_.end() ? 0 : queue->second.entries.size();
 }
 
+std::size_t Dispatcher::waiting() const {
+  std::size_t count = 0;
+  for (const auto& [service, queue] : queues_) {
+    count += queue.entries.size();
+  }
+  return count;
+}
+
 core::WaitingTokens Dispatcher::SumTokens(const ServiceQueue& queue) const {
   core::WaitingTokens sum;
   const TimePoint now = clock_.now();
--- a/gateway/dispatcher.h
+++ b/gateway/dispatcher.h
@@ -35,6 +35,8 @@
   void WakeAll();
 
   std::size_t waiting(const std::string& service) const;
+  /// Queued requests of all services.
+  std::size_t waiting() const;
   /// Engine memory that the queued requests of a service are expected to take.
   core::WaitingTokens waiting_tokens(const std::string& service) const;
   /// The same for each service whose queued requests need memory.
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -29,13 +29,9 @@
 // second and removes a process after two failed checks; until then it sends new connections.
 constexpr Milliseconds kBalancerRemovalTime{3'000};
 
-// Time after the start of a stop for which all new requests are accepted. Work that is accepted
-// within 3 s may take longer than the grace time (users' rules); later it must end within it.
-constexpr Milliseconds kAcceptWorkTime{2'800};
-constexpr std::int64_t kStoppingRetryMs = 50;
-
-// Part of the grace time that is reserved for the exit of the process.
-constexpr Milliseconds kExitMargin{500};
+// End of the grace time by which the process exits although answers are unsent or the store has not
+// confirmed that the gateway's row is removed.
+constexpr Milliseconds kLastExitMargin{100};
 
 // How long a draining or removed upstream is reported to the peers. By the end of this time each
 // peer has read the upstream list itself.
@@ -186,7 +182,9 @@
   }
 }
 
-bool Gateway::is_ready() const { return table_ != nullptr && directory_.has_read && !is_stopping_; }
+bool Gateway::is_ready() const {
+  return table_ != nullptr && directory_.has_read && !is_stopping();
+}
 
 core::CallerLimits Gateway::caller_limits() const {
   return table_ ? table_->limits() : core::CallerLimits();
@@ -242,9 +240,8 @@
       now + Milliseconds(std::min(request.facts.deadline_ms.value_or(kDefaultDeadlineMs),
                                   route->timeout_ms));
   request.target = now + Milliseconds(route->target_latency_ms);
-  if (!AcceptsWork(request.deadline)) {
-    Log(LogLevel::kInfo, "request_refused", {{"request", id}, {"reason", "stopping"}});
-    sink.Answer(503, platform::RefusalFields(id, kStoppingRetryMs), "stopping\n");
+  if (!AcceptsWork(request)) {
+    AnswerNotRun(request, state_, sink, "the process is stopping", core::kStopRetryAfter.count());
     return nullptr;
   }
   core::CountRequest(retry_windows_[service_name], settings_.retry_bound, now);
@@ -302,7 +299,7 @@
   if (read_at && *read_at <= now + core::kMaxNewsAge) {
     heard_list_clock_ms_ = std::max(heard_list_clock_ms_, news.read_clock_ms);
   }
-  if (is_stopping_ || !read_at || now - *read_at > core::kMaxNewsAge ||
+  if (is_stopping() || !read_at || now - *read_at > core::kMaxNewsAge ||
       !core::ApplyNews(list_view_, news)) {
     metrics_.Count("list_news_unused_total");
     return;
@@ -369,7 +366,7 @@
 }
 
 void Gateway::Tick() {
-  if (is_stopping_) {
+  if (is_stopping()) {
     CheckStopped();
   }
   if (table_) {
@@ -385,47 +382,71 @@
 }
 
 void Gateway::Stop(std::function<void()> done) {
-  if (is_stopping_) {
+  if (is_stopping()) {
     return;
   }
-  is_stopping_ = true;
-  stop_started_ = clock_.now();
+  state_.stop = {clock_.now(), settings_.stop_grace};
   stage_controller_->Stop();
   on_stopped_ = std::move(done);
+  Log(LogLevel::kInfo, "stop_started",
+      {{"open_requests", OpenRequests()},
+       {"queued_requests", dispatcher_.waiting()},
+       {"grace_ms", ToMs(settings_.stop_grace)}});
 }
 
-bool Gateway::AcceptsWork(TimePoint deadline) const {
-  if (!is_stopping_) {
-    return true;
-  }
-  const TimePoint forced_end = stop_started_ + settings_.stop_grace - kExitMargin;
-  return !is_finishing_ &&
-         (clock_.now() - stop_started_ <= kAcceptWorkTime || deadline < forced_end);
+std::size_t Gateway::OpenRequests() const {
+  return static_cast<std::size_t>(
+      std::count_if(connections_.begin(), connections_.end(),
+                    [](const auto& entry) { return entry.second->is_serving(); }));
+}
+
+bool Gateway::AcceptsWork(const RequestContext& request) {
+  return !is_stopping() ||
+         (!is_finishing_ && core::MayAccept(*state_.stop, request.arrived, request.deadline,
+                                            ExpectedDuration(request, state_)));
 }
 
 void Gateway::CheckStopped() {
-  const Duration elapsed = clock_.now() - stop_started_;
-  if (elapsed < kBalancerRemovalTime || !on_stopped_) {
+  if (!on_stopped_) {
     return;
   }
+  const TimePoint now = clock_.now();
+  const Duration elapsed = now - state_.stop->started;
+  const bool is_forced = now >= core::ForcedEnd(*state_.stop);
+  // Connections may end during the calls below.
   std::vector<std::shared_ptr<CallerConnection>> connections;
   for (const auto& [key, connection] : connections_) {
     connections.push_back(connection);
   }
-  const bool is_busy = std::any_of(connections.begin(), connections.end(),
-                                   [](const std::shared_ptr<CallerConnection>& c) {
-                                     return c->is_serving() || c->unsent_bytes() > 0;
-                                   });
+  const std::size_t open_requests = OpenRequests();
   for (const std::shared_ptr<CallerConnection>& connection : connections) {
-    connection->CloseIfIdle();
+    if (is_forced) {
+      connection->EndForStop();
+    } else {
+      connection->OnStopProgress();
+    }
   }
-  if (is_busy && elapsed < settings_.stop_grace - kExitMargin) {
+  if (elapsed < kBalancerRemovalTime) {
     return;
   }
-  if (!std::exchange(is_finishing_, true)) {
-    Log(LogLevel::kInfo, "stopped", {{"after_ms", ToMs(elapsed)}, {"open_requests", is_busy}});
+  for (const std::shared_ptr<CallerConnection>& connection : connections) {
+    connection->CloseIfIdle();
+  }
+  const bool has_unsent =
+      std::any_of(connections.begin(), connections.end(),
+                  [](const std::shared_ptr<CallerConnection>& c) { return c->unsent_bytes() > 0; });
+  if (!is_finishing_) {
+    if (!is_forced && (has_unsent || OpenRequests() > 0)) {
+      return;
+    }
+    is_finishing_ = true;
+    Log(LogLevel::kInfo, "stop_finishing",
+        {{"after_ms", ToMs(elapsed)}, {"ended_requests", is_forced ? open_requests : 0}});
     watch_->Deregister([this] { is_deregistered_ = true; });
-  } else if (is_deregistered_) {
+    return;
+  }
+  if ((is_deregistered_ && !has_unsent) || elapsed >= state_.stop->grace - kLastExitMargin) {
+    Log(LogLevel::kInfo, "stopped", {{"after_ms", ToMs(elapsed)}, {"unsent_answers", has_unsent}});
     std::exchange(on_stopped_, nullptr)();
   }
 }
@@ -448,7 +469,7 @@
   const nlohmann::json dump = {
       {"node", settings_.node},
       {"ready", is_ready()},
-      {"stopping", is_stopping_},
+      {"stopping", is_stopping()},
       {"config_version", table_ ? table_->version() : 0},
       {"upstream_list_age_ms", directory_.has_read ? ToMs(now - directory_.last_read) : -1.0},
       {"gateways", state_.gateways},
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -21,6 +21,7 @@
 #include "gateway/fleet.h"
 #include "gateway/gateway_state.h"
 #include "gateway/load_exchange.h"
+#include "gateway/request_context.h"
 #include "gateway/settings.h"
 #include "gateway/stage_controller.h"
 #include "gateway/store_watch.h"
@@ -34,10 +35,10 @@
                                                  Settings settings, StoreSource source);
   ~Gateway() override;
 
-  /// Starts the shutdown: new requests are accepted for kAcceptWorkTime more, and afterwards those
-  /// that end within the grace time. Running requests are finished within it. Then this gateway's
-  /// row is removed, and `done` is called. Connections are accepted until then; requests that are
-  /// not accepted are refused as not run.
+  /// Starts the shutdown. core/stop_plan decides which requests are still accepted and started; the
+  /// others are refused as not run. Requests that are open at the forced end are ended with what is
+  /// known of their outcome. Then this gateway's row is removed, and `done` is called. Connections
+  /// are accepted until then. A stop_grace that is reloaded later does not apply to this stop.
   void Stop(std::function<void()> done);
 
   /// Applies the settings that can change while the process runs: retry_bound and stop_grace.
@@ -57,9 +58,8 @@
   void Accept(asio::ip::tcp::acceptor& acceptor, CallerHost& host);
   void Tick();
   void CheckStopped();
-  /// Whether a request with this deadline is accepted. Near the end of a stop it must be able to
-  /// end within the grace time.
-  bool AcceptsWork(TimePoint deadline) const;
+  bool AcceptsWork(const RequestContext& request);
+  std::size_t OpenRequests() const;
   void OnListNews(const core::ListNews& news);
   /// Applies a list of upstreams to the directory and the fleet, and tells the peers which
   /// upstreams leave.
@@ -68,7 +68,7 @@
   std::unique_ptr<Exchange> StartExchange(CallerSink& sink, http::RequestHead head,
                                           std::string body) override;
   core::CallerLimits caller_limits() const override;
-  bool is_stopping() const override { return is_stopping_; }
+  bool is_stopping() const override { return state_.stop.has_value(); }
   void OnConnectionEnd(const CallerConnection* connection) override;
 
   void OnConfigRow(const std::string& text, std::int64_t row_version) override;
@@ -99,8 +99,6 @@
   asio::ip::tcp::acceptor metrics_acceptor_;
   asio::steady_timer tick_timer_;
   std::map<const CallerConnection*, std::shared_ptr<CallerConnection>> connections_;
-  bool is_stopping_ = false;
-  TimePoint stop_started_;
   /// No request is running any more, and none is accepted.
   bool is_finishing_ = false;
   bool is_deregistered_ = false;
--- a/gateway/gateway_state.h
+++ b/gateway/gateway_state.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "base/clock.h"
@@ -14,6 +15,7 @@
 #include "core/retry_window.h"
 #include "core/routing_table.h"
 #include "core/stage_plan.h"
+#include "core/stop_plan.h"
 #include "gateway/dispatcher.h"
 #include "gateway/fleet.h"
 #include "gateway/settings.h"
@@ -36,6 +38,8 @@
   std::int64_t gateways = 1;
   /// Shared by the answers that are kept until they are complete.
   core::AnswerBudget answer_budget = {};
+  /// Set when the process has begun to stop.
+  std::optional<core::StopPlan> stop = {};
 };
 
 /// Profile of a service until its first generation has ended. The values are the means of the
--- a/gateway/generation_exchange.cc
+++ b/gateway/generation_exchange.cc
@@ -402,7 +402,22 @@
   attempt_ = Attempt::Start(state_.context, state_.clock, decode_, std::move(plan), *this);
 }
 
-void GenerationExchange::OnDeadline() {
+void GenerationExchange::OnDeadline() { EndIncomplete(504, "deadline passed", std::nullopt); }
+
+void GenerationExchange::OnStopProgress() {
+  if (phase_ == Phase::kWaiting && !is_stream_open_ && state_.stop &&
+      !core::CanEndInTime(*state_.stop, state_.clock.now(), request_.deadline,
+                          ExpectedDuration(request_, state_))) {
+    EndForStop();
+  }
+}
+
+void GenerationExchange::EndForStop() {
+  EndIncomplete(502, "the process stops", core::kStopRetryAfter.count());
+}
+
+void GenerationExchange::EndIncomplete(int unknown_status, std::string_view cause,
+                                       std::optional<std::int64_t> retry_after_ms) {
   if (phase_ == Phase::kDone) {
     return;
   }
@@ -410,14 +425,14 @@
   attempt_.reset();
   ReleaseDecode();
   if (is_stream_open_) {
-    LogRequestEnd(request_, state_, 200, "cut", "deadline passed during the stream");
+    LogRequestEnd(request_, state_, 200, "cut", fmt::format("{} during the stream", cause));
     sink_.Abort();
   } else if (last == Phase::kDecode || possible_runs_ > 0) {
-    AnswerOutcomeUnknown(request_, state_, sink_, 504,
-                         "deadline passed after the request was sent to an engine");
+    AnswerOutcomeUnknown(request_, state_, sink_, unknown_status,
+                         fmt::format("{} after the request was sent to an engine", cause));
   } else {
-    AnswerNotRun(request_, state_, sink_, "deadline passed before the decode started",
-                 std::nullopt);
+    AnswerNotRun(request_, state_, sink_, fmt::format("{} before the decode started", cause),
+                 retry_after_ms);
   }
 }
 
--- a/gateway/generation_exchange.h
+++ b/gateway/generation_exchange.h
@@ -26,6 +26,8 @@
 
   void OnCallerDisconnected() override;
   void OnBytesSent() override;
+  void OnStopProgress() override;
+  void EndForStop() override;
 
  private:
   enum class Phase { kWaiting, kPrefill, kDecode, kDone };
@@ -50,6 +52,10 @@
   void StartPrefill(const std::shared_ptr<Upstream>& prefill);
   void StartDecode(const std::string& kv_source);
   void OnDeadline();
+  /// Ends a request whose answer is not complete. unknown_status: the status if it may have run and
+  /// no part of the answer was sent.
+  void EndIncomplete(int unknown_status, std::string_view cause,
+                     std::optional<std::int64_t> retry_after_ms);
   /// After prefill, chooses another decode engine if several gateways have chosen the same one at
   /// the same time and it is overloaded.
   void MoveIfOverloaded(TimePoint now);
--- a/gateway/plain_exchange.cc
+++ b/gateway/plain_exchange.cc
@@ -137,17 +137,35 @@
 }
 
 void PlainExchange::OnDeadline() {
+  EndUnanswered(504, "deadline passed after the request was sent to an upstream",
+                "deadline passed while the request was queued", std::nullopt);
+}
+
+void PlainExchange::OnStopProgress() {
+  if (!is_done_ && !attempt_ && state_.stop &&
+      !core::CanEndInTime(*state_.stop, state_.clock.now(), request_.deadline,
+                          ExpectedDuration(request_, state_))) {
+    EndForStop();
+  }
+}
+
+void PlainExchange::EndForStop() {
+  EndUnanswered(502, "the process stops after the request was sent to an upstream",
+                "the process stops while the request is queued", core::kStopRetryAfter.count());
+}
+
+void PlainExchange::EndUnanswered(int unknown_status, std::string_view unknown_reason,
+                                  std::string_view not_run_reason,
+                                  std::optional<std::int64_t> retry_after_ms) {
   if (std::exchange(is_done_, true)) {
     return;
   }
   if (attempt_ || possible_runs_ > 0) {
     attempt_.reset();
-    AnswerOutcomeUnknown(request_, state_, sink_, 504,
-                         "deadline passed after the request was sent to an upstream");
+    AnswerOutcomeUnknown(request_, state_, sink_, unknown_status, unknown_reason);
     return;
   }
-  AnswerNotRun(request_, state_, sink_, "deadline passed while the request was queued",
-               std::nullopt);
+  AnswerNotRun(request_, state_, sink_, not_run_reason, retry_after_ms);
 }
 
 bool PlainExchange::Retry(bool may_have_run, std::string_view why) {
--- a/gateway/plain_exchange.h
+++ b/gateway/plain_exchange.h
@@ -20,6 +20,8 @@
 
   void OnCallerDisconnected() override;
   void OnBytesSent() override {}
+  void OnStopProgress() override;
+  void EndForStop() override;
 
  private:
   PlainExchange(RequestContext request, GatewayState& state, CallerSink& sink);
@@ -27,6 +29,9 @@
   void Enqueue();
   bool TryStart();
   void OnDeadline();
+  /// Ends a request that has no answer yet. unknown_status: the status if it may have run.
+  void EndUnanswered(int unknown_status, std::string_view unknown_reason,
+                     std::string_view not_run_reason, std::optional<std::int64_t> retry_after_ms);
   /// Queues the request for another upstream if a retry is allowed, and returns whether it is.
   /// may_have_run: the last attempt may have run the request.
   bool Retry(bool may_have_run, std::string_view why);
--- a/gateway/request_context.cc
+++ b/gateway/request_context.cc
@@ -14,6 +14,13 @@
   return std::max<std::int64_t>(1, left);
 }
 
+Duration ExpectedDuration(const RequestContext& request, GatewayState& state) {
+  return Milliseconds(
+      request.route->kind == core::RequestKind::kStream
+          ? static_cast<std::int64_t>(ProfileOf(state, request.service->name).hold_ms)
+          : request.route->target_latency_ms);
+}
+
 void AnswerNotRun(RequestContext& request, GatewayState& state, CallerSink& sink,
                   std::string_view reason, std::optional<std::int64_t> retry_after_ms) {
   LogRequestEnd(request, state, 503, "not_run", reason);
@@ -35,6 +42,9 @@
   state.metrics.Count(
       fmt::format("requests_total{{route=\"{}\",outcome=\"{}\"}}", request.route->name, outcome));
   state.metrics.Observe(fmt::format("request_ms{{route=\"{}\"}}", request.route->name), total_ms);
+  // Time from the start of a stop to the arrival of the request, negative if it arrived before.
+  const nlohmann::json arrived_in_stop_ms =
+      state.stop ? nlohmann::json(ToMs(request.arrived - state.stop->started)) : nlohmann::json();
   Log(LogLevel::kInfo, "request_end",
       {{"request", request.facts.request_id},
        {"route", request.route->name},
@@ -48,6 +58,7 @@
        {"output_estimate", request.facts.expected_output_tokens.value_or(0)},
        {"wait_ms", ToMs(request.started.value_or(now) - request.arrived)},
        {"total_ms", total_ms},
+       {"arrived_in_stop_ms", arrived_in_stop_ms},
        {"deadline_ms", ToMs(request.deadline - request.arrived)}});
 }
 
--- a/gateway/request_context.h
+++ b/gateway/request_context.h
@@ -43,6 +43,9 @@
 /// Time left until the deadline in whole ms, at least 1.
 std::int64_t RemainingMs(const RequestContext& request, TimePoint now);
 
+/// Usual duration of a request like this one, from its first attempt to its end.
+Duration ExpectedDuration(const RequestContext& request, GatewayState& state);
+
 /// Answers 503 to a request that has not run and will not be run. Logs `reason`.
 void AnswerNotRun(RequestContext& request, GatewayState& state, CallerSink& sink,
                   std::string_view reason, std::optional<std::int64_t> retry_after_ms);
--- a/tests/gateway/caller_connection_test.cc
+++ b/tests/gateway/caller_connection_test.cc
@@ -24,6 +24,8 @@
   explicit SilentExchange(bool& disconnected) : is_caller_disconnected(disconnected) {}
   void OnCallerDisconnected() override { is_caller_disconnected = true; }
   void OnBytesSent() override {}
+  void OnStopProgress() override {}
+  void EndForStop() override {}
   bool& is_caller_disconnected;
 };
 
--- a/tests/gateway/gateway_stop_test.cc
+++ b/tests/gateway/gateway_stop_test.cc
@@ -44,26 +44,46 @@
   return settings;
 }
 
-/// Runs a gateway that is stopped at once and sends it one request on a new connection after
-/// `delay`, and before that another one if `has_earlier_request`. Returns all bytes of the answer,
-/// or the error.
-std::string RequestDuringStop(Milliseconds delay, Milliseconds work, Milliseconds remove_delay,
-                              int deadline_ms = 4'000, bool has_earlier_request = false) {
+struct StopCase {
+  /// Time from the start of the stop to the request.
+  Milliseconds delay;
+  /// Time that the upstream takes for a request.
+  Milliseconds work;
+  /// Time that the store takes to remove the gateway's row.
+  Milliseconds remove_delay;
+  int deadline_ms = 4'000;
+  /// Another caller sends a request 50 ms after the start of the stop.
+  bool has_earlier_request = false;
+  /// Requests that the upstream runs at once.
+  int slots = 6;
+};
+
+struct StopOutcome {
+  /// All bytes of the answer, or the error.
+  std::string answer;
+  std::string earlier_answer;
+  /// Time from the start of the stop to the end of the answer.
+  Duration answered_after{};
+  Duration stopped_after{};
+};
+
+/// Runs a gateway that is stopped at once and sends it requests on new connections.
+StopOutcome RequestDuringStop(const StopCase& stop) {
   FakeEngine server([&](const std::string& head, int /*number*/) -> FakeAnswer {
     FakeAnswer answer;
     answer.later = {"HTTP/1.1 200 OK\r\nRequest-Id: " + tests::FieldOf(head, "Request-Id") +
                     "\r\nResponse-Seal: s\r\nContent-Length: 4\r\n\r\ndone"};
-    answer.pause = work;
+    answer.pause = stop.work;
     return answer;
   });
   std::unique_ptr<asio::io_context> owned_context = std::make_unique<asio::io_context>();
   asio::io_context& context = *owned_context;
   tests::FakeTables tables;
-  tables.remove_delay = remove_delay;
+  tables.remove_delay = stop.remove_delay;
   tables.tables["config"]["c"] = {"c", kConfig, ++tables.version, false};
   const std::string upstream = R"({"service":"s","addr":"127.0.0.1:)" +
-                               std::to_string(server.port()) +
-                               R"(","zone":"domain-a","slots":6,"state":"ready"})";
+                               std::to_string(server.port()) + R"(","zone":"domain-a","slots":)" +
+                               std::to_string(stop.slots) + R"(,"state":"ready"})";
   tables.tables["upstreams"]["u"] = {"u", upstream, ++tables.version, false};
   gateway::StoreSource source{"config",
                               "c",
@@ -77,30 +97,35 @@
   std::unique_ptr<gateway::Gateway> gateway = std::move(
       gateway::Gateway::Create(context, DefaultClock(), settings, std::move(source)).value());
   cr_assert(tests::RunUntil(context, [&] { return gateway->is_ready(); }));
-  gateway->Stop([&] { context.stop(); });
-  std::string answer;
-  std::string earlier_answer;
-  const auto call = [&settings, deadline_ms](Milliseconds wait, std::string& text) {
+  StopOutcome outcome;
+  const TimePoint started = DefaultClock().now();
+  gateway->Stop([&] {
+    outcome.stopped_after = DefaultClock().now() - started;
+    context.stop();
+  });
+  const auto call = [&](Milliseconds wait, const std::string& id, std::string& text) {
     std::this_thread::sleep_for(wait);
     asio::io_context caller_context;
     tcp::socket socket(caller_context);
     std::error_code error;
     socket.connect(settings.callers, error);
-    asio::write(
-        socket,
-        asio::buffer(std::string("POST /p/x HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\n"
-                                 "Deadline-Ms: " +
-                                 std::to_string(deadline_ms) + "\r\nContent-Length: 0\r\n\r\n")),
-        error);
+    asio::write(socket,
+                asio::buffer("POST /p/x HTTP/1.1\r\nHost: h\r\nRequest-Id: " + id +
+                             "\r\nDeadline-Ms: " + std::to_string(stop.deadline_ms) +
+                             "\r\nContent-Length: 0\r\n\r\n"),
+                error);
     asio::read(socket, asio::dynamic_buffer(text), error);
     if (error != asio::error::eof) {
       text += "[" + error.message() + "]";
     }
   };
-  std::thread caller([&] { call(delay, answer); });
+  std::thread caller([&] {
+    call(stop.delay, "r1", outcome.answer);
+    outcome.answered_after = DefaultClock().now() - started;
+  });
   std::thread earlier_caller([&] {
-    if (has_earlier_request) {
-      call(Milliseconds(50), earlier_answer);
+    if (stop.has_earlier_request) {
+      call(Milliseconds(50), "r0", outcome.earlier_answer);
     }
   });
   context.restart();
@@ -110,9 +135,11 @@
   owned_context.reset();
   caller.join();
   earlier_caller.join();
-  cr_assert(!has_earlier_request || earlier_answer.starts_with("HTTP/1.1 200"), "%s",
-            earlier_answer.c_str());
-  return answer;
+  return outcome;
+}
+
+bool IsComplete(const std::string& answer) {
+  return answer.starts_with("HTTP/1.1 ") && answer.find('[') == std::string::npos;
 }
 
 }  // namespace
@@ -121,35 +148,60 @@
 // the last running request had ended, while the gateway's row was being removed from the store.
 Test(gateway_stop, request_accepted_during_the_last_steps_is_answered, .timeout = 40) {
   const std::string answer =
-      RequestDuringStop(Milliseconds(3'300), Milliseconds(2'500), Milliseconds(1'500));
+      RequestDuringStop({Milliseconds(3'300), Milliseconds(2'500), Milliseconds(1'500)}).answer;
   cr_assert(answer.starts_with("HTTP/1.1 200") || answer.starts_with("HTTP/1.1 503"), "%s",
             answer.c_str());
-  cr_assert_eq(answer.find('['), std::string::npos, "%s", answer.c_str());
+  cr_assert(IsComplete(answer), "%s", answer.c_str());
 }
 
 // Guards against refusing connections while the load balancer still sends some: callers get a
 // refusal that says that the request has not run.
 Test(gateway_stop, late_connection_is_refused_with_an_answer, .timeout = 40) {
   const std::string answer =
-      RequestDuringStop(Milliseconds(4'300), Milliseconds(10), Milliseconds(2'500));
+      RequestDuringStop({Milliseconds(4'300), Milliseconds(10), Milliseconds(2'500)}).answer;
   cr_assert(answer.starts_with("HTTP/1.1 503"), "%s", answer.c_str());
-  cr_assert_eq(answer.find('['), std::string::npos, "%s", answer.c_str());
+  cr_assert(IsComplete(answer), "%s", answer.c_str());
 }
 
-// Guards against taking work near the end of a stop that cannot be finished before the process must
-// end. Found by a hunt on hanbit-allot (mix, seed 60055583466): a stream that was taken 3.7 s after
-// the signal was cut at 7.5 s.
+// Guards against the incident LOST: work was taken near the end of a stop, could not be finished
+// before the process had to end, and was cut.
 Test(gateway_stop, request_that_may_outlast_the_stop_is_refused, .timeout = 40) {
-  const std::string answer =
-      RequestDuringStop(Milliseconds(3'300), Milliseconds(5'000), Milliseconds(10), 14'000, true);
-  cr_assert(answer.starts_with("HTTP/1.1 503"), "%s", answer.c_str());
+  const StopOutcome outcome =
+      RequestDuringStop({Milliseconds(3'300), Milliseconds(5'000), Milliseconds(10), 14'000, true});
+  cr_assert(outcome.answer.starts_with("HTTP/1.1 503"), "%s", outcome.answer.c_str());
+  cr_assert(outcome.earlier_answer.starts_with("HTTP/1.1 200"), "%s",
+            outcome.earlier_answer.c_str());
+}
+
+// Guards against the incident LOST: requests that were accepted at the start of a stop waited in
+// the queue, or ran, until the process exited, and ended without an answer.
+Test(gateway_stop, open_requests_are_answered_before_the_process_exits, .timeout = 40) {
+  const StopOutcome outcome = RequestDuringStop(
+      {Milliseconds(500), Milliseconds(20'000), Milliseconds(10), 14'000, true, 1});
+  cr_assert(outcome.answer.starts_with("HTTP/1.1 503"), "%s", outcome.answer.c_str());
+  cr_assert(IsComplete(outcome.answer), "%s", outcome.answer.c_str());
+  // The upstream may have run this one.
+  cr_assert(outcome.earlier_answer.starts_with("HTTP/1.1 502"), "%s",
+            outcome.earlier_answer.c_str());
+  cr_assert(IsComplete(outcome.earlier_answer), "%s", outcome.earlier_answer.c_str());
+  cr_assert_lt(ToMs(outcome.stopped_after), 8'000.0);
+}
+
+// Guards against a process that is killed with unsent answers because the store does not answer the
+// removal of its row.
+Test(gateway_stop, silent_store_does_not_delay_the_exit_beyond_the_grace_time, .timeout = 40) {
+  const StopOutcome outcome =
+      RequestDuringStop({Milliseconds(500), Milliseconds(20'000), Milliseconds(5'000), 14'000});
+  cr_assert(IsComplete(outcome.answer), "%s", outcome.answer.c_str());
+  cr_assert_gt(ToMs(outcome.stopped_after), 0.0);
+  cr_assert_lt(ToMs(outcome.stopped_after), 8'000.0);
 }
 
 // Guards against a stop that is delayed although nothing is left to do.
 Test(gateway_stop, idle_gateway_stops_after_the_balancer_has_removed_it, .timeout = 40) {
-  const TimePoint started = DefaultClock().now();
-  const std::string answer =
-      RequestDuringStop(Milliseconds(1'000), Milliseconds(10), Milliseconds(10));
-  cr_assert(answer.starts_with("HTTP/1.1 200"), "%s", answer.c_str());
-  cr_assert_lt(ToMs(DefaultClock().now() - started), 4'500.0);
+  const StopOutcome outcome =
+      RequestDuringStop({Milliseconds(1'000), Milliseconds(10), Milliseconds(10)});
+  cr_assert(outcome.answer.starts_with("HTTP/1.1 200"), "%s", outcome.answer.c_str());
+  cr_assert_lt(ToMs(outcome.stopped_after), 4'500.0);
+  cr_assert_gt(ToMs(outcome.stopped_after), 0.0);
 }
--- a/tests/gateway/generation_exchange_test.cc
+++ b/tests/gateway/generation_exchange_test.cc
@@ -301,3 +301,62 @@
   cr_assert_eq(waiting_tokens, 5'000);
   cr_assert_eq(taken_tokens, 0);
 }
+
+// Guards against the incident LOST: a generation that had waited since the start of a stop was
+// started near its end and cut. It is refused as soon as it can no longer end in time.
+Test(generation_exchange, queued_generation_is_refused_when_the_stop_leaves_too_little_time,
+     .timeout = 30) {
+  ExchangeFixture fixture;
+  const TimePoint now = DefaultClock().now();
+  fixture.state.stop = {now - Milliseconds(1'000), Milliseconds(8'000)};
+  bool is_refused_at_once = true;
+  fixture.on_started = [&](gateway::Exchange& exchange) {
+    exchange.OnStopProgress();
+    is_refused_at_once = fixture.sink.is_complete;
+    fixture.state.stop->started = now - Milliseconds(5'000);
+    exchange.OnStopProgress();
+  };
+  fixture.Run(RequestKind::kStream, true);
+  cr_assert(!is_refused_at_once);
+  cr_assert(fixture.sink.is_complete);
+  cr_assert_eq(fixture.sink.status, 503);
+}
+
+// Guards against a process that exits while an engine runs a request: the caller is told that it
+// may have run.
+Test(generation_exchange, running_generation_gets_an_answer_at_the_forced_end, .timeout = 30) {
+  FakeEngine prefill(PrefillAnswer);
+  FakeEngine decode([](const std::string& /*head*/, int /*number*/) { return FakeAnswer{}; });
+  ExchangeFixture fixture;
+  fixture.Add("p", UpstreamStage::kPrefill, prefill.port());
+  fixture.Add("d", UpstreamStage::kDecode, decode.port());
+  asio::steady_timer forced_end(fixture.context);
+  fixture.on_started = [&](gateway::Exchange& exchange) {
+    forced_end.expires_after(Milliseconds(500));
+    forced_end.async_wait([&](const std::error_code& /*error*/) { exchange.EndForStop(); });
+  };
+  fixture.Run(RequestKind::kStream, true);
+  cr_assert_eq(decode.heads().size(), 1);
+  cr_assert_eq(fixture.sink.status, 502);
+  cr_assert(fixture.sink.is_complete);
+}
+
+// Guards against a stream that looks complete although the process has stopped in its midst.
+Test(generation_exchange, open_stream_is_cut_visibly_at_the_forced_end, .timeout = 30) {
+  FakeEngine prefill(PrefillAnswer);
+  FakeEngine decode([](const std::string& /*head*/, int /*number*/) -> FakeAnswer {
+    return {kStreamHead + Event(1), false};
+  });
+  ExchangeFixture fixture;
+  fixture.Add("p", UpstreamStage::kPrefill, prefill.port());
+  fixture.Add("d", UpstreamStage::kDecode, decode.port());
+  asio::steady_timer forced_end(fixture.context);
+  fixture.on_started = [&](gateway::Exchange& exchange) {
+    forced_end.expires_after(Milliseconds(500));
+    forced_end.async_wait([&](const std::error_code& /*error*/) { exchange.EndForStop(); });
+  };
+  fixture.Run(RequestKind::kStream, true);
+  cr_assert_eq(fixture.sink.status, 200);
+  cr_assert(fixture.sink.is_aborted);
+  cr_assert(!fixture.sink.is_complete);
+}
