Release open requests before the gateway's members are destroyed

What callers saw: nothing of their own; the process aborted ("double free") at its exit when requests were still open, so that its last log lines and exit code were lost.

Cause: handlers of the event loop keep caller connections alive until the event loop is destroyed, which is after the gateway; their exchanges then used its dispatcher and fleet.

Change: the destructor of the gateway destroys the exchanges first.

Measured: gateway_stop/gateway_can_be_destroyed_with_open_requests crashes before the change and passes now.

Conclusion: mended.

--- a/gateway/caller_connection.h
+++ b/gateway/caller_connection.h
@@ -47,6 +47,8 @@
   void OnStopProgress();
   /// Ends the request in progress, because the process is about to exit.
   void EndForStop();
+  /// Destroys the request in progress without an answer. Not to be called from that request.
+  void DropExchange() { exchange_.reset(); }
   bool is_serving() const { return exchange_ != nullptr || is_answering_; }
 
   void Answer(int status, const http::Fields& fields, std::string body) override;
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -132,7 +132,13 @@
       metrics_acceptor_(context),
       tick_timer_(context) {}
 
-Gateway::~Gateway() = default;
+Gateway::~Gateway() {
+  // Handlers of the event loop keep connections alive beyond this object, but the exchanges use its
+  // members.
+  for (const auto& [key, connection] : connections_) {
+    connection->DropExchange();
+  }
+}
 
 Result<void> Gateway::Listen(asio::ip::tcp::acceptor& acceptor,
                              const asio::ip::tcp::endpoint& endpoint) {
--- a/tests/gateway/gateway_stop_test.cc
+++ b/tests/gateway/gateway_stop_test.cc
@@ -56,6 +56,8 @@
   bool has_earlier_request = false;
   /// Requests that the upstream runs at once.
   int slots = 6;
+  /// Time from the start of the stop to the destruction of the gateway, if it has not ended before.
+  Milliseconds run_time{9'000};
 };
 
 struct StopOutcome {
@@ -129,7 +131,7 @@
     }
   });
   context.restart();
-  context.run_for(Milliseconds(9'000));
+  context.run_for(stop.run_time);
   // The process ends here, and with it all connections.
   gateway.reset();
   owned_context.reset();
@@ -205,3 +207,12 @@
   cr_assert_lt(ToMs(outcome.stopped_after), 4'500.0);
   cr_assert_gt(ToMs(outcome.stopped_after), 0.0);
 }
+
+// Guards against a crash at the exit of the process while requests are running and queued.
+Test(gateway_stop, gateway_can_be_destroyed_with_open_requests, .timeout = 40) {
+  StopCase stop{Milliseconds(300), Milliseconds(20'000), Milliseconds(10), 14'000, true, 1};
+  stop.run_time = Milliseconds(1'000);
+  const StopOutcome outcome = RequestDuringStop(stop);
+  cr_assert(!IsComplete(outcome.answer), "%s", outcome.answer.c_str());
+  cr_assert_eq(outcome.stopped_after.count(), 0);
+}
