Say "not run" exactly when no upstream can have run the request

What callers saw: a repeatable request whose first server did not answer in time, and may still run it, got 503 "not run" when that server left the list or the second one refused; a request whose connection to the upstream was still being made at the end of a stop, and that was never sent, got 502 "may have run".

Cause: the refusals of a plain request did not look at its earlier attempts, and an attempt did not tell whether it had sent anything.

Change: Attempt::has_sent; one function of the plain exchange ends a request without an answer, and decides which of the two it is.

Conclusion: mended.

--- a/gateway/attempt.cc
+++ b/gateway/attempt.cc
@@ -33,6 +33,7 @@
       plan_(std::move(plan)),
       listener_(listener),
       connection_(AcquireConnection(*upstream_, context, plan_.request_id, clock.now())),
+      sent_before_(connection_->requests_sent()),
       timer_(context),
       timer_sequence_(std::make_shared<std::uint64_t>(0)) {
   AddLoad(upstream_->local_load, plan_.load, 1);
--- a/gateway/attempt.h
+++ b/gateway/attempt.h
@@ -72,6 +72,8 @@
   Attempt& operator=(const Attempt&) = delete;
 
   Upstream& upstream() { return *upstream_; }
+  /// Whether sending of the request was started, so that the upstream may have run it.
+  bool has_sent() const { return !connection_ || connection_->requests_sent() > sent_before_; }
   /// While reading is paused, the upstream's silence is not timed.
   void PauseReading();
   void ResumeReading();
@@ -95,6 +97,8 @@
   AttemptPlan plan_;
   AttemptListener& listener_;
   std::shared_ptr<http::ClientConnection> connection_;
+  /// Requests that were sent on the connection before this one.
+  std::int64_t sent_before_ = 0;
   asio::steady_timer timer_;
   /// Number of the current timer. Handlers hold it weakly, and return if the attempt was destroyed
   /// or the timer was started again.
--- a/gateway/generation_exchange.cc
+++ b/gateway/generation_exchange.cc
@@ -404,10 +404,14 @@
 
 void GenerationExchange::OnDeadline() { EndIncomplete(504, "deadline passed", std::nullopt); }
 
+bool GenerationExchange::IsTooLateInStop() const {
+  return !is_stream_open_ && state_.stop &&
+         !core::CanEndInTime(*state_.stop, state_.clock.now(), request_.deadline,
+                             ExpectedDuration(request_, state_));
+}
+
 void GenerationExchange::OnStopProgress() {
-  if (phase_ == Phase::kWaiting && !is_stream_open_ && state_.stop &&
-      !core::CanEndInTime(*state_.stop, state_.clock.now(), request_.deadline,
-                          ExpectedDuration(request_, state_))) {
+  if (phase_ == Phase::kWaiting && IsTooLateInStop()) {
     EndForStop();
   }
 }
@@ -421,17 +425,19 @@
   if (phase_ == Phase::kDone) {
     return;
   }
-  const Phase last = std::exchange(phase_, Phase::kDone);
+  const bool may_have_run =
+      possible_runs_ > 0 || (phase_ == Phase::kDecode && attempt_->has_sent());
+  phase_ = Phase::kDone;
   attempt_.reset();
   ReleaseDecode();
   if (is_stream_open_) {
     LogRequestEnd(request_, state_, 200, "cut", fmt::format("{} during the stream", cause));
     sink_.Abort();
-  } else if (last == Phase::kDecode || possible_runs_ > 0) {
+  } else if (may_have_run) {
     AnswerOutcomeUnknown(request_, state_, sink_, unknown_status,
                          fmt::format("{} after the request was sent to an engine", cause));
   } else {
-    AnswerNotRun(request_, state_, sink_, fmt::format("{} before the decode started", cause),
+    AnswerNotRun(request_, state_, sink_, fmt::format("{} before the decode was sent", cause),
                  retry_after_ms);
   }
 }
--- a/gateway/generation_exchange.h
+++ b/gateway/generation_exchange.h
@@ -45,6 +45,9 @@
   bool RefuseIfQueueIsLong();
   bool TryStart();
   void OnCallerTimeout();
+  /// Whether the process stops before the request could end, if it were started now. An open stream
+  /// is continued as long as possible.
+  bool IsTooLateInStop() const;
   /// Whether to take free capacity in this try. When requests also wait at the peers, the free
   /// capacity is divided at random, in proportion to the waiting requests.
   bool MayTakeCapacity(std::span<const core::PlacementCandidate> candidates,
--- a/gateway/plain_exchange.cc
+++ b/gateway/plain_exchange.cc
@@ -100,8 +100,7 @@
       return false;
     }
     queue_id_ = 0;
-    is_done_ = true;
-    AnswerNotRun(request_, state_, sink_, "the service has no usable upstream", kNoUpstreamRetryMs);
+    EndAfterRefusal("the service has no usable upstream", kNoUpstreamRetryMs);
     return true;
   }
   queue_id_ = 0;
@@ -137,35 +136,46 @@
 }
 
 void PlainExchange::OnDeadline() {
-  EndUnanswered(504, "deadline passed after the request was sent to an upstream",
-                "deadline passed while the request was queued", std::nullopt);
+  EndUnanswered(504,
+                attempt_ ? "deadline passed during an attempt" : "deadline passed in the queue",
+                std::nullopt);
+}
+
+bool PlainExchange::IsTooLateInStop() const {
+  return state_.stop && !core::CanEndInTime(*state_.stop, state_.clock.now(), request_.deadline,
+                                            ExpectedDuration(request_, state_));
 }
 
 void PlainExchange::OnStopProgress() {
-  if (!is_done_ && !attempt_ && state_.stop &&
-      !core::CanEndInTime(*state_.stop, state_.clock.now(), request_.deadline,
-                          ExpectedDuration(request_, state_))) {
+  if (!attempt_ && IsTooLateInStop()) {
     EndForStop();
   }
 }
 
 void PlainExchange::EndForStop() {
-  EndUnanswered(502, "the process stops after the request was sent to an upstream",
-                "the process stops while the request is queued", core::kStopRetryAfter.count());
+  EndUnanswered(502,
+                attempt_ ? "the process stops during an attempt"
+                         : "the process stops while the request is queued",
+                core::kStopRetryAfter.count());
 }
 
-void PlainExchange::EndUnanswered(int unknown_status, std::string_view unknown_reason,
-                                  std::string_view not_run_reason,
+void PlainExchange::EndUnanswered(int unknown_status, std::string_view reason,
                                   std::optional<std::int64_t> retry_after_ms) {
   if (std::exchange(is_done_, true)) {
     return;
   }
-  if (attempt_ || possible_runs_ > 0) {
-    attempt_.reset();
-    AnswerOutcomeUnknown(request_, state_, sink_, unknown_status, unknown_reason);
-    return;
+  const bool may_have_run = possible_runs_ > 0 || (attempt_ && attempt_->has_sent());
+  attempt_.reset();
+  if (may_have_run) {
+    AnswerOutcomeUnknown(request_, state_, sink_, unknown_status, reason);
+  } else {
+    AnswerNotRun(request_, state_, sink_, reason, retry_after_ms);
   }
-  AnswerNotRun(request_, state_, sink_, not_run_reason, retry_after_ms);
+}
+
+void PlainExchange::EndAfterRefusal(std::string_view reason, std::int64_t retry_after_ms) {
+  attempt_.reset();
+  EndUnanswered(502, reason, retry_after_ms);
 }
 
 bool PlainExchange::Retry(bool may_have_run, std::string_view why) {
@@ -210,17 +220,14 @@
   if (answer_facts_.wrong_instance) {
     ExcludeMisdirected(state_, attempt_->upstream());
     if (!Retry(false, "another process answers at the upstream's address")) {
-      is_done_ = true;
-      AnswerNotRun(request_, state_, sink_, "the upstream was replaced by another process",
-                   kNoCapacityRetryMs);
+      EndAfterRefusal("the upstream was replaced by another process", kNoCapacityRetryMs);
     }
     return;
   }
   if (answer_facts_.not_run) {
     core::RecordAnswer(health, core::AnswerResult::kErrorAnswer, now);
     if (!Retry(false, "the upstream refused the request")) {
-      is_done_ = true;
-      AnswerNotRun(request_, state_, sink_, "the upstreams have no capacity", kNoCapacityRetryMs);
+      EndAfterRefusal("the upstreams have no capacity", kNoCapacityRetryMs);
     }
     return;
   }
@@ -258,9 +265,7 @@
     core::RecordAnswer(attempt_->upstream().health, core::AnswerResult::kNoAnswer, now);
     --sent_attempts_;
     if (++failed_connections_ >= kMaxFailedConnections || !Retry(false, "connection failed")) {
-      is_done_ = true;
-      AnswerNotRun(request_, state_, sink_, "connections to the upstreams failed",
-                   kNoUpstreamRetryMs);
+      EndAfterRefusal("connections to the upstreams failed", kNoUpstreamRetryMs);
     }
     return;
   }
--- a/gateway/plain_exchange.h
+++ b/gateway/plain_exchange.h
@@ -29,9 +29,14 @@
   void Enqueue();
   bool TryStart();
   void OnDeadline();
-  /// Ends a request that has no answer yet. unknown_status: the status if it may have run.
-  void EndUnanswered(int unknown_status, std::string_view unknown_reason,
-                     std::string_view not_run_reason, std::optional<std::int64_t> retry_after_ms);
+  /// Whether the process stops before the request could end, if it were started now.
+  bool IsTooLateInStop() const;
+  /// Ends a request that has no answer yet: as not run if no upstream can have run it, otherwise
+  /// with `unknown_status`.
+  void EndUnanswered(int unknown_status, std::string_view reason,
+                     std::optional<std::int64_t> retry_after_ms);
+  /// The same when the last attempt was not run and no further one follows.
+  void EndAfterRefusal(std::string_view reason, std::int64_t retry_after_ms);
   /// Queues the request for another upstream if a retry is allowed, and returns whether it is.
   /// may_have_run: the last attempt may have run the request.
   bool Retry(bool may_have_run, std::string_view why);
--- a/tests/gateway/generation_exchange_test.cc
+++ b/tests/gateway/generation_exchange_test.cc
@@ -1,6 +1,9 @@
 #include <criterion/criterion.h>
 
+#include <asio/ip/tcp.hpp>
 #include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+#include <atomic>
 #include <string>
 
 #include "tests/gateway/exchange_fixture.h"
@@ -360,3 +363,31 @@
   cr_assert(fixture.sink.is_aborted);
   cr_assert(!fixture.sink.is_complete);
 }
+
+// Guards against an outcome "unknown" of a request that was never sent: the connection to the
+// engine is still being made at the forced end.
+Test(generation_exchange, forced_end_before_the_decode_is_sent_says_not_run, .timeout = 30) {
+  FakeEngine prefill(PrefillAnswer);
+  // The queue of this listener is full, so that connections to it are not completed; the exchange
+  // gives up after 300 ms.
+  asio::io_context listener_context;
+  asio::ip::tcp::acceptor listener(
+      listener_context, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0), false);
+  listener.listen(0);
+  std::vector<std::unique_ptr<asio::ip::tcp::socket>> fillers;
+  for (int i = 0; i < 4; ++i) {
+    fillers.push_back(std::make_unique<asio::ip::tcp::socket>(listener_context));
+    fillers.back()->async_connect(listener.local_endpoint(), [](const std::error_code&) {});
+  }
+  ExchangeFixture fixture;
+  fixture.Add("p", UpstreamStage::kPrefill, prefill.port());
+  fixture.Add("d", UpstreamStage::kDecode, listener.local_endpoint().port());
+  asio::steady_timer forced_end(fixture.context);
+  fixture.on_started = [&](gateway::Exchange& exchange) {
+    forced_end.expires_after(Milliseconds(150));
+    forced_end.async_wait([&](const std::error_code& /*error*/) { exchange.EndForStop(); });
+  };
+  fixture.Run(RequestKind::kStream, true);
+  cr_assert_eq(prefill.heads().size(), 1);
+  cr_assert_eq(fixture.sink.status, 503, "%d %s", fixture.sink.status, fixture.sink.body.c_str());
+}
--- a/tests/gateway/plain_exchange_test.cc
+++ b/tests/gateway/plain_exchange_test.cc
@@ -1,5 +1,7 @@
 #include <criterion/criterion.h>
 
+#include <asio/steady_timer.hpp>
+#include <atomic>
 #include <string>
 
 #include "tests/gateway/exchange_fixture.h"
@@ -207,3 +209,46 @@
   ExpectEndlessAnswerEnds(head + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-Trailer: y\r\n");
   ExpectEndlessAnswerEnds("HTTP/1.1 200 OK\r\nRequest-Id: old\r\n\r\n", filler);
 }
+
+// Guards against a refusal that promises "not run" to a request that a server may still run: it did
+// not answer in time, left the list meanwhile, and no other server is usable.
+Test(plain_exchange, request_that_may_have_run_is_not_refused_when_no_server_is_left,
+     .timeout = 30) {
+  FakeEngine only([](const std::string& /*head*/, int /*number*/) { return FakeAnswer{}; });
+  ExchangeFixture fixture;
+  fixture.Add("a", UpstreamStage::kPlain, only.port());
+  asio::steady_timer leave(fixture.context);
+  fixture.on_started = [&](gateway::Exchange& /*exchange*/) {
+    leave.expires_after(Milliseconds(200));
+    leave.async_wait([&](const std::error_code& /*error*/) {
+      core::UpstreamInfo info;
+      info.id = "a";
+      info.service = "s";
+      info.failure_domain = "domain-a";
+      info.address = "127.0.0.1";
+      info.port = only.port();
+      info.stage = UpstreamStage::kPlain;
+      info.slots = 4;
+      info.is_draining = true;
+      core::DirectoryChange change;
+      change.updated = {info};
+      fixture.fleet.Apply(change);
+    });
+  };
+  fixture.Run(RequestKind::kRepeatable, false, 2);
+  cr_assert_eq(only.heads().size(), 1);
+  cr_assert_eq(fixture.sink.status, 502, "%d %s", fixture.sink.status, fixture.sink.body.c_str());
+}
+
+// The same when the second server refuses the retry.
+Test(plain_exchange, request_that_may_have_run_is_not_refused_when_the_retry_is, .timeout = 30) {
+  int calls = 0;
+  const Outcome outcome = RunWithTwoServers(
+      RequestKind::kRepeatable, [&](const std::string& /*head*/, int /*number*/) -> FakeAnswer {
+        if (++calls == 1) {
+          return {"", true};
+        }
+        return CompleteAnswer(503, "Not-Executed: 1\r\n", "busy");
+      });
+  cr_assert_eq(outcome.status, 502, "%d %s", outcome.status, outcome.body.c_str());
+}
