Ask the stop plan before each attempt, retries included

What callers saw: 0.3 s before the forced end of a stop a refused request was sent to a second engine and ended as 502 instead of being refused as not run.

Cause: only the tick of the gateway refused what was queued too late; a retry starts from the event loop before the next tick.

Change: TryStart of both exchanges refuses what could no longer end in time. An open stream is continued as long as possible.

Conclusion: nothing is started in a stop that is not expected to end in it, but for a decode after a prefill that took unusually long.

--- a/gateway/generation_exchange.cc
+++ b/gateway/generation_exchange.cc
@@ -248,6 +248,11 @@
     OnDeadline();
     return true;
   }
+  if (IsTooLateInStop()) {
+    queue_id_ = 0;
+    EndForStop();
+    return true;
+  }
   if (now < next_capacity_try_) {
     return false;
   }
--- a/gateway/plain_exchange.cc
+++ b/gateway/plain_exchange.cc
@@ -88,6 +88,11 @@
     OnDeadline();
     return true;
   }
+  if (IsTooLateInStop()) {
+    queue_id_ = 0;
+    EndForStop();
+    return true;
+  }
   std::vector<core::PlacementCandidate> candidates;
   state_.fleet.FillCandidates(request_.service->name, *request_.service, request_.tried, {}, now,
                               candidates);
--- a/tests/gateway/generation_exchange_test.cc
+++ b/tests/gateway/generation_exchange_test.cc
@@ -364,6 +364,40 @@
   cr_assert(!fixture.sink.is_complete);
 }
 
+// Guards against work that is started near the end of a stop: a retry of a request that has not run
+// is refused if it can no longer end in time, as a queued request is.
+Test(generation_exchange, retry_is_not_started_when_the_stop_leaves_too_little_time,
+     .timeout = 30) {
+  FakeEngine prefill(PrefillAnswer);
+  std::atomic<int> decodes = 0;
+  const FakeEngine::Script script = [&](const std::string& /*head*/, int /*number*/) -> FakeAnswer {
+    FakeAnswer answer;
+    if (++decodes == 1) {
+      answer.later = {
+          "HTTP/1.1 503 X\r\nRequest-Id: r1\r\nNot-Executed: 1\r\n"
+          "Content-Length: 0\r\n\r\n"};
+      answer.pause = std::chrono::milliseconds(310);
+    }
+    return answer;
+  };
+  FakeEngine first(script);
+  FakeEngine second(script);
+  ExchangeFixture fixture;
+  fixture.Add("p", UpstreamStage::kPrefill, prefill.port());
+  fixture.Add("d1", UpstreamStage::kDecode, first.port());
+  fixture.Add("d2", UpstreamStage::kDecode, second.port());
+  asio::steady_timer stop(fixture.context, Milliseconds(100));
+  fixture.on_started = [&](gateway::Exchange& /*exchange*/) {
+    // The first decode is running by now.
+    stop.async_wait([&](const std::error_code& /*error*/) {
+      fixture.state.stop = {DefaultClock().now() - Milliseconds(5'000), Milliseconds(8'000)};
+    });
+  };
+  fixture.Run(RequestKind::kStream, true);
+  cr_expect_eq(decodes.load(), 1, "sent to %d decode engines", decodes.load());
+  cr_expect_eq(fixture.sink.status, 503, "%d", fixture.sink.status);
+}
+
 // Guards against an outcome "unknown" of a request that was never sent: the connection to the
 // engine is still being made at the forced end.
 Test(generation_exchange, forced_end_before_the_decode_is_sent_says_not_run, .timeout = 30) {
