Keep grace times that are shorter than the balancer's removal time

What callers saw: nothing on the users' sites, which all have 8 s. With a grace time of 2 s the process ended its requests after 1.5 s and exited only after 3 s, when it would have been killed.

Cause: the wait for the load balancer was applied to the forced end too.

Change: the forced end does not wait.

Conclusion: mended.

--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -432,7 +432,7 @@
       connection->OnStopProgress();
     }
   }
-  if (elapsed < kBalancerRemovalTime) {
+  if (!is_forced && elapsed < kBalancerRemovalTime) {
     return;
   }
   const bool has_unsent =
--- a/tests/gateway/gateway_stop_test.cc
+++ b/tests/gateway/gateway_stop_test.cc
@@ -225,3 +225,15 @@
   cr_assert(!IsComplete(outcome.answer), "%s", outcome.answer.c_str());
   cr_assert_eq(outcome.stopped_after.count(), 0);
 }
+
+// Guards against a process that is killed with its answers unsent and its row in the store,
+// because the grace time is shorter than the time until the balancer has removed it.
+Test(gateway_stop, short_grace_time_is_kept, .timeout = 40) {
+  StopCase stop{Milliseconds(500), Milliseconds(20'000), Milliseconds(10), 14'000, true, 1};
+  stop.grace = Milliseconds(2'000);
+  const StopOutcome outcome = RequestDuringStop(stop);
+  cr_expect(IsComplete(outcome.answer), "%s", outcome.answer.c_str());
+  cr_expect(IsComplete(outcome.earlier_answer), "%s", outcome.earlier_answer.c_str());
+  cr_expect_gt(ToMs(outcome.stopped_after), 0.0);
+  cr_expect_lt(ToMs(outcome.stopped_after), 2'000.0, "%f", ToMs(outcome.stopped_after));
+}
