Close idle connections of callers 3 s into a stop again

Cause: a caller whose idle connection is closed opens the next one at another gateway and is served; one whose connection is kept comes to the stopping gateway, which refuses work that could outlast the stop.

Change: the time of the close is as before.

--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -435,6 +435,9 @@
   if (!is_forced && elapsed < kBalancerRemovalTime) {
     return;
   }
+  for (const std::shared_ptr<CallerConnection>& connection : connections) {
+    connection->CloseIfIdle();
+  }
   const bool has_unsent =
       std::any_of(connections.begin(), connections.end(),
                   [](const std::shared_ptr<CallerConnection>& c) { return c->unsent_bytes() > 0; });
@@ -446,10 +449,6 @@
     Log(LogLevel::kInfo, "stop_finishing",
         {{"after_ms", ToMs(elapsed)}, {"ended_requests", is_forced ? open_requests : 0}});
     watch_->Deregister([this] { is_deregistered_ = true; });
-    // Not earlier: a request that the caller has just sent would be lost.
-    for (const std::shared_ptr<CallerConnection>& connection : connections) {
-      connection->CloseIfIdle();
-    }
     return;
   }
   if ((is_deregistered_ && !has_unsent) || elapsed >= state_.stop->grace - kLastExitMargin) {
