Let time limits of the soak pass a cancellation on

Cause: asyncio.wait_for of Python 3.11 drops a cancellation when what it waits for has just ended. A seed ends with killed gateways, whose readiness connections then end in the same turn of the loop as the cancellation of their tasks; watch_readiness went on for ever and the process did not exit.

Change: all time limits of the soak use asyncio.timeout, which raises the cancellation.

--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -20,8 +20,8 @@
         status = 0
         try:
             connection = await ClientConnection.connect(gateway.address, site.ports["readiness"])
-            answer = await asyncio.wait_for(
-                connection.request("GET", "/rattanramp/ready", [("Host", HOST)], b""), 0.5)
+            async with asyncio.timeout(0.5):
+                answer = await connection.request("GET", "/rattanramp/ready", [("Host", HOST)], b"")
             status = answer.status
             connection.close()
         except (OSError, asyncio.TimeoutError):
@@ -70,9 +70,8 @@
         headers += [("Model-Id", "m"), ("Token-Count", "5000,4000"),
                     ("Prompt-Prefix", f"aa:200,{sent.id}:4800")]
     try:
-        answer = await asyncio.wait_for(
-            connection.request(sent.method, sent.target, headers, sent.body),
-            abandon_after_s or DEADLINE_MS / 1000 + 1)
+        async with asyncio.timeout(abandon_after_s or DEADLINE_MS / 1000 + 1):
+            answer = await connection.request(sent.method, sent.target, headers, sent.body)
     except asyncio.TimeoutError:
         # The client closes the connection: after abandon_after_s, or because no answer arrived
         # within its own time limit.
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -74,7 +74,8 @@
         gateway.stop()
         process = gateway.process
         try:
-            await asyncio.wait_for(process.wait(), STOP_GRACE_S)
+            async with asyncio.timeout(STOP_GRACE_S):
+                await process.wait()
         except asyncio.TimeoutError:
             if gateway.is_unaffected(gateway.stop_sent, time.monotonic()):
                 self.site.record.add_violation(
--- a/tests/soak/http_io.py
+++ b/tests/soak/http_io.py
@@ -112,7 +112,8 @@
 
     @staticmethod
     async def connect(host, port):
-        reader, writer = await asyncio.wait_for(asyncio.open_connection(host, port), 1.0)
+        async with asyncio.timeout(1.0):
+            reader, writer = await asyncio.open_connection(host, port)
         return ClientConnection(reader, writer)
 
     async def request(self, method, target, headers, body):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -4,6 +4,9 @@
     tests/soak/soak.py PROGRAM --seeds 1-50 [--seconds 20] [--jobs 4] [--keep FOLDER]
 
 The exit code is 1 when any run violates a rule. docs/SOAK.md describes the rules.
+
+Time limits are set with asyncio.timeout: asyncio.wait_for of Python 3.11 drops a cancellation that
+coincides with the end of what it waits for, and a task that runs forever then survives it.
 """
 
 import argparse
--- a/tests/soak/stand_ins.py
+++ b/tests/soak/stand_ins.py
@@ -114,7 +114,8 @@
                 if rows or left <= 0:
                     return 200, self._rows_answer(rows)
                 try:
-                    await asyncio.wait_for(self.changed.wait(), left)
+                    async with asyncio.timeout(left):
+                        await self.changed.wait()
                 except asyncio.TimeoutError:
                     pass  # the next iteration answers with no rows
         if call == "rows-tx":
