Record how late the event loop runs its timers

Callers saw: late answers under load, whose cause lay in the link, in the sockets or in the event loop; the logs told none of them apart.

Change: the summary event_loop_delay_ms takes the delay of each tick, and event_loop_late names delays of 100 ms and more, at most one a second.

The test of the limits and the rate passes; test_gateway passes (62 tests).

--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -379,6 +379,7 @@
   tick_timer_.expires_after(kTickInterval);
   tick_timer_.async_wait([this](const std::error_code& error) {
     if (!error) {
+      loop_delay_.Record(tick_timer_.expiry(), std::chrono::steady_clock::now());
       Tick();
     }
   });
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -18,6 +18,7 @@
 #include "core/upstream_directory.h"
 #include "gateway/caller_connection.h"
 #include "gateway/dispatcher.h"
+#include "gateway/event_loop_delay.h"
 #include "gateway/fleet.h"
 #include "gateway/gateway_state.h"
 #include "gateway/load_exchange.h"
@@ -98,6 +99,7 @@
   asio::ip::tcp::acceptor readiness_acceptor_;
   asio::ip::tcp::acceptor metrics_acceptor_;
   asio::steady_timer tick_timer_;
+  EventLoopDelay loop_delay_{metrics_};
   std::map<const CallerConnection*, std::shared_ptr<CallerConnection>> connections_;
   bool is_stopping_ = false;
   TimePoint stop_started_;
