--- a/gateway/load_exchange.cc
+++ b/gateway/load_exchange.cc
@@ -287,7 +287,7 @@
       ++last_report;
     }
   }
-  // Repeats what change reports have told too, because their datagrams may be lost.
+  // Also repeats what change reports contained, because their datagrams may be lost.
   if (!IsSame(LocalLoad(), last_complete_) || now - last_complete_at_ >= pace.repeat_interval) {
     SendComplete(nullptr);
   }
--- a/tests/gateway/generation_exchange_test.cc
+++ b/tests/gateway/generation_exchange_test.cc
@@ -325,7 +325,7 @@
   cr_assert_eq(fixture.sink.status, 503);
 }
 
-// Guards against a process that exits while an engine runs a request: the caller is told that it
+// Guards against a process that exits while an engine runs a request: the answer says that it
 // may have run.
 Test(generation_exchange, running_generation_gets_an_answer_at_the_forced_end, .timeout = 30) {
   FakeEngine prefill(PrefillAnswer);
