--- a/tests/gateway/generation_exchange_test.cc
+++ b/tests/gateway/generation_exchange_test.cc
@@ -425,3 +425,122 @@
   cr_assert_eq(prefill.heads().size(), 1);
   cr_assert_eq(fixture.sink.status, 503, "%d %s", fixture.sink.status, fixture.sink.body.c_str());
 }
+
+namespace {
+
+struct SilenceCase {
+  /// Time for which the prefill engine does not answer.
+  std::chrono::milliseconds prefill{0};
+  /// Time for which the decode engine sends nothing, not even the head.
+  std::chrono::milliseconds first_event{0};
+  /// Time for which the decode engine is silent between two events.
+  std::chrono::milliseconds between_events{0};
+  /// Whether the bound on retries leaves any.
+  bool has_retries = true;
+  /// Whether another decode engine has capacity.
+  bool has_other_engine = true;
+  bool is_resumable = true;
+};
+
+struct SilenceOutcome {
+  bool is_complete = false;
+  std::size_t prefills = 0;
+  std::size_t decodes = 0;
+};
+
+/// Runs a generation whose engines are sound but silent for a while.
+SilenceOutcome RunWithSilence(const SilenceCase& silence) {
+  FakeEngine prefill([&](const std::string& head, int number) -> FakeAnswer {
+    FakeAnswer answer;
+    answer.later = {PrefillAnswer(head, number).bytes};
+    answer.pause = silence.prefill;
+    return answer;
+  });
+  const FakeEngine::Script decode_script = [&](const std::string& /*head*/,
+                                               int /*number*/) -> FakeAnswer {
+    FakeAnswer answer;
+    if (silence.first_event > std::chrono::milliseconds(0)) {
+      answer.later = {kStreamHead + Event(1) + Event(2) + "0\r\n\r\n"};
+      answer.pause = silence.first_event;
+    } else {
+      answer.bytes = kStreamHead + Event(1);
+      answer.later = {Event(2) + "0\r\n\r\n"};
+      answer.pause = silence.between_events;
+    }
+    return answer;
+  };
+  FakeEngine first(decode_script);
+  FakeEngine second(decode_script);
+  ExchangeFixture fixture;
+  if (!silence.has_retries) {
+    fixture.settings.retry_bound = {0, 0, Milliseconds(10'000)};
+  }
+  fixture.Add("p", UpstreamStage::kPrefill, prefill.port());
+  fixture.Add("d1", UpstreamStage::kDecode, first.port());
+  if (silence.has_other_engine) {
+    fixture.Add("d2", UpstreamStage::kDecode, second.port());
+  }
+  fixture.Run(RequestKind::kStream, silence.is_resumable);
+  return {fixture.sink.is_complete && fixture.sink.status == 200, prefill.heads().size(),
+          first.heads().size() + second.heads().size()};
+}
+
+// A sound engine may be silent for about a second; with its usual delay this is the longest wait.
+constexpr std::chrono::milliseconds kSoundSilence{1'500};
+
+}  // namespace
+
+// Guards against the incident LOST: the gateway ended the answer of a sound engine because it was
+// silent for a second, in any stage of a generation.
+Test(generation_exchange, silence_of_a_sound_engine_ends_no_attempt, .timeout = 60) {
+  const auto zero = std::chrono::milliseconds(0);
+  for (const SilenceCase& silence : {SilenceCase{kSoundSilence, zero, zero},
+                                     {zero, kSoundSilence, zero},
+                                     {zero, zero, kSoundSilence}}) {
+    const SilenceOutcome outcome = RunWithSilence(silence);
+    cr_expect(outcome.is_complete);
+    cr_expect_eq(outcome.prefills, 1, "%zu prefills", outcome.prefills);
+    cr_expect_eq(outcome.decodes, 1, "%zu decodes", outcome.decodes);
+  }
+}
+
+// Guards against the incident LOST: a stream was cut because its engine was silent, although it
+// could not be continued elsewhere. The engine may go on while the caller still waits.
+Test(generation_exchange, silent_stream_is_kept_while_it_cannot_be_continued_elsewhere,
+     .timeout = 60) {
+  const auto zero = std::chrono::milliseconds(0);
+  const std::chrono::milliseconds long_silence{2'600};
+  SilenceCase no_retries{zero, zero, long_silence};
+  no_retries.has_retries = false;
+  SilenceCase no_other_engine{zero, zero, long_silence};
+  no_other_engine.has_other_engine = false;
+  for (const SilenceCase& silence : {no_retries, no_other_engine}) {
+    const SilenceOutcome outcome = RunWithSilence(silence);
+    cr_expect(outcome.is_complete);
+    cr_expect_eq(outcome.decodes, 1, "%zu decodes", outcome.decodes);
+  }
+}
+
+// Guards against the incident LOST: near the end of a stop, a stream was taken from a silent engine
+// to be continued elsewhere, for which no time was left.
+Test(generation_exchange, silent_stream_is_kept_when_the_stop_leaves_no_time_to_continue_it,
+     .timeout = 30) {
+  FakeEngine prefill(PrefillAnswer);
+  const FakeEngine::Script script = [](const std::string& /*head*/, int /*number*/) -> FakeAnswer {
+    FakeAnswer answer;
+    answer.bytes = kStreamHead + Event(1);
+    answer.later = {Event(2) + "0\r\n\r\n"};
+    answer.pause = std::chrono::milliseconds(2'000);
+    return answer;
+  };
+  FakeEngine first(script);
+  FakeEngine second(script);
+  ExchangeFixture fixture;
+  fixture.state.stop = {DefaultClock().now() - Milliseconds(2'700), Milliseconds(8'000)};
+  fixture.Add("p", UpstreamStage::kPrefill, prefill.port());
+  fixture.Add("d1", UpstreamStage::kDecode, first.port());
+  fixture.Add("d2", UpstreamStage::kDecode, second.port());
+  fixture.Run(RequestKind::kStream, true);
+  cr_assert(fixture.sink.is_complete);
+  cr_assert_eq(first.heads().size() + second.heads().size(), 1);
+}
--- a/tests/gateway/plain_exchange_test.cc
+++ b/tests/gateway/plain_exchange_test.cc
@@ -252,3 +252,23 @@
       });
   cr_assert_eq(outcome.status, 502, "%d %s", outcome.status, outcome.body.c_str());
 }
+
+// Guards against a request that fails although its server answers: the server was slow, no retry
+// was left, and the attempt was ended all the same.
+Test(plain_exchange, slow_answer_is_awaited_when_no_retry_is_left, .timeout = 30) {
+  const FakeEngine::Script script = [](const std::string& /*head*/, int /*number*/) -> FakeAnswer {
+    FakeAnswer answer;
+    answer.later = {CompleteAnswer(200, "Response-Seal: s\r\n", "done").bytes};
+    answer.pause = std::chrono::milliseconds(1'500);
+    return answer;
+  };
+  FakeEngine first(script);
+  FakeEngine second(script);
+  ExchangeFixture fixture;
+  fixture.settings.retry_bound = {0, 0, Milliseconds(10'000)};
+  fixture.Add("a", UpstreamStage::kPlain, first.port());
+  fixture.Add("b", UpstreamStage::kPlain, second.port());
+  fixture.Run(RequestKind::kRepeatable, false);
+  cr_assert_eq(fixture.sink.status, 200, "%d %s", fixture.sink.status, fixture.sink.body.c_str());
+  cr_assert_eq(first.heads().size() + second.heads().size(), 1);
+}
