End a silent attempt only when another upstream can go on with it

Callers saw streams that ended in the middle, and lookups that failed with 502, although their server answered.

Cause: an attempt ended when the upstream had been silent for a fixed time (1.2 s in a stream). Only then did the exchange look for another upstream and a retry; without them the answer was lost. Sound servers may be silent for about a second (users' page), and a silence is no reason to end an answer.

Change: the exchange is asked when the time limit of an attempt is reached (AttemptListener::OnSilence). The attempt ends only if another upstream has capacity now, a retry is left and has been taken, and a stop leaves enough time; else the upstream gets more time, in a generation up to half a second beyond the caller's own limit. The limits of a generation are a sound silence of 1.5 s plus the usual delay of each stage. A silence counts once in the upstream's health, where it is timed.

--- a/gateway/attempt.cc
+++ b/gateway/attempt.cc
@@ -7,6 +7,10 @@
 namespace rattanramp::gateway {
 namespace {
 
+// Interval at which the listener is asked again about an attempt that goes on although its upstream
+// is silent.
+constexpr Milliseconds kSilenceCheckInterval{100};
+
 void AddLoad(core::UpstreamLoad& load, const core::UpstreamLoad& part, std::int64_t sign) {
   load.running += sign * part.running;
   load.reserved_tokens += sign * part.reserved_tokens;
@@ -20,7 +24,7 @@
                                         AttemptListener& listener) {
   std::unique_ptr<Attempt> attempt(
       new Attempt(context, clock, std::move(upstream), std::move(plan), listener));
-  attempt->ArmTimer(attempt->plan_.first_byte_timeout);
+  attempt->TimeSilence(attempt->plan_.first_byte_timeout);
   attempt->connection_->Send(std::move(attempt->plan_.head), attempt->plan_.body,
                              attempt->plan_.is_head_request, *attempt);
   return attempt;
@@ -55,7 +59,7 @@
 
 void Attempt::ResumeReading() {
   is_paused_ = false;
-  ArmTimer(plan_.read_timeout);
+  TimeSilence(plan_.read_timeout);
   connection_->ResumeReading();
 }
 
@@ -70,7 +74,7 @@
     return false;
   }
   facts_ = facts;
-  ArmTimer(plan_.read_timeout);
+  TimeSilence(plan_.read_timeout);
   listener_.OnAnswerHead(head, facts);
   return true;
 }
@@ -86,7 +90,7 @@
     return;
   }
   if (progress == BodyProgress::kProgress) {
-    ArmTimer(plan_.read_timeout);
+    TimeSilence(plan_.read_timeout);
   } else if (progress == BodyProgress::kTooLarge) {
     connection_->Close();
     OnFailure(http::ExchangeFailure::kMalformed);
@@ -114,29 +118,34 @@
                                  : AttemptFailure::kConnectionLost);
 }
 
+void Attempt::TimeSilence(Duration timeout) {
+  silent_for_ = Duration::zero();
+  ArmTimer(timeout);
+}
+
 void Attempt::ArmTimer(Duration wait) {
   const std::uint64_t number = ++*timer_sequence_;
   if (wait == Duration::zero() || is_paused_) {
     timer_.cancel();
     return;
   }
-  const bool has_suspicion = plan_.suspect_after != Duration::zero() && plan_.suspect_after < wait;
-  const Duration first_wait = has_suspicion ? plan_.suspect_after : wait;
-  timer_.expires_after(first_wait);
+  timer_.expires_after(wait);
   std::weak_ptr<std::uint64_t> lifetime = timer_sequence_;
-  timer_.async_wait(
-      [this, lifetime, number, remaining = wait - first_wait](const std::error_code& error) {
-        const std::shared_ptr<std::uint64_t> current = lifetime.lock();
-        if (!error && current && *current == number) {
-          OnTimer(remaining);
-        }
-      });
+  timer_.async_wait([this, lifetime, number, wait](const std::error_code& error) {
+    const std::shared_ptr<std::uint64_t> current = lifetime.lock();
+    if (!error && current && *current == number) {
+      OnTimer(wait);
+    }
+  });
 }
 
-void Attempt::OnTimer(Duration remaining) {
-  if (remaining > Duration::zero()) {
-    core::RecordAnswer(upstream_->health, core::AnswerResult::kNoAnswer, clock_.now());
-    ArmTimer(remaining);
+void Attempt::OnTimer(Duration waited) {
+  if (silent_for_ == Duration::zero() && plan_.silence_result) {
+    core::RecordAnswer(upstream_->health, *plan_.silence_result, clock_.now());
+  }
+  silent_for_ += waited;
+  if (!listener_.OnSilence(silent_for_)) {
+    ArmTimer(kSilenceCheckInterval);
     return;
   }
   connection_->Close();
--- a/gateway/attempt.h
+++ b/gateway/attempt.h
@@ -4,6 +4,7 @@
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -40,6 +41,9 @@
   virtual BodyProgress OnAnswerBody(std::string_view bytes) = 0;
   virtual void OnAnswerComplete() = 0;
   virtual void OnAttemptFailure(AttemptFailure failure) = 0;
+  /// Called when the upstream has been silent for the timeout of the plan, and repeatedly while the
+  /// silence lasts. Returns true to end the attempt with kTimedOut. Must not destroy the attempt.
+  virtual bool OnSilence(Duration silent_for) { return true; }
 };
 
 struct AttemptPlan {
@@ -50,13 +54,13 @@
   /// The request is not sent later than this, for example because the process was paused while it
   /// connected.
   TimePoint send_before = TimePoint::max();
-  /// Longest wait for the head of the answer; zero: no limit.
+  /// Wait for the head of the answer after which the listener decides whether the attempt goes on;
+  /// zero: no limit.
   Duration first_byte_timeout{};
-  /// Longest wait for further progress after the head; zero: no limit.
+  /// The same for further progress after the head.
   Duration read_timeout{};
-  /// A wait of this length counts against the upstream's health although the attempt goes on; zero:
-  /// none does.
-  Duration suspect_after{};
+  /// How a wait of that length counts in the upstream's health; empty: not at all.
+  std::optional<core::AnswerResult> silence_result;
   /// Added to the upstream's local_load for the duration of the attempt.
   core::UpstreamLoad load;
 };
@@ -88,8 +92,10 @@
   void OnComplete(bool is_reusable) override;
   void OnFailure(http::ExchangeFailure failure) override;
 
+  /// Starts to time the upstream's silence; the listener is asked after `timeout`.
+  void TimeSilence(Duration timeout);
   void ArmTimer(Duration wait);
-  void OnTimer(Duration remaining);
+  void OnTimer(Duration waited);
   void ReleaseLoad();
 
   const Clock& clock_;
@@ -103,6 +109,8 @@
   /// Number of the current timer. Handlers hold it weakly, and return if the attempt was destroyed
   /// or the timer was started again.
   std::shared_ptr<std::uint64_t> timer_sequence_;
+  /// Time for which the upstream has been silent, as far as it has been timed.
+  Duration silent_for_{};
   core::AnswerFacts facts_;
   bool has_local_load_ = true;
   bool is_paused_ = false;
--- a/gateway/generation_exchange.cc
+++ b/gateway/generation_exchange.cc
@@ -13,20 +13,27 @@
 namespace rattanramp::gateway {
 namespace {
 
-// Longest wait for the answer to a prefill. A prompt waits at most core::kMaxPrefillQueueMs and
-// takes up to 200 ms itself; after three times the sum the engine counts as unresponsive.
-constexpr Milliseconds kPrefillTimeout{1'500};
+// Time for which a sound engine may be silent beyond its usual delay: about a second (users'
+// documentation), and half of that as a margin.
+constexpr Milliseconds kSoundSilence{1'500};
 
-// Longest wait for the first event of a decode whose prompt another engine prefilled. The usual
-// wait is a transfer of a few ms, one step, and the tokens of one event (about 50 ms).
-constexpr Milliseconds kFirstEventTimeout{1'200};
+// Wait for the answer to a prefill after which another engine is tried. A prompt waits at most
+// core::kMaxPrefillQueueMs and takes up to 200 ms itself.
+constexpr Milliseconds kPrefillTimeout = kSoundSilence + Milliseconds(500);
+
+// The same for the first event of a decode whose prompt another engine prefilled. The usual wait is
+// a transfer of a few ms, one step, and the tokens of one event (about 50 ms).
+constexpr Milliseconds kFirstEventTimeout = kSoundSilence + Milliseconds(200);
 
 // The same when the decode engine prefills the prompt itself, interleaved with other decodes.
-constexpr Milliseconds kInPlaceFirstEventTimeout{2'500};
+constexpr Milliseconds kInPlaceFirstEventTimeout = kSoundSilence + Milliseconds(1'000);
+
+// The same for the gap between events; normally an event arrives every 50 ms.
+constexpr Milliseconds kReadTimeout = kSoundSilence + Milliseconds(100);
 
-// Longest gap in an answer. Callers abandon a stream after a gap of 2 s or more; normally an event
-// arrives every 50 ms.
-constexpr Milliseconds kReadTimeout{1'200};
+// Time after the caller's own limit at which a silent attempt ends in any case. Callers that have
+// not disconnected by then do not keep that limit.
+constexpr Milliseconds kCallerLimitMargin{500};
 
 // Shortest time from the start of a prefill to the first event that is planned for. An engine with
 // free capacity takes 100 to 200 ms.
@@ -158,6 +165,49 @@
   return core::MayRunAgain(*request_.route) && possible_runs_ + 1 < request_.route->max_upstreams;
 }
 
+bool GenerationExchange::HasOtherEngine() const {
+  const TimePoint now = state_.clock.now();
+  std::vector<core::PlacementCandidate> candidates;
+  state_.fleet.FillCandidates(request_.service->name, *request_.service, request_.tried,
+                              request_.facts.prompt_id, now, candidates);
+  if (phase_ == Phase::kDecode) {
+    return core::PlaceGeneration(candidates, {request_.facts.prompt_tokens, MemoryTokens()},
+                                 request_.seed)
+        .has_value();
+  }
+  const std::span<const std::shared_ptr<Upstream>> upstreams =
+      state_.fleet.OfService(request_.service->name);
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    if (candidates[i].stage == core::UpstreamStage::kPrefill && candidates[i].is_usable &&
+        upstreams[i] != prefill_) {
+      return true;
+    }
+  }
+  return false;
+}
+
+bool GenerationExchange::TakeRetry() {
+  return std::exchange(has_retry_, false) || TakeExtraArrival(state_, request_.service->name);
+}
+
+bool GenerationExchange::OnSilence(Duration silent_for) {
+  const Duration caller_limit =
+      core::FirstEventTimeout(request_.route->target_latency_ms, request_.route->target_gap_ms);
+  if (silent_for >= caller_limit + kCallerLimitMargin) {
+    return true;
+  }
+  // Ending the attempt is of use only if another engine can go on at once, and to the end; until
+  // then this one may still do so.
+  const bool may_move = phase_ == Phase::kPrefill
+                            ? failures_without_run_ + 1 < kMaxFailuresWithoutRun
+                            : MayMoveLater();
+  const bool has_time =
+      !state_.stop || core::CanEndInTime(*state_.stop, state_.clock.now(), request_.deadline,
+                                         ExpectedDuration(request_, state_));
+  has_retry_ = may_move && has_time && HasOtherEngine() && TakeRetry();
+  return has_retry_;
+}
+
 bool GenerationExchange::IsRetriedByCaller() const {
   const double stated_ms = static_cast<double>(request_.facts.deadline_ms.value_or(0));
   return stated_ms > 0 &&
@@ -361,6 +411,7 @@
   plan.request_id = request_.facts.request_id;
   plan.first_byte_timeout = kPrefillTimeout;
   plan.read_timeout = kReadTimeout;
+  plan.silence_result = core::AnswerResult::kNoAnswer;
   plan.load.running = 1;
   plan.load.prefill_tokens = request_.facts.prompt_tokens;
   answer_body_.clear();
@@ -389,14 +440,7 @@
   plan.send_before = request_.deadline;
   plan.first_byte_timeout = kv_source.empty() ? kInPlaceFirstEventTimeout : kFirstEventTimeout;
   plan.read_timeout = kReadTimeout;
-  if (!MayMoveLater()) {
-    // Ending the attempt would lose the stream, so it goes on for as long as the caller waits.
-    const Duration caller_gap =
-        core::FirstEventTimeout(request_.route->target_latency_ms, request_.route->target_gap_ms);
-    plan.suspect_after = plan.first_byte_timeout;
-    plan.first_byte_timeout = std::max(plan.first_byte_timeout, caller_gap);
-    plan.read_timeout = std::max(plan.read_timeout, caller_gap);
-  }
+  plan.silence_result = core::AnswerResult::kNoAnswer;
   if (kv_source.empty()) {
     plan.load.prefill_tokens = request_.facts.prompt_tokens;
   }
@@ -611,8 +655,7 @@
   LogRequestStep(request_, "prefill_failed", attempt_->upstream(), why);
   attempt_.reset();
   ReleasePrefill();
-  if (++failures_without_run_ >= kMaxFailuresWithoutRun ||
-      !TakeExtraArrival(state_, request_.service->name)) {
+  if (++failures_without_run_ >= kMaxFailuresWithoutRun || !TakeRetry()) {
     EndWithFailure("prefill failed", kNoCapacityRetryMs);
     return;
   }
@@ -624,8 +667,7 @@
   LogRequestStep(request_, "decode_not_run", *decode_, why);
   attempt_.reset();
   ReleaseDecode();
-  if (++failures_without_run_ >= kMaxFailuresWithoutRun ||
-      !TakeExtraArrival(state_, request_.service->name)) {
+  if (++failures_without_run_ >= kMaxFailuresWithoutRun || !TakeRetry()) {
     EndWithFailure(why, kNoCapacityRetryMs);
     return;
   }
@@ -656,8 +698,7 @@
   attempt_.reset();
   ReleaseDecode();
   const bool may_continue = core::MayRunAgain(*request_.route) &&
-                            possible_runs_ < request_.route->max_upstreams &&
-                            TakeExtraArrival(state_, request_.service->name);
+                            possible_runs_ < request_.route->max_upstreams && TakeRetry();
   if (!may_continue) {
     EndWithFailure("the engine failed before the answer was complete", kNoUpstreamRetryMs);
     return;
@@ -671,10 +712,12 @@
   }
   state_.dispatcher.Wake(request_.service->name);
   const TimePoint now = state_.clock.now();
-  core::RecordAnswer(attempt_->upstream().health,
-                     failure == AttemptFailure::kConnectionLost ? core::AnswerResult::kLost
-                                                                : core::AnswerResult::kNoAnswer,
-                     now);
+  if (failure != AttemptFailure::kTimedOut) {
+    core::RecordAnswer(attempt_->upstream().health,
+                       failure == AttemptFailure::kConnectionLost ? core::AnswerResult::kLost
+                                                                  : core::AnswerResult::kNoAnswer,
+                       now);
+  }
   if (phase_ == Phase::kPrefill) {
     OnPrefillFailure(failure == AttemptFailure::kNotConnected ? "connection failed"
                                                               : "no complete answer");
--- a/gateway/generation_exchange.h
+++ b/gateway/generation_exchange.h
@@ -75,8 +75,12 @@
   /// Adjusts the reservation to the progress of the stream.
   void UpdateReservation();
   std::optional<std::int64_t> ResumePoint() const;
-  /// Whether another engine may go on with the request if the next decode attempt breaks.
+  /// Whether another engine may go on with the request if the current decode attempt breaks.
   bool MayMoveLater() const;
+  /// Whether an engine other than that of the current attempt could go on with the request at once.
+  bool HasOtherEngine() const;
+  /// Uses one retry out of the service's bound, unless one was used for this purpose before.
+  bool TakeRetry();
 
   void OnPrefillAnswer();
   void OnPrefillFailure(std::string_view why);
@@ -89,6 +93,7 @@
   BodyProgress OnAnswerBody(std::string_view bytes) override;
   void OnAnswerComplete() override;
   void OnAttemptFailure(AttemptFailure failure) override;
+  bool OnSilence(Duration silent_for) override;
 
   RequestContext request_;
   GatewayState& state_;
@@ -130,6 +135,8 @@
   std::int64_t completed_prefills_ = 0;
   /// Number of refusals and failures that did not run the request.
   std::int64_t failures_without_run_ = 0;
+  /// A retry was taken from the bound and has not been used yet.
+  bool has_retry_ = false;
   std::optional<TimePoint> first_event_;
 };
 
--- a/gateway/plain_exchange.cc
+++ b/gateway/plain_exchange.cc
@@ -12,8 +12,8 @@
 namespace {
 
 // Share of the latency target after which an unanswered repeatable request is sent to another
-// upstream. On average an upstream answers within a fifth of the target; one request in a hundred
-// takes more than two thirds of it.
+// upstream, if one has capacity. On average an upstream answers within a fifth of the target; one
+// request in a hundred takes more than two thirds of it.
 constexpr double kFirstByteTimeoutShare = 0.7;
 
 // Retry-After when a service has no usable upstream. The initial back-off after a failed answer has
@@ -131,6 +131,8 @@
   if (may_retry_elsewhere) {
     plan.first_byte_timeout = Milliseconds(static_cast<std::int64_t>(
         kFirstByteTimeoutShare * static_cast<double>(request_.route->target_latency_ms)));
+    // One slow request is weak evidence of an unhealthy upstream.
+    plan.silence_result = core::AnswerResult::kErrorAnswer;
   }
   ++sent_attempts_;
   answer_body_.clear();
@@ -189,7 +191,7 @@
     return false;
   }
   const bool has_sent_attempt = sent_attempts_ > 0;
-  if (has_sent_attempt && !TakeExtraArrival(state_, request_.service->name)) {
+  if (has_sent_attempt && !TakeRetry()) {
     return false;
   }
   LogRequestStep(request_, "try_again", attempt_->upstream(), why);
@@ -201,6 +203,23 @@
   return true;
 }
 
+bool PlainExchange::TakeRetry() {
+  return std::exchange(has_retry_, false) || TakeExtraArrival(state_, request_.service->name);
+}
+
+bool PlainExchange::OnSilence(Duration /*silent_for*/) {
+  // Ending the attempt is of use only if another upstream can take the request at once; until then
+  // this one may still answer.
+  if (IsTooLateInStop()) {
+    return false;
+  }
+  std::vector<core::PlacementCandidate> candidates;
+  state_.fleet.FillCandidates(request_.service->name, *request_.service, request_.tried, {},
+                              state_.clock.now(), candidates);
+  has_retry_ = core::PlacePlain(candidates, request_.seed) && TakeRetry();
+  return has_retry_;
+}
+
 void PlainExchange::OnAnswerHead(const http::ResponseHead& head, const core::AnswerFacts& facts) {
   answer_head_ = head;
   answer_facts_ = facts;
@@ -275,12 +294,9 @@
     return;
   }
   ++possible_runs_;
-  // A timeout counts only as an error answer: one slow request is weak evidence of an unhealthy
-  // upstream.
-  core::RecordAnswer(attempt_->upstream().health,
-                     failure == AttemptFailure::kTimedOut ? core::AnswerResult::kErrorAnswer
-                                                          : core::AnswerResult::kLost,
-                     now);
+  if (failure == AttemptFailure::kConnectionLost) {
+    core::RecordAnswer(attempt_->upstream().health, core::AnswerResult::kLost, now);
+  }
   if (!Retry(true,
              failure == AttemptFailure::kTimedOut ? "upstream timed out" : "connection lost")) {
     is_done_ = true;
--- a/gateway/plain_exchange.h
+++ b/gateway/plain_exchange.h
@@ -40,12 +40,15 @@
   /// Queues the request for another upstream if a retry is allowed, and returns whether it is.
   /// may_have_run: the last attempt may have run the request.
   bool Retry(bool may_have_run, std::string_view why);
+  /// Uses one retry out of the service's bound, unless one was used for this purpose before.
+  bool TakeRetry();
   void ForwardAnswer();
 
   void OnAnswerHead(const http::ResponseHead& head, const core::AnswerFacts& facts) override;
   BodyProgress OnAnswerBody(std::string_view bytes) override;
   void OnAnswerComplete() override;
   void OnAttemptFailure(AttemptFailure failure) override;
+  bool OnSilence(Duration silent_for) override;
 
   RequestContext request_;
   GatewayState& state_;
@@ -62,6 +65,8 @@
   /// Number of attempts that may have run the request.
   std::int64_t possible_runs_ = 0;
   bool is_done_ = false;
+  /// A retry was taken from the bound and has not been used yet.
+  bool has_retry_ = false;
   /// Number of attempts whose connection could not be made.
   std::int64_t failed_connections_ = 0;
   /// Number of attempts, without those whose connection could not be made.
