Expect longer generations to take longer in a stop

Callers saw streams cut at the forced end of a stop that had been accepted within its first 2.8 s.

Cause: core/stop_plan was given the mean duration of the service's generations for each of them, also where the caller's estimate or the maximum output says that the generation takes several times as long.

Change: the mean grows in proportion to the expected output when that is longer than the mean output (core::ExpectedHoldTime); shorter ones keep the mean, as the estimate is often wrong. The profile of a service has the mean output for this.

Measured: generation_exchange::long_generation_is_refused_when_it_would_outlast_the_stop failed before and passes; stage_plan::longer_generation_is_expected_to_hold_its_memory_longer is new; 79 of 79 tests of test_gateway and 46 of 46 of test_core_gateway pass.

Conclusion: such a generation is refused at once as not run, and another gateway can take it.

--- a/core/placement.cc
+++ b/core/placement.cc
@@ -132,16 +132,18 @@
   return static_cast<double>(queue.waiting_tokens) / capacity * queue.mean_hold_ms;
 }
 
-std::int64_t ExpectedMemoryTokens(const GenerationSize& size) {
+double ExpectedOutputTokens(const GenerationSize& size) {
   const double max_output = static_cast<double>(size.max_output);
-  double expected = kExpectedOutputShare * max_output;
-  if (size.expected_output) {
-    expected = static_cast<double>(*size.expected_output);
-    if (size.max_output > 0) {
-      expected = std::min(expected, max_output);
-    }
+  if (!size.expected_output) {
+    return kExpectedOutputShare * max_output;
   }
-  const double remaining = std::max(0.0, expected - static_cast<double>(size.generated));
+  const double expected = static_cast<double>(*size.expected_output);
+  return size.max_output > 0 ? std::min(expected, max_output) : expected;
+}
+
+std::int64_t ExpectedMemoryTokens(const GenerationSize& size) {
+  const double remaining =
+      std::max(0.0, ExpectedOutputTokens(size) - static_cast<double>(size.generated));
   return size.prompt + size.generated + static_cast<std::int64_t>(remaining / 2);
 }
 
--- a/core/placement.h
+++ b/core/placement.h
@@ -61,6 +61,9 @@
 /// users' workload descriptions, outputs vary by half of their mean and are capped at the maximum.
 inline constexpr double kExpectedOutputShare = 0.6;
 
+/// Estimates the output of a generation over its whole run, in tokens.
+double ExpectedOutputTokens(const GenerationSize& size);
+
 /// Estimates the average memory of a generation over the rest of its run. The sum over all running
 /// generations is the memory that an engine needs, because their progress differs and few of them
 /// reach their peak at the same time.
--- a/core/stage_plan.cc
+++ b/core/stage_plan.cc
@@ -24,6 +24,12 @@
   profile.prompt_tokens += kProfileWeight * (sample.prompt_tokens - profile.prompt_tokens);
   profile.memory_tokens += kProfileWeight * (sample.memory_tokens - profile.memory_tokens);
   profile.hold_ms += kProfileWeight * (sample.hold_ms - profile.hold_ms);
+  profile.output_tokens += kProfileWeight * (sample.output_tokens - profile.output_tokens);
+}
+
+Milliseconds ExpectedHoldTime(const GenerationProfile& profile, double output_tokens) {
+  const double ratio = output_tokens / std::max(1.0, profile.output_tokens);
+  return Milliseconds(static_cast<std::int64_t>(profile.hold_ms * std::max(1.0, ratio)));
 }
 
 double PrefillShare(const GenerationProfile& profile, std::int64_t memory_tokens,
--- a/core/stage_plan.h
+++ b/core/stage_plan.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <span>
 
+#include "base/clock.h"
 #include "core/upstream_directory.h"
 
 namespace rattanramp::core {
@@ -17,6 +18,7 @@
   double memory_tokens = 0;
   /// Time for which this memory is held, in ms.
   double hold_ms = 0;
+  double output_tokens = 0;
 };
 
 /// Weight of a new generation in the moving average. About the last hundred generations count, so
@@ -25,6 +27,10 @@
 
 void RecordGeneration(GenerationProfile& profile, const GenerationProfile& sample);
 
+/// Estimates how long a generation of `output_tokens` holds its memory: the mean time, or longer in
+/// proportion if its output is longer than the mean.
+Milliseconds ExpectedHoldTime(const GenerationProfile& profile, double output_tokens);
+
 /// Input of the plan for one engine.
 struct PlannedEngine {
   /// The stage that the engine has, or is changing to.
--- a/gateway/gateway_state.h
+++ b/gateway/gateway_state.h
@@ -44,7 +44,7 @@
 
 /// Profile of a service until its first generation has ended. The values are the means of the
 /// users' specification: 5,200 tokens of prompt, and 70 events of 72 tokens and 50 ms each.
-inline constexpr core::GenerationProfile kInitialProfile = {5'200, 7'700, 3'500};
+inline constexpr core::GenerationProfile kInitialProfile = {5'200, 7'700, 3'500, 5'040};
 
 inline core::GenerationProfile& ProfileOf(GatewayState& state, const std::string& service) {
   return state.profiles.try_emplace(service, kInitialProfile).first->second;
--- a/gateway/generation_exchange.cc
+++ b/gateway/generation_exchange.cc
@@ -576,7 +576,7 @@
       {static_cast<double>(request_.facts.prompt_tokens),
        static_cast<double>(core::ExpectedMemoryTokens(
            {request_.facts.prompt_tokens, generated_tokens(), generated_tokens(), 0})),
-       ToMs(now - reserved_at_)});
+       ToMs(now - reserved_at_), static_cast<double>(generated_tokens())});
   ReleaseDecode();
   sink_.StreamBytes(splitter_.partial);
   LogRequestEnd(request_, state_, 200, "answered",
--- a/gateway/request_context.cc
+++ b/gateway/request_context.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 
 #include "base/log.h"
+#include "core/placement.h"
 
 namespace rattanramp::gateway {
 
@@ -15,10 +16,14 @@
 }
 
 Duration ExpectedDuration(const RequestContext& request, GatewayState& state) {
-  return Milliseconds(
-      request.route->kind == core::RequestKind::kStream
-          ? static_cast<std::int64_t>(ProfileOf(state, request.service->name).hold_ms)
-          : request.route->target_latency_ms);
+  if (request.route->kind != core::RequestKind::kStream) {
+    return Milliseconds(request.route->target_latency_ms);
+  }
+  const core::RequestFacts& facts = request.facts;
+  return core::ExpectedHoldTime(
+      ProfileOf(state, request.service->name),
+      core::ExpectedOutputTokens({facts.prompt_tokens, facts.max_output_tokens,
+                                  facts.expected_output_tokens, /*generated=*/0}));
 }
 
 void AnswerNotRun(RequestContext& request, GatewayState& state, CallerSink& sink,
--- a/tests/core/stage_plan_test.cc
+++ b/tests/core/stage_plan_test.cc
@@ -113,6 +113,18 @@
   cr_assert_lt(std::abs(profile.prompt_tokens - 500), 50);
 }
 
+// Guards against accepting a generation in a stop that it outlasts: its output is longer than the
+// mean, and the mean time was expected of it.
+Test(stage_plan, longer_generation_is_expected_to_hold_its_memory_longer) {
+  GenerationProfile profile = kTypicalProfile;
+  profile.output_tokens = 5'000;
+  cr_assert_eq(core::ExpectedHoldTime(profile, 15'000).count(), 10'500);
+  cr_assert_eq(core::ExpectedHoldTime(profile, 5'000).count(), 3'500);
+  // The estimate of a short one is too inaccurate to expect less than the mean.
+  cr_assert_eq(core::ExpectedHoldTime(profile, 100).count(), 3'500);
+  cr_assert_eq(core::ExpectedHoldTime({}, 100).count(), 0);
+}
+
 // Guards against orders to engines that are draining, not responding or already changing, and
 // against changing the last engine of a stage.
 Test(stage_plan, only_engines_that_may_change_are_chosen) {
--- a/tests/gateway/exchange_fixture.cc
+++ b/tests/gateway/exchange_fixture.cc
@@ -80,11 +80,13 @@
   request.service = request.table->FindService("s");
   request.head.method = "POST";
   request.head.target = "/p/x";
-  request.head.fields = {{"Host", "h"}, {"Request-Id", request_id}, {"Token-Count", "5000,100"}};
+  request.head.fields = {{"Host", "h"},
+                         {"Request-Id", request_id},
+                         {"Token-Count", "5000," + std::to_string(max_output_tokens)}};
   request.body = std::make_shared<const std::string>();
   request.facts.request_id = request_id;
   request.facts.prompt_tokens = 5'000;
-  request.facts.max_output_tokens = 100;
+  request.facts.max_output_tokens = max_output_tokens;
   request.arrived = DefaultClock().now();
   request.deadline = request.arrived + Milliseconds(timeout_ms);
   request.target = request.arrived + Milliseconds(900);
--- a/tests/gateway/generation_exchange_test.cc
+++ b/tests/gateway/generation_exchange_test.cc
@@ -325,6 +325,24 @@
   cr_assert_eq(fixture.sink.status, 503);
 }
 
+// Guards against the incident LOST: a generation that is longer than usual was accepted and started
+// in a stop, because the usual duration was expected of it, and cut at the end.
+Test(generation_exchange, long_generation_is_refused_when_it_would_outlast_the_stop,
+     .timeout = 30) {
+  for (const std::int64_t max_output : {5'000, 20'000}) {
+    ExchangeFixture fixture;
+    fixture.max_output_tokens = max_output;
+    fixture.state.stop = {DefaultClock().now() - Milliseconds(1'000), Milliseconds(8'000)};
+    bool is_refused = false;
+    fixture.on_started = [&](gateway::Exchange& exchange) {
+      exchange.OnStopProgress();
+      is_refused = fixture.sink.is_complete && fixture.sink.status == 503;
+    };
+    fixture.Run(RequestKind::kStream, true, 2, 14'000);
+    cr_expect_eq(is_refused, max_output == 20'000);
+  }
+}
+
 // Guards against a process that exits while an engine runs a request: the answer says that it
 // may have run.
 Test(generation_exchange, running_generation_gets_an_answer_at_the_forced_end, .timeout = 30) {
