Move the bounded JSON parser to base

Cause: platform/ and gateway/ parse text of other writers with json::parse, whose result is then traversed recursively; the parser with a nesting limit was part of the settings.

Change: moved, and its namespace is that of base; no change of behaviour.

Conclusion: one copy for all text that comes from outside.

--- a/settings/bounded_json.cc
+++ b/base/bounded_json.cc
@@ -1,8 +1,8 @@
-#include "settings/bounded_json.h"
+#include "base/bounded_json.h"
 
 #include <utility>
 
-namespace rattanramp::settings {
+namespace rattanramp {
 namespace {
 
 using nlohmann::json;
@@ -58,4 +58,4 @@
   return text;
 }
 
-}  // namespace rattanramp::settings
+}  // namespace rattanramp
--- a/settings/bounded_json.h
+++ b/base/bounded_json.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <string_view>
 
-namespace rattanramp::settings {
+namespace rattanramp {
 
 /// Parses JSON without exceptions. Returns nullopt when the text is not JSON or nests deeper than
 /// 64 levels. The limit prevents a stack overflow in code that traverses or serialises a value
@@ -16,4 +16,4 @@
 /// Text of a value for an error message, truncated to 100 bytes. Invalid UTF-8 is replaced.
 std::string ShortText(const nlohmann::json& value);
 
-}  // namespace rattanramp::settings
+}  // namespace rattanramp
--- a/control/settings_replica.cc
+++ b/control/settings_replica.cc
@@ -3,7 +3,7 @@
 #include <utility>
 #include <vector>
 
-#include "settings/bounded_json.h"
+#include "base/bounded_json.h"
 
 namespace rattanramp::control {
 namespace {
@@ -17,7 +17,7 @@
 
 Result<settings::SettingsTree> ApplyChange(const settings::SettingsTree& tree,
                                            const wire::SettingsChange& change) {
-  const std::optional<nlohmann::json> parsed = settings::ParseBoundedJson(change.operations_json);
+  const std::optional<nlohmann::json> parsed = ParseBoundedJson(change.operations_json);
   BOOST_OUTCOME_TRY(operations, settings::ParseOperations(parsed.value_or(nlohmann::json())));
   return tree.Apply(operations, settings::TreeCheck::kReplicated);
 }
--- a/control/settings_store.cc
+++ b/control/settings_store.cc
@@ -7,7 +7,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "settings/bounded_json.h"
+#include "base/bounded_json.h"
 
 namespace rattanramp::control {
 namespace {
@@ -37,7 +37,7 @@
 }
 
 Result<std::int64_t> ParseVersion(const store::Row& row) {
-  const json parsed = settings::ParseBoundedJson(row.value).value_or(json());
+  const json parsed = ParseBoundedJson(row.value).value_or(json());
   if (!parsed.is_object() || !parsed.contains("version") ||
       !parsed["version"].is_number_integer()) {
     return MalformedRowError(row.key);
@@ -54,7 +54,7 @@
 }
 
 Result<wire::SettingsChange> ParseChangeRow(const store::Row& row) {
-  const json parsed = settings::ParseBoundedJson(row.value).value_or(json());
+  const json parsed = ParseBoundedJson(row.value).value_or(json());
   const bool valid = parsed.is_object() && parsed.contains("operations") &&
                      parsed.value("version", json()).is_number_integer() &&
                      parsed.value("at_unix_ms", json()).is_number_integer() &&
@@ -95,7 +95,7 @@
 
 Result<void> ApplySnapshotRow(store::PlatformStore& store, SettingsReplica& replica) {
   BOOST_OUTCOME_TRY(row, store.Read(kSnapshotKey));
-  const json parsed = row ? settings::ParseBoundedJson(row->value).value_or(json()) : json();
+  const json parsed = row ? ParseBoundedJson(row->value).value_or(json()) : json();
   if (!row || !parsed.is_object() || !parsed.contains("tree")) {
     return MalformedRowError(kSnapshotKey);
   }
@@ -291,7 +291,7 @@
 }  // namespace
 
 Result<ChangeRequest> ParseChangeRequest(const std::string& body) {
-  const json parsed = settings::ParseBoundedJson(body).value_or(json());
+  const json parsed = ParseBoundedJson(body).value_or(json());
   const auto invalid = [](const std::string& message, const std::string& remedy) {
     return Error{ErrorKind::kInvalidArgument, message, remedy};
   };
--- a/ctl/operator_client.cc
+++ b/ctl/operator_client.cc
@@ -4,8 +4,8 @@
 
 #include <utility>
 
+#include "base/bounded_json.h"
 #include "base/http_server.h"
-#include "settings/bounded_json.h"
 
 namespace rattanramp::ctl {
 namespace {
@@ -29,7 +29,7 @@
 
 OperatorResponse ToOperatorResponse(const httplib::Response& response) {
   return {response.status, response.body,
-          settings::ParseBoundedJson(response.body).value_or(nlohmann::json())};
+          ParseBoundedJson(response.body).value_or(nlohmann::json())};
 }
 
 }  // namespace
--- a/ctl/settings_commands.cc
+++ b/ctl/settings_commands.cc
@@ -7,9 +7,9 @@
 #include <sstream>
 #include <utility>
 
+#include "base/bounded_json.h"
 #include "base/ids.h"
 #include "ctl/table.h"
-#include "settings/bounded_json.h"
 #include "settings/schema.h"
 
 namespace rattanramp::ctl {
@@ -198,7 +198,7 @@
   if (!text) {
     return Fail(output, kExitUsage, text.error());
   }
-  const json content = settings::ParseBoundedJson(text.value()).value_or(json());
+  const json content = ParseBoundedJson(text.value()).value_or(json());
   ChangeOptions with_version = options;
   std::vector<settings::Operation> operations;
   if (content.is_array()) {
@@ -345,7 +345,7 @@
 
 json ParseValue(const std::string& key, const std::string& text) {
   const settings::KeySpec* spec = settings::FindKey(key);
-  const std::optional<json> parsed = settings::ParseBoundedJson(text);
+  const std::optional<json> parsed = ParseBoundedJson(text);
   const bool expects_string = spec != nullptr && (spec->type == settings::ValueType::kString ||
                                                   spec->type == settings::ValueType::kChoice);
   if (!parsed || (expects_string && !parsed->is_string())) {
--- a/settings/boot_config.cc
+++ b/settings/boot_config.cc
@@ -5,8 +5,8 @@
 #include <nlohmann/json.hpp>
 #include <sstream>
 
+#include "base/bounded_json.h"
 #include "base/http_server.h"
-#include "settings/bounded_json.h"
 #include "settings/schema.h"
 
 namespace rattanramp::settings {
--- a/settings/schema.cc
+++ b/settings/schema.cc
@@ -6,7 +6,7 @@
 #include <array>
 #include <numeric>
 
-#include "settings/bounded_json.h"
+#include "base/bounded_json.h"
 #include "settings/settings.h"
 
 namespace rattanramp::settings {
--- a/settings/settings_tree.cc
+++ b/settings/settings_tree.cc
@@ -5,7 +5,7 @@
 #include <array>
 #include <utility>
 
-#include "settings/bounded_json.h"
+#include "base/bounded_json.h"
 #include "settings/rules.h"
 #include "settings/schema.h"
 #include "settings/settings_path.h"
--- a/tests/settings/settings_tree_test.cc
+++ b/tests/settings/settings_tree_test.cc
@@ -5,7 +5,7 @@
 
 #include <map>
 
-#include "settings/bounded_json.h"
+#include "base/bounded_json.h"
 #include "settings/settings_path.h"
 
 using nlohmann::json;
@@ -211,12 +211,12 @@
     nodes += R"({"services":{"a":)";
   }
   cr_assert(!SettingsTree::Parse(nodes).has_value());
-  cr_assert(!settings::ParseBoundedJson(std::string(1'000'000, '[')).has_value());
+  cr_assert(!rattanramp::ParseBoundedJson(std::string(1'000'000, '[')).has_value());
   const std::string closed = std::string(100'000, '[') + std::string(100'000, ']');
-  cr_assert(!settings::ParseBoundedJson(closed).has_value());
+  cr_assert(!rattanramp::ParseBoundedJson(closed).has_value());
   const std::string quoted = R"(["\"[)" + std::string(100, '[') + R"(\\"])";
-  cr_assert(settings::ParseBoundedJson(quoted).has_value());
-  cr_assert(!settings::ParseBoundedJson(R"(["\\",)" + std::string(100, '[')).has_value());
+  cr_assert(rattanramp::ParseBoundedJson(quoted).has_value());
+  cr_assert(!rattanramp::ParseBoundedJson(R"(["\\",)" + std::string(100, '[')).has_value());
 }
 
 // Guards against a crash or an exception on random text, paths and operations.
