Read a table although one row or field is odd

Cause: one value that is not base64 made the read of the whole table fail, again at each read, and a field of an unexpected type threw an exception that ends the process.

Conclusion: an odd row hides no other row.

--- /dev/null
+++ b/tests/platform/store_client_test.cc
@@ -0,0 +1,62 @@
+#include "platform/store_client.h"
+
+#include <criterion/criterion.h>
+
+#include <asio/io_context.hpp>
+#include <optional>
+#include <string>
+
+#include "tests/gateway/fake_engine.h"
+#include "tests/gateway/run_until.h"
+
+using namespace rattanramp;
+
+namespace {
+
+/// Result of reading a table from a service that answers with `body`.
+std::optional<Result<store::TableRows>> ReadAnswer(const std::string& body) {
+  tests::FakeEngine service([&](const std::string& /*head*/, int /*number*/) -> tests::FakeAnswer {
+    return {"HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+            body};
+  });
+  asio::io_context context;
+  const std::unique_ptr<platform::StoreClient> client =
+      platform::StoreClient::Create(context, {asio::ip::address_v4::loopback(), service.port()});
+  std::optional<Result<store::TableRows>> rows;
+  client->ReadAll("t", [&](Result<store::TableRows> read) { rows = std::move(read); });
+  tests::RunUntil(context, [&] { return rows.has_value(); });
+  return rows;
+}
+
+}  // namespace
+
+// Guards against a process that ends, or cannot read a table any more, because one row has a value
+// that is not base64 or a field of an unexpected type.
+Test(store_client, odd_row_does_not_hide_the_others, .timeout = 30) {
+  const std::optional<Result<store::TableRows>> rows = ReadAnswer(
+      R"({"ver":5,"now_ms":7,"rows":[{"key":"a","value":"%%%","ver":1},)"
+      R"({"key":"b","value":"eHk=","ver":"two","deleted":"no"},{"key":"c","value":5,"ver":1e300},)"
+      R"({"key":"d","value":"eHk=","ver":4}]})");
+  cr_assert(rows && rows->has_value());
+  cr_assert_eq(rows->value().rows.size(), 4);
+  cr_assert_eq(rows->value().rows[0].value, "");
+  cr_assert_eq(rows->value().rows[1].value, "xy");
+  cr_assert_eq(rows->value().rows[3].value, "xy");
+  cr_assert_eq(rows->value().rows[3].version, 4);
+  cr_assert_eq(rows->value().clock_ms, 7);
+}
+
+// Guards against a process that ends because the service's own fields have unexpected types.
+Test(store_client, odd_answer_is_an_error_or_has_no_rows, .timeout = 60) {
+  const std::string nested = std::string(20'000, '[') + std::string(20'000, ']');
+  for (const std::string& body :
+       {std::string(R"({"rows":5})"), std::string("[]"), std::string(R"({"rows":[5]})"),
+        R"({"rows":)" + nested + "}", nested}) {
+    const std::optional<Result<store::TableRows>> rows = ReadAnswer(body);
+    cr_expect(rows && !rows->has_value());
+  }
+  const std::optional<Result<store::TableRows>> empty =
+      ReadAnswer(R"({"ver":"five","now_ms":{},"has_more":1,"rows":[]})");
+  cr_assert(empty && empty->has_value());
+  cr_assert_eq(empty->value().rows.size(), 0);
+}
