Skip odd rows of peers and log unreadable rows of upstreams

Cause: a row of the gateways' table whose address is not text threw an exception that ends the process; a port above 65535 was cut to another one. Unreadable rows of the upstream list were dropped without a log line.

Change: rows of peers are decoded with all checks. An unreadable row of an upstream is logged once while it stays, 20 rows at most. The settings of gateways in tests have a file of their own.

--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -3,10 +3,14 @@
 #include <spdlog/fmt/fmt.h>
 
 #include <algorithm>
+#include <asio/ip/udp.hpp>
 #include <asio/post.hpp>
+#include <limits>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <utility>
 
+#include "base/bounded_json.h"
 #include "base/hash.h"
 #include "base/log.h"
 #include "gateway/generation_exchange.h"
@@ -40,11 +44,36 @@
 // Retry-After for callers while the process has no configuration yet.
 constexpr std::int64_t kNoConfigRetryMs = 500;
 
+// Unreadable rows of the upstream list that are logged; each is logged once while it stays.
+constexpr std::size_t kMaxLoggedRows = 20;
+
 // Deadline of a request that states none.
 constexpr std::int64_t kDefaultDeadlineMs = 30'000;
 
 constexpr std::string_view kTextType = "text/plain";
 
+// Returns where a peer receives load reports; nullopt if the row cannot be decoded.
+std::optional<asio::ip::udp::endpoint> DecodeGatewayRow(const std::string& text) {
+  const std::optional<nlohmann::json> row = ParseBoundedJson(text);
+  if (!row || !row->is_object()) {
+    return std::nullopt;
+  }
+  const auto address = row->find("address");
+  const auto port = row->find("peer_port");
+  if (address == row->end() || !address->is_string() || port == row->end() ||
+      !port->is_number_unsigned()) {
+    return std::nullopt;
+  }
+  std::error_code error;
+  const asio::ip::address_v4 parsed =
+      asio::ip::make_address_v4(address->get_ref<const std::string&>(), error);
+  const std::uint64_t number = port->get<std::uint64_t>();
+  if (error || number == 0 || number > std::numeric_limits<std::uint16_t>::max()) {
+    return std::nullopt;
+  }
+  return asio::ip::udp::endpoint(parsed, static_cast<std::uint16_t>(number));
+}
+
 }  // namespace
 
 class Gateway::StatusHost final : public CallerHost {
@@ -285,6 +314,7 @@
 void Gateway::OnUpstreamRows(const std::vector<store::TableRow>& rows, bool has_failed,
                              std::int64_t clock_ms) {
   const platform::DecodedUpstreams decoded = platform::DecodeUpstreams(rows);
+  LogInvalidUpstreams(decoded.invalid_row_keys);
   const std::int64_t previous_clock_ms = list_view_.read_clock_ms;
   const core::ListNews news = core::RecordRead(list_view_, decoded.upstreams, clock_ms);
   ApplyUpstreams(decoded.upstreams, has_failed);
@@ -296,6 +326,20 @@
   }
 }
 
+void Gateway::LogInvalidUpstreams(const std::vector<std::string>& keys) {
+  std::set<std::string> current;
+  for (const std::string& key : keys) {
+    if (current.size() >= kMaxLoggedRows) {
+      break;
+    }
+    if (!invalid_upstreams_.contains(key)) {
+      Log(LogLevel::kWarning, "upstream_row_unreadable", {{"upstream", key}});
+    }
+    current.insert(key);
+  }
+  invalid_upstreams_ = std::move(current);
+}
+
 std::size_t Gateway::ListPeers() const { return load_exchange_->live_peers(); }
 
 void Gateway::OnListNews(const core::ListNews& news) {
@@ -352,15 +396,12 @@
     if (name == settings_.node) {
       continue;
     }
-    const nlohmann::json row = nlohmann::json::parse(text, nullptr, false);
-    std::error_code error;
-    const asio::ip::address_v4 address = asio::ip::make_address_v4(
-        row.is_object() ? row.value("address", std::string()) : std::string(), error);
-    if (error || !row.contains("peer_port") || !row["peer_port"].is_number_unsigned()) {
+    const std::optional<asio::ip::udp::endpoint> peer = DecodeGatewayRow(text);
+    if (!peer) {
       Log(LogLevel::kWarning, "gateway_row_unreadable", {{"gateway", name}});
       continue;
     }
-    peers[name] = {address, row["peer_port"].get<std::uint16_t>()};
+    peers[name] = *peer;
   }
   state_.gateways = static_cast<std::int64_t>(peers.size()) + 1;
   load_exchange_->SetPeers(std::move(peers));
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -62,6 +63,7 @@
   bool AcceptsWork(const RequestContext& request);
   std::size_t OpenRequests() const;
   void OnListNews(const core::ListNews& news);
+  void LogInvalidUpstreams(const std::vector<std::string>& keys);
   /// Applies a list of upstreams to the directory and the fleet, and tells the peers which
   /// upstreams leave.
   void ApplyUpstreams(std::span<const core::UpstreamInfo> upstreams, bool has_failed);
@@ -88,6 +90,8 @@
   GatewayState state_;
   core::UpstreamDirectory directory_;
   core::ListView list_view_;
+  /// Keys of the unreadable rows in the last list.
+  std::set<std::string> invalid_upstreams_;
   /// Latest read of the list that a peer has announced, by the store's clock.
   std::int64_t heard_list_clock_ms_ = 0;
   std::shared_ptr<const core::RoutingTable> table_;
--- a/tests/gateway/gateway_stop_test.cc
+++ b/tests/gateway/gateway_stop_test.cc
@@ -12,8 +12,8 @@
 #include "gateway/gateway.h"
 #include "tests/gateway/fake_engine.h"
 #include "tests/gateway/fake_table.h"
+#include "tests/gateway/gateway_settings.h"
 #include "tests/gateway/run_until.h"
-#include "tests/support/free_port.h"
 
 using namespace rattanramp;
 using asio::ip::tcp;
@@ -29,21 +29,6 @@
   "limits":{"max_header_bytes":16384,"max_body_bytes":65536,"header_timeout_ms":3000,
    "idle_timeout_ms":15000}})";
 
-gateway::Settings TestSettings() {
-  const asio::ip::address_v4 loopback = asio::ip::address_v4::loopback();
-  const auto port = [] { return static_cast<std::uint16_t>(testing::FreePort()); };
-  gateway::Settings settings;
-  settings.node = "g";
-  settings.failure_domain = "domain-a";
-  settings.address = loopback;
-  settings.callers = {loopback, port()};
-  settings.readiness = {loopback, port()};
-  settings.metrics_port = port();
-  settings.peer_port = port();
-  settings.retry_bound = {0.2, 58, Milliseconds(10'000)};
-  return settings;
-}
-
 struct StopCase {
   /// Time from the start of the stop to the request.
   Milliseconds delay;
@@ -98,7 +83,7 @@
                               [&]() -> std::unique_ptr<store::AsyncTable> {
                                 return std::make_unique<tests::FakeTable>(context, tables);
                               }};
-  gateway::Settings settings = TestSettings();
+  gateway::Settings settings = tests::TestSettings();
   settings.stop_grace = stop.grace;
   std::unique_ptr<gateway::Gateway> gateway = std::move(
       gateway::Gateway::Create(context, DefaultClock(), settings, std::move(source)).value());
