Check handles and idle timeouts that engines state

The handle of a prefilled prompt is sent as a header value to another engine; a faulty engine could add header fields with it. An idle timeout was multiplied without a bound.

--- a/tests/platform/request_format_test.cc
+++ b/tests/platform/request_format_test.cc
@@ -129,3 +129,21 @@
     cr_assert(!platform::DecodePrefillAnswer(body).has_value());
   }
 }
+
+// Guards against a faulty engine adding header fields to the request of another one: its handle is
+// sent as a header value.
+Test(request_format, handle_that_is_no_header_value_is_an_error) {
+  for (const char* body : {R"({"kv_handle":"3fa\r\nX-Injected: 1"})", R"({"kv_handle":"3 fa"})",
+                           R"({"kv_handle":"3fa\u0000"})"}) {
+    cr_assert(!platform::DecodePrefillAnswer(body).has_value(), "%s", body);
+  }
+}
+
+// Guards against undefined arithmetic on an idle timeout that does not fit its unit.
+Test(request_format, absurd_idle_timeout_is_limited) {
+  http::ResponseHead head;
+  head.status = 200;
+  head.fields = {{"Keep-Alive", "timeout=9223372036854775807"}};
+  const std::optional<std::int64_t> timeout = platform::DecodeAnswer(head).idle_timeout_ms;
+  cr_assert(timeout && *timeout > 0 && *timeout <= 86'400'000);
+}
