Pass only whole events that continue the stream

Cause: bytes of a signed 200 were taken as events whatever they were. A blank line ended an "event", so that the text or the whole head of an error reached the caller; the rest of an unfinished event was passed at the end, and the stream then looked complete. A continuation that began anew, repeated or skipped events was passed as well. Change: the splitter reads each line once and accepts only fields of the event-stream format and the line for the version of the weights; an event with data needs an id, ids increase, and a continuation goes on after the last event (its first step is no larger than the steps before). At the first violation the attempt fails as malformed, after the whole events before it. An answer that ends within an event is broken. Another content type, a Content-Encoding or a missing signature make an answer no part of a stream.

--- a/core/request_facts.h
+++ b/core/request_facts.h
@@ -35,6 +35,10 @@
   bool not_run = false;
   /// The process at this address is not the one that the request was meant for.
   bool wrong_instance = false;
+  /// The body is encoded, for example compressed, so it is not the one that was asked for.
+  bool is_encoded = false;
+  /// The body is a stream of events. Assumed if the upstream does not state a type.
+  bool is_event_stream = true;
   /// Time for which the upstream keeps an idle connection open, in ms; absent if not stated.
   std::optional<std::int64_t> idle_timeout_ms;
 };
--- a/gateway/attempt.cc
+++ b/gateway/attempt.cc
@@ -91,7 +91,7 @@
   }
   if (progress == BodyProgress::kProgress) {
     TimeSilence(plan_.read_timeout);
-  } else if (progress == BodyProgress::kTooLarge) {
+  } else if (progress != BodyProgress::kNone) {
     connection_->Close();
     OnFailure(http::ExchangeFailure::kMalformed);
   }
--- a/gateway/attempt.h
+++ b/gateway/attempt.h
@@ -32,6 +32,8 @@
   kNone,
   /// The answer exceeds a limit; the attempt fails.
   kTooLarge,
+  /// The bytes cannot be part of the answer; the attempt fails.
+  kMalformed,
 };
 
 class AttemptListener {
--- a/gateway/generation_exchange.cc
+++ b/gateway/generation_exchange.cc
@@ -71,6 +71,9 @@
 // Retry-After when the engine's connection was lost.
 constexpr std::int64_t kNoUpstreamRetryMs = 500;
 
+/// Whether the answer is one that an engine has made for the request.
+bool IsOfServer(const core::AnswerFacts& facts) { return facts.is_signed && !facts.is_encoded; }
+
 }  // namespace
 
 std::unique_ptr<GenerationExchange> GenerationExchange::Start(RequestContext request,
@@ -110,7 +113,8 @@
       sink_(sink),
       deadline_timer_(state.context),
       caller_timeout_timer_(state.context),
-      answer_allowance_(state.answer_budget) {}
+      answer_allowance_(state.answer_budget),
+      splitter_(platform::MakeEventSplitter(request_.facts.resume_after_event)) {}
 
 GenerationExchange::~GenerationExchange() {
   if (queue_id_ != 0) {
@@ -157,9 +161,7 @@
   }
 }
 
-std::optional<std::int64_t> GenerationExchange::ResumePoint() const {
-  return splitter_.last_id ? splitter_.last_id : request_.facts.resume_after_event;
-}
+std::optional<std::int64_t> GenerationExchange::ResumePoint() const { return splitter_.last_id; }
 
 bool GenerationExchange::MayMoveLater() const {
   return core::MayRunAgain(*request_.route) && possible_runs_ + 1 < request_.route->max_upstreams;
@@ -495,7 +497,9 @@
                                       const core::AnswerFacts& facts) {
   answer_head_ = head;
   answer_facts_ = facts;
-  if (phase_ != Phase::kDecode || head.status != 200 || !facts.is_signed) {
+  const bool is_stream =
+      head.status == 200 && facts.is_signed && facts.is_event_stream && !facts.is_encoded;
+  if (phase_ != Phase::kDecode || !is_stream) {
     return;
   }
   ReleasePrefill();
@@ -516,11 +520,15 @@
   }
   const std::int64_t events_before = splitter_.events;
   const std::string events = core::TakeCompleteEvents(splitter_, bytes);
-  if (splitter_.partial.size() > core::kMaxEventBytes) {
-    return BodyProgress::kTooLarge;
+  BodyProgress progress =
+      splitter_.events > events_before ? BodyProgress::kProgress : BodyProgress::kNone;
+  if (splitter_.is_malformed) {
+    progress = BodyProgress::kMalformed;
+  } else if (splitter_.partial.size() > core::kMaxEventBytes) {
+    progress = BodyProgress::kTooLarge;
   }
   if (events.empty()) {
-    return BodyProgress::kNone;
+    return progress;
   }
   if (!first_event_) {
     first_event_ = state_.clock.now();
@@ -528,11 +536,12 @@
   }
   UpdateReservation();
   sink_.StreamBytes(events);
-  if (sink_.unsent_bytes() > kMaxUnsentBytes && attempt_) {
+  const bool goes_on = progress == BodyProgress::kProgress || progress == BodyProgress::kNone;
+  if (goes_on && sink_.unsent_bytes() > kMaxUnsentBytes && attempt_) {
     is_paused_ = true;
     attempt_->PauseReading();
   }
-  return splitter_.events > events_before ? BodyProgress::kProgress : BodyProgress::kNone;
+  return progress;
 }
 
 void GenerationExchange::OnAnswerComplete() {
@@ -562,13 +571,20 @@
                        answer_head_.status >= 500 ? core::AnswerResult::kErrorAnswer
                                                   : core::AnswerResult::kSuccess,
                        now);
-    if (answer_head_.status >= 500 || (answer_head_.status == 200 && !answer_facts_.is_signed)) {
+    // A success that is not a stream cannot continue one.
+    const bool is_stray = answer_head_.status == 200 && is_stream_open_;
+    if (answer_head_.status >= 500 || !IsOfServer(answer_facts_) || is_stray) {
       OnDecodeBroken(AttemptFailure::kConnectionLost);
       return;
     }
     ForwardAnswer();
     return;
   }
+  if (core::HasUnfinishedEvent(splitter_)) {
+    core::RecordAnswer(health, core::AnswerResult::kLost, now);
+    OnDecodeBroken(AttemptFailure::kConnectionLost);
+    return;
+  }
   core::RecordAnswer(health, core::AnswerResult::kSuccess, now);
   phase_ = Phase::kDone;
   core::RecordGeneration(
--- a/tests/gateway/fake_engine.cc
+++ b/tests/gateway/fake_engine.cc
@@ -88,6 +88,10 @@
     while (!answer.endless.empty() && !error && !is_stopped_) {
       endless_bytes_ += asio::write(*socket, asio::buffer(answer.endless), error);
     }
+    if (answer.close) {
+      socket->shutdown(tcp::socket::shutdown_both, error);
+      return;
+    }
     if (answer.reset) {
       // Waits until the peer has read the bytes: a reset drops bytes that it has not read.
       std::this_thread::sleep_for(std::chrono::milliseconds(30));
--- a/tests/gateway/fake_engine.h
+++ b/tests/gateway/fake_engine.h
@@ -22,6 +22,8 @@
   std::chrono::milliseconds pause{0};
   /// If not empty: sent after all other bytes, again and again until the peer closes.
   std::string endless = {};
+  /// Closes the connection in an orderly way after the bytes.
+  bool close = false;
 };
 
 class FakeEngine {
--- a/tests/platform/request_format_test.cc
+++ b/tests/platform/request_format_test.cc
@@ -105,6 +105,22 @@
   cr_assert_eq(*facts.idle_timeout_ms, 4'000);
 }
 
+// Guards against taking a body of another type, or an encoded one, for a stream of events.
+Test(request_format, response_states_whether_the_body_is_a_stream) {
+  http::ResponseHead head;
+  cr_assert(platform::DecodeAnswer(head).is_event_stream);
+  for (const char* type : {"text/event-stream", "Text/Event-Stream; charset=utf-8"}) {
+    head.fields = {{"content-type", type}, {"Content-Encoding", "identity"}};
+    cr_assert(platform::DecodeAnswer(head).is_event_stream);
+    cr_assert(!platform::DecodeAnswer(head).is_encoded);
+  }
+  for (const char* type : {"application/json", "text/plain", ""}) {
+    head.fields = {{"Content-Type", type}, {"content-encoding", "gzip"}};
+    cr_assert(!platform::DecodeAnswer(head).is_event_stream);
+    cr_assert(platform::DecodeAnswer(head).is_encoded);
+  }
+}
+
 // Guards against an order being executed by another process at the same address, which
 // Expect-Instance prevents, or after a newer order, which the fencing token prevents.
 Test(request_format, stage_order_has_instance_holder_and_token) {
