Remember all requests that a connection has carried

Cause: only the id of the last request was remembered. A request that was refused could come back to the same connection after another one; a second copy of its refusal, written late by a faulty server, then counted as the answer: the caller was told "not run", or the request was sent to a second server, while this one ran it. Change: a connection keeps the hashes of all ids that it has carried and takes none of them again; after 256 requests a new one replaces it.

--- a/gateway/attempt.cc
+++ b/gateway/attempt.cc
@@ -25,8 +25,8 @@
   std::unique_ptr<Attempt> attempt(
       new Attempt(context, clock, std::move(upstream), std::move(plan), listener));
   attempt->TimeSilence(attempt->plan_.first_byte_timeout);
-  attempt->connection_->Send(std::move(attempt->plan_.head), attempt->plan_.body,
-                             attempt->plan_.is_head_request, *attempt);
+  attempt->connection()->Send(std::move(attempt->plan_.head), attempt->plan_.body,
+                              attempt->plan_.is_head_request, *attempt);
   return attempt;
 }
 
@@ -36,8 +36,8 @@
       upstream_(std::move(upstream)),
       plan_(std::move(plan)),
       listener_(listener),
-      connection_(AcquireConnection(*upstream_, context, plan_.request_id, clock.now())),
-      sent_before_(connection_->requests_sent()),
+      upstream_connection_(AcquireConnection(*upstream_, context, plan_.request_id, clock.now())),
+      sent_before_(connection()->requests_sent()),
       timer_(context),
       timer_sequence_(std::make_shared<std::uint64_t>(0)) {
   AddLoad(upstream_->local_load, plan_.load, 1);
@@ -45,8 +45,8 @@
 
 Attempt::~Attempt() {
   ReleaseLoad();
-  if (connection_) {
-    connection_->Close();
+  if (connection()) {
+    connection()->Close();
   }
 }
 
@@ -54,13 +54,13 @@
   is_paused_ = true;
   ++*timer_sequence_;
   timer_.cancel();
-  connection_->PauseReading();
+  connection()->PauseReading();
 }
 
 void Attempt::ResumeReading() {
   is_paused_ = false;
   TimeSilence(plan_.read_timeout);
-  connection_->ResumeReading();
+  connection()->ResumeReading();
 }
 
 bool Attempt::OnHead(const http::ResponseHead& head) {
@@ -68,7 +68,7 @@
   // An upstream may first send the delayed answer of an earlier request on this connection. It is
   // skipped. Upstreams state the request id in each answer; without it, only the first answer on a
   // connection can be attributed.
-  const bool is_attributed = facts.request_id.empty() ? connection_->requests_sent() == 1
+  const bool is_attributed = facts.request_id.empty() ? connection()->requests_sent() == 1
                                                       : facts.request_id == plan_.request_id;
   if (!is_attributed) {
     return false;
@@ -92,7 +92,7 @@
   if (progress == BodyProgress::kProgress) {
     TimeSilence(plan_.read_timeout);
   } else if (progress != BodyProgress::kNone) {
-    connection_->Close();
+    connection()->Close();
     OnFailure(http::ExchangeFailure::kMalformed);
   }
 }
@@ -101,10 +101,9 @@
   timer_.cancel();
   ++*timer_sequence_;
   ReleaseLoad();
-  std::shared_ptr<http::ClientConnection> connection = std::move(connection_);
+  UpstreamConnection finished = std::exchange(upstream_connection_, {});
   if (is_reusable) {
-    ReleaseConnection(upstream_, std::move(connection), plan_.request_id, facts_.idle_timeout_ms,
-                      clock_.now());
+    ReleaseConnection(upstream_, std::move(finished), facts_.idle_timeout_ms, clock_.now());
   }
   listener_.OnAnswerComplete();
 }
@@ -148,7 +147,7 @@
     ArmTimer(kSilenceCheckInterval);
     return;
   }
-  connection_->Close();
+  connection()->Close();
   ReleaseLoad();
   listener_.OnAttemptFailure(AttemptFailure::kTimedOut);
 }
--- a/gateway/attempt.h
+++ b/gateway/attempt.h
@@ -79,7 +79,7 @@
 
   Upstream& upstream() { return *upstream_; }
   /// Whether sending of the request was started, so that the upstream may have run it.
-  bool has_sent() const { return !connection_ || connection_->requests_sent() > sent_before_; }
+  bool has_sent() const { return !connection() || connection()->requests_sent() > sent_before_; }
   /// While reading is paused, the upstream's silence is not timed.
   void PauseReading();
   void ResumeReading();
@@ -88,6 +88,9 @@
   Attempt(asio::io_context& context, const Clock& clock, std::shared_ptr<Upstream> upstream,
           AttemptPlan plan, AttemptListener& listener);
 
+  const std::shared_ptr<http::ClientConnection>& connection() const {
+    return upstream_connection_.connection;
+  }
   bool MaySend() override { return clock_.now() <= plan_.send_before; }
   bool OnHead(const http::ResponseHead& head) override;
   void OnBody(std::string_view bytes) override;
@@ -104,7 +107,8 @@
   std::shared_ptr<Upstream> upstream_;
   AttemptPlan plan_;
   AttemptListener& listener_;
-  std::shared_ptr<http::ClientConnection> connection_;
+  /// Without a connection once the answer is complete.
+  UpstreamConnection upstream_connection_;
   /// Requests that were sent on the connection before this one.
   std::int64_t sent_before_ = 0;
   asio::steady_timer timer_;
--- a/gateway/fleet.cc
+++ b/gateway/fleet.cc
@@ -21,6 +21,10 @@
 // connection.
 constexpr Milliseconds kIdleMargin{400};
 
+// Requests after which a connection is closed, so that the list of their ids stays small: 2 KB for
+// a connection, and one new connection in 256 requests.
+constexpr std::size_t kMaxRequestsPerConnection = 256;
+
 asio::ip::tcp::endpoint EndpointOf(const core::UpstreamInfo& info) {
   // The decoder of the upstream list has already validated the address.
   return {asio::ip::make_address_v4(info.address), info.port};
@@ -197,7 +201,7 @@
   std::shared_ptr<Upstream> upstream = found->second;
   upstream->is_removed = true;
   for (IdleConnection& idle : upstream->idle) {
-    idle.connection->Close();
+    idle.upstream_connection.connection->Close();
   }
   upstream->idle.clear();
   std::erase(by_service_[upstream->info.service], upstream);
@@ -242,45 +246,47 @@
   }
 }
 
-std::shared_ptr<http::ClientConnection> AcquireConnection(Upstream& upstream,
-                                                          asio::io_context& context,
-                                                          std::string_view request_id,
-                                                          TimePoint now) {
+UpstreamConnection AcquireConnection(Upstream& upstream, asio::io_context& context,
+                                     std::string_view request_id, TimePoint now) {
   CloseExpiredConnections(upstream, now);
+  const std::uint64_t id_hash = Hash64(request_id);
   for (std::size_t i = upstream.idle.size(); i > 0 && !request_id.empty(); --i) {
-    IdleConnection& idle = upstream.idle[i - 1];
-    if (idle.last_request_id == request_id) {
+    UpstreamConnection& idle = upstream.idle[i - 1].upstream_connection;
+    if (std::find(idle.sent_ids.begin(), idle.sent_ids.end(), id_hash) != idle.sent_ids.end()) {
       continue;
     }
-    std::shared_ptr<http::ClientConnection> connection = std::move(idle.connection);
+    UpstreamConnection acquired = std::move(idle);
     upstream.idle.erase(upstream.idle.begin() + static_cast<std::ptrdiff_t>(i - 1));
-    if (connection->is_open()) {
-      connection->SetIdleEndHandler(nullptr);
-      return connection;
+    if (acquired.connection->is_open()) {
+      acquired.connection->SetIdleEndHandler(nullptr);
+      acquired.sent_ids.push_back(id_hash);
+      return acquired;
     }
   }
-  return http::ClientConnection::Create(context, upstream.endpoint, kConnectTimeout);
+  return {http::ClientConnection::Create(context, upstream.endpoint, kConnectTimeout), {id_hash}};
 }
 
 void ReleaseConnection(const std::shared_ptr<Upstream>& upstream,
-                       std::shared_ptr<http::ClientConnection> connection, std::string request_id,
+                       UpstreamConnection upstream_connection,
                        std::optional<std::int64_t> idle_timeout_ms, TimePoint now) {
   const Duration usable =
       idle_timeout_ms ? Milliseconds(*idle_timeout_ms) - kIdleMargin : Duration(kDefaultIdleTime);
-  if (upstream->is_removed || usable <= Duration::zero()) {
-    connection->Close();
+  http::ClientConnection& connection = *upstream_connection.connection;
+  if (upstream->is_removed || usable <= Duration::zero() ||
+      upstream_connection.sent_ids.size() >= kMaxRequestsPerConnection) {
+    connection.Close();
     return;
   }
   std::weak_ptr<Upstream> weak = upstream;
-  const http::ClientConnection* raw = connection.get();
-  connection->SetIdleEndHandler([weak, raw] {
+  connection.SetIdleEndHandler([weak, raw = &connection] {
     const std::shared_ptr<Upstream> owner = weak.lock();
     if (owner) {
-      std::erase_if(owner->idle,
-                    [raw](const IdleConnection& idle) { return idle.connection.get() == raw; });
+      std::erase_if(owner->idle, [raw](const IdleConnection& idle) {
+        return idle.upstream_connection.connection.get() == raw;
+      });
     }
   });
-  upstream->idle.push_back({std::move(connection), now + usable, std::move(request_id)});
+  upstream->idle.push_back({std::move(upstream_connection), now + usable});
 }
 
 void CloseExpiredConnections(Upstream& upstream, TimePoint now) {
@@ -288,7 +294,7 @@
     if (idle.usable_until > now) {
       return false;
     }
-    idle.connection->Close();
+    idle.upstream_connection.connection->Close();
     return true;
   });
 }
--- a/gateway/fleet.h
+++ b/gateway/fleet.h
@@ -22,12 +22,17 @@
 
 namespace rattanramp::gateway {
 
-struct IdleConnection {
+/// Connection to an upstream, and what it has carried.
+struct UpstreamConnection {
   std::shared_ptr<http::ClientConnection> connection;
+  /// Hashes of the ids of all requests that were sent on the connection.
+  std::vector<std::uint64_t> sent_ids;
+};
+
+struct IdleConnection {
+  UpstreamConnection upstream_connection;
   /// Until this time the upstream keeps the connection open.
   TimePoint usable_until;
-  /// Id of the last request on the connection; empty: it had none.
-  std::string last_request_id;
 };
 
 struct Upstream {
@@ -134,17 +139,15 @@
 };
 
 /// Returns a connection to the upstream: the most recently used idle one, or a new one. An idle
-/// connection whose last request had the same id is not used: a second copy of its answer would
-/// look like the answer to this request. Requests without an id get a new connection.
-std::shared_ptr<http::ClientConnection> AcquireConnection(Upstream& upstream,
-                                                          asio::io_context& context,
-                                                          std::string_view request_id,
-                                                          TimePoint now);
+/// connection that has carried a request of the same id is not used: a second copy of that answer
+/// would look like the answer to this request. Requests without an id get a new connection.
+UpstreamConnection AcquireConnection(Upstream& upstream, asio::io_context& context,
+                                     std::string_view request_id, TimePoint now);
 
 /// Stores a connection as idle for a later request. idle_timeout_ms: the value that the upstream
 /// stated; empty: it stated none.
 void ReleaseConnection(const std::shared_ptr<Upstream>& upstream,
-                       std::shared_ptr<http::ClientConnection> connection, std::string request_id,
+                       UpstreamConnection upstream_connection,
                        std::optional<std::int64_t> idle_timeout_ms, TimePoint now);
 
 /// Closes the idle connections whose usable_until has passed: the upstream may close them soon.
