Treat the mixture of two answers as a lost connection

Cause: of two fields with the same name the last one counted, and Not-Executed counted with any status. A refusal that a faulty server wrote into the head of an answer, or an answer written after a part of a refusal, then read as "not run": the request was sent again, up to the bound on retries, and the caller was told that it had not run. Change: an answer is contradictory if its id, signature or statement "not run" occurs twice, if it is both signed and not run, or if it is not run and no error. The attempt fails as after a lost connection.

--- a/core/request_facts.h
+++ b/core/request_facts.h
@@ -33,6 +33,9 @@
   bool is_signed = false;
   /// The upstream states that it did not run the request.
   bool not_run = false;
+  /// The statements contradict each other, as in the mixture of two answers. Whether the request
+  /// ran is unknown.
+  bool is_contradictory = false;
   /// The process at this address is not the one that the request was meant for.
   bool wrong_instance = false;
   /// The body is encoded, for example compressed, so it is not the one that was asked for.
--- a/gateway/attempt.cc
+++ b/gateway/attempt.cc
@@ -65,6 +65,11 @@
 
 bool Attempt::OnHead(const http::ResponseHead& head) {
   const core::AnswerFacts facts = platform::DecodeAnswer(head);
+  if (facts.is_contradictory) {
+    connection()->Close();
+    OnFailure(http::ExchangeFailure::kMalformed);
+    return false;
+  }
   // An upstream may first send the delayed answer of an earlier request on this connection. It is
   // skipped. Upstreams state the request id in each answer; without it, only the first answer on a
   // connection can be attributed.
--- a/tests/gateway/repeated_refusal_test.cc
+++ b/tests/gateway/repeated_refusal_test.cc
@@ -3,6 +3,7 @@
 #include <criterion/criterion.h>
 
 #include <asio/io_context.hpp>
+#include <atomic>
 #include <chrono>
 #include <memory>
 #include <optional>
@@ -165,6 +166,43 @@
   }
 }
 
+// Guards against an answer whose head is mixed with a refusal, because one of the two was cut: it
+// states nothing, so the request may have run.
+Test(repeated_refusal, mixed_head_does_not_say_that_the_request_did_not_run, .timeout = 60) {
+  const std::string refusal = "HTTP/1.1 503 X\r\nNot-Executed: 1\r\nRequest-Id: r1\r\n";
+  const std::string end = "Content-Length: 0\r\n\r\n";
+  const std::vector<std::string> heads = {
+      // The head of a stream, and a refusal in its midst.
+      "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Seal: " + refusal + end,
+      "HTTP/1.1 200 OK\r\nResponse-Seal: s\r\nRequest-Id: r1\r\nX: " + refusal + end,
+      "HTTP/1.1 200 OK\r\nResponse-Seal: s\r\nX: " + refusal + end,
+      // A refusal that was cut, and the answer to the request.
+      "HTTP/1.1 503 X\r\nNot-Executed: 1\r\nRequest-Id: r0\r\nX: HTTP/1.1 200 OK\r\n"
+      "Request-Id: r1\r\nResponse-Seal: s\r\n" +
+          end,
+      "HTTP/1.1 503 X\r\nNot-Executed: HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Seal: s\r\n" +
+          end,
+      "HTTP/1.1 421 X\r\nInstance-Id: HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Seal: s\r\n" +
+          end,
+  };
+  for (const std::string& head : heads) {
+    std::atomic<int> requests = 0;
+    const FakeEngine::Script script = [&](const std::string& /*head*/, int /*number*/) {
+      ++requests;
+      return FakeAnswer{head};
+    };
+    FakeEngine first(script);
+    FakeEngine second(script);
+    ExchangeFixture fixture;
+    fixture.Add("a", UpstreamStage::kPlain, first.port());
+    fixture.Add("b", UpstreamStage::kPlain, second.port());
+    fixture.Run(RequestKind::kOnce, false, 2, 1'000);
+    cr_expect(fixture.sink.status == 502 || fixture.sink.status == 504, "%d: %s",
+              fixture.sink.status, head.c_str());
+    cr_expect_eq(requests, 1, "sent %d times: %s", requests.load(), head.c_str());
+  }
+}
+
 // Guards against taking an informational answer for the answer itself, even if it bears the fields
 // of a refusal.
 Test(repeated_refusal, informational_answers_are_skipped, .timeout = 60) {
--- a/tests/platform/request_format_test.cc
+++ b/tests/platform/request_format_test.cc
@@ -105,6 +105,31 @@
   cr_assert_eq(*facts.idle_timeout_ms, 4'000);
 }
 
+// Guards against taking the mixture of two answers for a refusal or a success. Each of its
+// statements alone would be one.
+Test(request_format, mixture_of_two_answers_is_contradictory) {
+  const http::Field id = {"Request-Id", "r1"};
+  const http::Field signature = {"Response-Seal", "s"};
+  const http::Field not_executed = {"Not-Executed", "1"};
+  const auto is_contradictory = [](int status, const http::Fields& fields) {
+    http::ResponseHead head;
+    head.status = status;
+    head.fields = fields;
+    return platform::DecodeAnswer(head).is_contradictory;
+  };
+  cr_assert(!is_contradictory(200, {id, signature}));
+  cr_assert(!is_contradictory(500, {id, signature}));
+  for (const int status : {400, 421, 429, 503}) {
+    cr_assert(!is_contradictory(status, {id, not_executed}));
+    cr_assert(is_contradictory(status, {id, not_executed, signature}));
+    cr_assert(is_contradictory(status, {id, not_executed, id}));
+    cr_assert(is_contradictory(status, {not_executed, not_executed}));
+  }
+  cr_assert(is_contradictory(421, {id, signature}));
+  cr_assert(is_contradictory(200, {id, not_executed}));
+  cr_assert(is_contradictory(200, {signature, signature}));
+}
+
 // Guards against taking a body of another type, or an encoded one, for a stream of events.
 Test(request_format, response_states_whether_the_body_is_a_stream) {
   http::ResponseHead head;
