Pass on a promise or an error only if the server stands for it

Cause: a 408, 429 or 503 without the statement "not run" was passed on to the caller as the promise that the request had not run. An unsigned error, such as a 404, was passed on as well, and looked like our own. Change: without "not run", an answer is passed on only if it is signed, has no Content-Encoding and is none of the promises; otherwise it is not known whether the request ran: it is tried again where it may run twice, and answered 502 elsewhere.

--- a/core/request_facts.h
+++ b/core/request_facts.h
@@ -46,4 +46,15 @@
   std::optional<std::int64_t> idle_timeout_ms;
 };
 
+/// Whether a status promises that the request has not run and never will.
+inline bool PromisesNotRun(int status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+/// Whether an answer without the statement "not run" is one that a server has made for the request,
+/// so that it may be passed on. Otherwise it is not known whether the request ran.
+inline bool IsAnswerOfRun(const AnswerFacts& facts, int status) {
+  return facts.is_signed && !facts.is_encoded && !PromisesNotRun(status);
+}
+
 }  // namespace rattanramp::core
--- a/gateway/generation_exchange.cc
+++ b/gateway/generation_exchange.cc
@@ -71,9 +71,6 @@
 // Retry-After when the engine's connection was lost.
 constexpr std::int64_t kNoUpstreamRetryMs = 500;
 
-/// Whether the answer is one that an engine has made for the request.
-bool IsOfServer(const core::AnswerFacts& facts) { return facts.is_signed && !facts.is_encoded; }
-
 }  // namespace
 
 std::unique_ptr<GenerationExchange> GenerationExchange::Start(RequestContext request,
@@ -573,7 +570,8 @@
                        now);
     // A success that is not a stream cannot continue one.
     const bool is_stray = answer_head_.status == 200 && is_stream_open_;
-    if (answer_head_.status >= 500 || !IsOfServer(answer_facts_) || is_stray) {
+    if (answer_head_.status >= 500 || is_stray ||
+        !core::IsAnswerOfRun(answer_facts_, answer_head_.status)) {
       OnDecodeBroken(AttemptFailure::kConnectionLost);
       return;
     }
--- a/gateway/plain_exchange.cc
+++ b/gateway/plain_exchange.cc
@@ -256,12 +256,13 @@
     return;
   }
   ++possible_runs_;
-  const bool is_success = status >= 200 && status < 300;
-  if (is_success && !answer_facts_.is_signed) {
+  if (!core::IsAnswerOfRun(answer_facts_, status)) {
     core::RecordAnswer(health, core::AnswerResult::kNoAnswer, now);
-    if (!Retry(true, "answer without a signature")) {
+    constexpr std::string_view kReason =
+        "answer without a signature, with an encoding, or with an unfounded refusal";
+    if (!Retry(true, kReason)) {
       is_done_ = true;
-      AnswerOutcomeUnknown(request_, state_, sink_, 502, "answer without a signature");
+      AnswerOutcomeUnknown(request_, state_, sink_, 502, kReason);
     }
     return;
   }
--- a/tests/gateway/repeated_refusal_test.cc
+++ b/tests/gateway/repeated_refusal_test.cc
@@ -203,6 +203,51 @@
   }
 }
 
+// Guards against passing on a status that promises that the request has not run, when the server
+// did not state this.
+Test(repeated_refusal, promise_is_passed_on_only_if_the_server_states_it, .timeout = 120) {
+  FakeEngine prefill([](const std::string& /*head*/, int /*number*/) -> FakeAnswer {
+    const std::string body = R"({"kv_handle":"h","tokens":5000})";
+    return {"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: " + std::to_string(body.size()) +
+            "\r\n\r\n" + body};
+  });
+  for (const int status : {408, 429, 503}) {
+    for (const std::string seal : {"", "Response-Seal: s\r\n"}) {
+      for (const RequestKind kind : {RequestKind::kOnce, RequestKind::kStream}) {
+        std::atomic<int> requests = 0;
+        FakeEngine server([&](const std::string& /*head*/, int /*number*/) -> FakeAnswer {
+          ++requests;
+          return {"HTTP/1.1 " + std::to_string(status) + " X\r\nRequest-Id: r1\r\n" + seal +
+                  "Content-Length: 0\r\n\r\n"};
+        });
+        ExchangeFixture fixture;
+        fixture.Add("p", UpstreamStage::kPrefill, prefill.port());
+        fixture.Add("d",
+                    kind == RequestKind::kStream ? UpstreamStage::kDecode : UpstreamStage::kPlain,
+                    server.port());
+        fixture.Run(kind, false, 2, 1'000);
+        cr_expect_eq(fixture.sink.status, 502, "%d %s: %d", status, seal.c_str(),
+                     fixture.sink.status);
+        cr_expect_eq(requests, 1);
+      }
+    }
+  }
+}
+
+// Guards against an unsealed error, which no server has made, being passed on as the server's.
+Test(repeated_refusal, unsealed_error_is_not_passed_on, .timeout = 60) {
+  for (const int status : {400, 403, 404, 302}) {
+    FakeEngine server([&](const std::string& /*head*/, int /*number*/) -> FakeAnswer {
+      return {"HTTP/1.1 " + std::to_string(status) +
+              " X\r\nRequest-Id: r1\r\nContent-Length: 0\r\n\r\n"};
+    });
+    ExchangeFixture fixture;
+    fixture.Add("a", UpstreamStage::kPlain, server.port());
+    fixture.Run(RequestKind::kOnce, false, 2, 1'000);
+    cr_expect_eq(fixture.sink.status, 502, "%d: %d", status, fixture.sink.status);
+  }
+}
+
 // Guards against taking an informational answer for the answer itself, even if it bears the fields
 // of a refusal.
 Test(repeated_refusal, informational_answers_are_skipped, .timeout = 60) {
