--- a/core/request_facts.h
+++ b/core/request_facts.h
@@ -33,10 +33,28 @@
   bool is_signed = false;
   /// The upstream states that it did not run the request.
   bool not_run = false;
+  /// The statements contradict each other, as in the mixture of two answers. Whether the request
+  /// ran is unknown.
+  bool is_contradictory = false;
   /// The process at this address is not the one that the request was meant for.
   bool wrong_instance = false;
+  /// The body is encoded, for example compressed, so it is not the one that was asked for.
+  bool is_encoded = false;
+  /// The body is a stream of events. Assumed if the upstream does not state a type.
+  bool is_event_stream = true;
   /// Time for which the upstream keeps an idle connection open, in ms; absent if not stated.
   std::optional<std::int64_t> idle_timeout_ms;
 };
 
+/// Whether a status promises that the request has not run and never will.
+inline bool PromisesNotRun(int status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+/// Whether an answer without the statement "not run" is one that a server has made for the request,
+/// so that it may be passed on. Otherwise it is not known whether the request ran.
+inline bool IsAnswerOfRun(const AnswerFacts& facts, int status) {
+  return facts.is_signed && !facts.is_encoded && !PromisesNotRun(status);
+}
+
 }  // namespace rattanramp::core
