Add a failing test of silent streams that leave for the same free place

Cause: OnSilence asks whether another engine has a free place, but reserves nothing. The attempt is ended at once; its continuation is placed later, from the queue. Streams whose time limits pass before the queue runs all see the same place, in one process and, within the delay of load reports, in several.

--- a/tests/gateway/exchange_fixture.cc
+++ b/tests/gateway/exchange_fixture.cc
@@ -39,7 +39,8 @@
   settings.retry_bound = {0.2, 58, Milliseconds(10'000)};
 }
 
-void ExchangeFixture::Add(const std::string& id, core::UpstreamStage stage, std::uint16_t port) {
+void ExchangeFixture::Add(const std::string& id, core::UpstreamStage stage, std::uint16_t port,
+                          std::int64_t slots) {
   core::UpstreamInfo info;
   info.id = id;
   info.service = "s";
@@ -47,14 +48,15 @@
   info.address = "127.0.0.1";
   info.port = port;
   info.stage = stage;
-  info.slots = 4;
+  info.slots = slots;
   core::DirectoryChange change;
   change.added = {info};
   fleet.Apply(change);
 }
 
-void ExchangeFixture::Run(core::RequestKind kind, bool is_resumable, std::int64_t max_upstreams,
-                          std::int64_t timeout_ms) {
+gateway::RequestContext ExchangeFixture::MakeRequest(core::RequestKind kind, bool is_resumable,
+                                                     std::int64_t max_upstreams,
+                                                     std::int64_t timeout_ms) const {
   core::RouteRule route;
   route.name = "r";
   route.host = "h";
@@ -90,6 +92,12 @@
   request.arrived = DefaultClock().now();
   request.deadline = request.arrived + Milliseconds(timeout_ms);
   request.target = request.arrived + Milliseconds(900);
+  return request;
+}
+
+void ExchangeFixture::Run(core::RequestKind kind, bool is_resumable, std::int64_t max_upstreams,
+                          std::int64_t timeout_ms) {
+  gateway::RequestContext request = MakeRequest(kind, is_resumable, max_upstreams, timeout_ms);
   std::unique_ptr<gateway::Exchange> exchange;
   if (kind == core::RequestKind::kStream) {
     exchange = gateway::GenerationExchange::Start(std::move(request), state, sink);
--- a/tests/gateway/exchange_fixture.h
+++ b/tests/gateway/exchange_fixture.h
@@ -37,7 +37,11 @@
  public:
   ExchangeFixture();
 
-  void Add(const std::string& id, core::UpstreamStage stage, std::uint16_t port);
+  void Add(const std::string& id, core::UpstreamStage stage, std::uint16_t port,
+           std::int64_t slots = 4);
+  /// Returns a request that has just arrived.
+  gateway::RequestContext MakeRequest(core::RequestKind kind, bool is_resumable,
+                                      std::int64_t max_upstreams, std::int64_t timeout_ms) const;
   /// Runs one request until its answer ends, for at most 5 s.
   void Run(core::RequestKind kind, bool is_resumable, std::int64_t max_upstreams = 2,
            std::int64_t timeout_ms = 4'000);
--- a/tests/gateway/generation_exchange_test.cc
+++ b/tests/gateway/generation_exchange_test.cc
@@ -1,10 +1,15 @@
+#include "gateway/generation_exchange.h"
+
 #include <criterion/criterion.h>
 
 #include <asio/ip/tcp.hpp>
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 #include <atomic>
+#include <limits>
+#include <memory>
 #include <string>
+#include <thread>
 
 #include "tests/gateway/exchange_fixture.h"
 
@@ -562,3 +567,50 @@
   cr_assert(fixture.sink.is_complete);
   cr_assert_eq(first.heads().size() + second.heads().size(), 1);
 }
+
+// Guards against the incident LOST: two streams of a silent engine both leave it for the same free
+// place, so that one of them is taken from its engine and waits in the queue.
+Test(generation_exchange, silent_streams_do_not_leave_for_the_same_free_place, .timeout = 30) {
+  FakeEngine prefill(PrefillAnswer);
+  FakeEngine silent([](const std::string& /*head*/, int /*number*/) -> FakeAnswer {
+    FakeAnswer answer;
+    answer.bytes = kStreamHead + Event(1);
+    answer.later = {Event(2) + "0\r\n\r\n"};
+    answer.pause = std::chrono::milliseconds(2'300);
+    return answer;
+  });
+  FakeEngine other([](const std::string& /*head*/, int /*number*/) -> FakeAnswer {
+    FakeAnswer answer;
+    answer.bytes = kStreamHead + Event(2);
+    answer.later = {Event(3) + "0\r\n\r\n"};
+    answer.pause = std::chrono::milliseconds(1'400);
+    return answer;
+  });
+  ExchangeFixture fixture;
+  fixture.Add("p", UpstreamStage::kPrefill, prefill.port());
+  fixture.Add("silent", UpstreamStage::kDecode, silent.port());
+  tests::RecordingSink first_sink(fixture.context);
+  tests::RecordingSink second_sink(fixture.context);
+  std::unique_ptr<gateway::GenerationExchange> first = gateway::GenerationExchange::Start(
+      fixture.MakeRequest(RequestKind::kStream, true, 2, 14'000), fixture.state, first_sink);
+  std::unique_ptr<gateway::GenerationExchange> second = gateway::GenerationExchange::Start(
+      fixture.MakeRequest(RequestKind::kStream, true, 2, 14'000), fixture.state, second_sink);
+  asio::steady_timer add_engine(fixture.context, Milliseconds(500));
+  add_engine.async_wait([&](const std::error_code& /*error*/) {
+    fixture.Add("other", UpstreamStage::kDecode, other.port(), 1);
+  });
+  // The process is delayed while both streams reach the time limit for silence.
+  asio::steady_timer delay(fixture.context, Milliseconds(1'400));
+  delay.async_wait([](const std::error_code& /*error*/) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+  });
+  const TimePoint until = DefaultClock().now() + Milliseconds(3'000);
+  while (DefaultClock().now() < until) {
+    fixture.context.restart();
+    fixture.context.run_until(until);
+  }
+  cr_assert_eq(silent.heads().size(), 2);
+  cr_expect_leq(other.heads().size(), 1, "%zu", other.heads().size());
+  // Whichever stream stays gets the rest from its engine after 2.3 s.
+  cr_expect(first_sink.is_complete || second_sink.is_complete);
+}
