Add a failing test of a silent generation and contended capacity

Cause: HasOtherEngine uses PlaceGeneration only; TryStart also requires MayTakeCapacity, which leaves capacity to the requests that wait at the peers.

--- a/tests/gateway/generation_exchange_test.cc
+++ b/tests/gateway/generation_exchange_test.cc
@@ -614,3 +614,29 @@
   // Whichever stream stays gets the rest from its engine after 2.3 s.
   cr_expect(first_sink.is_complete || second_sink.is_complete);
 }
+
+// Guards against the incident LOST: a generation is taken from a silent engine for one that it may
+// not use at once, because requests of other gateways wait for that capacity.
+Test(generation_exchange, silent_generation_is_kept_while_peers_contend_for_other_engines,
+     .timeout = 30) {
+  ExchangeFixture fixture;
+  FakeEngine prefill(PrefillAnswer);
+  const FakeEngine::Script script = [&](const std::string& /*head*/, int /*number*/) -> FakeAnswer {
+    asio::post(fixture.context, [&] {
+      fixture.fleet.SetPeerState("peer", {{}, {{"s", {100'000'000, 0}}}, {}});
+    });
+    FakeAnswer answer;
+    answer.later = {kStreamHead + Event(1) + Event(2) + "0\r\n\r\n"};
+    answer.pause = std::chrono::milliseconds(2'300);
+    return answer;
+  };
+  FakeEngine first(script);
+  FakeEngine second(script);
+  fixture.Add("p", UpstreamStage::kPrefill, prefill.port());
+  fixture.Add("d1", UpstreamStage::kDecode, first.port());
+  fixture.Add("d2", UpstreamStage::kDecode, second.port());
+  fixture.Run(RequestKind::kStream, true);
+  cr_assert(fixture.sink.is_complete);
+  cr_expect_eq(fixture.sink.status, 200, "%d %s", fixture.sink.status, fixture.sink.body.c_str());
+  cr_expect_eq(first.heads().size() + second.heads().size(), 1);
+}
