Add a failing test of a silent stream that the other engine refuses

Cause: the silent attempt is ended before the next one has been accepted. A refusal (not run) leaves both engines in the list of tried ones, which is cleared only after the second failure, so the open stream waits in the queue until its deadline.

--- a/tests/gateway/generation_exchange_test.cc
+++ b/tests/gateway/generation_exchange_test.cc
@@ -640,3 +640,29 @@
   cr_expect_eq(fixture.sink.status, 200, "%d %s", fixture.sink.status, fixture.sink.body.c_str());
   cr_expect_eq(first.heads().size() + second.heads().size(), 1);
 }
+
+// Guards against the incident LOST: a stream is taken from a silent engine for one that refuses it,
+// and is never continued, although its engine goes on.
+Test(generation_exchange, silent_stream_is_kept_when_the_other_engine_refuses_it, .timeout = 30) {
+  FakeEngine prefill(PrefillAnswer);
+  FakeEngine silent([](const std::string& /*head*/, int /*number*/) -> FakeAnswer {
+    FakeAnswer answer;
+    answer.bytes = kStreamHead + Event(1);
+    answer.later = {Event(2) + "0\r\n\r\n"};
+    answer.pause = std::chrono::milliseconds(2'300);
+    return answer;
+  });
+  FakeEngine other([](const std::string& /*head*/, int /*number*/) -> FakeAnswer {
+    return {CompleteAnswer(503, "Not-Executed: 1\r\n", "full"), false};
+  });
+  ExchangeFixture fixture;
+  fixture.Add("p", UpstreamStage::kPrefill, prefill.port());
+  fixture.Add("silent", UpstreamStage::kDecode, silent.port());
+  asio::steady_timer add_engine(fixture.context, Milliseconds(500));
+  add_engine.async_wait([&](const std::error_code& /*error*/) {
+    fixture.Add("other", UpstreamStage::kDecode, other.port());
+  });
+  fixture.Run(RequestKind::kStream, true);
+  cr_assert_eq(silent.heads().size(), 1);
+  cr_assert(fixture.sink.is_complete);
+}
