Add a failing test of a decode that is sent too late in a stop

Cause: the stop plan is asked when a generation is queued or placed, but not between prefill and decode.

--- a/tests/gateway/generation_exchange_test.cc
+++ b/tests/gateway/generation_exchange_test.cc
@@ -666,3 +666,27 @@
   cr_assert_eq(silent.heads().size(), 1);
   cr_assert(fixture.sink.is_complete);
 }
+
+// Guards against work that is started too late to end in a stop: the prefill took so long that the
+// decode would outlast the stop, but it was sent all the same and cut.
+Test(generation_exchange, decode_is_not_sent_when_the_prefill_leaves_it_too_little_time_in_a_stop,
+     .timeout = 30) {
+  FakeEngine prefill([](const std::string& head, int number) -> FakeAnswer {
+    FakeAnswer answer;
+    answer.later = {PrefillAnswer(head, number).bytes};
+    answer.pause = std::chrono::milliseconds(1'200);
+    return answer;
+  });
+  FakeEngine decode([](const std::string& /*head*/, int /*number*/) -> FakeAnswer {
+    return {kStreamHead + Event(1) + "0\r\n\r\n", false};
+  });
+  ExchangeFixture fixture;
+  // Of the 7.5 s until the forced end, 4 s are left; a generation is expected to take 3.5 s.
+  fixture.state.stop = {DefaultClock().now() - Milliseconds(3'500), Milliseconds(8'000)};
+  fixture.Add("p", UpstreamStage::kPrefill, prefill.port());
+  fixture.Add("d", UpstreamStage::kDecode, decode.port());
+  fixture.Run(RequestKind::kStream, true, 2, 14'000);
+  cr_assert_eq(prefill.heads().size(), 1);
+  cr_expect_eq(decode.heads().size(), 0, "%zu decodes", decode.heads().size());
+  cr_expect_eq(fixture.sink.status, 503, "%d %s", fixture.sink.status, fixture.sink.body.c_str());
+}
