Add a failing test of very large stated outputs in a stop

Cause: ExpectedHoldTime returns up to 10^18 ms; the sum with a time point in ns overflows, and CanEndInTime is true.

--- a/tests/gateway/generation_exchange_test.cc
+++ b/tests/gateway/generation_exchange_test.cc
@@ -690,3 +690,23 @@
   cr_expect_eq(decode.heads().size(), 0, "%zu decodes", decode.heads().size());
   cr_expect_eq(fixture.sink.status, 503, "%d %s", fixture.sink.status, fixture.sink.body.c_str());
 }
+
+// Guards against the incident LOST: the expected duration of a generation with a very large stated
+// output overflows, so that it is accepted in a stop.
+Test(generation_exchange, generation_of_any_stated_size_is_refused_when_it_would_outlast_the_stop,
+     .timeout = 30) {
+  for (const std::int64_t max_output :
+       {std::int64_t{1'000'000'000'000}, std::int64_t{10'000'000'000'000'000},
+        std::numeric_limits<std::int64_t>::max()}) {
+    ExchangeFixture fixture;
+    fixture.max_output_tokens = max_output;
+    fixture.state.stop = {DefaultClock().now() - Milliseconds(1'000), Milliseconds(8'000)};
+    bool is_refused = false;
+    fixture.on_started = [&](gateway::Exchange& exchange) {
+      exchange.OnStopProgress();
+      is_refused = fixture.sink.is_complete && fixture.sink.status == 503;
+    };
+    fixture.Run(RequestKind::kStream, true, 2, 14'000);
+    cr_expect(is_refused, "%lld tokens", static_cast<long long>(max_output));
+  }
+}
