Add a failing test of a lost answer when there is one server

Cause: the list of tried servers is cleared in Retry, which OnSilence no longer reaches when each server has been tried. The attempt then lasts until the deadline.

Conclusion: a regression for services with one server, or whose servers were all tried; the code under test is unchanged.

--- a/tests/gateway/plain_exchange_test.cc
+++ b/tests/gateway/plain_exchange_test.cc
@@ -278,3 +278,15 @@
   cr_assert_eq(fixture.sink.status, 200, "%d %s", fixture.sink.status, fixture.sink.body.c_str());
   cr_assert_eq(first.heads().size() + second.heads().size(), 1);
 }
+
+// Guards against a repeatable request that waits to its deadline for an answer that was lost: the
+// only server of the service is sound and would answer a second attempt.
+Test(plain_exchange, lost_answer_is_asked_for_again_when_there_is_one_server, .timeout = 30) {
+  FakeEngine only([](const std::string& /*head*/, int number) -> FakeAnswer {
+    return number == 0 ? FakeAnswer{} : CompleteAnswer(200, "Response-Seal: s\r\n", "done");
+  });
+  ExchangeFixture fixture;
+  fixture.Add("a", UpstreamStage::kPlain, only.port());
+  fixture.Run(RequestKind::kRepeatable, false);
+  cr_assert_eq(fixture.sink.status, 200, "%d %s", fixture.sink.status, fixture.sink.body.c_str());
+}
