--- a/tests/gateway/generation_exchange_test.cc
+++ b/tests/gateway/generation_exchange_test.cc
@@ -1,10 +1,15 @@
+#include "gateway/generation_exchange.h"
+
 #include <criterion/criterion.h>
 
 #include <asio/ip/tcp.hpp>
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 #include <atomic>
+#include <limits>
+#include <memory>
 #include <string>
+#include <thread>
 
 #include "tests/gateway/exchange_fixture.h"
 
@@ -562,3 +567,146 @@
   cr_assert(fixture.sink.is_complete);
   cr_assert_eq(first.heads().size() + second.heads().size(), 1);
 }
+
+// Guards against the incident LOST: two streams of a silent engine both leave it for the same free
+// place, so that one of them is taken from its engine and waits in the queue.
+Test(generation_exchange, silent_streams_do_not_leave_for_the_same_free_place, .timeout = 30) {
+  FakeEngine prefill(PrefillAnswer);
+  FakeEngine silent([](const std::string& /*head*/, int /*number*/) -> FakeAnswer {
+    FakeAnswer answer;
+    answer.bytes = kStreamHead + Event(1);
+    answer.later = {Event(2) + "0\r\n\r\n"};
+    answer.pause = std::chrono::milliseconds(2'300);
+    return answer;
+  });
+  FakeEngine other([](const std::string& /*head*/, int /*number*/) -> FakeAnswer {
+    FakeAnswer answer;
+    answer.bytes = kStreamHead + Event(2);
+    answer.later = {Event(3) + "0\r\n\r\n"};
+    answer.pause = std::chrono::milliseconds(1'400);
+    return answer;
+  });
+  ExchangeFixture fixture;
+  fixture.Add("p", UpstreamStage::kPrefill, prefill.port());
+  fixture.Add("silent", UpstreamStage::kDecode, silent.port());
+  tests::RecordingSink first_sink(fixture.context);
+  tests::RecordingSink second_sink(fixture.context);
+  std::unique_ptr<gateway::GenerationExchange> first = gateway::GenerationExchange::Start(
+      fixture.MakeRequest(RequestKind::kStream, true, 2, 14'000), fixture.state, first_sink);
+  std::unique_ptr<gateway::GenerationExchange> second = gateway::GenerationExchange::Start(
+      fixture.MakeRequest(RequestKind::kStream, true, 2, 14'000), fixture.state, second_sink);
+  asio::steady_timer add_engine(fixture.context, Milliseconds(500));
+  add_engine.async_wait([&](const std::error_code& /*error*/) {
+    fixture.Add("other", UpstreamStage::kDecode, other.port(), 1);
+  });
+  // The process is delayed while both streams reach the time limit for silence.
+  asio::steady_timer delay(fixture.context, Milliseconds(1'400));
+  delay.async_wait([](const std::error_code& /*error*/) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+  });
+  const TimePoint until = DefaultClock().now() + Milliseconds(3'000);
+  while (DefaultClock().now() < until) {
+    fixture.context.restart();
+    fixture.context.run_until(until);
+  }
+  cr_assert_eq(silent.heads().size(), 2);
+  cr_expect_leq(other.heads().size(), 1, "%zu", other.heads().size());
+  // Whichever stream stays gets the rest from its engine after 2.3 s.
+  cr_expect(first_sink.is_complete || second_sink.is_complete);
+}
+
+// Guards against the incident LOST: a generation is taken from a silent engine for one that it may
+// not use at once, because requests of other gateways wait for that capacity.
+Test(generation_exchange, silent_generation_is_kept_while_peers_contend_for_other_engines,
+     .timeout = 30) {
+  ExchangeFixture fixture;
+  FakeEngine prefill(PrefillAnswer);
+  const FakeEngine::Script script = [&](const std::string& /*head*/, int /*number*/) -> FakeAnswer {
+    asio::post(fixture.context, [&] {
+      fixture.fleet.SetPeerState("peer", {{}, {{"s", {100'000'000, 0}}}, {}});
+    });
+    FakeAnswer answer;
+    answer.later = {kStreamHead + Event(1) + Event(2) + "0\r\n\r\n"};
+    answer.pause = std::chrono::milliseconds(2'300);
+    return answer;
+  };
+  FakeEngine first(script);
+  FakeEngine second(script);
+  fixture.Add("p", UpstreamStage::kPrefill, prefill.port());
+  fixture.Add("d1", UpstreamStage::kDecode, first.port());
+  fixture.Add("d2", UpstreamStage::kDecode, second.port());
+  fixture.Run(RequestKind::kStream, true);
+  cr_assert(fixture.sink.is_complete);
+  cr_expect_eq(fixture.sink.status, 200, "%d %s", fixture.sink.status, fixture.sink.body.c_str());
+  cr_expect_eq(first.heads().size() + second.heads().size(), 1);
+}
+
+// Guards against the incident LOST: a stream is taken from a silent engine for one that refuses it,
+// and is never continued, although its engine goes on.
+Test(generation_exchange, silent_stream_is_kept_when_the_other_engine_refuses_it, .timeout = 30) {
+  FakeEngine prefill(PrefillAnswer);
+  FakeEngine silent([](const std::string& /*head*/, int /*number*/) -> FakeAnswer {
+    FakeAnswer answer;
+    answer.bytes = kStreamHead + Event(1);
+    answer.later = {Event(2) + "0\r\n\r\n"};
+    answer.pause = std::chrono::milliseconds(2'300);
+    return answer;
+  });
+  FakeEngine other([](const std::string& /*head*/, int /*number*/) -> FakeAnswer {
+    return {CompleteAnswer(503, "Not-Executed: 1\r\n", "full"), false};
+  });
+  ExchangeFixture fixture;
+  fixture.Add("p", UpstreamStage::kPrefill, prefill.port());
+  fixture.Add("silent", UpstreamStage::kDecode, silent.port());
+  asio::steady_timer add_engine(fixture.context, Milliseconds(500));
+  add_engine.async_wait([&](const std::error_code& /*error*/) {
+    fixture.Add("other", UpstreamStage::kDecode, other.port());
+  });
+  fixture.Run(RequestKind::kStream, true);
+  cr_assert_eq(silent.heads().size(), 1);
+  cr_assert(fixture.sink.is_complete);
+}
+
+// Guards against work that is started too late to end in a stop: the prefill took so long that the
+// decode would outlast the stop, but it was sent all the same and cut.
+Test(generation_exchange, decode_is_not_sent_when_the_prefill_leaves_it_too_little_time_in_a_stop,
+     .timeout = 30) {
+  FakeEngine prefill([](const std::string& head, int number) -> FakeAnswer {
+    FakeAnswer answer;
+    answer.later = {PrefillAnswer(head, number).bytes};
+    answer.pause = std::chrono::milliseconds(1'200);
+    return answer;
+  });
+  FakeEngine decode([](const std::string& /*head*/, int /*number*/) -> FakeAnswer {
+    return {kStreamHead + Event(1) + "0\r\n\r\n", false};
+  });
+  ExchangeFixture fixture;
+  // Of the 7.5 s until the forced end, 4 s are left; a generation is expected to take 3.5 s.
+  fixture.state.stop = {DefaultClock().now() - Milliseconds(3'500), Milliseconds(8'000)};
+  fixture.Add("p", UpstreamStage::kPrefill, prefill.port());
+  fixture.Add("d", UpstreamStage::kDecode, decode.port());
+  fixture.Run(RequestKind::kStream, true, 2, 14'000);
+  cr_assert_eq(prefill.heads().size(), 1);
+  cr_expect_eq(decode.heads().size(), 0, "%zu decodes", decode.heads().size());
+  cr_expect_eq(fixture.sink.status, 503, "%d %s", fixture.sink.status, fixture.sink.body.c_str());
+}
+
+// Guards against the incident LOST: the expected duration of a generation with a very large stated
+// output overflows, so that it is accepted in a stop.
+Test(generation_exchange, generation_of_any_stated_size_is_refused_when_it_would_outlast_the_stop,
+     .timeout = 30) {
+  for (const std::int64_t max_output :
+       {std::int64_t{1'000'000'000'000}, std::int64_t{10'000'000'000'000'000},
+        std::numeric_limits<std::int64_t>::max()}) {
+    ExchangeFixture fixture;
+    fixture.max_output_tokens = max_output;
+    fixture.state.stop = {DefaultClock().now() - Milliseconds(1'000), Milliseconds(8'000)};
+    bool is_refused = false;
+    fixture.on_started = [&](gateway::Exchange& exchange) {
+      exchange.OnStopProgress();
+      is_refused = fixture.sink.is_complete && fixture.sink.status == 503;
+    };
+    fixture.Run(RequestKind::kStream, true, 2, 14'000);
+    cr_expect(is_refused, "%lld tokens", static_cast<long long>(max_output));
+  }
+}
