Close the gaps between the end of a silent attempt and the next one

Cause: a silent stream was ended for capacity that another request could take before it, or for which peers waited; a lost answer was no longer asked for again when all upstreams had been tried; the stop plan was not asked between prefill and decode; the expected duration of a generation overflowed for absurd sizes; the margins above a sound silence of 1.5 s were 100 ms.

Change: the next attempt is placed in the same handler, and capacity for which peers wait does not count. After 1.5 s a plain request may go to an upstream that it tried. The decode is refused as not run when the stop leaves it too little time. The duration has a limit of an hour. The margins follow the target gap of 300 ms.

--- a/core/stage_plan.cc
+++ b/core/stage_plan.cc
@@ -18,6 +18,9 @@
 constexpr double kPrefillExcessForChange = 0.75;
 constexpr double kDecodeExcessForChange = 1.0;
 
+// Longest time that is expected of a generation; longer than any grace time or deadline.
+constexpr double kMaxHoldTimeMs = 3'600'000;
+
 }  // namespace
 
 void RecordGeneration(GenerationProfile& profile, const GenerationProfile& sample) {
@@ -29,7 +32,8 @@
 
 Milliseconds ExpectedHoldTime(const GenerationProfile& profile, double output_tokens) {
   const double ratio = output_tokens / std::max(1.0, profile.output_tokens);
-  return Milliseconds(static_cast<std::int64_t>(profile.hold_ms * std::max(1.0, ratio)));
+  const double hold_ms = profile.hold_ms * std::max(1.0, ratio);
+  return Milliseconds(static_cast<std::int64_t>(std::min(hold_ms, kMaxHoldTimeMs)));
 }
 
 double PrefillShare(const GenerationProfile& profile, std::int64_t memory_tokens,
--- a/gateway/attempt.h
+++ b/gateway/attempt.h
@@ -45,7 +45,7 @@
   virtual void OnAttemptFailure(AttemptFailure failure) = 0;
   /// Called when the upstream has been silent for the timeout of the plan, and repeatedly while the
   /// silence lasts. Returns true to end the attempt with kTimedOut. Must not destroy the attempt.
-  virtual bool OnSilence(Duration silent_for) { return true; }
+  virtual bool OnSilence(Duration /*silent_for*/) { return true; }
 };
 
 struct AttemptPlan {
--- a/gateway/generation_exchange.cc
+++ b/gateway/generation_exchange.cc
@@ -22,14 +22,15 @@
 constexpr Milliseconds kPrefillTimeout = kSoundSilence + Milliseconds(500);
 
 // The same for the first event of a decode whose prompt another engine prefilled. The usual wait is
-// a transfer of a few ms, one step, and the tokens of one event (about 50 ms).
-constexpr Milliseconds kFirstEventTimeout = kSoundSilence + Milliseconds(200);
+// a transfer of a few ms, one step, and the tokens of one event: 50 ms, and up to the target gap of
+// 300 ms at a full engine.
+constexpr Milliseconds kFirstEventTimeout = kSoundSilence + Milliseconds(400);
 
 // The same when the decode engine prefills the prompt itself, interleaved with other decodes.
 constexpr Milliseconds kInPlaceFirstEventTimeout = kSoundSilence + Milliseconds(1'000);
 
-// The same for the gap between events; normally an event arrives every 50 ms.
-constexpr Milliseconds kReadTimeout = kSoundSilence + Milliseconds(100);
+// The same for the gap between events.
+constexpr Milliseconds kReadTimeout = kSoundSilence + Milliseconds(300);
 
 // Time after the caller's own limit at which a silent attempt ends in any case. Callers that have
 // not disconnected by then do not keep that limit.
@@ -170,6 +171,11 @@
   state_.fleet.FillCandidates(request_.service->name, *request_.service, request_.tried,
                               request_.facts.prompt_id, now, candidates);
   if (phase_ == Phase::kDecode) {
+    // Free capacity for which requests of the peers wait cannot be taken at once.
+    const core::WaitingTokens peers = state_.fleet.PeerWaitingTokens(request_.service->name);
+    if (!is_stream_open_ && (peers.on_time > 0 || peers.late > 0)) {
+      return false;
+    }
     return core::PlaceGeneration(candidates, {request_.facts.prompt_tokens, MemoryTokens()},
                                  request_.seed)
         .has_value();
@@ -641,6 +647,10 @@
     OnDecodeNotRun("the decode engine was removed, drained or excluded during prefill");
     return;
   }
+  if (IsTooLateInStop()) {
+    EndForStop();
+    return;
+  }
   MoveIfOverloaded(now);
   StartDecode(source);
 }
@@ -717,7 +727,11 @@
     EndWithFailure("the engine failed before the answer was complete", kNoUpstreamRetryMs);
     return;
   }
-  Enqueue();
+  phase_ = Phase::kWaiting;
+  // The capacity for which a silent engine was left must not be taken by another request meanwhile.
+  if (failure != AttemptFailure::kTimedOut || !TryStart()) {
+    Enqueue();
+  }
 }
 
 void GenerationExchange::OnAttemptFailure(AttemptFailure failure) {
--- a/gateway/plain_exchange.cc
+++ b/gateway/plain_exchange.cc
@@ -16,6 +16,10 @@
 // request in a hundred takes more than two thirds of it.
 constexpr double kFirstByteTimeoutShare = 0.7;
 
+// Silence after which an answer counts as lost and is asked for again, also at the same upstream if
+// all were tried: longer than a sound upstream is silent (about a second, users' documentation).
+constexpr Milliseconds kLostAnswerTime{1'500};
+
 // Retry-After when a service has no usable upstream. The initial back-off after a failed answer has
 // ended by then.
 constexpr std::int64_t kNoUpstreamRetryMs = 400;
@@ -207,7 +211,7 @@
   return std::exchange(has_retry_, false) || TakeExtraArrival(state_, request_.service->name);
 }
 
-bool PlainExchange::OnSilence(Duration /*silent_for*/) {
+bool PlainExchange::OnSilence(Duration silent_for) {
   // Ending the attempt is of use only if another upstream can take the request at once; until then
   // this one may still answer.
   if (IsTooLateInStop()) {
@@ -216,7 +220,11 @@
   std::vector<core::PlacementCandidate> candidates;
   state_.fleet.FillCandidates(request_.service->name, *request_.service, request_.tried, {},
                               state_.clock.now(), candidates);
-  has_retry_ = core::PlacePlain(candidates, request_.seed) && TakeRetry();
+  const bool has_other = core::PlacePlain(candidates, request_.seed).has_value();
+  const bool may_be_lost =
+      silent_for >= kLostAnswerTime &&
+      state_.fleet.OfService(request_.service->name).size() <= request_.tried.size();
+  has_retry_ = (has_other || may_be_lost) && TakeRetry();
   return has_retry_;
 }
 
