Do not cut answers that are still being sent at the idle limit

Cause: the timer of a caller's connection was armed when the answer was queued, and closed the connection at idle_timeout_ms even though part of the answer was unsent. A caller behind a slow link, or a lowered limit, got a cut answer; a caller that read the end late found the connection closed before four fifths of the limit had passed.

Change: the idle time counts from the last byte sent. At its end a connection stays open while bytes have been sent since the timer was armed.

A caller that reads nothing is still closed at the limit: idle_limit_closes_a_connection_whose_answer_is_not_read passed before and passes now.

Conclusion: a request could end without its whole answer beside a lowered idle limit.

--- a/gateway/caller_connection.cc
+++ b/gateway/caller_connection.cc
@@ -3,6 +3,7 @@
 #include <spdlog/fmt/fmt.h>
 
 #include <asio/buffer.hpp>
+#include <asio/completion_condition.hpp>
 #include <asio/post.hpp>
 #include <asio/write.hpp>
 #include <utility>
@@ -39,7 +40,7 @@
   // The connection also works without TCP_NODELAY.
   std::error_code ignored;
   socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
-  ArmTimer(Milliseconds(host_.caller_limits().idle_timeout_ms));
+  ArmIdleTimer();
   Read();
 }
 
@@ -270,7 +271,7 @@
   if (is_closed_ || close_after_write_) {
     return;
   }
-  ArmTimer(Milliseconds(host_.caller_limits().idle_timeout_ms));
+  ArmIdleTimer();
   std::shared_ptr<CallerConnection> self = shared_from_this();
   asio::post(socket_.get_executor(), [self] {
     if (!self->is_closed_ && !self->is_answering_) {
@@ -295,6 +296,10 @@
   std::shared_ptr<CallerConnection> self = shared_from_this();
   asio::async_write(
       socket_, asio::buffer(write_buffer_),
+      [self](const std::error_code& error, std::size_t size) {
+        self->has_sent_bytes_ = self->has_sent_bytes_ || size > 0;
+        return asio::transfer_all()(error, size);
+      },
       [self](const std::error_code& error, std::size_t /*size*/) { self->OnWritten(error); });
 }
 
@@ -311,6 +316,10 @@
   if (exchange_) {
     exchange_->OnBytesSent();
   }
+  if (unsent_.empty() && !is_answering_ && !parser_ && !close_after_write_) {
+    // The caller counts its idle time from the last byte.
+    ArmIdleTimer();
+  }
   Write();
 }
 
@@ -326,7 +335,12 @@
   Read();
 }
 
+void CallerConnection::ArmIdleTimer() {
+  ArmTimer(Milliseconds(host_.caller_limits().idle_timeout_ms));
+}
+
 void CallerConnection::ArmTimer(Duration wait) {
+  has_sent_bytes_ = false;
   timer_.expires_after(wait);
   std::shared_ptr<CallerConnection> self = shared_from_this();
   timer_.async_wait([self, number = ++timer_sequence_](const std::error_code& error) {
@@ -341,6 +355,10 @@
     Refuse(408, "timeout: the request was not received completely in time");
     return;
   }
+  if (unsent_bytes() > 0 && has_sent_bytes_) {
+    ArmIdleTimer();
+    return;
+  }
   Close();
 }
 
--- a/gateway/caller_connection.h
+++ b/gateway/caller_connection.h
@@ -71,6 +71,7 @@
   void Write();
   void OnWritten(const std::error_code& error);
   void ArmTimer(Duration wait);
+  void ArmIdleTimer();
   void OnTimer();
   void LingerThenClose();
 
@@ -95,6 +96,8 @@
   bool is_closed_ = false;
   bool is_reading_ = false;
   bool is_writing_ = false;
+  /// Bytes were sent since the timer was armed.
+  bool has_sent_bytes_ = false;
   /// Close the connection after all bytes are written.
   bool close_after_write_ = false;
   bool is_lingering_ = false;
--- a/tests/gateway/caller_connection_test.cc
+++ b/tests/gateway/caller_connection_test.cc
@@ -10,6 +10,7 @@
 #include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 #include <functional>
+#include <future>
 #include <memory>
 #include <string>
 #include <thread>
@@ -248,3 +249,47 @@
   cr_assert_eq(text.substr(0, text.find("\r\n\r\n")).find("Connection: close"), std::string::npos);
   cr_assert_neq(text.find("HTTP/1.1 503"), std::string::npos, "%s", text.c_str());
 }
+
+// Guards against answers that are cut by the limit on idle time: a large answer is still being sent
+// when the limit has passed since its last byte was queued.
+Test(caller_connection, idle_limit_does_not_cut_an_answer_that_is_being_sent, .timeout = 20) {
+  constexpr std::size_t kBodyBytes = 24 * 1024 * 1024;
+  constexpr std::size_t kPauses = 8;
+  Host host;
+  host.limits.idle_timeout_ms = 200;
+  host.serve = [](gateway::CallerSink& sink) {
+    sink.Answer(200, {}, std::string(kBodyBytes, 'x'));
+  };
+  const std::string text = RunClient(host, [](tcp::socket& socket) {
+    asio::write(socket, asio::buffer(std::string(kRequest)));
+    std::string answer;
+    std::error_code error;
+    for (std::size_t i = 0; i < kPauses && !error; ++i) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(100));
+      asio::read(socket, asio::dynamic_buffer(answer),
+                 asio::transfer_exactly(kBodyBytes / kPauses / 2), error);
+    }
+    if (!error) {
+      answer += ReadToEnd(socket);
+    }
+    return answer;
+  });
+  cr_assert_eq(text.size(), text.find("\r\n\r\n") + 4 + kBodyBytes);
+}
+
+// Guards against callers that never read their answer and hold a connection for good.
+Test(caller_connection, idle_limit_closes_a_connection_whose_answer_is_not_read, .timeout = 20) {
+  constexpr std::size_t kBodyBytes = 24 * 1024 * 1024;
+  Host host;
+  host.limits.idle_timeout_ms = 100;
+  host.serve = [](gateway::CallerSink& sink) {
+    sink.Answer(200, {}, std::string(kBodyBytes, 'x'));
+  };
+  const std::string text = RunClient(host, [](tcp::socket& socket) {
+    asio::write(socket, asio::buffer(std::string(kRequest)));
+    std::this_thread::sleep_for(std::chrono::milliseconds(1'000));
+    return ReadToEnd(socket);
+  });
+  cr_assert(host.ended);
+  cr_assert_lt(text.size(), kBodyBytes);
+}
