Apply a raised idle limit to connections that are idle already

Cause: the timer of an idle connection kept the idle_timeout_ms that was in force when it was armed. After the limit was raised, callers reused connections for up to four fifths of the new limit, while the gateway closed them at the old one; a request on its way crossed the close.

Change: when the timer expires, it is armed again for the difference to the newest limit. A lowered limit holds from the next answer on.

Result: caller_connection/raised_idle_limit_holds_for_connections_that_are_idle failed before and passes now.

Conclusion: a request could be cut beside a raised idle limit.

--- a/gateway/caller_connection.cc
+++ b/gateway/caller_connection.cc
@@ -336,7 +336,8 @@
 }
 
 void CallerConnection::ArmIdleTimer() {
-  ArmTimer(Milliseconds(host_.caller_limits().idle_timeout_ms));
+  idle_limit_ = Milliseconds(host_.caller_limits().idle_timeout_ms);
+  ArmTimer(idle_limit_);
 }
 
 void CallerConnection::ArmTimer(Duration wait) {
@@ -359,6 +360,12 @@
     ArmIdleTimer();
     return;
   }
+  const Milliseconds newest_limit(host_.caller_limits().idle_timeout_ms);
+  if (!is_lingering_ && newest_limit > idle_limit_) {
+    // Callers keep to the newest limit, also for time in which an older one was in force.
+    ArmTimer(newest_limit - std::exchange(idle_limit_, newest_limit));
+    return;
+  }
   Close();
 }
 
--- a/gateway/caller_connection.h
+++ b/gateway/caller_connection.h
@@ -79,6 +79,8 @@
   CallerHost& host_;
   asio::steady_timer timer_;
   std::uint64_t timer_sequence_ = 0;
+  /// The limit on idle time for which the timer is armed.
+  Milliseconds idle_limit_{};
   /// Buffer for one read; most requests fit into it.
   std::array<char, 8 * 1024> input_;
   /// Bytes that have been read but not parsed yet.
--- a/tests/gateway/caller_connection_test.cc
+++ b/tests/gateway/caller_connection_test.cc
@@ -293,3 +293,24 @@
   cr_assert(host.ended);
   cr_assert_lt(text.size(), kBodyBytes);
 }
+
+// Guards against a change of the limit on idle time that does not hold for connections that are
+// idle already: the caller follows the newest limit and would send on a closed connection.
+Test(caller_connection, raised_idle_limit_holds_for_connections_that_are_idle, .timeout = 20) {
+  Host host;
+  host.limits.idle_timeout_ms = 100;
+  host.serve = [&](gateway::CallerSink& sink) {
+    sink.Answer(200, {}, "ok");
+    host.limits.idle_timeout_ms = 1'000;
+  };
+  const std::string text = RunClient(host, [](tcp::socket& socket) {
+    asio::write(socket, asio::buffer(std::string(kRequest)));
+    ReadAnswer(socket, 2);
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    std::error_code error;
+    asio::write(socket, asio::buffer(std::string(kRequest)), error);
+    return ReadToEnd(socket);
+  });
+  cr_assert_neq(text.find("HTTP/1.1 200"), std::string::npos, "%s", text.c_str());
+  cr_assert_eq(host.targets.size(), std::size_t{2});
+}
