Read requests that have arrived before closing a connection

Cause: the timer of a caller's connection, and a stop, closed it without regard to bytes that had arrived in the socket. When the event loop was held up, their handlers could run before the read of a whole request; the close then reset the connection.

Change: a connection with unread bytes is not idle. An expired timer waits once for 10 ms, in which the event loop reads them.

Result: caller_connection/request_that_has_arrived_at_the_idle_limit_is_answered and stop_does_not_close_a_connection_whose_request_has_arrived failed before (connection reset by peer) and pass now.

Conclusion: a request could end without an answer at the idle limit and in a stop. Requests that are still on the link cross the close as before.

--- a/gateway/caller_connection.cc
+++ b/gateway/caller_connection.cc
@@ -24,6 +24,10 @@
 // unread bytes would reset the connection before the caller has read the refusal.
 constexpr Milliseconds kLingerTime{1'000};
 
+// How long an expired timer waits for bytes that have arrived but have not been read. The event
+// loop reads them in its next turn.
+constexpr Milliseconds kUnreadWait{10};
+
 }  // namespace
 
 std::shared_ptr<CallerConnection> CallerConnection::Create(asio::ip::tcp::socket socket,
@@ -46,7 +50,7 @@
 
 void CallerConnection::CloseIfIdle() {
   if (has_answered_ && !is_answering_ && !is_lingering_ && buffer_.empty() && !parser_ &&
-      unsent_bytes() == 0) {
+      unsent_bytes() == 0 && !has_unread_bytes()) {
     Close();
   }
 }
@@ -340,7 +344,13 @@
   ArmTimer(idle_limit_);
 }
 
+bool CallerConnection::has_unread_bytes() const {
+  std::error_code error;  // the pending read reports the same error
+  return socket_.available(error) > 0 && !error;
+}
+
 void CallerConnection::ArmTimer(Duration wait) {
+  is_overdue_ = false;
   has_sent_bytes_ = false;
   timer_.expires_after(wait);
   std::shared_ptr<CallerConnection> self = shared_from_this();
@@ -352,6 +362,12 @@
 }
 
 void CallerConnection::OnTimer() {
+  if (!is_lingering_ && !is_overdue_ && has_unread_bytes()) {
+    // These bytes may be or complete a request that was sent in time.
+    ArmTimer(kUnreadWait);
+    is_overdue_ = true;
+    return;
+  }
   if (parser_ && !is_lingering_) {
     Refuse(408, "timeout: the request was not received completely in time");
     return;
--- a/gateway/caller_connection.h
+++ b/gateway/caller_connection.h
@@ -72,6 +72,8 @@
   void OnWritten(const std::error_code& error);
   void ArmTimer(Duration wait);
   void ArmIdleTimer();
+  /// Whether bytes have arrived that have not been read.
+  bool has_unread_bytes() const;
   void OnTimer();
   void LingerThenClose();
 
@@ -98,6 +100,8 @@
   bool is_closed_ = false;
   bool is_reading_ = false;
   bool is_writing_ = false;
+  /// The timer has expired once and waits for bytes that had arrived by then.
+  bool is_overdue_ = false;
   /// Bytes were sent since the timer was armed.
   bool has_sent_bytes_ = false;
   /// Close the connection after all bytes are written.
--- a/tests/gateway/caller_connection_test.cc
+++ b/tests/gateway/caller_connection_test.cc
@@ -314,3 +314,67 @@
   cr_assert_neq(text.find("HTTP/1.1 200"), std::string::npos, "%s", text.c_str());
   cr_assert_eq(host.targets.size(), std::size_t{2});
 }
+
+namespace {
+
+/// Sends one request and waits for its answer, sends another while the event loop is held up, and
+/// then calls `act` on the connection before the second one could be read. Returns what the caller
+/// received after the first answer.
+std::string SendWhileLoopIsHeldUp(Host& host,
+                                  const std::function<void(gateway::CallerConnection&)>& act) {
+  asio::io_context context;
+  tcp::acceptor acceptor(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+  std::promise<void> may_send;
+  std::promise<void> has_sent;
+  std::string text;
+  std::thread thread([&, endpoint = acceptor.local_endpoint()] {
+    asio::io_context client_context;
+    tcp::socket socket(client_context);
+    socket.connect(endpoint);
+    asio::write(socket, asio::buffer(std::string(kRequest)));
+    ReadAnswer(socket, 2);
+    may_send.get_future().wait();
+    std::error_code error;
+    asio::write(socket, asio::buffer(std::string(kRequest)), error);
+    has_sent.set_value();
+    text = ReadToEnd(socket);
+  });
+  const std::shared_ptr<gateway::CallerConnection> connection =
+      gateway::CallerConnection::Create(acceptor.accept(), host);
+  connection->Start();
+  asio::steady_timer hold_up(context, Milliseconds(100));
+  hold_up.async_wait([&](const std::error_code& /*error*/) {
+    may_send.set_value();
+    has_sent.get_future().wait();
+    act(*connection);
+  });
+  // Expires in the same turn of the loop as the timer above, which its handler follows.
+  asio::steady_timer block(context, Milliseconds(50));
+  block.async_wait([&](const std::error_code& /*error*/) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(400));
+  });
+  context.run();
+  thread.join();
+  return text;
+}
+
+}  // namespace
+
+// Guards against requests that are dropped at the limit on idle time: the request arrived in time,
+// but a loop that was held up runs the timer before it reads.
+Test(caller_connection, request_that_has_arrived_at_the_idle_limit_is_answered, .timeout = 20) {
+  Host host;
+  host.limits.idle_timeout_ms = 200;
+  const std::string text =
+      SendWhileLoopIsHeldUp(host, [](gateway::CallerConnection& /*connection*/) {});
+  cr_assert_neq(text.find("HTTP/1.1 200"), std::string::npos, "%s", text.c_str());
+}
+
+// Guards against a stop that drops a request that has arrived but has not been read.
+Test(caller_connection, stop_does_not_close_a_connection_whose_request_has_arrived, .timeout = 20) {
+  Host host;
+  host.limits.idle_timeout_ms = 1'000;
+  const std::string text = SendWhileLoopIsHeldUp(
+      host, [](gateway::CallerConnection& connection) { connection.CloseIfIdle(); });
+  cr_assert_neq(text.find("HTTP/1.1 200"), std::string::npos, "%s", text.c_str());
+}
