Make the tests of idle limits independent of the machine's load

Cause: two of the tests had 100 ms and 500 ms between their limits, and SendWhileLoopIsHeldUp could block its loop before the first answer.

Change: wider limits; the loop is blocked from the first answer on. What is checked is the same.

--- a/tests/gateway/caller_connection_test.cc
+++ b/tests/gateway/caller_connection_test.cc
@@ -256,7 +256,7 @@
   constexpr std::size_t kBodyBytes = 24 * 1024 * 1024;
   constexpr std::size_t kPauses = 8;
   Host host;
-  host.limits.idle_timeout_ms = 200;
+  host.limits.idle_timeout_ms = 1'000;
   host.serve = [](gateway::CallerSink& sink) {
     sink.Answer(200, {}, std::string(kBodyBytes, 'x'));
   };
@@ -265,7 +265,7 @@
     std::string answer;
     std::error_code error;
     for (std::size_t i = 0; i < kPauses && !error; ++i) {
-      std::this_thread::sleep_for(std::chrono::milliseconds(100));
+      std::this_thread::sleep_for(std::chrono::milliseconds(300));
       asio::read(socket, asio::dynamic_buffer(answer),
                  asio::transfer_exactly(kBodyBytes / kPauses / 2), error);
     }
@@ -301,7 +301,7 @@
   host.limits.idle_timeout_ms = 100;
   host.serve = [&](gateway::CallerSink& sink) {
     sink.Answer(200, {}, "ok");
-    host.limits.idle_timeout_ms = 1'000;
+    host.limits.idle_timeout_ms = 5'000;
   };
   const std::string text = RunClient(host, [](tcp::socket& socket) {
     asio::write(socket, asio::buffer(std::string(kRequest)));
@@ -309,7 +309,9 @@
     std::this_thread::sleep_for(std::chrono::milliseconds(500));
     std::error_code error;
     asio::write(socket, asio::buffer(std::string(kRequest)), error);
-    return ReadToEnd(socket);
+    std::string answer;
+    asio::read_until(socket, asio::dynamic_buffer(answer), "\r\n\r\n", error);
+    return answer;
   });
   cr_assert_neq(text.find("HTTP/1.1 200"), std::string::npos, "%s", text.c_str());
   cr_assert_eq(host.targets.size(), std::size_t{2});
@@ -341,18 +343,27 @@
   });
   const std::shared_ptr<gateway::CallerConnection> connection =
       gateway::CallerConnection::Create(acceptor.accept(), host);
+  asio::steady_timer block(context);
+  asio::steady_timer hold_up(context);
+  host.serve = [&](gateway::CallerSink& sink) {
+    sink.Answer(200, {}, "ok");
+    if (host.targets.size() > 1) {
+      return;
+    }
+    // While the loop is blocked, the second timer and the connection's timer both expire, so that
+    // their handlers run in one turn of the loop.
+    block.expires_after(Milliseconds(50));
+    block.async_wait([](const std::error_code& /*error*/) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(400));
+    });
+    hold_up.expires_after(Milliseconds(100));
+    hold_up.async_wait([&](const std::error_code& /*error*/) {
+      may_send.set_value();
+      has_sent.get_future().wait();
+      act(*connection);
+    });
+  };
   connection->Start();
-  asio::steady_timer hold_up(context, Milliseconds(100));
-  hold_up.async_wait([&](const std::error_code& /*error*/) {
-    may_send.set_value();
-    has_sent.get_future().wait();
-    act(*connection);
-  });
-  // Expires in the same turn of the loop as the timer above, which its handler follows.
-  asio::steady_timer block(context, Milliseconds(50));
-  block.async_wait([&](const std::error_code& /*error*/) {
-    std::this_thread::sleep_for(std::chrono::milliseconds(400));
-  });
   context.run();
   thread.join();
   return text;
