Charge no retry for a generation's call that did not connect

Cause: when the connection to an engine failed, the next call of a generation was taken from the retry bound although no call had arrived. With the bound used up, the request was refused, and a stream that was already open was cut ("prefill failed", "connection to the engine failed"). Plain requests were not charged for this.

Change: a call that does not connect leaves its retry for the next one.

Result: generation_exchange/failed_connection_uses_no_retry failed before (status 503) and passes now; test_gateway 84 of 84.

--- a/gateway/generation_exchange.cc
+++ b/gateway/generation_exchange.cc
@@ -718,6 +718,10 @@
                                                                   : core::AnswerResult::kNoAnswer,
                        now);
   }
+  if (failure == AttemptFailure::kNotConnected) {
+    // The call has reached no engine, so the next one is no further arrival.
+    has_retry_ = true;
+  }
   if (phase_ == Phase::kPrefill) {
     OnPrefillFailure(failure == AttemptFailure::kNotConnected ? "connection failed"
                                                               : "no complete answer");
--- a/tests/gateway/generation_exchange_test.cc
+++ b/tests/gateway/generation_exchange_test.cc
@@ -29,6 +29,9 @@
           false};
 }
 
+/// Nothing listens at this port.
+constexpr std::uint16_t kClosedPort = 1;
+
 std::string Event(int id) {
   const std::string text = "id: " + std::to_string(id) + "\ndata: x\n\n";
   char size[16];
@@ -544,3 +547,21 @@
   cr_assert(fixture.sink.is_complete);
   cr_assert_eq(first.heads().size() + second.heads().size(), 1);
 }
+
+// Guards against streams that are refused or cut because connections that failed used up the retry
+// bound: no call has reached an engine, so the next one is no retry.
+Test(generation_exchange, failed_connection_uses_no_retry, .timeout = 30) {
+  FakeEngine prefill(PrefillAnswer);
+  FakeEngine decode([](const std::string& /*head*/, int /*number*/) -> FakeAnswer {
+    return {kStreamHead + Event(1) + "0\r\n\r\n", false};
+  });
+  ExchangeFixture fixture;
+  fixture.settings.retry_bound = {0, 0, Milliseconds(10'000)};
+  fixture.Add("p1", UpstreamStage::kPrefill, kClosedPort);
+  fixture.Add("p2", UpstreamStage::kPrefill, prefill.port());
+  fixture.Add("d", UpstreamStage::kDecode, decode.port());
+  fixture.Run(RequestKind::kStream, true);
+  cr_assert_gt(fixture.fleet.upstreams().at("p1")->health.failure_share, 0.0);
+  cr_assert_eq(fixture.sink.status, 200);
+  cr_assert_eq(prefill.heads().size(), 1);
+}
