Give a stalled caller three seconds before its answer is given up

Change: while bytes are unsent, the timer waits 3 s or the idle limit, whichever is longer.

Conclusion: a slow caller gets its whole answer if it reads within 3 s.

--- a/gateway/caller_connection.cc
+++ b/gateway/caller_connection.cc
@@ -2,6 +2,7 @@
 
 #include <spdlog/fmt/fmt.h>
 
+#include <algorithm>
 #include <asio/buffer.hpp>
 #include <asio/completion_condition.hpp>
 #include <asio/post.hpp>
@@ -24,6 +25,10 @@
 // unread bytes would reset the connection before the caller has read the refusal.
 constexpr Milliseconds kLingerTime{1'000};
 
+// Shortest time without progress after which an answer that is being sent is given up. Callers
+// leave a stream after a gap of 2 s or more (users' documentation).
+constexpr Milliseconds kStalledSendTime{3'000};
+
 // How long an expired timer waits for bytes that have arrived but have not been read. The event
 // loop reads them in its next turn.
 constexpr Milliseconds kUnreadWait{10};
@@ -341,6 +346,9 @@
 
 void CallerConnection::ArmIdleTimer() {
   idle_limit_ = Milliseconds(host_.caller_limits().idle_timeout_ms);
+  if (unsent_bytes() > 0) {
+    idle_limit_ = std::max(idle_limit_, kStalledSendTime);
+  }
   ArmTimer(idle_limit_);
 }
 
