--- a/tests/gateway/caller_connection_test.cc
+++ b/tests/gateway/caller_connection_test.cc
@@ -10,6 +10,7 @@
 #include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 #include <functional>
+#include <future>
 #include <memory>
 #include <string>
 #include <thread>
@@ -249,6 +250,146 @@
   cr_assert_neq(text.find("HTTP/1.1 503"), std::string::npos, "%s", text.c_str());
 }
 
+// Guards against answers that are cut by the limit on idle time: a large answer is still being sent
+// when the limit has passed since its last byte was queued.
+Test(caller_connection, idle_limit_does_not_cut_an_answer_that_is_being_sent, .timeout = 20) {
+  constexpr std::size_t kBodyBytes = 24 * 1024 * 1024;
+  constexpr std::size_t kPauses = 8;
+  Host host;
+  host.limits.idle_timeout_ms = 1'000;
+  host.serve = [](gateway::CallerSink& sink) {
+    sink.Answer(200, {}, std::string(kBodyBytes, 'x'));
+  };
+  const std::string text = RunClient(host, [](tcp::socket& socket) {
+    asio::write(socket, asio::buffer(std::string(kRequest)));
+    std::string answer;
+    std::error_code error;
+    for (std::size_t i = 0; i < kPauses && !error; ++i) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(300));
+      asio::read(socket, asio::dynamic_buffer(answer),
+                 asio::transfer_exactly(kBodyBytes / kPauses / 2), error);
+    }
+    if (!error) {
+      answer += ReadToEnd(socket);
+    }
+    return answer;
+  });
+  cr_assert_eq(text.size(), text.find("\r\n\r\n") + 4 + kBodyBytes);
+}
+
+// Guards against callers that never read their answer and hold a connection for good.
+Test(caller_connection, idle_limit_closes_a_connection_whose_answer_is_not_read, .timeout = 20) {
+  constexpr std::size_t kBodyBytes = 24 * 1024 * 1024;
+  Host host;
+  host.limits.idle_timeout_ms = 100;
+  host.serve = [](gateway::CallerSink& sink) {
+    sink.Answer(200, {}, std::string(kBodyBytes, 'x'));
+  };
+  const std::string text = RunClient(host, [](tcp::socket& socket) {
+    asio::write(socket, asio::buffer(std::string(kRequest)));
+    std::this_thread::sleep_for(std::chrono::milliseconds(8'000));
+    return ReadToEnd(socket);
+  });
+  cr_assert(host.ended);
+  cr_assert_lt(text.size(), kBodyBytes);
+}
+
+// Guards against a change of the limit on idle time that does not hold for connections that are
+// idle already: the caller follows the newest limit and would send on a closed connection.
+Test(caller_connection, raised_idle_limit_holds_for_connections_that_are_idle, .timeout = 20) {
+  Host host;
+  host.limits.idle_timeout_ms = 100;
+  host.serve = [&](gateway::CallerSink& sink) {
+    sink.Answer(200, {}, "ok");
+    host.limits.idle_timeout_ms = 5'000;
+  };
+  const std::string text = RunClient(host, [](tcp::socket& socket) {
+    asio::write(socket, asio::buffer(std::string(kRequest)));
+    ReadAnswer(socket, 2);
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    std::error_code error;
+    asio::write(socket, asio::buffer(std::string(kRequest)), error);
+    std::string answer;
+    asio::read_until(socket, asio::dynamic_buffer(answer), "\r\n\r\n", error);
+    return answer;
+  });
+  cr_assert_neq(text.find("HTTP/1.1 200"), std::string::npos, "%s", text.c_str());
+  cr_assert_eq(host.targets.size(), std::size_t{2});
+}
+
+namespace {
+
+/// Sends one request and waits for its answer, sends another while the event loop is held up, and
+/// then calls `act` on the connection before the second one could be read. Returns what the caller
+/// received after the first answer.
+std::string SendWhileLoopIsHeldUp(Host& host,
+                                  const std::function<void(gateway::CallerConnection&)>& act) {
+  asio::io_context context;
+  tcp::acceptor acceptor(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+  std::promise<void> may_send;
+  std::promise<void> has_sent;
+  std::string text;
+  std::thread thread([&, endpoint = acceptor.local_endpoint()] {
+    asio::io_context client_context;
+    tcp::socket socket(client_context);
+    socket.connect(endpoint);
+    asio::write(socket, asio::buffer(std::string(kRequest)));
+    ReadAnswer(socket, 2);
+    may_send.get_future().wait();
+    std::error_code error;
+    asio::write(socket, asio::buffer(std::string(kRequest)), error);
+    has_sent.set_value();
+    text = ReadToEnd(socket);
+  });
+  const std::shared_ptr<gateway::CallerConnection> connection =
+      gateway::CallerConnection::Create(acceptor.accept(), host);
+  asio::steady_timer block(context);
+  asio::steady_timer hold_up(context);
+  host.serve = [&](gateway::CallerSink& sink) {
+    sink.Answer(200, {}, "ok");
+    if (host.targets.size() > 1) {
+      return;
+    }
+    // While the loop is blocked, the second timer and the connection's timer both expire, so that
+    // their handlers run in one turn of the loop.
+    block.expires_after(Milliseconds(50));
+    block.async_wait([](const std::error_code& /*error*/) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(400));
+    });
+    hold_up.expires_after(Milliseconds(100));
+    hold_up.async_wait([&](const std::error_code& /*error*/) {
+      may_send.set_value();
+      has_sent.get_future().wait();
+      act(*connection);
+    });
+  };
+  connection->Start();
+  context.run();
+  thread.join();
+  return text;
+}
+
+}  // namespace
+
+// Guards against requests that are dropped at the limit on idle time: the request arrived in time,
+// but a loop that was held up runs the timer before it reads.
+Test(caller_connection, request_that_has_arrived_at_the_idle_limit_is_answered, .timeout = 20) {
+  Host host;
+  host.limits.idle_timeout_ms = 200;
+  const std::string text =
+      SendWhileLoopIsHeldUp(host, [](gateway::CallerConnection& /*connection*/) {});
+  cr_assert_neq(text.find("HTTP/1.1 200"), std::string::npos, "%s", text.c_str());
+}
+
+// Guards against a stop that drops a request that has arrived but has not been read.
+Test(caller_connection, stop_does_not_close_a_connection_whose_request_has_arrived, .timeout = 20) {
+  Host host;
+  host.limits.idle_timeout_ms = 1'000;
+  const std::string text = SendWhileLoopIsHeldUp(
+      host, [](gateway::CallerConnection& connection) { connection.CloseIfIdle(); });
+  cr_assert_neq(text.find("HTTP/1.1 200"), std::string::npos, "%s", text.c_str());
+}
+
 // Guards against an answer that is cut for a slow caller: the wait for the next request began while
 // most of the answer was still to be sent.
 Test(caller_connection, answer_is_not_cut_by_the_idle_timeout_while_it_is_sent, .timeout = 20) {
