--- a/gateway/caller_connection.cc
+++ b/gateway/caller_connection.cc
@@ -2,7 +2,9 @@
 
 #include <spdlog/fmt/fmt.h>
 
+#include <algorithm>
 #include <asio/buffer.hpp>
+#include <asio/completion_condition.hpp>
 #include <asio/post.hpp>
 #include <asio/write.hpp>
 #include <utility>
@@ -23,6 +25,14 @@
 // unread bytes would reset the connection before the caller has read the refusal.
 constexpr Milliseconds kLingerTime{1'000};
 
+// Shortest time without progress after which an answer that is being sent is given up. Callers
+// leave a stream after a gap of 2 s or more (users' documentation).
+constexpr Milliseconds kStalledSendTime{3'000};
+
+// How long an expired timer waits for bytes that have arrived but have not been read. The event
+// loop reads them in its next turn.
+constexpr Milliseconds kUnreadWait{10};
+
 }  // namespace
 
 std::shared_ptr<CallerConnection> CallerConnection::Create(asio::ip::tcp::socket socket,
@@ -39,13 +49,13 @@
   // The connection also works without TCP_NODELAY.
   std::error_code ignored;
   socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
-  ArmTimer(Milliseconds(host_.caller_limits().idle_timeout_ms));
+  ArmIdleTimer();
   Read();
 }
 
 void CallerConnection::CloseIfIdle() {
   if (has_answered_ && !is_answering_ && !is_lingering_ && buffer_.empty() && !parser_ &&
-      unsent_bytes() == 0) {
+      unsent_bytes() == 0 && !has_unread_bytes()) {
     Close();
   }
 }
@@ -270,7 +280,7 @@
   if (is_closed_ || close_after_write_) {
     return;
   }
-  ArmTimer(Milliseconds(host_.caller_limits().idle_timeout_ms));
+  ArmIdleTimer();
   std::shared_ptr<CallerConnection> self = shared_from_this();
   asio::post(socket_.get_executor(), [self] {
     if (!self->is_closed_ && !self->is_answering_) {
@@ -295,6 +305,10 @@
   std::shared_ptr<CallerConnection> self = shared_from_this();
   asio::async_write(
       socket_, asio::buffer(write_buffer_),
+      [self](const std::error_code& error, std::size_t size) {
+        self->has_sent_bytes_ = self->has_sent_bytes_ || size > 0;
+        return asio::transfer_all()(error, size);
+      },
       [self](const std::error_code& error, std::size_t /*size*/) { self->OnWritten(error); });
 }
 
@@ -311,6 +325,10 @@
   if (exchange_) {
     exchange_->OnBytesSent();
   }
+  if (unsent_.empty() && !is_answering_ && !parser_ && !close_after_write_) {
+    // The caller counts its idle time from the last byte.
+    ArmIdleTimer();
+  }
   Write();
 }
 
@@ -326,7 +344,22 @@
   Read();
 }
 
+void CallerConnection::ArmIdleTimer() {
+  idle_limit_ = Milliseconds(host_.caller_limits().idle_timeout_ms);
+  if (unsent_bytes() > 0) {
+    idle_limit_ = std::max(idle_limit_, kStalledSendTime);
+  }
+  ArmTimer(idle_limit_);
+}
+
+bool CallerConnection::has_unread_bytes() const {
+  std::error_code error;  // the pending read reports the same error
+  return socket_.available(error) > 0 && !error;
+}
+
 void CallerConnection::ArmTimer(Duration wait) {
+  is_overdue_ = false;
+  has_sent_bytes_ = false;
   timer_.expires_after(wait);
   std::shared_ptr<CallerConnection> self = shared_from_this();
   timer_.async_wait([self, number = ++timer_sequence_](const std::error_code& error) {
@@ -337,10 +370,26 @@
 }
 
 void CallerConnection::OnTimer() {
+  if (!is_lingering_ && !is_overdue_ && has_unread_bytes()) {
+    // These bytes may be or complete a request that was sent in time.
+    ArmTimer(kUnreadWait);
+    is_overdue_ = true;
+    return;
+  }
   if (parser_ && !is_lingering_) {
     Refuse(408, "timeout: the request was not received completely in time");
     return;
   }
+  if (unsent_bytes() > 0 && has_sent_bytes_) {
+    ArmIdleTimer();
+    return;
+  }
+  const Milliseconds newest_limit(host_.caller_limits().idle_timeout_ms);
+  if (!is_lingering_ && newest_limit > idle_limit_) {
+    // Callers keep to the newest limit, also for time in which an older one was in force.
+    ArmTimer(newest_limit - std::exchange(idle_limit_, newest_limit));
+    return;
+  }
   Close();
 }
 
--- a/gateway/caller_connection.h
+++ b/gateway/caller_connection.h
@@ -71,6 +71,9 @@
   void Write();
   void OnWritten(const std::error_code& error);
   void ArmTimer(Duration wait);
+  void ArmIdleTimer();
+  /// Whether bytes have arrived that have not been read.
+  bool has_unread_bytes() const;
   void OnTimer();
   void LingerThenClose();
 
@@ -78,6 +81,8 @@
   CallerHost& host_;
   asio::steady_timer timer_;
   std::uint64_t timer_sequence_ = 0;
+  /// The limit on idle time for which the timer is armed.
+  Milliseconds idle_limit_{};
   /// Buffer for one read; most requests fit into it.
   std::array<char, 8 * 1024> input_;
   /// Bytes that have been read but not parsed yet.
@@ -95,6 +100,10 @@
   bool is_closed_ = false;
   bool is_reading_ = false;
   bool is_writing_ = false;
+  /// The timer has expired once and waits for bytes that had arrived by then.
+  bool is_overdue_ = false;
+  /// Bytes were sent since the timer was armed.
+  bool has_sent_bytes_ = false;
   /// Close the connection after all bytes are written.
   bool close_after_write_ = false;
   bool is_lingering_ = false;
--- a/gateway/generation_exchange.cc
+++ b/gateway/generation_exchange.cc
@@ -22,14 +22,15 @@
 constexpr Milliseconds kPrefillTimeout = kSoundSilence + Milliseconds(500);
 
 // The same for the first event of a decode whose prompt another engine prefilled. The usual wait is
-// a transfer of a few ms, one step, and the tokens of one event (about 50 ms).
-constexpr Milliseconds kFirstEventTimeout = kSoundSilence + Milliseconds(200);
+// a transfer of a few ms, one step, and the tokens of one event: 50 ms, and up to the target gap of
+// 300 ms at a full engine.
+constexpr Milliseconds kFirstEventTimeout = kSoundSilence + Milliseconds(400);
 
 // The same when the decode engine prefills the prompt itself, interleaved with other decodes.
 constexpr Milliseconds kInPlaceFirstEventTimeout = kSoundSilence + Milliseconds(1'000);
 
-// The same for the gap between events; normally an event arrives every 50 ms.
-constexpr Milliseconds kReadTimeout = kSoundSilence + Milliseconds(100);
+// The same for the gap between events.
+constexpr Milliseconds kReadTimeout = kSoundSilence + Milliseconds(300);
 
 // Time after the caller's own limit at which a silent attempt ends in any case. Callers that have
 // not disconnected by then do not keep that limit.
@@ -110,7 +111,8 @@
       sink_(sink),
       deadline_timer_(state.context),
       caller_timeout_timer_(state.context),
-      answer_allowance_(state.answer_budget) {}
+      answer_allowance_(state.answer_budget),
+      splitter_(platform::MakeEventSplitter(request_.facts.resume_after_event)) {}
 
 GenerationExchange::~GenerationExchange() {
   if (queue_id_ != 0) {
@@ -157,9 +159,7 @@
   }
 }
 
-std::optional<std::int64_t> GenerationExchange::ResumePoint() const {
-  return splitter_.last_id ? splitter_.last_id : request_.facts.resume_after_event;
-}
+std::optional<std::int64_t> GenerationExchange::ResumePoint() const { return splitter_.last_id; }
 
 bool GenerationExchange::MayMoveLater() const {
   return core::MayRunAgain(*request_.route) && possible_runs_ + 1 < request_.route->max_upstreams;
@@ -171,6 +171,11 @@
   state_.fleet.FillCandidates(request_.service->name, *request_.service, request_.tried,
                               request_.facts.prompt_id, now, candidates);
   if (phase_ == Phase::kDecode) {
+    // Free capacity for which requests of the peers wait cannot be taken at once.
+    const core::WaitingTokens peers = state_.fleet.PeerWaitingTokens(request_.service->name);
+    if (!is_stream_open_ && (peers.on_time > 0 || peers.late > 0)) {
+      return false;
+    }
     return core::PlaceGeneration(candidates, {request_.facts.prompt_tokens, MemoryTokens()},
                                  request_.seed)
         .has_value();
@@ -495,7 +500,9 @@
                                       const core::AnswerFacts& facts) {
   answer_head_ = head;
   answer_facts_ = facts;
-  if (phase_ != Phase::kDecode || head.status != 200 || !facts.is_signed) {
+  const bool is_stream =
+      head.status == 200 && facts.is_signed && facts.is_event_stream && !facts.is_encoded;
+  if (phase_ != Phase::kDecode || !is_stream) {
     return;
   }
   ReleasePrefill();
@@ -516,11 +523,15 @@
   }
   const std::int64_t events_before = splitter_.events;
   const std::string events = core::TakeCompleteEvents(splitter_, bytes);
-  if (splitter_.partial.size() > core::kMaxEventBytes) {
-    return BodyProgress::kTooLarge;
+  BodyProgress progress =
+      splitter_.events > events_before ? BodyProgress::kProgress : BodyProgress::kNone;
+  if (splitter_.is_malformed) {
+    progress = BodyProgress::kMalformed;
+  } else if (splitter_.partial.size() > core::kMaxEventBytes) {
+    progress = BodyProgress::kTooLarge;
   }
   if (events.empty()) {
-    return BodyProgress::kNone;
+    return progress;
   }
   if (!first_event_) {
     first_event_ = state_.clock.now();
@@ -528,11 +539,12 @@
   }
   UpdateReservation();
   sink_.StreamBytes(events);
-  if (sink_.unsent_bytes() > kMaxUnsentBytes && attempt_) {
+  const bool goes_on = progress == BodyProgress::kProgress || progress == BodyProgress::kNone;
+  if (goes_on && sink_.unsent_bytes() > kMaxUnsentBytes && attempt_) {
     is_paused_ = true;
     attempt_->PauseReading();
   }
-  return splitter_.events > events_before ? BodyProgress::kProgress : BodyProgress::kNone;
+  return progress;
 }
 
 void GenerationExchange::OnAnswerComplete() {
@@ -562,13 +574,21 @@
                        answer_head_.status >= 500 ? core::AnswerResult::kErrorAnswer
                                                   : core::AnswerResult::kSuccess,
                        now);
-    if (answer_head_.status >= 500 || (answer_head_.status == 200 && !answer_facts_.is_signed)) {
+    // A success that is not a stream cannot continue one.
+    const bool is_stray = answer_head_.status == 200 && is_stream_open_;
+    if (answer_head_.status >= 500 || is_stray ||
+        !core::IsAnswerOfRun(answer_facts_, answer_head_.status)) {
       OnDecodeBroken(AttemptFailure::kConnectionLost);
       return;
     }
     ForwardAnswer();
     return;
   }
+  if (core::HasUnfinishedEvent(splitter_)) {
+    core::RecordAnswer(health, core::AnswerResult::kLost, now);
+    OnDecodeBroken(AttemptFailure::kConnectionLost);
+    return;
+  }
   core::RecordAnswer(health, core::AnswerResult::kSuccess, now);
   phase_ = Phase::kDone;
   core::RecordGeneration(
@@ -627,6 +647,10 @@
     OnDecodeNotRun("the decode engine was removed, drained or excluded during prefill");
     return;
   }
+  if (IsTooLateInStop()) {
+    EndForStop();
+    return;
+  }
   MoveIfOverloaded(now);
   StartDecode(source);
 }
@@ -703,7 +727,11 @@
     EndWithFailure("the engine failed before the answer was complete", kNoUpstreamRetryMs);
     return;
   }
-  Enqueue();
+  phase_ = Phase::kWaiting;
+  // The capacity for which a silent engine was left must not be taken by another request meanwhile.
+  if (failure != AttemptFailure::kTimedOut || !TryStart()) {
+    Enqueue();
+  }
 }
 
 void GenerationExchange::OnAttemptFailure(AttemptFailure failure) {
@@ -718,6 +746,10 @@
                                                                   : core::AnswerResult::kNoAnswer,
                        now);
   }
+  if (failure == AttemptFailure::kNotConnected) {
+    // The call has reached no engine, so the next one is no further arrival.
+    has_retry_ = true;
+  }
   if (phase_ == Phase::kPrefill) {
     OnPrefillFailure(failure == AttemptFailure::kNotConnected ? "connection failed"
                                                               : "no complete answer");
