Repeat a refused write of the own row after a second

Cause: when the write of a gateway's own row failed, the next one came only after the renewal interval of 10 s.

Change: a failed write is repeated after 1 to 2 s, spread by name, doubled with each further failure up to the renewal interval.

Measured: store_watch/refused_write_of_own_row_is_soon_repeated failed before (no row after 3.5 s) and passes now, as do the other 7 tests of store_watch.

--- a/gateway/store_watch.cc
+++ b/gateway/store_watch.cc
@@ -38,6 +38,10 @@
 // Minimum time between reads of the gateway table: many unknown peers may send reports at once.
 constexpr Milliseconds kMinRefreshInterval{1'000};
 
+// Shortest time until a refused write of the own row is repeated. The users' store refuses writes
+// while more than a second of them is waiting.
+constexpr Milliseconds kOwnRowRetry{1'000};
+
 // Bounds of the exponential back-off after failed calls. The platform charges for refused calls
 // too.
 constexpr Milliseconds kInitialBackOff{100};
@@ -185,8 +189,11 @@
 }
 
 Duration StoreWatch::FirstInterval() const {
-  const double share = static_cast<double>(Hash64(own_name_) % 1'000) / 1'000.0;
-  return std::chrono::duration_cast<Duration>(share * intervals_.upstream_interval);
+  return std::chrono::duration_cast<Duration>(NameShare() * intervals_.upstream_interval);
+}
+
+double StoreWatch::NameShare() const {
+  return static_cast<double>(Hash64(own_name_) % 1'000) / 1'000.0;
 }
 
 void StoreWatch::WriteOwnRow() {
@@ -194,14 +201,23 @@
       source_.gateway_table, own_name_, own_row_, [this](const Result<void>& written) {
         own_row_renewal_ = clock_.now() + intervals_.gateway_interval;
         if (!written) {
+          own_row_renewal_ = clock_.now() + OwnRowRetry();
           ScheduleNext(gateways_, RecordFailure(gateways_, "gateways", written.error()),
                        &StoreWatch::ReadGateways);
           return;
         }
+        own_row_failures_ = 0;
         ReadGateways();
       });
 }
 
+Duration StoreWatch::OwnRowRetry() {
+  const int doublings = static_cast<int>(std::min<std::int64_t>(own_row_failures_++, 8));
+  return std::min<Duration>(
+      intervals_.gateway_interval,
+      std::chrono::duration_cast<Duration>((1.0 + NameShare()) * kOwnRowRetry * (1 << doublings)));
+}
+
 void StoreWatch::RefreshGateways() {
   const TimePoint now = clock_.now();
   // If a call is in progress, its answer or the next renewal delivers the new row.
--- a/gateway/store_watch.h
+++ b/gateway/store_watch.h
@@ -88,7 +88,12 @@
   /// Wait after the first read. It differs between gateways, so that gateways that start together
   /// read at different times; the first to read that an upstream drains reports it to the others.
   Duration FirstInterval() const;
+  /// Share from 0 to 1 that differs between gateways.
+  double NameShare() const;
   void WriteOwnRow();
+  /// Time until a failed write of the own row is repeated: between one and two times kOwnRowRetry,
+  /// doubled with each further failure, and at most the renewal interval.
+  Duration OwnRowRetry();
   void ReadGateways();
   void OnGateways(const store::TableRows& rows);
   /// Time until the list of upstreams must be read again after a view of the given store time.
@@ -116,6 +121,7 @@
   Duration min_upstream_pause_{};
   TimePoint last_gateways_read_;
   TimePoint own_row_renewal_;
+  std::int64_t own_row_failures_ = 0;
   struct GatewayRow {
     std::int64_t version = 0;
     TimePoint changed;
--- a/tests/gateway/fake_table.h
+++ b/tests/gateway/fake_table.h
@@ -24,6 +24,8 @@
   std::optional<Error> failure;
   /// The next write takes effect, but is answered with kReplyLost.
   bool loses_next_reply = false;
+  /// Unconditional writes that are refused from now on with kOverloaded.
+  int refused_writes = 0;
   /// How long the answer to a removal takes.
   Milliseconds remove_delay{0};
   /// How long the answer to a read of all rows takes.
@@ -78,6 +80,10 @@
     Done(std::move(handler),
          [this, table = std::string(table), key = std::string(key),
           value = std::string(value)]() -> Result<void> {
+           if (state_.refused_writes > 0) {
+             --state_.refused_writes;
+             return Error{ErrorKind::kOverloaded, "too many writes", "send fewer requests"};
+           }
            Put(table, key, value);
            return Success();
          });
--- a/tests/gateway/store_watch_test.cc
+++ b/tests/gateway/store_watch_test.cc
@@ -40,10 +40,11 @@
 /// A StoreWatch with intervals short enough for a test.
 class Fixture {
  public:
-  explicit Fixture(Milliseconds gateway_interval = Milliseconds(150))
+  explicit Fixture(Milliseconds gateway_interval = Milliseconds(150), int refused_writes = 0)
       : watch_(context_, DefaultClock(), listener, Source(),
                PollIntervals{Milliseconds(200), Milliseconds(50), gateway_interval}, "a", "row a") {
     WriteRow("config", "c", "one");
+    tables.refused_writes = refused_writes;
     watch_.Start();
   }
 
@@ -178,6 +179,16 @@
   cr_assert_geq(last - first, 2, "%ld renewals in 4 s", static_cast<long>(last - first));
 }
 
+// Guards against a gateway that gets no load reports for a whole renewal interval, as no peer knows
+// it: when a large fleet starts, the store refuses most of the first writes of own rows.
+Test(store_watch, refused_write_of_own_row_is_soon_repeated, .timeout = 30) {
+  Fixture fixture(Milliseconds(20'000), 1);
+  fixture.Run(Milliseconds(500));
+  cr_assert_eq(fixture.tables.tables["gateways"].count("a"), 0, "the write is repeated at once");
+  fixture.Run(Milliseconds(3'000));
+  cr_assert_eq(fixture.tables.tables["gateways"].count("a"), 1);
+}
+
 // Guards against a stopped gateway that still counts as running because its row stays in the table.
 Test(store_watch, own_row_is_removed_on_stop, .timeout = 30) {
   Fixture fixture;
