--- a/gateway/attempt.cc
+++ b/gateway/attempt.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "base/log.h"
 #include "platform/request_format.h"
 
 namespace rattanramp::gateway {
@@ -144,11 +145,18 @@
 }
 
 void Attempt::OnTimer(Duration waited) {
-  if (silent_for_ == Duration::zero() && plan_.silence_result) {
+  const bool is_first = silent_for_ == Duration::zero();
+  if (is_first && plan_.silence_result) {
     core::RecordAnswer(upstream_->health, *plan_.silence_result, clock_.now());
   }
   silent_for_ += waited;
   if (!listener_.OnSilence(silent_for_)) {
+    if (is_first) {
+      Log(LogLevel::kInfo, "silent_attempt_continues",
+          {{"request", plan_.request_id},
+           {"upstream", upstream_->info.id},
+           {"silent_ms", ToMs(silent_for_)}});
+    }
     ArmTimer(kSilenceCheckInterval);
     return;
   }
