--- a/tests/core/event_splitter_test.cc
+++ b/tests/core/event_splitter_test.cc
@@ -135,7 +135,7 @@
     const bool is_in_event = *rc::gen::arbitrary<bool>();
     const std::string& text =
         *rc::gen::elementOf(is_in_event || *rc::gen::arbitrary<bool>() ? foreign : false_events);
-    // Within the data, only a head of several lines can be told from the engine's text.
+    // Within the data, only a head of several lines can be distinguished from text of the engine.
     const std::size_t max_cut = text.starts_with("HTTP") ? EventText(3).size() - 2 : 10;
     const std::string cut =
         EventText(3).substr(0, is_in_event ? *rc::gen::inRange<std::size_t>(1, max_cut + 1) : 0);
