Log the prompt parts and the progress of generations that are lost

Change: the parts of a prompt are decoded, in lower case and without blanks; the log lines decode_broke and prefill_failed say after how many ms and events of the attempt the connection was lost, and name the shared parts. No decision uses them yet.

--- a/core/request_facts.h
+++ b/core/request_facts.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace rattanramp::core {
 
@@ -18,6 +19,8 @@
   /// Id of the last part of the prompt, which is specific to the request or its session. Empty if
   /// the caller sent none.
   std::string prompt_id;
+  /// Ids of the other parts of the prompt, in its order. Requests share them.
+  std::vector<std::string> prompt_parts;
   /// Zero for requests that are not generations.
   std::int64_t prompt_tokens = 0;
   /// Largest number of tokens that the answer may have.
--- a/gateway/generation_exchange.cc
+++ b/gateway/generation_exchange.cc
@@ -1,6 +1,7 @@
 #include "gateway/generation_exchange.h"
 
 #include <spdlog/fmt/fmt.h>
+#include <spdlog/fmt/ranges.h>
 
 #include <algorithm>
 #include <utility>
@@ -422,6 +423,8 @@
   answer_body_.clear();
   answer_allowance_.Release();
   plan.send_before = request_.deadline;
+  attempt_started_ = now;
+  events_before_attempt_ = splitter_.events;
   // When a stream is resumed, it was the answer of an earlier attempt, not of this prefill.
   is_streaming_ = false;
   attempt_ = Attempt::Start(state_.context, state_.clock, prefill, std::move(plan), *this);
@@ -453,6 +456,8 @@
   answer_allowance_.Release();
   is_streaming_ = false;
   core::DropPartialEvent(splitter_);
+  attempt_started_ = now;
+  events_before_attempt_ = splitter_.events;
   attempt_ = Attempt::Start(state_.context, state_.clock, decode_, std::move(plan), *this);
 }
 
@@ -675,6 +680,13 @@
   }
 }
 
+std::string GenerationExchange::DescribeLoss(std::string_view cause) const {
+  return fmt::format("{} after {:.0f} ms and {} events, prompt parts {}", cause,
+                     ToMs(state_.clock.now() - attempt_started_),
+                     splitter_.events - events_before_attempt_,
+                     fmt::join(request_.facts.prompt_parts, " "));
+}
+
 void GenerationExchange::OnPrefillFailure(std::string_view why) {
   LogRequestStep(request_, "prefill_failed", attempt_->upstream(), why);
   attempt_.reset();
@@ -718,7 +730,7 @@
 void GenerationExchange::OnDecodeBroken(AttemptFailure failure) {
   ++possible_runs_;
   LogRequestStep(request_, "decode_broke", *decode_,
-                 failure == AttemptFailure::kTimedOut ? "silent" : "connection lost");
+                 DescribeLoss(failure == AttemptFailure::kTimedOut ? "silent" : "connection lost"));
   attempt_.reset();
   ReleaseDecode();
   const bool may_continue = core::MayRunAgain(*request_.route) &&
@@ -752,7 +764,7 @@
   }
   if (phase_ == Phase::kPrefill) {
     OnPrefillFailure(failure == AttemptFailure::kNotConnected ? "connection failed"
-                                                              : "no complete answer");
+                                                              : DescribeLoss("no complete answer"));
     return;
   }
   if (failure == AttemptFailure::kNotConnected) {
--- a/gateway/generation_exchange.h
+++ b/gateway/generation_exchange.h
@@ -82,6 +82,9 @@
   /// Uses one retry out of the service's bound, unless one was used for this purpose before.
   bool TakeRetry();
 
+  /// Description of an attempt that an upstream has not finished, for the log: which parts the
+  /// prompts of lost requests share shows whether one of them crashes engines.
+  std::string DescribeLoss(std::string_view cause) const;
   void OnPrefillAnswer();
   void OnPrefillFailure(std::string_view why);
   void OnDecodeNotRun(std::string_view why);
@@ -138,6 +141,9 @@
   /// A retry was taken from the bound and has not been used yet.
   bool has_retry_ = false;
   std::optional<TimePoint> first_event_;
+  /// Start of the current attempt, and the events of the stream that were received before it.
+  TimePoint attempt_started_;
+  std::int64_t events_before_attempt_ = 0;
 };
 
 }  // namespace rattanramp::gateway
--- a/tests/platform/request_format_test.cc
+++ b/tests/platform/request_format_test.cc
@@ -46,6 +46,21 @@
   }
 }
 
+// Guards against parts of prompts that are taken for different ones because of their spelling, and
+// against the last part, which only this request or its session has, counting as shared.
+Test(request_format, prompt_parts_are_read_without_the_last_one) {
+  const auto decode = [](const std::string& parts) {
+    return platform::DecodeRequest(Head({{"Request-Id", "r1"}, {"Prompt-Prefix", parts}})).value();
+  };
+  const core::RequestFacts facts = decode("5C1E07a2:800, 91bd3f06:410 ,e4402b7d:250");
+  cr_assert((facts.prompt_parts == std::vector<std::string>{"5c1e07a2", "91bd3f06"}));
+  cr_assert_eq(facts.prompt_id, "e4402b7d");
+  cr_assert(decode("e4402b7d:250").prompt_parts.empty());
+  cr_assert_eq(decode("e4402b7d:250").prompt_id, "e4402b7d");
+  cr_assert_eq(decode(",,").prompt_parts.size(), 2);
+  cr_assert(decode("").prompt_id.empty());
+}
+
 // Guards against a continued stream starting at the wrong event: the last event that the gateway
 // received must replace the caller's Last-Event-Id.
 Test(request_format, continuation_replaces_the_callers_last_event_id) {
