--- /dev/null
+++ b/core/crash_causes.cc
@@ -0,0 +1,386 @@
+#include "core/crash_causes.h"
+
+#include <algorithm>
+#include <iterator>
+#include <optional>
+#include <set>
+#include <tuple>
+#include <utility>
+
+namespace rattanramp::core {
+namespace {
+
+// Upstreams and different requests that must have been lost with a cause before it is blocked. With
+// two upstreams per request, the second request reaches them.
+constexpr std::size_t kMinUpstreams = 3;
+constexpr std::size_t kMinRequests = 2;
+
+// The same for a cause that has been answered before the losses. An outage of many upstreams at
+// once meets such causes too: the losses must be spread in time, and other requests must have been
+// answered since the first of them.
+constexpr std::size_t kMinUpstreamsOfAnswered = 4;
+constexpr std::size_t kMinRequestsOfAnswered = 3;
+constexpr Milliseconds kMinSpreadOfAnswered{1'000};
+constexpr std::size_t kMinOtherAnswers = 3;
+
+// Share of the arrivals from which on a part counts as one that most requests have, the number of
+// arrivals for which that is asked, and those that are kept.
+constexpr double kPrevalentShare = 0.75;
+constexpr std::size_t kMinArrivals = 16;
+constexpr std::size_t kMaxArrivals = 64;
+
+constexpr std::size_t kMaxRecentAnswers = 32;
+
+// Answered causes that are kept in each half of the memory.
+constexpr std::size_t kMaxAnswered = 2'048;
+
+// Time between requests that lack a companion of the blocked cause.
+constexpr Milliseconds kComparisonInterval{1'000};
+
+// Time from the last loss until a blocked cause is tried again.
+constexpr Milliseconds kTrialInterval{300'000};
+
+struct Evidence {
+  std::set<std::int64_t> upstreams;
+  std::set<Cause> requests;
+  TimePoint first = TimePoint::max();
+  TimePoint last = TimePoint::min();
+  /// Largest index in a prompt.
+  std::size_t depth = 0;
+};
+
+void AddLoss(Evidence& evidence, const StartLoss& loss, std::size_t depth) {
+  evidence.upstreams.insert(loss.upstream);
+  evidence.requests.insert(loss.causes.content);
+  evidence.first = std::min(evidence.first, loss.at);
+  evidence.last = std::max(evidence.last, loss.at);
+  evidence.depth = std::max(evidence.depth, depth);
+}
+
+bool HasPart(const std::vector<Cause>& parts, Cause part) {
+  return std::find(parts.begin(), parts.end(), part) != parts.end();
+}
+
+bool IsKnown(const CrashCauses& causes, Cause cause) {
+  return LastAnswered(causes, cause) != TimePoint::min();
+}
+
+bool IsPrevalent(const CrashCauses& causes, Cause part) {
+  const auto& arrivals = causes.recent_arrivals;
+  if (arrivals.size() < kMinArrivals) {
+    return false;
+  }
+  const auto with_part =
+      std::count_if(arrivals.begin(), arrivals.end(),
+                    [part](const std::vector<Cause>& parts) { return HasPart(parts, part); });
+  return static_cast<double>(with_part) >= kPrevalentShare * static_cast<double>(arrivals.size());
+}
+
+std::size_t OtherAnswersSince(const CrashCauses& causes, Cause part, TimePoint since) {
+  return static_cast<std::size_t>(
+      std::count_if(causes.recent_answers.begin(), causes.recent_answers.end(),
+                    [part, since](const AnsweredStart& answer) {
+                      return answer.started > since && !HasPart(answer.parts, part);
+                    }));
+}
+
+bool IsProven(const CrashCauses& causes, Cause cause, bool is_content, const Evidence& evidence) {
+  const bool is_known = IsKnown(causes, cause);
+  if (evidence.upstreams.size() < (is_known ? kMinUpstreamsOfAnswered : kMinUpstreams)) {
+    return false;
+  }
+  if (is_known && evidence.last - evidence.first < kMinSpreadOfAnswered) {
+    return false;
+  }
+  if (is_content) {
+    return true;
+  }
+  return evidence.requests.size() >= (is_known ? kMinRequestsOfAnswered : kMinRequests) &&
+         !IsPrevalent(causes, cause) &&
+         (!is_known || OtherAnswersSince(causes, cause, evidence.first) >= kMinOtherAnswers);
+}
+
+using EvidenceByCause = std::map<Cause, Evidence>;
+
+/// Evidence against each part, or against each content, at the upstreams that no blocked cause
+/// explains.
+EvidenceByCause CollectEvidence(const CrashCauses& causes, bool of_content,
+                                const std::set<std::int64_t>& explained, TimePoint now) {
+  EvidenceByCause evidence;
+  for (const StartLoss& loss : causes.losses) {
+    if (now - loss.at >= kLossLifetime || explained.contains(loss.upstream)) {
+      continue;
+    }
+    const auto add = [&](Cause cause, std::size_t depth) {
+      if (loss.at > LastAnswered(causes, cause)) {
+        AddLoss(evidence[cause], loss, depth);
+      }
+    };
+    if (of_content) {
+      add(loss.causes.content, 0);
+      continue;
+    }
+    for (std::size_t i = 0; i < loss.causes.parts.size(); ++i) {
+      add(loss.causes.parts[i], i);
+    }
+  }
+  return evidence;
+}
+
+/// The cause that explains the losses best: one that was never answered before one that was, and
+/// the part that is deepest in the prompts, which the fewest sound requests have.
+EvidenceByCause::const_iterator BestCause(const CrashCauses& causes, bool is_content,
+                                          const EvidenceByCause& evidence) {
+  const auto rank = [&](const auto& entry) {
+    return std::tuple(!IsKnown(causes, entry.first), entry.second.depth,
+                      entry.second.upstreams.size(), entry.first);
+  };
+  EvidenceByCause::const_iterator best = evidence.end();
+  for (auto entry = evidence.begin(); entry != evidence.end(); ++entry) {
+    if (IsProven(causes, entry->first, is_content, entry->second) &&
+        (best == evidence.end() || rank(*entry) > rank(*best))) {
+      best = entry;
+    }
+  }
+  return best;
+}
+
+bool CountsAgainst(const CrashCauses& causes, const StartLoss& loss, Cause cause, TimePoint now) {
+  return (loss.causes.content == cause || HasPart(loss.causes.parts, cause)) &&
+         loss.at > LastAnswered(causes, cause) && now - loss.at < kLossLifetime;
+}
+
+std::vector<Cause> CompanionsOf(const CrashCauses& causes, Cause part, TimePoint now) {
+  std::optional<std::vector<Cause>> shared;
+  for (const StartLoss& loss : causes.losses) {
+    if (!CountsAgainst(causes, loss, part, now)) {
+      continue;
+    }
+    if (!shared) {
+      shared = loss.causes.parts;
+    } else {
+      std::erase_if(*shared, [&](Cause other) { return !HasPart(loss.causes.parts, other); });
+    }
+  }
+  std::vector<Cause> companions = shared.value_or(std::vector<Cause>());
+  std::erase_if(companions, [&](Cause other) { return other == part || IsKnown(causes, other); });
+  return companions;
+}
+
+/// Moves the blocked causes of one kind into `blocked`, and the upstreams that they explain into
+/// `explained`.
+void Block(const CrashCauses& causes, bool is_content, std::map<Cause, BlockedCause>& blocked,
+           std::set<std::int64_t>& explained, TimePoint now) {
+  while (true) {
+    const EvidenceByCause evidence = CollectEvidence(causes, is_content, explained, now);
+    const auto best = BestCause(causes, is_content, evidence);
+    if (best == evidence.end()) {
+      return;
+    }
+    const auto previous = causes.blocked.find(best->first);
+    BlockedCause& block = blocked[best->first];
+    if (previous != causes.blocked.end()) {
+      block = previous->second;
+    } else {
+      block.since = now;
+      block.next_comparison = now;
+    }
+    block.next_trial = std::max(block.next_trial, best->second.last + kTrialInterval);
+    block.upstreams = best->second.upstreams.size();
+    block.requests = best->second.requests.size();
+    block.is_content = is_content;
+    if (!is_content) {
+      block.companions = CompanionsOf(causes, best->first, now);
+    }
+    explained.insert(best->second.upstreams.begin(), best->second.upstreams.end());
+  }
+}
+
+/// Removes the oldest loss that supports no block, or the oldest one.
+void RemoveOneLoss(CrashCauses& causes, TimePoint now) {
+  const auto supports_block = [&](const StartLoss& loss) {
+    return std::any_of(causes.blocked.begin(), causes.blocked.end(), [&](const auto& entry) {
+      return CountsAgainst(causes, loss, entry.first, now);
+    });
+  };
+  const auto found = std::find_if_not(causes.losses.begin(), causes.losses.end(), supports_block);
+  causes.losses.erase(found == causes.losses.end() ? causes.losses.begin() : found);
+}
+
+/// Latest start that is remembered; TimePoint::min(): none.
+TimePoint Find(const AnsweredCauses& answered, Cause cause) {
+  TimePoint latest = TimePoint::min();
+  for (const auto* half : {&answered.newer, &answered.older}) {
+    const auto found = half->find(cause);
+    if (found != half->end()) {
+      latest = std::max(latest, found->second);
+    }
+  }
+  return latest;
+}
+
+void Remember(AnsweredCauses& answered, Cause cause, TimePoint started) {
+  if (answered.newer.size() >= kMaxAnswered) {
+    answered.older = std::exchange(answered.newer, {});
+  }
+  const TimePoint latest = std::max(started, Find(answered, cause));
+  answered.newer[cause] = latest;
+}
+
+}  // namespace
+
+void RecordArrival(CrashCauses& causes, const RequestCauses& request) {
+  causes.recent_arrivals.push_back(request.parts);
+  if (causes.recent_arrivals.size() > kMaxArrivals) {
+    causes.recent_arrivals.pop_front();
+  }
+  causes.is_outdated = causes.is_outdated || !causes.blocked.empty();
+}
+
+bool RecordLoss(CrashCauses& causes, StartLoss loss, TimePoint now) {
+  loss.at = std::min(loss.at, now);
+  if (now - loss.at >= kLossLifetime) {
+    return false;
+  }
+  if (loss.causes.parts.size() > kMaxLossParts) {
+    loss.causes.parts.resize(kMaxLossParts);
+  }
+  const auto known =
+      std::find_if(causes.losses.begin(), causes.losses.end(), [&loss](const StartLoss& other) {
+        return other.upstream == loss.upstream && other.causes.content == loss.causes.content;
+      });
+  if (known != causes.losses.end()) {
+    known->at = std::min(known->at, loss.at);
+    return false;
+  }
+  if (causes.losses.size() >= kMaxLosses) {
+    RemoveOneLoss(causes, now);
+  }
+  const auto later = std::find_if(causes.losses.rbegin(), causes.losses.rend(),
+                                  [&loss](const StartLoss& other) { return other.at <= loss.at; });
+  causes.own_losses += loss.is_own ? 1 : 0;
+  causes.losses.insert(later.base(), std::move(loss));
+  causes.is_outdated = true;
+  return true;
+}
+
+void RecordAnswered(CrashCauses& causes, const RequestCauses& request, TimePoint started) {
+  Remember(causes.answered_contents, request.content, started);
+  for (const Cause part : request.parts) {
+    Remember(causes.answered_parts, part, started);
+  }
+  if (!request.parts.empty()) {
+    causes.recent_answers.push_back({started, request.parts});
+    if (causes.recent_answers.size() > kMaxRecentAnswers) {
+      causes.recent_answers.pop_front();
+    }
+  }
+  causes.is_outdated = causes.is_outdated || !causes.losses.empty();
+}
+
+void RecordPeerAnswered(CrashCauses& causes, Cause part, TimePoint started) {
+  if (started > LastAnswered(causes, part)) {
+    Remember(causes.answered_at_peers, part, started);
+    causes.is_outdated = causes.is_outdated || !causes.losses.empty();
+  }
+}
+
+TimePoint LastAnswered(const CrashCauses& causes, Cause cause) {
+  return std::max({Find(causes.answered_parts, cause), Find(causes.answered_at_peers, cause),
+                   Find(causes.answered_contents, cause)});
+}
+
+std::map<Cause, TimePoint> AnsweredPartsInQuestion(const CrashCauses& causes) {
+  std::map<Cause, TimePoint> answered;
+  for (const StartLoss& loss : causes.losses) {
+    for (const Cause part : loss.causes.parts) {
+      const TimePoint started = Find(causes.answered_parts, part);
+      if (started != TimePoint::min()) {
+        answered[part] = started;
+      }
+    }
+  }
+  return answered;
+}
+
+void RemoveOldLosses(CrashCauses& causes, TimePoint now) {
+  const std::size_t removed = std::erase_if(
+      causes.losses, [now](const StartLoss& loss) { return now - loss.at >= kLossLifetime; });
+  causes.is_outdated = causes.is_outdated || removed > 0;
+}
+
+void UpdateBlocked(CrashCauses& causes, TimePoint now) {
+  if (!std::exchange(causes.is_outdated, false)) {
+    return;
+  }
+  std::map<Cause, BlockedCause> blocked;
+  std::set<std::int64_t> explained;
+  Block(causes, /*is_content=*/false, blocked, explained, now);
+  Block(causes, /*is_content=*/true, blocked, explained, now);
+  causes.blocked = std::move(blocked);
+}
+
+CrashVerdict JudgeRequest(CrashCauses& causes, const RequestCauses& request, bool may_try,
+                          TimePoint now) {
+  UpdateBlocked(causes, now);
+  CrashVerdict verdict;
+  if (causes.blocked.empty()) {
+    return verdict;
+  }
+  BlockedCause* block = nullptr;
+  const auto check = [&](Cause cause) {
+    const auto found = causes.blocked.find(cause);
+    if (found == causes.blocked.end()) {
+      return;
+    }
+    // A request with two blocked causes could not show which of them is blocked wrongly.
+    verdict.is_refused = block != nullptr;
+    verdict.cause = cause;
+    block = &found->second;
+  };
+  std::for_each(request.parts.begin(), request.parts.end(), check);
+  check(request.content);
+  if (block == nullptr) {
+    return verdict;
+  }
+  const bool lacks_companion =
+      std::any_of(block->companions.begin(), block->companions.end(),
+                  [&request](Cause part) { return !HasPart(request.parts, part); });
+  if (!verdict.is_refused && lacks_companion && now >= block->next_comparison) {
+    block->next_comparison = now + kComparisonInterval;
+    verdict.is_trial = true;
+    return verdict;
+  }
+  if (now >= block->next_trial) {
+    // All processes have the same losses, so that the time of the trial passes at all of them.
+    block->next_trial = now + kTrialInterval;
+    if (!verdict.is_refused && may_try) {
+      verdict.is_trial = true;
+      return verdict;
+    }
+  }
+  verdict.is_refused = true;
+  verdict.retry_after =
+      lacks_companion ? Duration(kComparisonInterval) : Duration(block->next_trial - now);
+  return verdict;
+}
+
+std::vector<StartLoss> EvidenceOf(const CrashCauses& causes, Cause cause, TimePoint now) {
+  std::vector<StartLoss> kept;
+  Evidence evidence;
+  for (const StartLoss& loss : causes.losses) {
+    if (!CountsAgainst(causes, loss, cause, now)) {
+      continue;
+    }
+    const bool is_new_upstream = !evidence.upstreams.contains(loss.upstream);
+    const bool is_new_request = !evidence.requests.contains(loss.causes.content);
+    if ((is_new_upstream && evidence.upstreams.size() < kMinUpstreamsOfAnswered) ||
+        (is_new_request && evidence.requests.size() < kMinRequestsOfAnswered)) {
+      kept.push_back(loss);
+      AddLoss(evidence, loss, 0);
+    }
+  }
+  return kept;
+}
+
+}  // namespace rattanramp::core
--- /dev/null
+++ b/core/crash_causes.h
@@ -0,0 +1,141 @@
+// Finds what requests have in common that crashes the upstreams which run them: a part of their
+// prompts, or their whole content when a request is repeated. The evidence is the requests that
+// were lost with their upstreams, at this process and at its peers.
+//
+// A crash also ends the sound requests on its upstream, and upstreams end for other reasons. A
+// cause is therefore blocked only if several upstreams were lost under it, by different requests,
+// and nothing with it has been answered since. What one cause explains is no evidence against
+// another one. Not thread-safe.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <unordered_map>
+#include <vector>
+
+#include "base/clock.h"
+
+namespace rattanramp::core {
+
+/// Hash of a part of a prompt, or of the content of a request.
+using Cause = std::uint64_t;
+
+/// What a request can crash an upstream with.
+struct RequestCauses {
+  /// Identical for repeats of the request only.
+  Cause content = 0;
+  /// Parts of the prompt that other requests may have too, in its order.
+  std::vector<Cause> parts;
+};
+
+/// A request that was lost with its upstream before the upstream had shown that it can answer it.
+struct StartLoss {
+  /// Differs between incarnations of an upstream.
+  std::int64_t upstream = 0;
+  RequestCauses causes;
+  TimePoint at;
+  /// Recorded by this process, not by a peer.
+  bool is_own = false;
+};
+
+/// Parts that are kept of one loss; prompts with more lose those at their end.
+inline constexpr std::size_t kMaxLossParts = 32;
+
+/// Losses that are kept. The oldest ones go first, those of blocked causes last.
+inline constexpr std::size_t kMaxLosses = 256;
+
+/// Time after which a loss is no evidence any more, and a block without newer losses ends.
+inline constexpr Milliseconds kLossLifetime{1'800'000};
+
+/// Causes of requests that were answered, with the latest start of such a request. Those that were
+/// not used for the longest time are dropped.
+struct AnsweredCauses {
+  std::unordered_map<Cause, TimePoint> newer;
+  std::unordered_map<Cause, TimePoint> older;
+};
+
+struct AnsweredStart {
+  TimePoint started;
+  std::vector<Cause> parts;
+};
+
+struct BlockedCause {
+  TimePoint since;
+  std::size_t upstreams = 0;
+  std::size_t requests = 0;
+  bool is_content = false;
+  /// Parts that all the lost requests share besides this one, and that no answered request had.
+  std::vector<Cause> companions;
+  /// Requests without one of the companions are tried again from this time on, one at a time.
+  TimePoint next_comparison;
+  /// Any request with the cause is tried again at this time.
+  TimePoint next_trial;
+};
+
+struct CrashCauses {
+  /// Oldest first.
+  std::vector<StartLoss> losses;
+  /// Parts of requests that this process, and those that its peers, have seen answered. Only the
+  /// first are reported to the peers, so that the times do not grow with each relay.
+  AnsweredCauses answered_parts;
+  AnsweredCauses answered_at_peers;
+  AnsweredCauses answered_contents;
+  /// The last requests that this process has seen answered.
+  std::deque<AnsweredStart> recent_answers;
+  /// The parts of the last generations that arrived at this process.
+  std::deque<std::vector<Cause>> recent_arrivals;
+  std::map<Cause, BlockedCause> blocked;
+  /// Losses or answers have been recorded since `blocked` was determined.
+  bool is_outdated = false;
+  /// Counts the losses that this process has recorded.
+  std::uint64_t own_losses = 0;
+};
+
+/// Records the parts of a generation that has arrived. A part that most requests have is not
+/// blocked: that would close the service, and it says nothing about the crashes.
+void RecordArrival(CrashCauses& causes, const RequestCauses& request);
+
+/// Records a loss that this process or a peer has observed. A loss that is known already keeps its
+/// earliest time. Returns whether it is new.
+bool RecordLoss(CrashCauses& causes, StartLoss loss, TimePoint now);
+
+/// Records that an upstream has answered a request that was sent to it at `started`.
+void RecordAnswered(CrashCauses& causes, const RequestCauses& request, TimePoint started);
+
+/// The same for a part of prompts, as a peer has reported it.
+void RecordPeerAnswered(CrashCauses& causes, Cause part, TimePoint started);
+
+/// Latest start of a request with the cause that was answered; TimePoint::min(): none is known.
+TimePoint LastAnswered(const CrashCauses& causes, Cause cause);
+
+/// Removes losses that are older than kLossLifetime.
+void RemoveOldLosses(CrashCauses& causes, TimePoint now);
+
+/// Determines the blocked causes anew if the evidence has changed.
+void UpdateBlocked(CrashCauses& causes, TimePoint now);
+
+struct CrashVerdict {
+  bool is_refused = false;
+  /// The request is sent although a cause is blocked, to find out whether the block is right. It
+  /// must not be repeated.
+  bool is_trial = false;
+  /// The blocked cause; its evidence is in CrashCauses::blocked.
+  Cause cause = 0;
+  /// Of a refused request: time until it may be tried.
+  Duration retry_after{};
+};
+
+/// Decides whether a request may be sent to an upstream. may_try: this process is the one that
+/// tries blocked causes again.
+CrashVerdict JudgeRequest(CrashCauses& causes, const RequestCauses& request, bool may_try,
+                          TimePoint now);
+
+/// The parts of the recorded losses that this process has seen answered, with the latest start.
+std::map<Cause, TimePoint> AnsweredPartsInQuestion(const CrashCauses& causes);
+
+/// The losses on which the block of a cause rests: as few as prove it.
+std::vector<StartLoss> EvidenceOf(const CrashCauses& causes, Cause cause, TimePoint now);
+
+}  // namespace rattanramp::core
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -121,8 +121,8 @@
     }
   }
   Result<std::unique_ptr<LoadExchange>> exchange = LoadExchange::Create(
-      context, clock, gateway->fleet_, gateway->dispatcher_, own.node, {own.address, own.peer_port},
-      [raw = gateway.get()] { raw->dispatcher_.WakeAll(); },
+      context, clock, gateway->fleet_, gateway->dispatcher_, gateway->state_.crash_causes, own.node,
+      {own.address, own.peer_port}, [raw = gateway.get()] { raw->dispatcher_.WakeAll(); },
       [raw = gateway.get()] { raw->watch_->RefreshGateways(); },
       [raw = gateway.get()](const core::ListNews& news) { raw->OnListNews(news); });
   if (!exchange) {
@@ -137,6 +137,8 @@
                               {"failure_domain", own.failure_domain}};
   std::unique_ptr<StageController> stage_controller = std::make_unique<StageController>(
       gateway->state_, source.make_client(), source.order_table, own.node);
+  gateway->crash_records_ =
+      std::make_unique<CrashRecords>(gateway->state_, source.make_client(), source.crash_table);
   gateway->watch_ = std::make_unique<StoreWatch>(
       context, clock, static_cast<StoreListener&>(*gateway), std::move(source),
       PollIntervalsFor(own.disconnected_after, own.upstream_drain_limit), own.node, row.dump());
@@ -419,6 +421,7 @@
   if (table_) {
     stage_controller_->Tick(*table_, load_exchange_->is_first());
   }
+  UpdateBlockedCauses();
   dispatcher_.WakeAll();
   tick_timer_.expires_after(kTickInterval);
   tick_timer_.async_wait([this](const std::error_code& error) {
@@ -429,12 +432,38 @@
   });
 }
 
+void Gateway::UpdateBlockedCauses() {
+  core::CrashCauses& causes = state_.crash_causes;
+  state_.tries_blocked_causes = load_exchange_->is_first();
+  core::UpdateBlocked(causes, clock_.now());
+  crash_records_->Tick(load_exchange_->is_first());
+  for (const auto& [cause, block] : causes.blocked) {
+    if (logged_causes_.insert(cause).second) {
+      metrics_.Count("crash_causes_blocked_total");
+      Log(LogLevel::kWarning, "crash_cause_blocked",
+          {{"cause", fmt::format("{:016x}", cause)},
+           {"kind", block.is_content ? "content" : "prompt part"},
+           {"upstreams", block.upstreams},
+           {"requests", block.requests},
+           {"companions", block.companions.size()}});
+    }
+  }
+  std::erase_if(logged_causes_, [&causes](core::Cause cause) {
+    const bool is_released = !causes.blocked.contains(cause);
+    if (is_released) {
+      Log(LogLevel::kInfo, "crash_cause_released", {{"cause", fmt::format("{:016x}", cause)}});
+    }
+    return is_released;
+  });
+}
+
 void Gateway::Stop(std::function<void()> done) {
   if (is_stopping()) {
     return;
   }
   state_.stop = {clock_.now(), settings_.stop_grace};
   stage_controller_->Stop();
+  crash_records_->Stop();
   on_stopped_ = std::move(done);
   Log(LogLevel::kInfo, "stop_started",
       {{"open_requests", OpenRequests()},
@@ -514,7 +543,18 @@
                          {"avoided", core::IsBackingOff(upstream->health, now)},
                          {"poor_share", upstream->health.failure_share}});
   }
+  nlohmann::json blocked = nlohmann::json::array();
+  for (const auto& [cause, block] : state_.crash_causes.blocked) {
+    blocked.push_back({{"cause", fmt::format("{:016x}", cause)},
+                       {"kind", block.is_content ? "content" : "prompt part"},
+                       {"upstreams", block.upstreams},
+                       {"requests", block.requests},
+                       {"blocked_ms", ToMs(now - block.since)},
+                       {"next_trial_ms", ToMs(block.next_trial - now)}});
+  }
   const nlohmann::json dump = {
+      {"blocked_causes", blocked},
+      {"start_losses", state_.crash_causes.losses.size()},
       {"node", settings_.node},
       {"ready", is_ready()},
       {"stopping", is_stopping()},
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -18,6 +18,7 @@
 #include "core/routing_table.h"
 #include "core/upstream_directory.h"
 #include "gateway/caller_connection.h"
+#include "gateway/crash_records.h"
 #include "gateway/dispatcher.h"
 #include "gateway/event_loop_delay.h"
 #include "gateway/fleet.h"
@@ -64,6 +65,7 @@
   bool AcceptsWork(const RequestContext& request);
   std::size_t OpenRequests() const;
   void OnListNews(const core::ListNews& news);
+  void UpdateBlockedCauses();
   void LogInvalidUpstreams(const std::vector<std::string>& keys);
   /// Applies a list of upstreams to the directory and the fleet, and tells the peers which
   /// upstreams leave.
@@ -100,6 +102,9 @@
   std::unique_ptr<LoadExchange> load_exchange_;
   std::unique_ptr<StoreWatch> watch_;
   std::unique_ptr<StageController> stage_controller_;
+  std::unique_ptr<CrashRecords> crash_records_;
+  /// The blocked causes that were logged.
+  std::set<core::Cause> logged_causes_;
   std::unique_ptr<StatusHost> status_host_;
   asio::ip::tcp::acceptor caller_acceptor_;
   asio::ip::tcp::acceptor readiness_acceptor_;
--- a/gateway/gateway_state.h
+++ b/gateway/gateway_state.h
@@ -12,6 +12,7 @@
 #include "base/clock.h"
 #include "base/metrics.h"
 #include "core/answer_budget.h"
+#include "core/crash_causes.h"
 #include "core/retry_window.h"
 #include "core/routing_table.h"
 #include "core/stage_plan.h"
@@ -40,6 +41,9 @@
   core::AnswerBudget answer_budget = {};
   /// Set when the process has begun to stop.
   std::optional<core::StopPlan> stop = {};
+  core::CrashCauses crash_causes = {};
+  /// This gateway tries causes again that are blocked.
+  bool tries_blocked_causes = false;
 };
 
 /// Profile of a service until its first generation has ended. The values are the means of the
--- a/gateway/generation_exchange.cc
+++ b/gateway/generation_exchange.cc
@@ -10,6 +10,7 @@
 #include "base/hash.h"
 #include "base/log.h"
 #include "core/placement.h"
+#include "gateway/crash_guard.h"
 
 namespace rattanramp::gateway {
 namespace {
@@ -89,7 +90,8 @@
           raw->OnDeadline();
         }
       });
-  if (exchange->RefuseIfQueueIsLong()) {
+  PrepareCrashGuard(exchange->request_, state);
+  if (exchange->EndIfItCrashesEngines() || exchange->RefuseIfQueueIsLong()) {
     return exchange;
   }
   exchange->caller_timeout_timer_.expires_after(exchange->CallerTimeoutAt() - kMinServiceTime -
@@ -309,6 +311,11 @@
     EndForStop();
     return true;
   }
+  const std::uint64_t queue_id = std::exchange(queue_id_, 0);
+  if (EndIfItCrashesEngines()) {
+    return true;
+  }
+  queue_id_ = queue_id;
   if (now < next_capacity_try_) {
     return false;
   }
@@ -348,6 +355,14 @@
   return true;
 }
 
+bool GenerationExchange::EndIfItCrashesEngines() {
+  const std::optional<CrashRefusal> refusal = CheckCrashCauses(request_, state_);
+  if (refusal) {
+    EndWithFailure(refusal->reason, refusal->retry_after_ms);
+  }
+  return refusal.has_value();
+}
+
 bool GenerationExchange::MayTakeCapacity(std::span<const core::PlacementCandidate> candidates,
                                          const core::GenerationNeed& need, TimePoint now) {
   const std::string& service = request_.service->name;
@@ -425,6 +440,8 @@
   plan.send_before = request_.deadline;
   attempt_started_ = now;
   events_before_attempt_ = splitter_.events;
+  attempt_first_event_.reset();
+  is_proven_ = false;
   // When a stream is resumed, it was the answer of an earlier attempt, not of this prefill.
   is_streaming_ = false;
   attempt_ = Attempt::Start(state_.context, state_.clock, prefill, std::move(plan), *this);
@@ -458,6 +475,8 @@
   core::DropPartialEvent(splitter_);
   attempt_started_ = now;
   events_before_attempt_ = splitter_.events;
+  attempt_first_event_.reset();
+  is_proven_ = false;
   attempt_ = Attempt::Start(state_.context, state_.clock, decode_, std::move(plan), *this);
 }
 
@@ -542,6 +561,7 @@
     first_event_ = state_.clock.now();
     state_.metrics.Observe("first_event_ms", ToMs(*first_event_ - request_.arrived));
   }
+  CheckProven(/*is_complete=*/false);
   UpdateReservation();
   sink_.StreamBytes(events);
   const bool goes_on = progress == BodyProgress::kProgress || progress == BodyProgress::kNone;
@@ -589,12 +609,18 @@
     ForwardAnswer();
     return;
   }
-  if (core::HasUnfinishedEvent(splitter_)) {
+  // An engine that ends right after the head of an answer without a length looks like one that has
+  // nothing to say.
+  const bool is_empty = answer_head_.body_ends_at_close && splitter_.events == 0;
+  if (core::HasUnfinishedEvent(splitter_) || is_empty) {
     core::RecordAnswer(health, core::AnswerResult::kLost, now);
+    RecordLossUnlessProven();
     OnDecodeBroken(AttemptFailure::kConnectionLost);
     return;
   }
   core::RecordAnswer(health, core::AnswerResult::kSuccess, now);
+  // The end of an answer without a length may also be that of its engine.
+  CheckProven(/*is_complete=*/!answer_head_.body_ends_at_close);
   phase_ = Phase::kDone;
   core::RecordGeneration(
       ProfileOf(state_, request_.service->name),
@@ -656,6 +682,9 @@
     EndForStop();
     return;
   }
+  if (EndIfItCrashesEngines()) {
+    return;
+  }
   MoveIfOverloaded(now);
   StartDecode(source);
 }
@@ -687,6 +716,23 @@
                      fmt::join(request_.facts.prompt_parts, " "));
 }
 
+void GenerationExchange::CheckProven(bool is_complete) {
+  const TimePoint now = state_.clock.now();
+  if (!attempt_first_event_) {
+    attempt_first_event_ = now;
+  }
+  if (!is_proven_ && (is_complete || now - *attempt_first_event_ >= kProvenTime)) {
+    is_proven_ = true;
+    RecordAnsweredStart(request_, state_, attempt_started_);
+  }
+}
+
+void GenerationExchange::RecordLossUnlessProven() {
+  if (!is_proven_) {
+    RecordStartLoss(request_, state_, attempt_->upstream());
+  }
+}
+
 void GenerationExchange::OnPrefillFailure(std::string_view why) {
   LogRequestStep(request_, "prefill_failed", attempt_->upstream(), why);
   attempt_.reset();
@@ -762,6 +808,9 @@
     // The call has reached no engine, so the next one is no further arrival.
     has_retry_ = true;
   }
+  if (failure == AttemptFailure::kConnectionLost) {
+    RecordLossUnlessProven();
+  }
   if (phase_ == Phase::kPrefill) {
     OnPrefillFailure(failure == AttemptFailure::kNotConnected ? "connection failed"
                                                               : DescribeLoss("no complete answer"));
--- a/gateway/generation_exchange.h
+++ b/gateway/generation_exchange.h
@@ -44,6 +44,8 @@
   /// (or, for a request that the caller has retried, would miss the caller's timeout).
   bool RefuseIfQueueIsLong();
   bool TryStart();
+  /// Ends the request if something that it has in common with others crashes engines.
+  bool EndIfItCrashesEngines();
   void OnCallerTimeout();
   /// Whether the process stops before the request could end, if it were started now. An open stream
   /// is continued as long as possible.
@@ -85,6 +87,9 @@
   /// Description of an attempt that an upstream has not finished, for the log: which parts the
   /// prompts of lost requests share shows whether one of them crashes engines.
   std::string DescribeLoss(std::string_view cause) const;
+  /// Called for each event, and at the end of a stream.
+  void CheckProven(bool is_complete);
+  void RecordLossUnlessProven();
   void OnPrefillAnswer();
   void OnPrefillFailure(std::string_view why);
   void OnDecodeNotRun(std::string_view why);
@@ -144,6 +149,9 @@
   /// Start of the current attempt, and the events of the stream that were received before it.
   TimePoint attempt_started_;
   std::int64_t events_before_attempt_ = 0;
+  std::optional<TimePoint> attempt_first_event_;
+  /// The engine of the current attempt has shown that it can answer the request.
+  bool is_proven_ = false;
 };
 
 }  // namespace rattanramp::gateway
--- a/gateway/load_exchange.cc
+++ b/gateway/load_exchange.cc
@@ -34,6 +34,17 @@
 constexpr int kLostRepeats = 4;
 constexpr Milliseconds kPeerTimeoutMargin{100};
 
+// Losses that one report lists at most of this gateway's own and of each that it relays, and the
+// time for which an own loss is repeated. A loss takes about 60 bytes.
+constexpr std::size_t kMaxReportedLosses = 16;
+constexpr Milliseconds kLossReportTime{30'000};
+
+// Answered parts that one report lists at most.
+constexpr std::size_t kMaxReportedParts = 32;
+
+// Gateways that relay the evidence of blocked causes to each peer in a repeat interval.
+constexpr std::int64_t kRelays = 8;
+
 bool IsSame(const PeerLoad& a, const PeerLoad& b) {
   return a.key == b.key && a.load.running == b.load.running &&
          a.load.reserved_tokens == b.load.reserved_tokens &&
@@ -54,7 +65,8 @@
 }
 
 bool IsSame(const SentLoad& a, const SentLoad& b) {
-  return a.excluded == b.excluded && IsSame(a.loads, b.loads) && IsSame(a.waiting, b.waiting);
+  return a.excluded == b.excluded && a.own_losses == b.own_losses && IsSame(a.loads, b.loads) &&
+         IsSame(a.waiting, b.waiting);
 }
 
 /// Entries of `now` that differ from `before`, and zeros for those that are not in `now`. Both are
@@ -143,11 +155,12 @@
 
 Result<std::unique_ptr<LoadExchange>> LoadExchange::Create(
     asio::io_context& context, const Clock& clock, Fleet& fleet, const Dispatcher& dispatcher,
-    std::string own_name, const asio::ip::udp::endpoint& listen, std::function<void()> on_change,
-    std::function<void()> on_unknown_peer, ListNewsHandler on_list_news) {
+    core::CrashCauses& crash_causes, std::string own_name, const asio::ip::udp::endpoint& listen,
+    std::function<void()> on_change, std::function<void()> on_unknown_peer,
+    ListNewsHandler on_list_news) {
   std::unique_ptr<LoadExchange> exchange(
-      new LoadExchange(context, clock, fleet, dispatcher, std::move(own_name), std::move(on_change),
-                       std::move(on_unknown_peer), std::move(on_list_news)));
+      new LoadExchange(context, clock, fleet, dispatcher, crash_causes, std::move(own_name),
+                       std::move(on_change), std::move(on_unknown_peer), std::move(on_list_news)));
   std::error_code error;
   exchange->socket_.open(asio::ip::udp::v4(), error);
   if (!error) {
@@ -170,12 +183,13 @@
 }
 
 LoadExchange::LoadExchange(asio::io_context& context, const Clock& clock, Fleet& fleet,
-                           const Dispatcher& dispatcher, std::string own_name,
-                           std::function<void()> on_change, std::function<void()> on_unknown_peer,
-                           ListNewsHandler on_list_news)
+                           const Dispatcher& dispatcher, core::CrashCauses& crash_causes,
+                           std::string own_name, std::function<void()> on_change,
+                           std::function<void()> on_unknown_peer, ListNewsHandler on_list_news)
     : clock_(clock),
       fleet_(fleet),
       dispatcher_(dispatcher),
+      crash_causes_(crash_causes),
       own_name_(std::move(own_name)),
       on_change_(std::move(on_change)),
       on_unknown_peer_(std::move(on_unknown_peer)),
@@ -256,6 +270,7 @@
     state.waiting_tokens[service].late = tokens;
   }
   state.excluded = report.withheld_upstreams;
+  RecordCrashEvidence(report);
   if (decoded.value().is_change) {
     fleet_.ChangePeerState(report.gateway, std::move(state));
   } else {
@@ -276,6 +291,7 @@
   const TimePoint now = clock_.now();
   const ReportPace pace = ReportPaceFor(std::max(peers_.size(), last_reports_.size()));
   fleet_.ExpireExclusions(now);
+  core::RemoveOldLosses(crash_causes_, now);
   for (auto last_report = last_reports_.begin(); last_report != last_reports_.end();) {
     if (now - last_report->second.received > pace.peer_timeout) {
       Log(LogLevel::kInfo, "peer_lost",
@@ -308,6 +324,7 @@
             [](const PeerLoad& a, const PeerLoad& b) { return a.key < b.key; });
   load.waiting = dispatcher_.waiting_tokens_by_service();
   load.excluded = fleet_.LocalExclusions();
+  load.own_losses = crash_causes_.own_losses;
   return load;
 }
 
@@ -337,8 +354,13 @@
     return;
   }
   const std::vector<PeerLoad> changed = ChangedLoads(last_sent_.loads, load.loads);
+  const bool has_new_losses = load.own_losses != last_sent_.own_losses;
   last_sent_ = std::move(load);
-  const std::string datagram = wire::EncodeGatewayLoadChange(MakeReport(changed));
+  wire::GatewayLoad report = MakeReport(changed);
+  if (has_new_losses) {
+    AddCrashEvidence(report, /*relays=*/false);
+  }
+  const std::string datagram = wire::EncodeGatewayLoadChange(report);
   const std::size_t bytes = peers_.size() * (datagram.size() + kHeaderBytes);
   next_change_report_ =
       clock_.now() + std::chrono::microseconds(static_cast<std::int64_t>(bytes) * 1'000'000 /
@@ -351,12 +373,87 @@
   last_complete_ = last_sent_;
   last_complete_at_ = clock_.now();
   wire::GatewayLoad report = MakeReport(last_sent_.loads);
+  // Each peer gets relayed evidence from about kRelays gateways in each repeat interval.
+  const std::int64_t turns = 1 + static_cast<std::int64_t>(peers_.size()) / kRelays;
+  AddCrashEvidence(report, ++complete_reports_ % turns == 0);
   if (news != nullptr) {
     report.__set_list_news(EncodeNews(*news));
   }
   SendToPeers(wire::EncodeGatewayLoad(report));
 }
 
+void LoadExchange::AddCrashEvidence(wire::GatewayLoad& report, bool relays) const {
+  const TimePoint now = clock_.now();
+  std::vector<core::StartLoss> losses;
+  // The newest ones are at the end.
+  for (auto loss = crash_causes_.losses.rbegin(); loss != crash_causes_.losses.rend(); ++loss) {
+    if (losses.size() >= kMaxReportedLosses || now - loss->at > kLossReportTime) {
+      break;
+    }
+    if (loss->is_own) {
+      losses.push_back(*loss);
+    }
+  }
+  if (relays) {
+    std::size_t relayed = 0;
+    for (const auto& [cause, block] : crash_causes_.blocked) {
+      for (core::StartLoss& loss : core::EvidenceOf(crash_causes_, cause, now)) {
+        if (relayed++ < kMaxReportedLosses) {
+          losses.push_back(std::move(loss));
+        }
+      }
+    }
+  }
+  std::vector<wire::GatewayStartLoss> encoded;
+  for (const core::StartLoss& loss : losses) {
+    wire::GatewayStartLoss& entry = encoded.emplace_back();
+    entry.upstream_key = loss.upstream;
+    entry.content = static_cast<std::int64_t>(loss.causes.content);
+    for (const core::Cause part : loss.causes.parts) {
+      entry.parts.push_back(static_cast<std::int64_t>(part));
+    }
+    entry.age_ms = std::chrono::duration_cast<Milliseconds>(now - loss.at).count();
+  }
+  if (!encoded.empty()) {
+    report.__set_start_losses(std::move(encoded));
+  }
+  std::vector<wire::GatewayAnsweredPart> answered;
+  for (const auto& [part, started] : core::AnsweredPartsInQuestion(crash_causes_)) {
+    if (answered.size() >= kMaxReportedParts) {
+      break;
+    }
+    wire::GatewayAnsweredPart& entry = answered.emplace_back();
+    entry.part = static_cast<std::int64_t>(part);
+    entry.age_ms = std::chrono::duration_cast<Milliseconds>(now - started).count();
+  }
+  if (!answered.empty()) {
+    report.__set_answered_parts(std::move(answered));
+  }
+}
+
+void LoadExchange::RecordCrashEvidence(const wire::GatewayLoad& report) {
+  const TimePoint now = clock_.now();
+  for (const wire::GatewayStartLoss& entry : report.start_losses) {
+    if (entry.age_ms < 0 || entry.age_ms > core::kLossLifetime.count()) {
+      continue;
+    }
+    core::StartLoss loss;
+    loss.upstream = entry.upstream_key;
+    loss.causes.content = static_cast<core::Cause>(entry.content);
+    for (const std::int64_t part : entry.parts) {
+      loss.causes.parts.push_back(static_cast<core::Cause>(part));
+    }
+    loss.at = now - Milliseconds(entry.age_ms);
+    core::RecordLoss(crash_causes_, std::move(loss), now);
+  }
+  for (const wire::GatewayAnsweredPart& entry : report.answered_parts) {
+    if (entry.age_ms >= 0 && entry.age_ms <= core::kLossLifetime.count()) {
+      core::RecordPeerAnswered(crash_causes_, static_cast<core::Cause>(entry.part),
+                               now - Milliseconds(entry.age_ms));
+    }
+  }
+}
+
 void LoadExchange::SendToPeers(const std::string& datagram) {
   for (const auto& [name, endpoint] : peers_) {
     // A failed send is treated as a lost datagram; the next complete report follows soon.
--- a/gateway/load_exchange.h
+++ b/gateway/load_exchange.h
@@ -14,6 +14,7 @@
 
 #include "base/clock.h"
 #include "base/result.h"
+#include "core/crash_causes.h"
 #include "core/shared_list.h"
 #include "gateway/dispatcher.h"
 #include "gateway/fleet.h"
@@ -45,6 +46,8 @@
   std::vector<PeerLoad> loads;
   std::map<std::string, core::WaitingTokens> waiting;
   std::vector<std::int64_t> excluded;
+  /// CrashCauses::own_losses at the time of the report.
+  std::uint64_t own_losses = 0;
 };
 
 class LoadExchange {
@@ -54,8 +57,9 @@
   /// Errors: kIo when the port cannot be bound.
   static Result<std::unique_ptr<LoadExchange>> Create(
       asio::io_context& context, const Clock& clock, Fleet& fleet, const Dispatcher& dispatcher,
-      std::string own_name, const asio::ip::udp::endpoint& listen, std::function<void()> on_change,
-      std::function<void()> on_unknown_peer, ListNewsHandler on_list_news = nullptr);
+      core::CrashCauses& crash_causes, std::string own_name, const asio::ip::udp::endpoint& listen,
+      std::function<void()> on_change, std::function<void()> on_unknown_peer,
+      ListNewsHandler on_list_news = nullptr);
 
   /// Replaces the peers to which reports are sent.
   void SetPeers(std::map<std::string, asio::ip::udp::endpoint> peers);
@@ -79,8 +83,9 @@
   };
 
   LoadExchange(asio::io_context& context, const Clock& clock, Fleet& fleet,
-               const Dispatcher& dispatcher, std::string own_name, std::function<void()> on_change,
-               std::function<void()> on_unknown_peer, ListNewsHandler on_list_news);
+               const Dispatcher& dispatcher, core::CrashCauses& crash_causes, std::string own_name,
+               std::function<void()> on_change, std::function<void()> on_unknown_peer,
+               ListNewsHandler on_list_news);
 
   void Receive();
   void OnDatagram(std::size_t size);
@@ -91,11 +96,15 @@
   /// Reports the load that has changed since the last report of either kind.
   void SendChange();
   void SendComplete(const core::ListNews* news);
+  /// Adds what this gateway knows about causes of crashes. relays: also what it has from peers.
+  void AddCrashEvidence(wire::GatewayLoad& report, bool relays) const;
+  void RecordCrashEvidence(const wire::GatewayLoad& report);
   void SendToPeers(const std::string& datagram);
 
   const Clock& clock_;
   Fleet& fleet_;
   const Dispatcher& dispatcher_;
+  core::CrashCauses& crash_causes_;
   std::string own_name_;
   std::function<void()> on_change_;
   std::function<void()> on_unknown_peer_;
@@ -114,6 +123,7 @@
   /// Not before this time, so that change reports keep to kMaxChangeBytesPerSecond.
   TimePoint next_change_report_;
   std::int64_t sequence_ = 0;
+  std::int64_t complete_reports_ = 0;
   bool is_stopped_ = false;
 };
 
--- a/gateway/plain_exchange.cc
+++ b/gateway/plain_exchange.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "core/placement.h"
+#include "gateway/crash_guard.h"
 
 namespace rattanramp::gateway {
 namespace {
@@ -43,7 +44,10 @@
           raw->OnDeadline();
         }
       });
-  exchange->Enqueue();
+  PrepareCrashGuard(exchange->request_, state);
+  if (!exchange->EndIfItCrashesUpstreams()) {
+    exchange->Enqueue();
+  }
   return exchange;
 }
 
@@ -97,6 +101,11 @@
     EndForStop();
     return true;
   }
+  const std::uint64_t queue_id = std::exchange(queue_id_, 0);
+  if (EndIfItCrashesUpstreams()) {
+    return true;
+  }
+  queue_id_ = queue_id;
   std::vector<core::PlacementCandidate> candidates;
   state_.fleet.FillCandidates(request_.service->name, *request_.service, request_.tried, {}, now,
                               candidates);
@@ -146,6 +155,14 @@
   return true;
 }
 
+bool PlainExchange::EndIfItCrashesUpstreams() {
+  const std::optional<CrashRefusal> refusal = CheckCrashCauses(request_, state_);
+  if (refusal) {
+    EndUnanswered(502, refusal->reason, refusal->retry_after_ms);
+  }
+  return refusal.has_value();
+}
+
 void PlainExchange::OnDeadline() {
   EndUnanswered(504,
                 attempt_ ? "deadline passed during an attempt" : "deadline passed in the queue",
@@ -276,6 +293,9 @@
   }
   core::RecordAnswer(
       health, status >= 500 ? core::AnswerResult::kErrorAnswer : core::AnswerResult::kSuccess, now);
+  if (status < 500) {
+    RecordAnsweredStart(request_, state_, attempt_started_);
+  }
   if (status >= 500 && Retry(true, "the upstream answered with a server error")) {
     return;
   }
@@ -305,6 +325,7 @@
   ++possible_runs_;
   if (failure == AttemptFailure::kConnectionLost) {
     core::RecordAnswer(attempt_->upstream().health, core::AnswerResult::kLost, now);
+    RecordStartLoss(request_, state_, attempt_->upstream());
   }
   if (!Retry(true,
              failure == AttemptFailure::kTimedOut ? "upstream timed out" : "connection lost")) {
--- a/gateway/request_context.h
+++ b/gateway/request_context.h
@@ -9,6 +9,7 @@
 #include <string_view>
 #include <vector>
 
+#include "core/crash_causes.h"
 #include "core/request_facts.h"
 #include "core/routing_table.h"
 #include "gateway/caller_sink.h"
@@ -38,6 +39,9 @@
   std::vector<std::string> tried_ids;
   /// Start of the first attempt; empty while the request is queued.
   std::optional<TimePoint> started;
+  core::RequestCauses causes;
+  /// The request is sent although something that it has in common with others is blocked.
+  bool is_trial = false;
 };
 
 /// Time left until the deadline in whole ms, at least 1.
--- a/gateway/store_source.h
+++ b/gateway/store_source.h
@@ -19,6 +19,8 @@
   std::string order_table;
   /// Creates a client. A client carries one call at a time.
   std::function<std::unique_ptr<store::AsyncTable>()> make_client;
+  /// Table of this product with one row for each blocked cause of crashes.
+  std::string crash_table = "rattanramp_crashes";
 };
 
 }  // namespace rattanramp::gateway
--- /dev/null
+++ b/tests/core/crash_causes_test.cc
@@ -0,0 +1,238 @@
+#include "core/crash_causes.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+#include <cstdint>
+#include <vector>
+
+using namespace rattanramp;
+using core::Cause;
+using core::CrashCauses;
+
+namespace {
+
+constexpr Cause kFirst = 1;
+constexpr Cause kCaller = 2;
+constexpr Cause kBad = 3;
+
+TimePoint At(std::int64_t ms) { return TimePoint(std::chrono::hours(1)) + Milliseconds(ms); }
+
+/// Request number `content` with the given shared parts.
+core::RequestCauses Request(Cause content, std::vector<Cause> parts) {
+  return {1'000 + content, std::move(parts)};
+}
+
+void Lose(CrashCauses& causes, std::int64_t upstream, const core::RequestCauses& request,
+          std::int64_t at_ms) {
+  core::RecordLoss(causes, {upstream, request, At(at_ms), true}, At(at_ms));
+}
+
+bool IsRefused(CrashCauses& causes, const core::RequestCauses& request, std::int64_t at_ms,
+               bool may_try = false) {
+  return core::JudgeRequest(causes, request, may_try, At(at_ms)).is_refused;
+}
+
+/// Three engines ended under two requests with the part `kBad`; each also ended a sound request.
+void CrashThree(CrashCauses& causes, std::int64_t at_ms) {
+  Lose(causes, 1, Request(1, {kFirst, kBad, kCaller}), at_ms);
+  Lose(causes, 1, Request(11, {kFirst, kCaller}), at_ms);
+  Lose(causes, 2, Request(1, {kFirst, kBad, kCaller}), at_ms + 60);
+  Lose(causes, 2, Request(12, {kFirst, kCaller}), at_ms + 60);
+  Lose(causes, 3, Request(2, {kFirst, kBad, kCaller}), at_ms + 200);
+  Lose(causes, 3, Request(13, {kFirst, kCaller}), at_ms + 200);
+}
+
+}  // namespace
+
+// Guards against the incident BUDGET: the part that the lost requests share must be refused, in a
+// request that has not been seen before.
+Test(crash_causes, part_of_the_lost_requests_is_refused) {
+  CrashCauses causes;
+  core::RecordAnswered(causes, Request(20, {kFirst, kCaller}), At(0));
+  Lose(causes, 1, Request(1, {kFirst, kBad, kCaller}), 100);
+  Lose(causes, 2, Request(1, {kFirst, kBad, kCaller}), 160);
+  cr_assert(!IsRefused(causes, Request(2, {kFirst, kBad, kCaller}), 170));
+  Lose(causes, 3, Request(2, {kFirst, kBad, kCaller}), 300);
+  cr_assert(IsRefused(causes, Request(3, {kFirst, kBad, 77}), 310));
+}
+
+// Guards against refusing sound requests that share the first part or the caller of the requests
+// that crash engines, also when they were lost with them.
+Test(crash_causes, sound_requests_with_the_other_parts_are_sent) {
+  CrashCauses causes;
+  core::RecordAnswered(causes, Request(20, {kFirst, kCaller}), At(0));
+  for (std::int64_t i = 0; i < 20; ++i) {
+    CrashThree(causes, 100 + i * 1'000);
+  }
+  cr_assert(IsRefused(causes, Request(3, {kFirst, kBad, kCaller}), 30'000));
+  cr_assert(!IsRefused(causes, Request(4, {kFirst, kCaller}), 30'000));
+  cr_assert(!IsRefused(causes, Request(5, {kFirst, kCaller, 78}), 30'000));
+}
+
+// Guards against refusing sound requests right after a start, when nothing has been answered yet
+// and each lost request had the same caller: a sound request of the caller is tried, and its answer
+// shows which part is to blame.
+Test(crash_causes, companion_of_the_part_is_cleared_by_one_request) {
+  CrashCauses causes;
+  for (std::int64_t i = 0; i < 3; ++i) {
+    Lose(causes, i, Request(static_cast<Cause>(i), {kFirst, kBad, kCaller}), 100 + i);
+  }
+  const core::CrashVerdict sound =
+      core::JudgeRequest(causes, Request(4, {kFirst, kCaller}), false, At(200));
+  cr_assert(!sound.is_refused);
+  cr_assert(sound.is_trial);
+  cr_assert(IsRefused(causes, Request(5, {kFirst, kBad, kCaller}), 201));
+  core::RecordAnswered(causes, Request(4, {kFirst, kCaller}), At(200));
+  cr_assert(!IsRefused(causes, Request(6, {kFirst, kCaller}), 1'300));
+  cr_assert(!IsRefused(causes, Request(7, {kFirst, kCaller}), 1'301));
+  cr_assert(IsRefused(causes, Request(8, {kFirst, kBad, kCaller}), 1'302));
+}
+
+// Guards against an outage being blamed on what all requests have in common.
+Test(crash_causes, outage_of_all_engines_blocks_nothing_common) {
+  CrashCauses causes;
+  for (Cause i = 0; i < 20; ++i) {
+    core::RecordArrival(causes, Request(i, {kFirst, 100 + i}));
+    core::RecordAnswered(causes, Request(i, {kFirst, 100 + i}), At(0));
+  }
+  for (std::int64_t i = 0; i < 14; ++i) {
+    Lose(causes, i, Request(static_cast<Cause>(50 + i), {kFirst, 200 + static_cast<Cause>(i)}),
+         1'000 + i * 500);
+  }
+  cr_assert(!IsRefused(causes, Request(99, {kFirst, 300}), 9'000));
+  // The same without any answer before, as after a start of all processes.
+  CrashCauses started;
+  for (Cause i = 0; i < 20; ++i) {
+    core::RecordArrival(started, Request(i, {kFirst, 100 + i}));
+  }
+  for (std::int64_t i = 0; i < 14; ++i) {
+    Lose(started, i, Request(static_cast<Cause>(50 + i), {kFirst, 200 + static_cast<Cause>(i)}),
+         1'000 + i);
+  }
+  cr_assert(!IsRefused(started, Request(99, {kFirst, 300}), 9'000));
+}
+
+// Guards against one request that meets several engines that end for other reasons, with its
+// repeats, being taken for several requests with the same part.
+Test(crash_causes, repeats_of_one_request_are_no_evidence_against_its_parts) {
+  CrashCauses causes;
+  for (std::int64_t i = 0; i < 6; ++i) {
+    Lose(causes, i, Request(1, {kFirst, kCaller}), 100 + i);
+  }
+  cr_assert(!IsRefused(causes, Request(2, {kFirst, kCaller}), 200));
+}
+
+// Guards against several requests that are lost with one engine being taken for several crashes.
+Test(crash_causes, requests_lost_with_two_engines_are_no_evidence) {
+  CrashCauses causes;
+  for (std::int64_t i = 0; i < 12; ++i) {
+    Lose(causes, i % 2, Request(static_cast<Cause>(i), {kFirst, kCaller}), 100 + i);
+  }
+  cr_assert(!IsRefused(causes, Request(20, {kFirst, kCaller}), 200));
+}
+
+// Guards against the older rule: a request that is repeated as it is and crashes each server that
+// runs it is refused, whatever route it is on; other requests are not.
+Test(crash_causes, repeated_request_is_refused) {
+  CrashCauses causes;
+  for (std::int64_t i = 0; i < 3; ++i) {
+    Lose(causes, i, Request(1, {}), 100 + i * 400);
+  }
+  cr_assert(IsRefused(causes, Request(1, {}), 2'000));
+  cr_assert(!IsRefused(causes, Request(2, {}), 2'000));
+}
+
+// Guards against refusing a part for ever after the engines were mended.
+Test(crash_causes, blocked_part_is_tried_again_by_one_process) {
+  CrashCauses causes;
+  core::RecordAnswered(causes, Request(20, {kFirst, kCaller}), At(0));
+  CrashThree(causes, 100);
+  const core::RequestCauses request = Request(5, {kFirst, kBad, kCaller});
+  cr_assert(IsRefused(causes, request, 299'000, true));
+  const core::CrashVerdict trial = core::JudgeRequest(causes, request, true, At(301'000));
+  cr_assert(trial.is_trial);
+  cr_assert(IsRefused(causes, request, 301'001, true));
+  // It crashes its engine: the next trial comes after the same time again.
+  Lose(causes, 4, request, 301'100);
+  cr_assert(IsRefused(causes, request, 590'000, true));
+  cr_assert(core::JudgeRequest(causes, request, true, At(602'000)).is_trial);
+  core::RecordAnswered(causes, request, At(602'000));
+  cr_assert(!IsRefused(causes, request, 603'500));
+}
+
+// Guards against evidence that is kept for ever.
+Test(crash_causes, old_losses_are_removed) {
+  CrashCauses causes;
+  CrashThree(causes, 100);
+  const std::int64_t end_ms = 400 + core::kLossLifetime.count();
+  core::RemoveOldLosses(causes, At(end_ms));
+  cr_assert(causes.losses.empty());
+  cr_assert(!IsRefused(causes, Request(5, {kFirst, kBad, kCaller}), end_ms));
+}
+
+// Guards against evidence of a blocked part being pushed out by many losses of sound requests.
+Test(crash_causes, evidence_of_a_block_outlives_many_other_losses) {
+  CrashCauses causes;
+  core::RecordAnswered(causes, Request(20, {kFirst, kCaller}), At(0));
+  CrashThree(causes, 100);
+  cr_assert(IsRefused(causes, Request(5, {kFirst, kBad, kCaller}), 400));
+  for (std::int64_t i = 0; i < 2'000; ++i) {
+    Lose(causes, 100 + i, Request(static_cast<Cause>(100 + i), {kFirst, kCaller}), 500 + i);
+  }
+  cr_assert_leq(causes.losses.size(), core::kMaxLosses);
+  cr_assert(IsRefused(causes, Request(5, {kFirst, kBad, kCaller}), 9'000));
+}
+
+// Guards against evidence that does not reach the peers whole: as few losses as a report or a row
+// of the store contains must lead to the same block.
+Test(crash_causes, evidence_of_a_block_proves_it_at_another_process) {
+  CrashCauses causes;
+  core::RecordAnswered(causes, Request(20, {kFirst, kCaller}), At(0));
+  for (std::int64_t i = 0; i < 5; ++i) {
+    CrashThree(causes, 100 + i * 1'000);
+  }
+  cr_assert(IsRefused(causes, Request(5, {kFirst, kBad, kCaller}), 9'000));
+  CrashCauses other;
+  const std::vector<core::StartLoss> evidence = core::EvidenceOf(causes, kBad, At(9'000));
+  cr_assert_leq(evidence.size(), 5);
+  for (const core::StartLoss& loss : evidence) {
+    core::RecordLoss(other, loss, At(9'000));
+  }
+  for (const auto& [part, started] : core::AnsweredPartsInQuestion(causes)) {
+    core::RecordPeerAnswered(other, part, started);
+  }
+  cr_assert(IsRefused(other, Request(6, {kFirst, kBad, kCaller}), 9'000));
+  cr_assert(!IsRefused(other, Request(7, {kFirst, kCaller}), 9'000));
+}
+
+// Guards against a verdict that depends on the order in which losses, answers and reports arrive:
+// the part is refused and sound requests of its caller are sent, at every process.
+Test(crash_causes, order_of_the_evidence_does_not_matter) {
+  cr_assert(rc::check("order of losses and answers", [] {
+    const auto size = static_cast<std::size_t>(*rc::gen::inRange(3, 12));
+    std::vector<std::size_t> order(size * 2);
+    for (std::size_t i = 0; i < order.size(); ++i) {
+      order[i] = i;
+    }
+    for (std::size_t i = order.size() - 1; i > 0; --i) {
+      std::swap(
+          order[i],
+          order[static_cast<std::size_t>(*rc::gen::inRange<int>(0, static_cast<int>(i) + 1))]);
+    }
+    CrashCauses causes;
+    for (const std::size_t event : order) {
+      const auto index = static_cast<std::int64_t>(event / 2);
+      const auto content = static_cast<Cause>(event);
+      if (event % 2 == 0) {
+        // The first three losses are of three engines and two requests at least.
+        Lose(causes, index, Request(content, {kFirst, kBad, kCaller}), 100 + index * 50);
+      } else {
+        core::RecordAnswered(causes, Request(content, {kFirst, kCaller}), At(100 + index * 50));
+      }
+      core::UpdateBlocked(causes, At(5'000));
+    }
+    RC_ASSERT(IsRefused(causes, Request(90, {kFirst, kBad, kCaller}), 6'000));
+    RC_ASSERT(!IsRefused(causes, Request(91, {kFirst, kCaller}), 6'000));
+  }));
+}
--- a/tests/gateway/load_exchange_test.cc
+++ b/tests/gateway/load_exchange_test.cc
@@ -40,16 +40,18 @@
     core::DirectoryChange change;
     change.added = {Engine("e1"), Engine("e2")};
     fleet.Apply(change);
-    exchange = std::move(LoadExchange::Create(
-                             context, DefaultClock(), fleet, dispatcher, std::move(name), endpoint,
-                             [this] { ++changes; }, [this] { ++unknown_reports; })
-                             .value());
+    exchange =
+        std::move(LoadExchange::Create(
+                      context, DefaultClock(), fleet, dispatcher, crash_causes, std::move(name),
+                      endpoint, [this] { ++changes; }, [this] { ++unknown_reports; })
+                      .value());
   }
 
   gateway::Upstream& engine(const std::string& id) { return *fleet.upstreams().at(id); }
 
   Fleet fleet;
   gateway::Dispatcher dispatcher;
+  core::CrashCauses crash_causes;
   asio::ip::udp::endpoint endpoint;
   std::unique_ptr<LoadExchange> exchange;
   int changes = 0;
@@ -172,13 +174,14 @@
   TestGateway sender(context, "a");
   Fleet fleet;
   gateway::Dispatcher dispatcher(context, DefaultClock());
+  core::CrashCauses crash_causes;
   const asio::ip::udp::endpoint endpoint(asio::ip::make_address_v4("127.0.0.1"),
                                          static_cast<std::uint16_t>(testing::FreePort()));
   std::vector<core::ListNews> received;
   const std::unique_ptr<LoadExchange> receiver =
       std::move(LoadExchange::Create(
-                    context, DefaultClock(), fleet, dispatcher, "b", endpoint, [] {}, [] {},
-                    [&](const core::ListNews& news) { received.push_back(news); })
+                    context, DefaultClock(), fleet, dispatcher, crash_causes, "b", endpoint, [] {},
+                    [] {}, [&](const core::ListNews& news) { received.push_back(news); })
                     .value());
   sender.exchange->SetPeers({{"b", endpoint}});
   core::ListNews news;
--- a/wire/gen-cpp/rattanramp_types.cpp
+++ b/wire/gen-cpp/rattanramp_types.cpp
@@ -6384,6 +6384,324 @@
 }
 
 
+GatewayStartLoss::~GatewayStartLoss() noexcept {
+}
+
+
+void GatewayStartLoss::__set_upstream_key(const int64_t val) {
+  this->upstream_key = val;
+}
+
+void GatewayStartLoss::__set_content(const int64_t val) {
+  this->content = val;
+}
+
+void GatewayStartLoss::__set_parts(const std::vector<int64_t> & val) {
+  this->parts = val;
+}
+
+void GatewayStartLoss::__set_age_ms(const int64_t val) {
+  this->age_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const GatewayStartLoss& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t GatewayStartLoss::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_upstream_key = false;
+  bool isset_content = false;
+  bool isset_parts = false;
+  bool isset_age_ms = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->upstream_key);
+          isset_upstream_key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->content);
+          isset_content = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->parts.clear();
+            uint32_t _size175;
+            ::apache::thrift::protocol::TType _etype178;
+            xfer += iprot->readListBegin(_etype178, _size175);
+            this->parts.resize(_size175);
+            uint32_t _i179;
+            for (_i179 = 0; _i179 < _size175; ++_i179)
+            {
+              xfer += iprot->readI64(this->parts[_i179]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_parts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->age_ms);
+          isset_age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_upstream_key)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_content)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_parts)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_age_ms)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t GatewayStartLoss::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("GatewayStartLoss");
+
+  xfer += oprot->writeFieldBegin("upstream_key", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->upstream_key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("content", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->content);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->parts.size()));
+    std::vector<int64_t> ::const_iterator _iter180;
+    for (_iter180 = this->parts.begin(); _iter180 != this->parts.end(); ++_iter180)
+    {
+      xfer += oprot->writeI64((*_iter180));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(GatewayStartLoss &a, GatewayStartLoss &b) {
+  using ::std::swap;
+  swap(a.upstream_key, b.upstream_key);
+  swap(a.content, b.content);
+  swap(a.parts, b.parts);
+  swap(a.age_ms, b.age_ms);
+}
+
+GatewayStartLoss::GatewayStartLoss(const GatewayStartLoss& other181) {
+  upstream_key = other181.upstream_key;
+  content = other181.content;
+  parts = other181.parts;
+  age_ms = other181.age_ms;
+}
+GatewayStartLoss::GatewayStartLoss(GatewayStartLoss&& other182) noexcept {
+  upstream_key = other182.upstream_key;
+  content = other182.content;
+  parts = std::move(other182.parts);
+  age_ms = other182.age_ms;
+}
+GatewayStartLoss& GatewayStartLoss::operator=(const GatewayStartLoss& other183) {
+  upstream_key = other183.upstream_key;
+  content = other183.content;
+  parts = other183.parts;
+  age_ms = other183.age_ms;
+  return *this;
+}
+GatewayStartLoss& GatewayStartLoss::operator=(GatewayStartLoss&& other184) noexcept {
+  upstream_key = other184.upstream_key;
+  content = other184.content;
+  parts = std::move(other184.parts);
+  age_ms = other184.age_ms;
+  return *this;
+}
+void GatewayStartLoss::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "GatewayStartLoss(";
+  out << "upstream_key=" << to_string(upstream_key);
+  out << ", " << "content=" << to_string(content);
+  out << ", " << "parts=" << to_string(parts);
+  out << ", " << "age_ms=" << to_string(age_ms);
+  out << ")";
+}
+
+
+GatewayAnsweredPart::~GatewayAnsweredPart() noexcept {
+}
+
+
+void GatewayAnsweredPart::__set_part(const int64_t val) {
+  this->part = val;
+}
+
+void GatewayAnsweredPart::__set_age_ms(const int64_t val) {
+  this->age_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const GatewayAnsweredPart& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t GatewayAnsweredPart::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_part = false;
+  bool isset_age_ms = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->part);
+          isset_part = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->age_ms);
+          isset_age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_part)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_age_ms)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t GatewayAnsweredPart::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("GatewayAnsweredPart");
+
+  xfer += oprot->writeFieldBegin("part", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->part);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(GatewayAnsweredPart &a, GatewayAnsweredPart &b) {
+  using ::std::swap;
+  swap(a.part, b.part);
+  swap(a.age_ms, b.age_ms);
+}
+
+GatewayAnsweredPart::GatewayAnsweredPart(const GatewayAnsweredPart& other185) noexcept {
+  part = other185.part;
+  age_ms = other185.age_ms;
+}
+GatewayAnsweredPart::GatewayAnsweredPart(GatewayAnsweredPart&& other186) noexcept {
+  part = other186.part;
+  age_ms = other186.age_ms;
+}
+GatewayAnsweredPart& GatewayAnsweredPart::operator=(const GatewayAnsweredPart& other187) noexcept {
+  part = other187.part;
+  age_ms = other187.age_ms;
+  return *this;
+}
+GatewayAnsweredPart& GatewayAnsweredPart::operator=(GatewayAnsweredPart&& other188) noexcept {
+  part = other188.part;
+  age_ms = other188.age_ms;
+  return *this;
+}
+void GatewayAnsweredPart::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "GatewayAnsweredPart(";
+  out << "part=" << to_string(part);
+  out << ", " << "age_ms=" << to_string(age_ms);
+  out << ")";
+}
+
+
 GatewayLoad::~GatewayLoad() noexcept {
 }
 
@@ -6416,6 +6734,16 @@
   this->list_news = val;
 __isset.list_news = true;
 }
+
+void GatewayLoad::__set_start_losses(const std::vector<GatewayStartLoss> & val) {
+  this->start_losses = val;
+__isset.start_losses = true;
+}
+
+void GatewayLoad::__set_answered_parts(const std::vector<GatewayAnsweredPart> & val) {
+  this->answered_parts = val;
+__isset.answered_parts = true;
+}
 std::ostream& operator<<(std::ostream& out, const GatewayLoad& obj)
 {
   obj.printTo(out);
@@ -6470,14 +6798,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->upstreams.clear();
-            uint32_t _size175;
-            ::apache::thrift::protocol::TType _etype178;
-            xfer += iprot->readListBegin(_etype178, _size175);
-            this->upstreams.resize(_size175);
-            uint32_t _i179;
-            for (_i179 = 0; _i179 < _size175; ++_i179)
+            uint32_t _size189;
+            ::apache::thrift::protocol::TType _etype192;
+            xfer += iprot->readListBegin(_etype192, _size189);
+            this->upstreams.resize(_size189);
+            uint32_t _i193;
+            for (_i193 = 0; _i193 < _size189; ++_i193)
             {
-              xfer += this->upstreams[_i179].read(iprot);
+              xfer += this->upstreams[_i193].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6490,17 +6818,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->waiting_tokens.clear();
-            uint32_t _size180;
-            ::apache::thrift::protocol::TType _ktype181;
-            ::apache::thrift::protocol::TType _vtype182;
-            xfer += iprot->readMapBegin(_ktype181, _vtype182, _size180);
-            uint32_t _i184;
-            for (_i184 = 0; _i184 < _size180; ++_i184)
+            uint32_t _size194;
+            ::apache::thrift::protocol::TType _ktype195;
+            ::apache::thrift::protocol::TType _vtype196;
+            xfer += iprot->readMapBegin(_ktype195, _vtype196, _size194);
+            uint32_t _i198;
+            for (_i198 = 0; _i198 < _size194; ++_i198)
             {
-              std::string _key185;
-              xfer += iprot->readString(_key185);
-              int64_t& _val186 = this->waiting_tokens[_key185];
-              xfer += iprot->readI64(_val186);
+              std::string _key199;
+              xfer += iprot->readString(_key199);
+              int64_t& _val200 = this->waiting_tokens[_key199];
+              xfer += iprot->readI64(_val200);
             }
             xfer += iprot->readMapEnd();
           }
@@ -6513,17 +6841,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->late_waiting_tokens.clear();
-            uint32_t _size187;
-            ::apache::thrift::protocol::TType _ktype188;
-            ::apache::thrift::protocol::TType _vtype189;
-            xfer += iprot->readMapBegin(_ktype188, _vtype189, _size187);
-            uint32_t _i191;
-            for (_i191 = 0; _i191 < _size187; ++_i191)
+            uint32_t _size201;
+            ::apache::thrift::protocol::TType _ktype202;
+            ::apache::thrift::protocol::TType _vtype203;
+            xfer += iprot->readMapBegin(_ktype202, _vtype203, _size201);
+            uint32_t _i205;
+            for (_i205 = 0; _i205 < _size201; ++_i205)
             {
-              std::string _key192;
-              xfer += iprot->readString(_key192);
-              int64_t& _val193 = this->late_waiting_tokens[_key192];
-              xfer += iprot->readI64(_val193);
+              std::string _key206;
+              xfer += iprot->readString(_key206);
+              int64_t& _val207 = this->late_waiting_tokens[_key206];
+              xfer += iprot->readI64(_val207);
             }
             xfer += iprot->readMapEnd();
           }
@@ -6536,14 +6864,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->withheld_upstreams.clear();
-            uint32_t _size194;
-            ::apache::thrift::protocol::TType _etype197;
-            xfer += iprot->readListBegin(_etype197, _size194);
-            this->withheld_upstreams.resize(_size194);
-            uint32_t _i198;
-            for (_i198 = 0; _i198 < _size194; ++_i198)
+            uint32_t _size208;
+            ::apache::thrift::protocol::TType _etype211;
+            xfer += iprot->readListBegin(_etype211, _size208);
+            this->withheld_upstreams.resize(_size208);
+            uint32_t _i212;
+            for (_i212 = 0; _i212 < _size208; ++_i212)
             {
-              xfer += iprot->readI64(this->withheld_upstreams[_i198]);
+              xfer += iprot->readI64(this->withheld_upstreams[_i212]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6560,6 +6888,46 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->start_losses.clear();
+            uint32_t _size213;
+            ::apache::thrift::protocol::TType _etype216;
+            xfer += iprot->readListBegin(_etype216, _size213);
+            this->start_losses.resize(_size213);
+            uint32_t _i217;
+            for (_i217 = 0; _i217 < _size213; ++_i217)
+            {
+              xfer += this->start_losses[_i217].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.start_losses = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->answered_parts.clear();
+            uint32_t _size218;
+            ::apache::thrift::protocol::TType _etype221;
+            xfer += iprot->readListBegin(_etype221, _size218);
+            this->answered_parts.resize(_size218);
+            uint32_t _i222;
+            for (_i222 = 0; _i222 < _size218; ++_i222)
+            {
+              xfer += this->answered_parts[_i222].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.answered_parts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6600,10 +6968,10 @@
   xfer += oprot->writeFieldBegin("upstreams", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->upstreams.size()));
-    std::vector<GatewayUpstreamLoad> ::const_iterator _iter199;
-    for (_iter199 = this->upstreams.begin(); _iter199 != this->upstreams.end(); ++_iter199)
+    std::vector<GatewayUpstreamLoad> ::const_iterator _iter223;
+    for (_iter223 = this->upstreams.begin(); _iter223 != this->upstreams.end(); ++_iter223)
     {
-      xfer += (*_iter199).write(oprot);
+      xfer += (*_iter223).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6612,11 +6980,11 @@
   xfer += oprot->writeFieldBegin("waiting_tokens", ::apache::thrift::protocol::T_MAP, 4);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->waiting_tokens.size()));
-    std::map<std::string, int64_t> ::const_iterator _iter200;
-    for (_iter200 = this->waiting_tokens.begin(); _iter200 != this->waiting_tokens.end(); ++_iter200)
+    std::map<std::string, int64_t> ::const_iterator _iter224;
+    for (_iter224 = this->waiting_tokens.begin(); _iter224 != this->waiting_tokens.end(); ++_iter224)
     {
-      xfer += oprot->writeString(_iter200->first);
-      xfer += oprot->writeI64(_iter200->second);
+      xfer += oprot->writeString(_iter224->first);
+      xfer += oprot->writeI64(_iter224->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -6625,11 +6993,11 @@
   xfer += oprot->writeFieldBegin("late_waiting_tokens", ::apache::thrift::protocol::T_MAP, 5);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->late_waiting_tokens.size()));
-    std::map<std::string, int64_t> ::const_iterator _iter201;
-    for (_iter201 = this->late_waiting_tokens.begin(); _iter201 != this->late_waiting_tokens.end(); ++_iter201)
+    std::map<std::string, int64_t> ::const_iterator _iter225;
+    for (_iter225 = this->late_waiting_tokens.begin(); _iter225 != this->late_waiting_tokens.end(); ++_iter225)
     {
-      xfer += oprot->writeString(_iter201->first);
-      xfer += oprot->writeI64(_iter201->second);
+      xfer += oprot->writeString(_iter225->first);
+      xfer += oprot->writeI64(_iter225->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -6638,10 +7006,10 @@
   xfer += oprot->writeFieldBegin("withheld_upstreams", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->withheld_upstreams.size()));
-    std::vector<int64_t> ::const_iterator _iter202;
-    for (_iter202 = this->withheld_upstreams.begin(); _iter202 != this->withheld_upstreams.end(); ++_iter202)
+    std::vector<int64_t> ::const_iterator _iter226;
+    for (_iter226 = this->withheld_upstreams.begin(); _iter226 != this->withheld_upstreams.end(); ++_iter226)
     {
-      xfer += oprot->writeI64((*_iter202));
+      xfer += oprot->writeI64((*_iter226));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6652,6 +7020,32 @@
     xfer += this->list_news.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.start_losses) {
+    xfer += oprot->writeFieldBegin("start_losses", ::apache::thrift::protocol::T_LIST, 8);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->start_losses.size()));
+      std::vector<GatewayStartLoss> ::const_iterator _iter227;
+      for (_iter227 = this->start_losses.begin(); _iter227 != this->start_losses.end(); ++_iter227)
+      {
+        xfer += (*_iter227).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.answered_parts) {
+    xfer += oprot->writeFieldBegin("answered_parts", ::apache::thrift::protocol::T_LIST, 9);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->answered_parts.size()));
+      std::vector<GatewayAnsweredPart> ::const_iterator _iter228;
+      for (_iter228 = this->answered_parts.begin(); _iter228 != this->answered_parts.end(); ++_iter228)
+      {
+        xfer += (*_iter228).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6666,49 +7060,59 @@
   swap(a.late_waiting_tokens, b.late_waiting_tokens);
   swap(a.withheld_upstreams, b.withheld_upstreams);
   swap(a.list_news, b.list_news);
+  swap(a.start_losses, b.start_losses);
+  swap(a.answered_parts, b.answered_parts);
   swap(a.__isset, b.__isset);
 }
 
-GatewayLoad::GatewayLoad(const GatewayLoad& other203) {
-  gateway = other203.gateway;
-  sequence = other203.sequence;
-  upstreams = other203.upstreams;
-  waiting_tokens = other203.waiting_tokens;
-  late_waiting_tokens = other203.late_waiting_tokens;
-  withheld_upstreams = other203.withheld_upstreams;
-  list_news = other203.list_news;
-  __isset = other203.__isset;
-}
-GatewayLoad::GatewayLoad(GatewayLoad&& other204) noexcept {
-  gateway = std::move(other204.gateway);
-  sequence = other204.sequence;
-  upstreams = std::move(other204.upstreams);
-  waiting_tokens = std::move(other204.waiting_tokens);
-  late_waiting_tokens = std::move(other204.late_waiting_tokens);
-  withheld_upstreams = std::move(other204.withheld_upstreams);
-  list_news = std::move(other204.list_news);
-  __isset = other204.__isset;
-}
-GatewayLoad& GatewayLoad::operator=(const GatewayLoad& other205) {
-  gateway = other205.gateway;
-  sequence = other205.sequence;
-  upstreams = other205.upstreams;
-  waiting_tokens = other205.waiting_tokens;
-  late_waiting_tokens = other205.late_waiting_tokens;
-  withheld_upstreams = other205.withheld_upstreams;
-  list_news = other205.list_news;
-  __isset = other205.__isset;
+GatewayLoad::GatewayLoad(const GatewayLoad& other229) {
+  gateway = other229.gateway;
+  sequence = other229.sequence;
+  upstreams = other229.upstreams;
+  waiting_tokens = other229.waiting_tokens;
+  late_waiting_tokens = other229.late_waiting_tokens;
+  withheld_upstreams = other229.withheld_upstreams;
+  list_news = other229.list_news;
+  start_losses = other229.start_losses;
+  answered_parts = other229.answered_parts;
+  __isset = other229.__isset;
+}
+GatewayLoad::GatewayLoad(GatewayLoad&& other230) noexcept {
+  gateway = std::move(other230.gateway);
+  sequence = other230.sequence;
+  upstreams = std::move(other230.upstreams);
+  waiting_tokens = std::move(other230.waiting_tokens);
+  late_waiting_tokens = std::move(other230.late_waiting_tokens);
+  withheld_upstreams = std::move(other230.withheld_upstreams);
+  list_news = std::move(other230.list_news);
+  start_losses = std::move(other230.start_losses);
+  answered_parts = std::move(other230.answered_parts);
+  __isset = other230.__isset;
+}
+GatewayLoad& GatewayLoad::operator=(const GatewayLoad& other231) {
+  gateway = other231.gateway;
+  sequence = other231.sequence;
+  upstreams = other231.upstreams;
+  waiting_tokens = other231.waiting_tokens;
+  late_waiting_tokens = other231.late_waiting_tokens;
+  withheld_upstreams = other231.withheld_upstreams;
+  list_news = other231.list_news;
+  start_losses = other231.start_losses;
+  answered_parts = other231.answered_parts;
+  __isset = other231.__isset;
   return *this;
 }
-GatewayLoad& GatewayLoad::operator=(GatewayLoad&& other206) noexcept {
-  gateway = std::move(other206.gateway);
-  sequence = other206.sequence;
-  upstreams = std::move(other206.upstreams);
-  waiting_tokens = std::move(other206.waiting_tokens);
-  late_waiting_tokens = std::move(other206.late_waiting_tokens);
-  withheld_upstreams = std::move(other206.withheld_upstreams);
-  list_news = std::move(other206.list_news);
-  __isset = other206.__isset;
+GatewayLoad& GatewayLoad::operator=(GatewayLoad&& other232) noexcept {
+  gateway = std::move(other232.gateway);
+  sequence = other232.sequence;
+  upstreams = std::move(other232.upstreams);
+  waiting_tokens = std::move(other232.waiting_tokens);
+  late_waiting_tokens = std::move(other232.late_waiting_tokens);
+  withheld_upstreams = std::move(other232.withheld_upstreams);
+  list_news = std::move(other232.list_news);
+  start_losses = std::move(other232.start_losses);
+  answered_parts = std::move(other232.answered_parts);
+  __isset = other232.__isset;
   return *this;
 }
 void GatewayLoad::printTo(std::ostream& out) const {
@@ -6721,6 +7125,8 @@
   out << ", " << "late_waiting_tokens=" << to_string(late_waiting_tokens);
   out << ", " << "withheld_upstreams=" << to_string(withheld_upstreams);
   out << ", " << "list_news="; (__isset.list_news ? (out << to_string(list_news)) : (out << "<null>"));
+  out << ", " << "start_losses="; (__isset.start_losses ? (out << to_string(start_losses)) : (out << "<null>"));
+  out << ", " << "answered_parts="; (__isset.answered_parts ? (out << to_string(answered_parts)) : (out << "<null>"));
   out << ")";
 }
 
--- a/wire/gen-cpp/rattanramp_types.h
+++ b/wire/gen-cpp/rattanramp_types.h
@@ -184,6 +184,10 @@
 
 class GatewayListNews;
 
+class GatewayStartLoss;
+
+class GatewayAnsweredPart;
+
 class GatewayLoad;
 
 typedef struct _Hello__isset {
@@ -2510,9 +2514,124 @@
 
 std::ostream& operator<<(std::ostream& out, const GatewayListNews& obj);
 
+
+/**
+ * A request that was lost with its upstream before the upstream had shown that it can answer it.
+ */
+class GatewayStartLoss : public virtual ::apache::thrift::TBase {
+ public:
+
+  GatewayStartLoss(const GatewayStartLoss&);
+  GatewayStartLoss(GatewayStartLoss&&) noexcept;
+  GatewayStartLoss& operator=(const GatewayStartLoss&);
+  GatewayStartLoss& operator=(GatewayStartLoss&&) noexcept;
+  GatewayStartLoss() noexcept
+                   : upstream_key(0),
+                     content(0),
+                     age_ms(0) {
+  }
+
+  virtual ~GatewayStartLoss() noexcept;
+  int64_t upstream_key;
+  /**
+   * Hash of the request's content.
+   */
+  int64_t content;
+  /**
+   * Hashes of the parts of its prompt but the last, in the order of the prompt.
+   */
+  std::vector<int64_t>  parts;
+  int64_t age_ms;
+
+  void __set_upstream_key(const int64_t val);
+
+  void __set_content(const int64_t val);
+
+  void __set_parts(const std::vector<int64_t> & val);
+
+  void __set_age_ms(const int64_t val);
+
+  bool operator == (const GatewayStartLoss & rhs) const
+  {
+    if (!(upstream_key == rhs.upstream_key))
+      return false;
+    if (!(content == rhs.content))
+      return false;
+    if (!(parts == rhs.parts))
+      return false;
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const GatewayStartLoss &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const GatewayStartLoss & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(GatewayStartLoss &a, GatewayStartLoss &b);
+
+std::ostream& operator<<(std::ostream& out, const GatewayStartLoss& obj);
+
+
+/**
+ * A part of prompts, and how long ago a request with it was sent that an upstream has answered.
+ */
+class GatewayAnsweredPart : public virtual ::apache::thrift::TBase {
+ public:
+
+  GatewayAnsweredPart(const GatewayAnsweredPart&) noexcept;
+  GatewayAnsweredPart(GatewayAnsweredPart&&) noexcept;
+  GatewayAnsweredPart& operator=(const GatewayAnsweredPart&) noexcept;
+  GatewayAnsweredPart& operator=(GatewayAnsweredPart&&) noexcept;
+  GatewayAnsweredPart() noexcept
+                      : part(0),
+                        age_ms(0) {
+  }
+
+  virtual ~GatewayAnsweredPart() noexcept;
+  int64_t part;
+  int64_t age_ms;
+
+  void __set_part(const int64_t val);
+
+  void __set_age_ms(const int64_t val);
+
+  bool operator == (const GatewayAnsweredPart & rhs) const
+  {
+    if (!(part == rhs.part))
+      return false;
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const GatewayAnsweredPart &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const GatewayAnsweredPart & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(GatewayAnsweredPart &a, GatewayAnsweredPart &b);
+
+std::ostream& operator<<(std::ostream& out, const GatewayAnsweredPart& obj);
+
 typedef struct _GatewayLoad__isset {
-  _GatewayLoad__isset() : list_news(false) {}
+  _GatewayLoad__isset() : list_news(false), start_losses(false), answered_parts(false) {}
   bool list_news :1;
+  bool start_losses :1;
+  bool answered_parts :1;
 } _GatewayLoad__isset;
 
 /**
@@ -2553,6 +2672,11 @@
    * Gateways of earlier versions skip this field.
    */
   GatewayListNews list_news;
+  /**
+   * Evidence about what crashes upstreams. Gateways of earlier versions skip these fields.
+   */
+  std::vector<GatewayStartLoss>  start_losses;
+  std::vector<GatewayAnsweredPart>  answered_parts;
 
   _GatewayLoad__isset __isset;
 
@@ -2570,6 +2694,10 @@
 
   void __set_list_news(const GatewayListNews& val);
 
+  void __set_start_losses(const std::vector<GatewayStartLoss> & val);
+
+  void __set_answered_parts(const std::vector<GatewayAnsweredPart> & val);
+
   bool operator == (const GatewayLoad & rhs) const
   {
     if (!(gateway == rhs.gateway))
@@ -2588,6 +2716,14 @@
       return false;
     else if (__isset.list_news && !(list_news == rhs.list_news))
       return false;
+    if (__isset.start_losses != rhs.__isset.start_losses)
+      return false;
+    else if (__isset.start_losses && !(start_losses == rhs.start_losses))
+      return false;
+    if (__isset.answered_parts != rhs.__isset.answered_parts)
+      return false;
+    else if (__isset.answered_parts && !(answered_parts == rhs.answered_parts))
+      return false;
     return true;
   }
   bool operator != (const GatewayLoad &rhs) const {
--- a/wire/rattanramp.thrift
+++ b/wire/rattanramp.thrift
@@ -298,6 +298,22 @@
   4: required list<string> removed
 }
 
+/** A request that was lost with its upstream before the upstream had shown that it can answer it. */
+struct GatewayStartLoss {
+  1: required i64 upstream_key
+  /** Hash of the request's content. */
+  2: required i64 content
+  /** Hashes of the parts of its prompt but the last, in the order of the prompt. */
+  3: required list<i64> parts
+  4: required i64 age_ms
+}
+
+/** A part of prompts, and how long ago a request with it was sent that an upstream has answered. */
+struct GatewayAnsweredPart {
+  1: required i64 part
+  2: required i64 age_ms
+}
+
 /** Work of one gateway, sent to its peers in one datagram. */
 struct GatewayLoad {
   1: required string gateway
@@ -312,4 +328,7 @@
   6: required list<i64> withheld_upstreams
   /** Gateways of earlier versions skip this field. */
   7: optional GatewayListNews list_news
+  /** Evidence about what crashes upstreams. Gateways of earlier versions skip these fields. */
+  8: optional list<GatewayStartLoss> start_losses
+  9: optional list<GatewayAnsweredPart> answered_parts
 }
