Keep a part blocked when another part ends the same engines

Callers saw requests with a part that was blocked reach engines again as soon as a second such part came, for as long as both did.

Cause: each change of the evidence determined the blocked parts from nothing; the part with more engines explained all losses, and the other one, blocked before, was released, in turn. Found by the soak, which now plays such parts.

Change: a cause that is blocked stays blocked for as long as its own evidence proves it; only new causes are judged by what is left. The soak has parts of prompts that crash the engines (fault crashing_part): sound requests share the first part and that of the caller, no two requests are alike and each comes at another gateway. It checks BUDGET (more than three calls later than 3 s after the fifth crash) and LOST (sound streams begin less than half as often as without such a part).

Conclusion: parts no longer release each other; several parts at once are still found one after the other.

--- a/core/crash_causes.cc
+++ b/core/crash_causes.cc
@@ -167,31 +167,46 @@
   return companions;
 }
 
-/// Moves the blocked causes of one kind into `blocked`, and the upstreams that they explain into
+void Block(const CrashCauses& causes, Cause cause, bool is_content, const Evidence& evidence,
+           TimePoint now, std::map<Cause, BlockedCause>& blocked) {
+  const auto previous = causes.blocked.find(cause);
+  BlockedCause& block = blocked[cause];
+  if (previous != causes.blocked.end()) {
+    block = previous->second;
+  } else {
+    block.since = now;
+    block.next_comparison = now;
+  }
+  block.next_trial = std::max(block.next_trial, evidence.last + kTrialInterval);
+  block.upstreams = evidence.upstreams.size();
+  block.requests = evidence.requests.size();
+  block.is_content = is_content;
+  if (!is_content) {
+    block.companions = CompanionsOf(causes, cause, now);
+  }
+}
+
+/// Adds the blocked causes of one kind to `blocked`, and the upstreams that they explain to
 /// `explained`.
-void Block(const CrashCauses& causes, bool is_content, std::map<Cause, BlockedCause>& blocked,
-           std::set<std::int64_t>& explained, TimePoint now) {
+void BlockKind(const CrashCauses& causes, bool is_content, TimePoint now,
+               std::map<Cause, BlockedCause>& blocked, std::set<std::int64_t>& explained) {
+  // A later block explains nothing of an earlier one: two causes may crash the same upstreams.
+  const EvidenceByCause all = CollectEvidence(causes, is_content, {}, now);
+  for (const auto& [cause, previous] : causes.blocked) {
+    const auto evidence = all.find(cause);
+    if (previous.is_content == is_content && evidence != all.end() &&
+        IsProven(causes, cause, is_content, evidence->second)) {
+      Block(causes, cause, is_content, evidence->second, now, blocked);
+      explained.insert(evidence->second.upstreams.begin(), evidence->second.upstreams.end());
+    }
+  }
   while (true) {
-    const EvidenceByCause evidence = CollectEvidence(causes, is_content, explained, now);
-    const auto best = BestCause(causes, is_content, evidence);
-    if (best == evidence.end()) {
+    const EvidenceByCause rest = CollectEvidence(causes, is_content, explained, now);
+    const auto best = BestCause(causes, is_content, rest);
+    if (best == rest.end()) {
       return;
     }
-    const auto previous = causes.blocked.find(best->first);
-    BlockedCause& block = blocked[best->first];
-    if (previous != causes.blocked.end()) {
-      block = previous->second;
-    } else {
-      block.since = now;
-      block.next_comparison = now;
-    }
-    block.next_trial = std::max(block.next_trial, best->second.last + kTrialInterval);
-    block.upstreams = best->second.upstreams.size();
-    block.requests = best->second.requests.size();
-    block.is_content = is_content;
-    if (!is_content) {
-      block.companions = CompanionsOf(causes, best->first, now);
-    }
+    Block(causes, best->first, is_content, best->second, now, blocked);
     explained.insert(best->second.upstreams.begin(), best->second.upstreams.end());
   }
 }
@@ -315,8 +330,8 @@
   }
   std::map<Cause, BlockedCause> blocked;
   std::set<std::int64_t> explained;
-  Block(causes, /*is_content=*/false, blocked, explained, now);
-  Block(causes, /*is_content=*/true, blocked, explained, now);
+  BlockKind(causes, /*is_content=*/false, now, blocked, explained);
+  BlockKind(causes, /*is_content=*/true, now, blocked, explained);
   causes.blocked = std::move(blocked);
 }
 
--- a/tests/core/crash_causes_test.cc
+++ b/tests/core/crash_causes_test.cc
@@ -89,6 +89,23 @@
   cr_assert(IsRefused(causes, Request(8, {kFirst, kBad, kCaller}), 1'302));
 }
 
+// Guards against two parts that crash the same engines at the same time: each takes the evidence
+// from the other in turn, and both are sent again and again (found by the soak).
+Test(crash_causes, second_part_does_not_release_the_first) {
+  constexpr Cause kSecondBad = 4;
+  CrashCauses causes;
+  core::RecordAnswered(causes, Request(20, {kFirst, kCaller}), At(0));
+  CrashThree(causes, 100);
+  cr_assert(IsRefused(causes, Request(5, {kFirst, kBad, kCaller}), 400));
+  for (std::int64_t i = 0; i < 6; ++i) {
+    Lose(causes, 1 + i, Request(static_cast<Cause>(30 + i), {kFirst, kSecondBad, kCaller}),
+         300 + i);
+    cr_assert(IsRefused(causes, Request(6, {kFirst, kBad, kCaller}), 400 + i));
+  }
+  cr_assert(IsRefused(causes, Request(7, {kFirst, kSecondBad, kCaller}), 500));
+  cr_assert(!IsRefused(causes, Request(8, {kFirst, kCaller}), 500));
+}
+
 // Guards against an outage being blamed on what all requests have in common.
 Test(crash_causes, outage_of_all_engines_blocks_nothing_common) {
   CrashCauses causes;
--- a/tests/soak/site_model.py
+++ b/tests/soak/site_model.py
@@ -117,6 +117,8 @@
             self.upstreams.append(Upstream(self, f"p{i}", "plain", None, 6))
         self.gateways = [Gateway(self, i) for i in range(gateways)]
         self.is_slow = False
+        # Parts of prompts that crash each engine which begins to answer a request with them.
+        self.crashing_parts = set()
         self.config_version = 0
         # (time of the acknowledgement, set of route prefixes) of each configuration version.
         self.configs = []
@@ -165,6 +167,28 @@
         acknowledged = self.store.put("op", "config", config)
         self.configs.append((acknowledged, {r["prefix"] for r in routes}))
 
+    def crashing_part(self, request):
+        """Part of the request's prompt, never the last one, that crashes engines; None without."""
+        parts = request.headers.get("prompt-prefix", "").split(",")[:-1]
+        return next((part for part in (entry.split(":")[0] for entry in parts)
+                     if part in self.crashing_parts), None)
+
+    def crash_by_part(self, upstream, part):
+        if not upstream.is_up:
+            return
+        now = time.monotonic()
+        self.record.part_crashes.setdefault(part, []).append(now)
+        upstream.faults.append([now, math.inf])
+        upstream.crash()
+        asyncio.create_task(self._bring_back(upstream, upstream.faults[-1]))
+
+    async def _bring_back(self, upstream, fault):
+        await asyncio.sleep(self.rng.uniform(1.5, 4))
+        if not upstream.is_up:
+            await upstream.start()
+            upstream.announce()
+        fault[1] = time.monotonic()
+
     def take_handle(self, source, request_id):
         """Removes a KV handle and returns True when it had not expired.
 
--- a/tests/soak/stand_ins.py
+++ b/tests/soak/stand_ins.py
@@ -20,6 +20,8 @@
 # Routes whose work takes one of LONG_WORK_S while site.is_slow is set. The longest outlasts the
 # grace time of a stop.
 LONG_PREFIX = "/long"
+# Time from the head of an answer until a part of the prompt crashes the engine.
+PART_CRASH_S = (0.0, 0.08)
 LONG_WORK_S = (0.3, 1, 3, 10)
 
 
@@ -269,6 +271,11 @@
         await connection.send(h11.Response(status_code=200, headers=[
             *echo, ("Response-Seal", "stream"), ("Content-Type", "text/event-stream"),
             ("Transfer-Encoding", "chunked")]))
+        crashing = self.site.crashing_part(request)
+        if crashing is not None:
+            await asyncio.sleep(random.uniform(*PART_CRASH_S))
+            self.site.crash_by_part(self, crashing)
+            raise ConnectionResetError
         begin = int(request.headers.get("last-event-id", "0")) + 1
         extra_s = self._long_work_s(request) / event_count(request_id)
         for number in range(begin, event_count(request_id) + 1):
