Find parts that crash the same engines together

Callers saw sound requests refused for seconds longer than with one such part, as engines went on ending.

Cause: an engine that one blocked part explains is no evidence against another. With several parts on the same few engines each part was found only after three more engines were lost under it alone.

Change: a part that was never answered is also blocked when six engines were lost under four or more different requests with it that have no blocked part; sound requests are lost with such engines too, but rarely in their first second and never with so many.

Conclusion: parts that come at once are found together.

--- a/core/crash_causes.cc
+++ b/core/crash_causes.cc
@@ -40,6 +40,11 @@
 // Time from the last loss until a blocked cause is tried again.
 constexpr Milliseconds kTrialInterval{300'000};
 
+// The same for a part that was lost with upstreams that another cause explains, but in requests
+// without that cause.
+constexpr std::size_t kMinSharedUpstreams = 6;
+constexpr std::size_t kMinSharedRequests = 4;
+
 struct Evidence {
   std::set<std::int64_t> upstreams;
   std::set<Cause> requests;
@@ -186,6 +191,30 @@
   }
 }
 
+/// Blocks parts that crash the same upstreams as others do at the same time. Sound requests are
+/// lost with those upstreams too, but not with that many of them.
+void BlockConcurrentParts(const CrashCauses& causes, TimePoint now,
+                          std::map<Cause, BlockedCause>& blocked) {
+  const auto is_blocked = [&blocked](Cause part) { return blocked.contains(part); };
+  EvidenceByCause evidence;
+  for (const StartLoss& loss : causes.losses) {
+    const std::vector<Cause>& parts = loss.causes.parts;
+    if (now - loss.at >= kLossLifetime || std::any_of(parts.begin(), parts.end(), is_blocked)) {
+      continue;
+    }
+    for (std::size_t i = 0; i < parts.size(); ++i) {
+      AddLoss(evidence[parts[i]], loss, i);
+    }
+  }
+  for (const auto& [part, found] : evidence) {
+    if (!IsKnown(causes, part) && !IsPrevalent(causes, part) &&
+        found.upstreams.size() >= kMinSharedUpstreams &&
+        found.requests.size() >= kMinSharedRequests) {
+      Block(causes, part, /*is_content=*/false, found, now, blocked);
+    }
+  }
+}
+
 /// Adds the blocked causes of one kind to `blocked`, and the upstreams that they explain to
 /// `explained`.
 void BlockKind(const CrashCauses& causes, bool is_content, TimePoint now,
@@ -331,6 +360,9 @@
   std::map<Cause, BlockedCause> blocked;
   std::set<std::int64_t> explained;
   BlockKind(causes, /*is_content=*/false, now, blocked, explained);
+  if (!blocked.empty()) {
+    BlockConcurrentParts(causes, now, blocked);
+  }
   BlockKind(causes, /*is_content=*/true, now, blocked, explained);
   causes.blocked = std::move(blocked);
 }
--- a/tests/core/crash_causes_test.cc
+++ b/tests/core/crash_causes_test.cc
@@ -106,6 +106,24 @@
   cr_assert(!IsRefused(causes, Request(8, {kFirst, kCaller}), 500));
 }
 
+// Guards against parts that crash the same engines being found one after the other, each after
+// engines were lost that no other part explains (found by the soak).
+Test(crash_causes, parts_that_crash_the_same_engines_are_found_together) {
+  constexpr Cause kOthers[] = {5, 4};
+  CrashCauses causes;
+  core::RecordAnswered(causes, Request(20, {kFirst, kCaller}), At(0));
+  for (std::int64_t i = 0; i < 6; ++i) {
+    for (const Cause part : {kBad, kOthers[0], kOthers[1]}) {
+      Lose(causes, i, Request(100 * part + static_cast<Cause>(i), {kFirst, part, kCaller}),
+           100 + i * 50);
+    }
+  }
+  for (const Cause part : {kBad, kOthers[0], kOthers[1]}) {
+    cr_assert(IsRefused(causes, Request(5, {kFirst, part, kCaller}), 500));
+  }
+  cr_assert(!IsRefused(causes, Request(6, {kFirst, kCaller}), 500));
+}
+
 // Guards against an outage being blamed on what all requests have in common.
 Test(crash_causes, outage_of_all_engines_blocks_nothing_common) {
   CrashCauses causes;
