Show what becomes of cut heads and of requests late in a stop

Change: tests only. Twelve callers that use their connections, and new ones, until a stopping process is gone, with deadlines from 0.4 to 14 s and work of 5 ms to 2.5 s that may run once only: what was passed on is answered and not refused.

--- a/tests/agent/http_engine_test.cc
+++ b/tests/agent/http_engine_test.cc
@@ -2,6 +2,13 @@
 
 #include <criterion/criterion.h>
 
+#include <asio/buffer.hpp>
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/read_until.hpp>
+#include <asio/write.hpp>
+#include <thread>
+
 #include "agent/http_service.h"
 #include "standins/engine_server.h"
 #include "standins/expected_output.h"
@@ -123,3 +130,34 @@
   cr_assert_eq(port->Call(call, control).status, RunStatus::kRefused);
   cr_assert_eq(port->Load().error().kind, ErrorKind::kUnavailable);
 }
+
+// Guards against a call that looks answered although its server stopped in the midst of the head of
+// the answer and closed the connection in an orderly way.
+Test(http_service, cut_head_is_no_answer, .timeout = 60) {
+  using asio::ip::tcp;
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 1600\r\n\r\n";
+  for (std::size_t size = 0; size < head.size(); ++size) {
+    asio::io_context context;
+    tcp::acceptor acceptor(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    std::thread server([&] {
+      tcp::socket socket = acceptor.accept();
+      std::string request;
+      asio::read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n");
+      asio::write(socket, asio::buffer(head.substr(0, size)));
+      socket.shutdown(tcp::socket::shutdown_both);
+    });
+    const std::unique_ptr<HttpService> port =
+        HttpService::Create(UrlOf(acceptor.local_endpoint().port())).value();
+    RunControl control;
+    CallRequest request;
+    request.request_id = "c1";
+    request.method = "POST";
+    request.path = "/claims";
+    request.timeout = Milliseconds(2'000);
+    const CallReply reply = port->Call(request, control);
+    server.join();
+    cr_expect_neq(reply.status, RunStatus::kDone, "answered with status %d after %zu bytes",
+                  reply.http_status, size);
+  }
+}
--- a/tests/gateway/gateway_stop_test.cc
+++ b/tests/gateway/gateway_stop_test.cc
@@ -1,13 +1,18 @@
 #include <criterion/criterion.h>
 
 #include <asio/buffer.hpp>
+#include <asio/completion_condition.hpp>
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/read.hpp>
+#include <asio/read_until.hpp>
 #include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
+#include <atomic>
+#include <set>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include "gateway/gateway.h"
 #include "tests/gateway/fake_engine.h"
@@ -134,6 +139,47 @@
   return answer.starts_with("HTTP/1.1 ") && answer.find('[') == std::string::npos;
 }
 
+struct KeptRequest {
+  std::string id;
+  /// Empty: the connection ended before a whole answer.
+  std::string answer;
+};
+
+/// Sends requests one after the other on one connection until it ends, a new one 20 ms after each
+/// answer.
+std::vector<KeptRequest> CallUntilClosed(const tcp::endpoint& gateway, const std::string& name,
+                                         int deadline_ms) {
+  std::vector<KeptRequest> requests;
+  asio::io_context context;
+  tcp::socket socket(context);
+  std::error_code error;
+  socket.connect(gateway, error);
+  std::string buffer;
+  while (!error) {
+    KeptRequest request{name + "-" + std::to_string(requests.size()), ""};
+    asio::write(socket,
+                asio::buffer("POST /p/x HTTP/1.1\r\nHost: h\r\nRequest-Id: " + request.id +
+                             "\r\nDeadline-Ms: " + std::to_string(deadline_ms) +
+                             "\r\nContent-Length: 0\r\n\r\n"),
+                error);
+    const std::size_t head_size =
+        error ? 0 : asio::read_until(socket, asio::dynamic_buffer(buffer), "\r\n\r\n", error);
+    if (!error) {
+      const std::string head = buffer.substr(0, head_size);
+      const std::string length = tests::FieldOf(head, "Content-Length");
+      const std::size_t size = head_size + static_cast<std::size_t>(std::stoul("0" + length));
+      while (buffer.size() < size && !error) {
+        asio::read(socket, asio::dynamic_buffer(buffer), asio::transfer_exactly(1), error);
+      }
+      request.answer = error ? "" : buffer.substr(0, size);
+      buffer.erase(0, size);
+    }
+    requests.push_back(request);
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+  return requests;
+}
+
 }  // namespace
 
 // Guards against a planned stop that cuts off a request without an answer: it was accepted after
@@ -222,3 +268,88 @@
   cr_expect_gt(ToMs(outcome.stopped_after), 0.0);
   cr_expect_lt(ToMs(outcome.stopped_after), 2'000.0, "%f", ToMs(outcome.stopped_after));
 }
+
+// Guards against a planned stop in calm that takes requests late in the grace time, passes them on
+// and cuts them at its end without an answer, also those that may run once only: callers use their
+// connections until the process is gone.
+Test(gateway_stop, requests_on_kept_connections_are_answered_to_the_end, .timeout = 40) {
+  FakeEngine server([](const std::string& head, int number) -> FakeAnswer {
+    FakeAnswer answer;
+    answer.later = {"HTTP/1.1 200 OK\r\nRequest-Id: " + tests::FieldOf(head, "Request-Id") +
+                    "\r\nResponse-Seal: s\r\nContent-Length: 4\r\n\r\ndone"};
+    // Most answers come at once, some outlast the deadline or the stop.
+    constexpr int kWorkMs[] = {5, 20, 80, 300, 900, 2'500};
+    answer.pause = Milliseconds(kWorkMs[number % 6]);
+    return answer;
+  });
+  std::unique_ptr<asio::io_context> owned_context = std::make_unique<asio::io_context>();
+  asio::io_context& context = *owned_context;
+  tests::FakeTables tables;
+  tables.remove_delay = Milliseconds(300);
+  tables.tables["config"]["c"] = {"c", kConfig, ++tables.version, false};
+  tables.tables["upstreams"]["u"] = {"u",
+                                     R"({"service":"s","addr":"127.0.0.1:)" +
+                                         std::to_string(server.port()) +
+                                         R"(","zone":"domain-a","slots":30,"state":"ready"})",
+                                     ++tables.version, false};
+  gateway::StoreSource source{"config",
+                              "c",
+                              "upstreams",
+                              "gateways",
+                              "orders",
+                              [&]() -> std::unique_ptr<store::AsyncTable> {
+                                return std::make_unique<tests::FakeTable>(context, tables);
+                              }};
+  const gateway::Settings settings = tests::TestSettings();
+  std::unique_ptr<gateway::Gateway> gateway = std::move(
+      gateway::Gateway::Create(context, DefaultClock(), settings, std::move(source)).value());
+  cr_assert(tests::RunUntil(context, [&] { return gateway->is_ready(); }));
+  bool has_stopped = false;
+  gateway->Stop([&] {
+    has_stopped = true;
+    context.stop();
+  });
+  constexpr int kDeadlinesMs[] = {400, 1'000, 3'000, 14'000};
+  std::vector<std::vector<KeptRequest>> results(12);
+  std::vector<std::thread> callers;
+  std::atomic<int> running = 0;
+  for (std::size_t i = 0; i < results.size(); ++i) {
+    ++running;
+    callers.emplace_back([&, i] {
+      // The first three seconds are those in which the balancer still sends connections.
+      const TimePoint end = DefaultClock().now() + Milliseconds(9'000);
+      for (int n = 0; DefaultClock().now() < end; ++n) {
+        const std::vector<KeptRequest> requests =
+            CallUntilClosed(settings.callers, "r" + std::to_string(i) + "-" + std::to_string(n),
+                            kDeadlinesMs[i % 4]);
+        results[i].insert(results[i].end(), requests.begin(), requests.end());
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+      }
+      --running;
+    });
+  }
+  context.restart();
+  context.run_for(Milliseconds(9'000));
+  gateway.reset();
+  owned_context.reset();
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  cr_assert(has_stopped);
+  std::set<std::string> passed_on;
+  for (const std::string& head : server.heads()) {
+    passed_on.insert(tests::FieldOf(head, "Request-Id"));
+  }
+  int answered = 0;
+  for (const std::vector<KeptRequest>& requests : results) {
+    for (const KeptRequest& request : requests) {
+      const bool is_refusal = request.answer.starts_with("HTTP/1.1 503");
+      const bool was_sent = passed_on.contains(request.id);
+      cr_expect(!was_sent || !request.answer.empty(), "%s was passed on and got no answer",
+                request.id.c_str());
+      cr_expect(!was_sent || !is_refusal, "%s was passed on and refused", request.id.c_str());
+      answered += request.answer.empty() ? 0 : 1;
+    }
+  }
+  cr_expect_gt(answered, 50);
+}
