Block no sound part for a few of the many engines that end at once

Cause: after a start nothing is known to have been answered, and in an outage any part is lost with some engines.

Change: a cause is newly blocked only if the upstreams lost with it are at least a quarter of those that were lost within 250 ms of its losses and that no blocked cause explains.

--- a/core/crash_causes.cc
+++ b/core/crash_causes.cc
@@ -45,7 +45,13 @@
 constexpr std::size_t kMinSharedUpstreams = 6;
 constexpr std::size_t kMinSharedRequests = 4;
 
+// Part of the upstreams that were lost at about the same times which must have been lost with the
+// cause. A sound request is lost with a few of the many upstreams that end at once in an outage.
+constexpr std::size_t kMinShareDivisor = 4;
+constexpr Milliseconds kCoincidence{250};
+
 struct Evidence {
+  std::vector<TimePoint> times;
   std::set<std::int64_t> upstreams;
   std::set<Cause> requests;
   TimePoint first = TimePoint::max();
@@ -55,6 +61,7 @@
 };
 
 void AddLoss(Evidence& evidence, const StartLoss& loss, std::size_t depth) {
+  evidence.times.push_back(loss.at);
   evidence.upstreams.insert(loss.upstream);
   evidence.requests.insert(loss.causes.content);
   evidence.first = std::min(evidence.first, loss.at);
@@ -105,6 +112,23 @@
          (!is_known || OtherAnswersSince(causes, cause, evidence.first) >= kMinOtherAnswers);
 }
 
+/// Whether the upstreams that were lost with the cause are a large part of those that were lost at
+/// about the same times and that no blocked cause explains.
+bool StandsOut(const CrashCauses& causes, const Evidence& evidence,
+               const std::set<std::int64_t>& explained) {
+  std::set<std::int64_t> lost;
+  for (const StartLoss& loss : causes.losses) {
+    const bool coincides =
+        std::any_of(evidence.times.begin(), evidence.times.end(), [&loss](TimePoint time) {
+          return loss.at - time <= kCoincidence && time - loss.at <= kCoincidence;
+        });
+    if (coincides && !explained.contains(loss.upstream)) {
+      lost.insert(loss.upstream);
+    }
+  }
+  return evidence.upstreams.size() * kMinShareDivisor >= lost.size();
+}
+
 using EvidenceByCause = std::map<Cause, Evidence>;
 
 /// Evidence against each part, or against each content, at the upstreams that no blocked cause
@@ -135,7 +159,8 @@
 /// The cause that explains the losses best: one that was never answered before one that was, and
 /// the part that is deepest in the prompts, which the fewest sound requests have.
 EvidenceByCause::const_iterator BestCause(const CrashCauses& causes, bool is_content,
-                                          const EvidenceByCause& evidence) {
+                                          const EvidenceByCause& evidence,
+                                          const std::set<std::int64_t>& explained) {
   const auto rank = [&](const auto& entry) {
     return std::tuple(!IsKnown(causes, entry.first), entry.second.depth,
                       entry.second.upstreams.size(), entry.first);
@@ -143,7 +168,8 @@
   EvidenceByCause::const_iterator best = evidence.end();
   for (auto entry = evidence.begin(); entry != evidence.end(); ++entry) {
     if (IsProven(causes, entry->first, is_content, entry->second) &&
-        (best == evidence.end() || rank(*entry) > rank(*best))) {
+        (best == evidence.end() || rank(*entry) > rank(*best)) &&
+        StandsOut(causes, entry->second, explained)) {
       best = entry;
     }
   }
@@ -231,7 +257,7 @@
   }
   while (true) {
     const EvidenceByCause rest = CollectEvidence(causes, is_content, explained, now);
-    const auto best = BestCause(causes, is_content, rest);
+    const auto best = BestCause(causes, is_content, rest, explained);
     if (best == rest.end()) {
       return;
     }
--- a/tests/core/crash_causes_test.cc
+++ b/tests/core/crash_causes_test.cc
@@ -148,6 +148,29 @@
   cr_assert(!IsRefused(started, Request(99, {kFirst, 300}), 9'000));
 }
 
+// Guards against blocking a sound part for which nothing has been answered yet, after a start,
+// because some of many engines that ended at once ran requests with it.
+Test(crash_causes, few_engines_of_an_outage_are_no_evidence) {
+  constexpr Cause kRare = 9;
+  CrashCauses causes;
+  for (std::int64_t i = 0; i < 14; ++i) {
+    Lose(causes, i, Request(static_cast<Cause>(i), {100 + static_cast<Cause>(i)}), 100 + i);
+  }
+  Lose(causes, 1, Request(50, {kRare}), 105);
+  Lose(causes, 2, Request(50, {kRare}), 110);
+  Lose(causes, 3, Request(51, {kRare}), 112);
+  cr_assert(!IsRefused(causes, Request(52, {kRare}), 200));
+  cr_assert(!IsRefused(causes, Request(50, {kRare}), 200));
+  // A part that crashes engines is found in spite of such an outage at the same time.
+  Lose(causes, 20, Request(60, {kFirst, kBad}), 100);
+  Lose(causes, 21, Request(60, {kFirst, kBad}), 160);
+  Lose(causes, 22, Request(61, {kFirst, kBad}), 500);
+  Lose(causes, 23, Request(61, {kFirst, kBad}), 560);
+  Lose(causes, 24, Request(62, {kFirst, kBad}), 900);
+  cr_assert(IsRefused(causes, Request(63, {kFirst, kBad}), 1'000));
+  cr_assert(!IsRefused(causes, Request(53, {kRare}), 1'000));
+}
+
 // Guards against one request that meets several engines that end for other reasons, with its
 // repeats, being taken for several requests with the same part.
 Test(crash_causes, repeats_of_one_request_are_no_evidence_against_its_parts) {
