Send nothing new to servers that say that they leave or want a pause

Cause: nothing read Server-Leaving, nor Retry-After in a server's 503.

Change: both are decoded from each answer that belongs to a request (also to a prefill or an order; not from 421, a late extra answer or a contradictory head). Leaving belongs to the incarnation and is never reset: not by the list, nor when an older list brings the entry back. Idle connections are closed, the peers are told with the next report. A pause holds for this gateway to its latest end, at most an hour; odd values are none. Such servers take no placement, no decode after a prefill, no order, and nothing that was still connecting. When all servers of a service pause, plain requests wait if the pause ends before their target, generations if it ends before their caller leaves; the others are refused with the rest of the pause as Retry-After.

Conclusion: the two signals are obeyed at this gateway.

--- a/core/request_facts.h
+++ b/core/request_facts.h
@@ -45,6 +45,10 @@
   bool is_encoded = false;
   /// The body is a stream of events. Assumed if the upstream does not state a type.
   bool is_event_stream = true;
+  /// The upstream takes no new requests any more and will exit.
+  bool is_leaving = false;
+  /// Time for which the upstream wants no requests from this process, in ms; absent if not stated.
+  std::optional<std::int64_t> pause_ms;
   /// Time for which the upstream keeps an idle connection open, in ms; absent if not stated.
   std::optional<std::int64_t> idle_timeout_ms;
 };
--- a/gateway/attempt.cc
+++ b/gateway/attempt.cc
@@ -80,6 +80,7 @@
     return false;
   }
   facts_ = facts;
+  RecordOwnStatement(*upstream_, facts, clock_.now());
   TimeSilence(plan_.read_timeout);
   listener_.OnAnswerHead(head, facts);
   return true;
--- a/gateway/attempt.h
+++ b/gateway/attempt.h
@@ -91,7 +91,11 @@
   const std::shared_ptr<http::ClientConnection>& connection() const {
     return upstream_connection_.connection;
   }
-  bool MaySend() override { return clock_.now() <= plan_.send_before; }
+  /// While the connection was made, the upstream may have said elsewhere that it leaves or pauses.
+  bool MaySend() override {
+    const TimePoint now = clock_.now();
+    return now <= plan_.send_before && !upstream_->is_leaving && now >= upstream_->paused_until;
+  }
   bool OnHead(const http::ResponseHead& head) override;
   void OnBody(std::string_view bytes) override;
   void OnComplete(bool is_reusable) override;
--- a/gateway/fleet.cc
+++ b/gateway/fleet.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "base/hash.h"
+#include "base/log.h"
 
 namespace rattanramp::gateway {
 namespace {
@@ -25,6 +26,9 @@
 // a connection, and one new connection in 256 requests.
 constexpr std::size_t kMaxRequestsPerConnection = 256;
 
+// Upstreams that have left and are remembered.
+constexpr std::size_t kMaxLeft = 4'096;
+
 asio::ip::tcp::endpoint EndpointOf(const core::UpstreamInfo& info) {
   // The decoder of the upstream list has already validated the address.
   return {asio::ip::make_address_v4(info.address), info.port};
@@ -36,6 +40,29 @@
   return SignedHash64(info.id, static_cast<std::uint64_t>(info.started_unix_ms));
 }
 
+bool IsClosed(const Upstream& upstream, TimePoint now) {
+  return upstream.is_removed || upstream.info.is_draining || upstream.is_excluded ||
+         upstream.is_leaving || now < upstream.paused_until;
+}
+
+void RecordOwnStatement(Upstream& upstream, const core::AnswerFacts& facts, TimePoint now) {
+  if (facts.pause_ms) {
+    if (upstream.paused_until <= now) {
+      Log(LogLevel::kInfo, "upstream_pauses",
+          {{"upstream", upstream.info.id}, {"pause_ms", *facts.pause_ms}});
+    }
+    upstream.paused_until = std::max(upstream.paused_until, now + Milliseconds(*facts.pause_ms));
+  }
+  if (!facts.is_leaving || std::exchange(upstream.is_leaving, true)) {
+    return;
+  }
+  Log(LogLevel::kInfo, "upstream_leaves", {{"upstream", upstream.info.id}});
+  for (IdleConnection& idle : upstream.idle) {
+    idle.upstream_connection.connection->Close();
+  }
+  upstream.idle.clear();
+}
+
 void Fleet::Apply(const core::DirectoryChange& change) {
   for (const core::UpstreamInfo& info : change.removed) {
     Remove(info.id);
@@ -81,7 +108,7 @@
     if (domain == domains.end()) {
       domains.push_back(info.failure_domain);
     }
-    const bool may_be_used = !info.is_draining && !upstream->is_excluded &&
+    const bool may_be_used = !IsClosed(*upstream, now) &&
                              std::find(tried.begin(), tried.end(), upstream->key) == tried.end();
     candidate.is_backing_off = may_be_used && core::IsBackingOff(upstream->health, now);
     candidate.back_off_until = upstream->health.back_off_until;
@@ -150,9 +177,30 @@
   for (const auto& [key, until] : local_exclusions_) {
     keys.push_back(key);
   }
+  for (const auto& [id, upstream] : by_id_) {
+    if (upstream->is_leaving && !local_exclusions_.contains(upstream->key)) {
+      keys.push_back(upstream->key);
+    }
+  }
   return keys;
 }
 
+std::optional<TimePoint> Fleet::PausedUntil(std::string_view service, core::UpstreamStage stage,
+                                            TimePoint now) const {
+  std::optional<TimePoint> earliest;
+  for (const std::shared_ptr<Upstream>& upstream : OfService(service)) {
+    if (upstream->info.stage != stage || upstream->info.is_draining || upstream->is_leaving ||
+        upstream->is_excluded) {
+      continue;
+    }
+    if (upstream->paused_until <= now) {
+      return std::nullopt;
+    }
+    earliest = std::min(earliest.value_or(TimePoint::max()), upstream->paused_until);
+  }
+  return earliest;
+}
+
 const Upstream* Fleet::Find(std::int64_t key) const {
   const auto found = by_key_.find(key);
   return found == by_key_.end() ? nullptr : found->second.get();
@@ -187,6 +235,7 @@
   upstream->info = info;
   upstream->endpoint = EndpointOf(info);
   upstream->key = KeyOf(info);
+  upstream->is_leaving = left_.contains(upstream->key);
   by_service_[info.service].push_back(upstream);
   by_key_[upstream->key] = upstream;
   by_id_[info.id] = upstream;
@@ -200,6 +249,12 @@
   }
   std::shared_ptr<Upstream> upstream = found->second;
   upstream->is_removed = true;
+  if (upstream->is_leaving) {
+    if (left_.size() >= kMaxLeft) {
+      left_.erase(left_.begin());
+    }
+    left_.insert(upstream->key);
+  }
   for (IdleConnection& idle : upstream->idle) {
     idle.upstream_connection.connection->Close();
   }
@@ -272,7 +327,7 @@
   const Duration usable =
       idle_timeout_ms ? Milliseconds(*idle_timeout_ms) - kIdleMargin : Duration(kDefaultIdleTime);
   http::ClientConnection& connection = *upstream_connection.connection;
-  if (upstream->is_removed || usable <= Duration::zero() ||
+  if (upstream->is_removed || upstream->is_leaving || usable <= Duration::zero() ||
       upstream_connection.sent_ids.size() >= kMaxRequestsPerConnection) {
     connection.Close();
     return;
--- a/gateway/fleet.h
+++ b/gateway/fleet.h
@@ -7,6 +7,8 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -15,6 +17,7 @@
 
 #include "base/clock.h"
 #include "core/placement.h"
+#include "core/request_facts.h"
 #include "core/routing_table.h"
 #include "core/upstream_directory.h"
 #include "core/upstream_health.h"
@@ -50,8 +53,19 @@
   /// Receives no new requests, because this gateway or a peer has recorded that the upstream drains
   /// or changes its stage.
   bool is_excluded = false;
+  /// The upstream has said in an answer that it leaves. Never reset for this incarnation.
+  bool is_leaving = false;
+  /// The upstream has asked this gateway for no requests before this time.
+  TimePoint paused_until;
 };
 
+/// Whether no new request may be sent to the upstream, whatever its load and health.
+bool IsClosed(const Upstream& upstream, TimePoint now);
+
+/// Records what an upstream has said of itself in an answer to this gateway. Idle connections to
+/// one that leaves are closed.
+void RecordOwnStatement(Upstream& upstream, const core::AnswerFacts& facts, TimePoint now);
+
 /// Upstream::key of an entry of the list.
 std::int64_t KeyOf(const core::UpstreamInfo& info);
 
@@ -101,6 +115,11 @@
   /// Keys of the upstreams that this gateway excludes.
   std::vector<std::int64_t> LocalExclusions() const;
 
+  /// Earliest time at which one of the upstreams of a service takes requests, if all those that do
+  /// not leave have asked for none; empty otherwise. stage: only upstreams of this stage count.
+  std::optional<TimePoint> PausedUntil(std::string_view service, core::UpstreamStage stage,
+                                       TimePoint now) const;
+
   /// Null when no upstream has the key.
   const Upstream* Find(std::int64_t key) const;
 
@@ -136,6 +155,9 @@
   std::map<std::string, core::WaitingTokens> peer_waiting_;
   /// By key: until when.
   std::map<std::int64_t, TimePoint> local_exclusions_;
+  /// Keys of upstreams that have said that they leave and are no longer in the list, which may
+  /// bring them back: an older list, or a store that has lost its newest rows.
+  std::set<std::int64_t> left_;
 };
 
 /// Returns a connection to the upstream: the most recently used idle one, or a new one. An idle
--- a/gateway/generation_exchange.cc
+++ b/gateway/generation_exchange.cc
@@ -241,7 +241,7 @@
   }
   const TimePoint now = state_.clock.now();
   for (const std::shared_ptr<Upstream>& upstream : state_.fleet.OfService(service)) {
-    if (upstream->info.stage == core::UpstreamStage::kDecode && !upstream->info.is_draining &&
+    if (upstream->info.stage == core::UpstreamStage::kDecode && !IsClosed(*upstream, now) &&
         !core::IsBackingOff(upstream->health, now)) {
       queue.capacity_tokens += request_.service->engine_limits().memory_tokens;
     }
@@ -325,6 +325,15 @@
   core::GenerationNeed need;
   need.prompt_tokens = request_.facts.prompt_tokens;
   need.memory_tokens = MemoryTokens();
+  const std::optional<TimePoint> paused_until =
+      state_.fleet.PausedUntil(request_.service->name, core::UpstreamStage::kDecode, now);
+  if (paused_until && !is_stream_open_ && possible_runs_ == 0 &&
+      *paused_until + kMinServiceTime > CallerTimeoutAt()) {
+    queue_id_ = 0;
+    EndWithFailure("all engines have asked for a pause",
+                   std::chrono::duration_cast<Milliseconds>(*paused_until - now).count());
+    return true;
+  }
   if (!MayTakeCapacity(candidates, need, now)) {
     return false;
   }
@@ -673,9 +682,9 @@
   const std::string source =
       fmt::format("{}:{}/{}", prefill.info.address, prefill.info.port, handle.value());
   attempt_.reset();
-  if (decode_->is_removed || decode_->info.is_draining || decode_->is_excluded) {
+  if (IsClosed(*decode_, now)) {
     kv_source_ = source;
-    OnDecodeNotRun("the decode engine was removed, drained or excluded during prefill");
+    OnDecodeNotRun("the decode engine was closed to new requests during prefill");
     return;
   }
   if (IsTooLateInStop()) {
--- a/gateway/plain_exchange.cc
+++ b/gateway/plain_exchange.cc
@@ -117,7 +117,17 @@
     if (has_usable) {
       return false;
     }
+    const std::optional<TimePoint> paused_until =
+        state_.fleet.PausedUntil(request_.service->name, core::UpstreamStage::kPlain, now);
+    if (paused_until && *paused_until < request_.target) {
+      return false;
+    }
     queue_id_ = 0;
+    if (paused_until) {
+      EndAfterRefusal("all upstreams have asked for a pause",
+                      std::chrono::duration_cast<Milliseconds>(*paused_until - now).count());
+      return true;
+    }
     EndAfterRefusal("the service has no usable upstream", kNoUpstreamRetryMs);
     return true;
   }
--- a/tests/platform/request_format_test.cc
+++ b/tests/platform/request_format_test.cc
@@ -46,6 +46,36 @@
   }
 }
 
+// Guards against odd values of what a server says of itself: a pause of any text, and a statement
+// of another process at the address.
+Test(request_format, statements_of_a_server_are_read) {
+  const auto decode = [](int status, const std::string& name, const std::string& value) {
+    http::ResponseHead head;
+    head.status = status;
+    head.fields = {{"Request-Id", "r1"}, {name, value}};
+    return platform::DecodeAnswer(head);
+  };
+  const auto pause = [&](const std::string& value) {
+    return decode(503, "Retry-After", value).pause_ms;
+  };
+  cr_assert(pause("2") == 2'000);
+  cr_assert(pause("0.25") == 250);
+  cr_assert(pause("1.5") == 1'500);
+  cr_assert(pause("0") == 0);
+  for (const char* value :
+       {"", "-1", "soon", "1e3", "Wed, 21 Oct 2026 07:28:00 GMT", ".5", "1.x"}) {
+    cr_assert(!pause(value), "'%s' was taken for a pause", value);
+  }
+  for (const char* value : {"999999999", "99999999999999999999999999", "3600.5"}) {
+    cr_assert(pause(value) == 3'600'000, "'%s'", value);
+  }
+  cr_assert(!decode(200, "Retry-After", "2").pause_ms);
+  cr_assert(decode(200, "Server-Leaving", "1").is_leaving);
+  cr_assert(decode(503, "server-leaving", "1").is_leaving);
+  cr_assert(!decode(200, "Server-Leaving", "0").is_leaving);
+  cr_assert(!decode(421, "Server-Leaving", "1").is_leaving);
+}
+
 // Guards against parts of prompts that are taken for different ones because of their spelling, and
 // against the last part, which only this request or its session has, counting as shared.
 Test(request_format, prompt_parts_are_read_without_the_last_one) {
