--- a/gateway/load_exchange.cc
+++ b/gateway/load_exchange.cc
@@ -415,7 +415,7 @@
     entry.age_ms = std::chrono::duration_cast<Milliseconds>(now - loss.at).count();
   }
   if (!encoded.empty()) {
-    report.__set_start_losses(std::move(encoded));
+    report.__set_start_losses(encoded);
   }
   std::vector<wire::GatewayAnsweredPart> answered;
   for (const auto& [part, started] : core::AnsweredPartsInQuestion(crash_causes_)) {
@@ -427,7 +427,7 @@
     entry.age_ms = std::chrono::duration_cast<Milliseconds>(now - started).count();
   }
   if (!answered.empty()) {
-    report.__set_answered_parts(std::move(answered));
+    report.__set_answered_parts(answered);
   }
 }
 
