Keep blocks whatever arrives, and adopt those of peers

Callers saw requests with a blocked part reach engines again, and one gateway send such requests for 5 s after its peers had blocked the part.

Change: the share of arrivals is no longer asked for. What it guarded against, a part that all requests have, blocked in an outage right after a start, is now tried twice, 2 and 12 s after the block, if nothing else was answered since; an answer clears it. Reports and rows name the blocked causes; a process adopts a block that its evidence proves on its own. Blocks are written to the store once others were answered.

Conclusion: a block ends by an answer or by time only.

--- a/core/crash_causes.cc
+++ b/core/crash_causes.cc
@@ -23,12 +23,6 @@
 constexpr Milliseconds kMinSpreadOfAnswered{1'000};
 constexpr std::size_t kMinOtherAnswers = 3;
 
-// Share of the arrivals from which on a part counts as one that most requests have, the number of
-// arrivals for which that is asked, and those that are kept.
-constexpr double kPrevalentShare = 0.75;
-constexpr std::size_t kMinArrivals = 16;
-constexpr std::size_t kMaxArrivals = 64;
-
 constexpr std::size_t kMaxRecentAnswers = 32;
 
 // Answered causes that are kept in each half of the memory.
@@ -40,6 +34,13 @@
 // Time from the last loss until a blocked cause is tried again.
 constexpr Milliseconds kTrialInterval{300'000};
 
+// Time for which an answer to other requests is awaited after a block, the time between the trials
+// that are made without one, and their number. In an outage after a start of all processes, a part
+// that all requests have can be blocked.
+constexpr Milliseconds kContrastTime{2'000};
+constexpr Milliseconds kEarlyTrialInterval{10'000};
+constexpr int kMaxEarlyTrials = 2;
+
 // The same for a part that was lost with upstreams that another cause explains, but in requests
 // without that cause.
 constexpr std::size_t kMinSharedUpstreams = 6;
@@ -77,17 +78,6 @@
   return LastAnswered(causes, cause) != TimePoint::min();
 }
 
-bool IsPrevalent(const CrashCauses& causes, Cause part) {
-  const auto& arrivals = causes.recent_arrivals;
-  if (arrivals.size() < kMinArrivals) {
-    return false;
-  }
-  const auto with_part =
-      std::count_if(arrivals.begin(), arrivals.end(),
-                    [part](const std::vector<Cause>& parts) { return HasPart(parts, part); });
-  return static_cast<double>(with_part) >= kPrevalentShare * static_cast<double>(arrivals.size());
-}
-
 std::size_t OtherAnswersSince(const CrashCauses& causes, Cause part, TimePoint since) {
   return static_cast<std::size_t>(
       std::count_if(causes.recent_answers.begin(), causes.recent_answers.end(),
@@ -108,7 +98,6 @@
     return true;
   }
   return evidence.requests.size() >= (is_known ? kMinRequestsOfAnswered : kMinRequests) &&
-         !IsPrevalent(causes, cause) &&
          (!is_known || OtherAnswersSince(causes, cause, evidence.first) >= kMinOtherAnswers);
 }
 
@@ -207,8 +196,10 @@
   } else {
     block.since = now;
     block.next_comparison = now;
+    block.next_early_trial = now + kContrastTime;
   }
   block.next_trial = std::max(block.next_trial, evidence.last + kTrialInterval);
+  block.last_loss = evidence.last;
   block.upstreams = evidence.upstreams.size();
   block.requests = evidence.requests.size();
   block.is_content = is_content;
@@ -233,8 +224,7 @@
     }
   }
   for (const auto& [part, found] : evidence) {
-    if (!IsKnown(causes, part) && !IsPrevalent(causes, part) &&
-        found.upstreams.size() >= kMinSharedUpstreams &&
+    if (!IsKnown(causes, part) && found.upstreams.size() >= kMinSharedUpstreams &&
         found.requests.size() >= kMinSharedRequests) {
       Block(causes, part, /*is_content=*/false, found, now, blocked);
     }
@@ -247,10 +237,13 @@
                std::map<Cause, BlockedCause>& blocked, std::set<std::int64_t>& explained) {
   // A later block explains nothing of an earlier one: two causes may crash the same upstreams.
   const EvidenceByCause all = CollectEvidence(causes, is_content, {}, now);
+  std::set<Cause> candidates = causes.blocked_at_peers;
   for (const auto& [cause, previous] : causes.blocked) {
+    candidates.insert(cause);
+  }
+  for (const Cause cause : candidates) {
     const auto evidence = all.find(cause);
-    if (previous.is_content == is_content && evidence != all.end() &&
-        IsProven(causes, cause, is_content, evidence->second)) {
+    if (evidence != all.end() && IsProven(causes, cause, is_content, evidence->second)) {
       Block(causes, cause, is_content, evidence->second, now, blocked);
       explained.insert(evidence->second.upstreams.begin(), evidence->second.upstreams.end());
     }
@@ -299,14 +292,6 @@
 
 }  // namespace
 
-void RecordArrival(CrashCauses& causes, const RequestCauses& request) {
-  causes.recent_arrivals.push_back(request.parts);
-  if (causes.recent_arrivals.size() > kMaxArrivals) {
-    causes.recent_arrivals.pop_front();
-  }
-  causes.is_outdated = causes.is_outdated || !causes.blocked.empty();
-}
-
 bool RecordLoss(CrashCauses& causes, StartLoss loss, TimePoint now) {
   loss.at = std::min(loss.at, now);
   if (now - loss.at >= kLossLifetime) {
@@ -355,6 +340,13 @@
   }
 }
 
+void RecordPeerBlock(CrashCauses& causes, Cause cause) {
+  if (causes.blocked_at_peers.size() < kMaxPeerBlocks &&
+      causes.blocked_at_peers.insert(cause).second) {
+    causes.is_outdated = true;
+  }
+}
+
 TimePoint LastAnswered(const CrashCauses& causes, Cause cause) {
   return std::max({Find(causes.answered_parts, cause), Find(causes.answered_at_peers, cause),
                    Find(causes.answered_contents, cause)});
@@ -377,6 +369,9 @@
   const std::size_t removed = std::erase_if(
       causes.losses, [now](const StartLoss& loss) { return now - loss.at >= kLossLifetime; });
   causes.is_outdated = causes.is_outdated || removed > 0;
+  if (causes.losses.empty()) {
+    causes.blocked_at_peers.clear();
+  }
 }
 
 void UpdateBlocked(CrashCauses& causes, TimePoint now) {
@@ -424,6 +419,16 @@
     verdict.is_trial = true;
     return verdict;
   }
+  // Without any answer since the block, an outage explains the losses as well. What was lost before
+  // this process started is left to the later trial.
+  if (!verdict.is_refused && may_try && !block->is_content &&
+      block->early_trials < kMaxEarlyTrials && block->last_loss >= causes.started &&
+      now >= block->next_early_trial && !HasContrast(causes, verdict.cause)) {
+    ++block->early_trials;
+    block->next_early_trial = now + kEarlyTrialInterval;
+    verdict.is_trial = true;
+    return verdict;
+  }
   if (now >= block->next_trial) {
     // All processes have the same losses, so that the time of the trial passes at all of them.
     block->next_trial = now + kTrialInterval;
@@ -438,6 +443,11 @@
   return verdict;
 }
 
+bool HasContrast(const CrashCauses& causes, Cause cause) {
+  const auto block = causes.blocked.find(cause);
+  return block != causes.blocked.end() && OtherAnswersSince(causes, cause, block->second.since) > 0;
+}
+
 std::vector<StartLoss> EvidenceOf(const CrashCauses& causes, Cause cause, TimePoint now) {
   std::vector<StartLoss> kept;
   Evidence evidence;
--- a/core/crash_causes.h
+++ b/core/crash_causes.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -40,6 +41,9 @@
   bool is_own = false;
 };
 
+/// Blocks of peers that are kept.
+inline constexpr std::size_t kMaxPeerBlocks = 256;
+
 /// Parts that are kept of one loss; prompts with more lose those at their end.
 inline constexpr std::size_t kMaxLossParts = 32;
 
@@ -72,9 +76,16 @@
   TimePoint next_comparison;
   /// Any request with the cause is tried again at this time.
   TimePoint next_trial;
+  TimePoint last_loss;
+  /// Trials that were made while nothing else had been answered since the block either, and the
+  /// time of the next one.
+  int early_trials = 0;
+  TimePoint next_early_trial;
 };
 
 struct CrashCauses {
+  /// Start of this process.
+  TimePoint started;
   /// Oldest first.
   std::vector<StartLoss> losses;
   /// Parts of requests that this process, and those that its peers, have seen answered. Only the
@@ -84,19 +95,15 @@
   AnsweredCauses answered_contents;
   /// The last requests that this process has seen answered.
   std::deque<AnsweredStart> recent_answers;
-  /// The parts of the last generations that arrived at this process.
-  std::deque<std::vector<Cause>> recent_arrivals;
   std::map<Cause, BlockedCause> blocked;
+  /// Causes that peers, or an earlier process, have blocked.
+  std::set<Cause> blocked_at_peers;
   /// Losses or answers have been recorded since `blocked` was determined.
   bool is_outdated = false;
   /// Counts the losses that this process has recorded.
   std::uint64_t own_losses = 0;
 };
 
-/// Records the parts of a generation that has arrived. A part that most requests have is not
-/// blocked: that would close the service, and it says nothing about the crashes.
-void RecordArrival(CrashCauses& causes, const RequestCauses& request);
-
 /// Records a loss that this process or a peer has observed. A loss that is known already keeps its
 /// earliest time. Returns whether it is new.
 bool RecordLoss(CrashCauses& causes, StartLoss loss, TimePoint now);
@@ -107,6 +114,10 @@
 /// The same for a part of prompts, as a peer has reported it.
 void RecordPeerAnswered(CrashCauses& causes, Cause part, TimePoint started);
 
+/// Records that a peer, or an earlier process, has blocked a cause. It is blocked here too if the
+/// recorded losses prove it, whatever else explains them.
+void RecordPeerBlock(CrashCauses& causes, Cause cause);
+
 /// Latest start of a request with the cause that was answered; TimePoint::min(): none is known.
 TimePoint LastAnswered(const CrashCauses& causes, Cause cause);
 
@@ -135,6 +146,10 @@
 /// The parts of the recorded losses that this process has seen answered, with the latest start.
 std::map<Cause, TimePoint> AnsweredPartsInQuestion(const CrashCauses& causes);
 
+/// Whether requests without the blocked cause have been answered since it was blocked, so that the
+/// cause and not an outage explains the losses.
+bool HasContrast(const CrashCauses& causes, Cause cause);
+
 /// The losses on which the block of a cause rests: as few as prove it.
 std::vector<StartLoss> EvidenceOf(const CrashCauses& causes, Cause cause, TimePoint now);
 
--- a/gateway/crash_guard.cc
+++ b/gateway/crash_guard.cc
@@ -38,14 +38,11 @@
 
 }  // namespace
 
-void PrepareCrashGuard(RequestContext& request, GatewayState& state) {
+void PrepareCrashGuard(RequestContext& request) {
   request.causes.content = HashContent(request);
   for (const std::string& part : request.facts.prompt_parts) {
     request.causes.parts.push_back(Hash64(part, kPartSeed));
   }
-  if (!request.causes.parts.empty()) {
-    core::RecordArrival(state.crash_causes, request.causes);
-  }
 }
 
 std::optional<CrashRefusal> CheckCrashCauses(RequestContext& request, GatewayState& state) {
--- a/gateway/crash_guard.h
+++ b/gateway/crash_guard.h
@@ -19,8 +19,8 @@
   std::int64_t retry_after_ms = 0;
 };
 
-/// Determines request.causes and counts the arrival; called once for each request.
-void PrepareCrashGuard(RequestContext& request, GatewayState& state);
+/// Determines request.causes; called once for each request.
+void PrepareCrashGuard(RequestContext& request);
 
 /// Returns why the request must not be sent to an upstream; empty: it may be sent. Called before
 /// each attempt.
--- a/gateway/crash_records.cc
+++ b/gateway/crash_records.cc
@@ -15,7 +15,7 @@
 namespace {
 
 // Time for which a cause must be blocked before it is written. Requests that run when a cause is
-// blocked can still show that the block is wrong.
+// blocked can still show that the block is wrong, and others that it is no outage.
 constexpr Milliseconds kSettleTime{1'000};
 
 // A row is written again when the newest loss is later than that in the row by this much.
@@ -121,6 +121,7 @@
     }
     core::Cause cause = 0;
     std::from_chars(row.key.data(), row.key.data() + row.key.size(), cause, 16);
+    core::RecordPeerBlock(state_.crash_causes, cause);
     TimePoint& newest = written_.try_emplace(cause, TimePoint::min()).first->second;
     for (const core::StartLoss& loss : losses) {
       newest = std::max(newest, loss.at);
@@ -142,7 +143,9 @@
   }
   for (const auto& [cause, block] : state_.crash_causes.blocked) {
     const std::vector<core::StartLoss> losses = core::EvidenceOf(state_.crash_causes, cause, now);
-    if (now - block.since < kSettleTime || losses.empty() || !store_clock_.offset_ms) {
+    const bool is_settled = now - block.since >= kSettleTime &&
+                            (block.is_content || core::HasContrast(state_.crash_causes, cause));
+    if (!is_settled || losses.empty() || !store_clock_.offset_ms) {
       continue;
     }
     const TimePoint newest = losses.back().at;
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -129,6 +129,7 @@
     return exchange.error();
   }
   gateway->load_exchange_ = std::move(exchange.value());
+  gateway->state_.crash_causes.started = clock.now();
   gateway->state_.on_reservation_change = [raw = gateway.get()] {
     raw->load_exchange_->ScheduleReport();
   };
--- a/gateway/generation_exchange.cc
+++ b/gateway/generation_exchange.cc
@@ -90,7 +90,7 @@
           raw->OnDeadline();
         }
       });
-  PrepareCrashGuard(exchange->request_, state);
+  PrepareCrashGuard(exchange->request_);
   if (exchange->EndIfItCrashesEngines() || exchange->RefuseIfQueueIsLong()) {
     return exchange;
   }
--- a/gateway/load_exchange.cc
+++ b/gateway/load_exchange.cc
@@ -396,13 +396,18 @@
   }
   if (relays) {
     std::size_t relayed = 0;
+    std::vector<std::int64_t> blocked;
     for (const auto& [cause, block] : crash_causes_.blocked) {
+      blocked.push_back(static_cast<std::int64_t>(cause));
       for (core::StartLoss& loss : core::EvidenceOf(crash_causes_, cause, now)) {
         if (relayed++ < kMaxReportedLosses) {
           losses.push_back(std::move(loss));
         }
       }
     }
+    if (!blocked.empty()) {
+      report.__set_blocked_causes(blocked);
+    }
   }
   std::vector<wire::GatewayStartLoss> encoded;
   for (const core::StartLoss& loss : losses) {
@@ -446,6 +451,9 @@
     loss.at = now - Milliseconds(entry.age_ms);
     core::RecordLoss(crash_causes_, std::move(loss), now);
   }
+  for (const std::int64_t cause : report.blocked_causes) {
+    core::RecordPeerBlock(crash_causes_, static_cast<core::Cause>(cause));
+  }
   for (const wire::GatewayAnsweredPart& entry : report.answered_parts) {
     if (entry.age_ms >= 0 && entry.age_ms <= core::kLossLifetime.count()) {
       core::RecordPeerAnswered(crash_causes_, static_cast<core::Cause>(entry.part),
--- a/gateway/plain_exchange.cc
+++ b/gateway/plain_exchange.cc
@@ -44,7 +44,7 @@
           raw->OnDeadline();
         }
       });
-  PrepareCrashGuard(exchange->request_, state);
+  PrepareCrashGuard(exchange->request_);
   if (!exchange->EndIfItCrashesUpstreams()) {
     exchange->Enqueue();
   }
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -98,6 +98,8 @@
             BurstCaller(site, random.Random(self.rng.random()),
                         site.gateways[i % len(site.gateways)]).run())
                  for i in range(BURST_CALLERS)]
+        span = [time.monotonic(), OPEN_SPAN_S + time.monotonic()]
+        site.record.wave_spans.append(span)
         await asyncio.sleep(self.rng.uniform(0.5, 2))
         stops = []
         for _ in range(self.rng.choice((2, 3))):
@@ -106,6 +108,7 @@
             await asyncio.sleep(self.rng.uniform(0.5, 2))
         await finish(stops)
         site.is_slow = False
+        span[1] = time.monotonic() + STOP_GRACE_S
         for caller in burst:
             caller.cancel()
         await finish(burst)
--- a/wire/gen-cpp/rattanramp_types.cpp
+++ b/wire/gen-cpp/rattanramp_types.cpp
@@ -6744,6 +6744,11 @@
   this->answered_parts = val;
 __isset.answered_parts = true;
 }
+
+void GatewayLoad::__set_blocked_causes(const std::vector<int64_t> & val) {
+  this->blocked_causes = val;
+__isset.blocked_causes = true;
+}
 std::ostream& operator<<(std::ostream& out, const GatewayLoad& obj)
 {
   obj.printTo(out);
@@ -6928,6 +6933,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->blocked_causes.clear();
+            uint32_t _size223;
+            ::apache::thrift::protocol::TType _etype226;
+            xfer += iprot->readListBegin(_etype226, _size223);
+            this->blocked_causes.resize(_size223);
+            uint32_t _i227;
+            for (_i227 = 0; _i227 < _size223; ++_i227)
+            {
+              xfer += iprot->readI64(this->blocked_causes[_i227]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.blocked_causes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6968,10 +6993,10 @@
   xfer += oprot->writeFieldBegin("upstreams", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->upstreams.size()));
-    std::vector<GatewayUpstreamLoad> ::const_iterator _iter223;
-    for (_iter223 = this->upstreams.begin(); _iter223 != this->upstreams.end(); ++_iter223)
+    std::vector<GatewayUpstreamLoad> ::const_iterator _iter228;
+    for (_iter228 = this->upstreams.begin(); _iter228 != this->upstreams.end(); ++_iter228)
     {
-      xfer += (*_iter223).write(oprot);
+      xfer += (*_iter228).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6980,11 +7005,11 @@
   xfer += oprot->writeFieldBegin("waiting_tokens", ::apache::thrift::protocol::T_MAP, 4);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->waiting_tokens.size()));
-    std::map<std::string, int64_t> ::const_iterator _iter224;
-    for (_iter224 = this->waiting_tokens.begin(); _iter224 != this->waiting_tokens.end(); ++_iter224)
+    std::map<std::string, int64_t> ::const_iterator _iter229;
+    for (_iter229 = this->waiting_tokens.begin(); _iter229 != this->waiting_tokens.end(); ++_iter229)
     {
-      xfer += oprot->writeString(_iter224->first);
-      xfer += oprot->writeI64(_iter224->second);
+      xfer += oprot->writeString(_iter229->first);
+      xfer += oprot->writeI64(_iter229->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -6993,11 +7018,11 @@
   xfer += oprot->writeFieldBegin("late_waiting_tokens", ::apache::thrift::protocol::T_MAP, 5);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->late_waiting_tokens.size()));
-    std::map<std::string, int64_t> ::const_iterator _iter225;
-    for (_iter225 = this->late_waiting_tokens.begin(); _iter225 != this->late_waiting_tokens.end(); ++_iter225)
+    std::map<std::string, int64_t> ::const_iterator _iter230;
+    for (_iter230 = this->late_waiting_tokens.begin(); _iter230 != this->late_waiting_tokens.end(); ++_iter230)
     {
-      xfer += oprot->writeString(_iter225->first);
-      xfer += oprot->writeI64(_iter225->second);
+      xfer += oprot->writeString(_iter230->first);
+      xfer += oprot->writeI64(_iter230->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -7006,10 +7031,10 @@
   xfer += oprot->writeFieldBegin("withheld_upstreams", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->withheld_upstreams.size()));
-    std::vector<int64_t> ::const_iterator _iter226;
-    for (_iter226 = this->withheld_upstreams.begin(); _iter226 != this->withheld_upstreams.end(); ++_iter226)
+    std::vector<int64_t> ::const_iterator _iter231;
+    for (_iter231 = this->withheld_upstreams.begin(); _iter231 != this->withheld_upstreams.end(); ++_iter231)
     {
-      xfer += oprot->writeI64((*_iter226));
+      xfer += oprot->writeI64((*_iter231));
     }
     xfer += oprot->writeListEnd();
   }
@@ -7024,10 +7049,10 @@
     xfer += oprot->writeFieldBegin("start_losses", ::apache::thrift::protocol::T_LIST, 8);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->start_losses.size()));
-      std::vector<GatewayStartLoss> ::const_iterator _iter227;
-      for (_iter227 = this->start_losses.begin(); _iter227 != this->start_losses.end(); ++_iter227)
+      std::vector<GatewayStartLoss> ::const_iterator _iter232;
+      for (_iter232 = this->start_losses.begin(); _iter232 != this->start_losses.end(); ++_iter232)
       {
-        xfer += (*_iter227).write(oprot);
+        xfer += (*_iter232).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -7037,10 +7062,23 @@
     xfer += oprot->writeFieldBegin("answered_parts", ::apache::thrift::protocol::T_LIST, 9);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->answered_parts.size()));
-      std::vector<GatewayAnsweredPart> ::const_iterator _iter228;
-      for (_iter228 = this->answered_parts.begin(); _iter228 != this->answered_parts.end(); ++_iter228)
+      std::vector<GatewayAnsweredPart> ::const_iterator _iter233;
+      for (_iter233 = this->answered_parts.begin(); _iter233 != this->answered_parts.end(); ++_iter233)
+      {
+        xfer += (*_iter233).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.blocked_causes) {
+    xfer += oprot->writeFieldBegin("blocked_causes", ::apache::thrift::protocol::T_LIST, 10);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->blocked_causes.size()));
+      std::vector<int64_t> ::const_iterator _iter234;
+      for (_iter234 = this->blocked_causes.begin(); _iter234 != this->blocked_causes.end(); ++_iter234)
       {
-        xfer += (*_iter228).write(oprot);
+        xfer += oprot->writeI64((*_iter234));
       }
       xfer += oprot->writeListEnd();
     }
@@ -7062,57 +7100,62 @@
   swap(a.list_news, b.list_news);
   swap(a.start_losses, b.start_losses);
   swap(a.answered_parts, b.answered_parts);
+  swap(a.blocked_causes, b.blocked_causes);
   swap(a.__isset, b.__isset);
 }
 
-GatewayLoad::GatewayLoad(const GatewayLoad& other229) {
-  gateway = other229.gateway;
-  sequence = other229.sequence;
-  upstreams = other229.upstreams;
-  waiting_tokens = other229.waiting_tokens;
-  late_waiting_tokens = other229.late_waiting_tokens;
-  withheld_upstreams = other229.withheld_upstreams;
-  list_news = other229.list_news;
-  start_losses = other229.start_losses;
-  answered_parts = other229.answered_parts;
-  __isset = other229.__isset;
-}
-GatewayLoad::GatewayLoad(GatewayLoad&& other230) noexcept {
-  gateway = std::move(other230.gateway);
-  sequence = other230.sequence;
-  upstreams = std::move(other230.upstreams);
-  waiting_tokens = std::move(other230.waiting_tokens);
-  late_waiting_tokens = std::move(other230.late_waiting_tokens);
-  withheld_upstreams = std::move(other230.withheld_upstreams);
-  list_news = std::move(other230.list_news);
-  start_losses = std::move(other230.start_losses);
-  answered_parts = std::move(other230.answered_parts);
-  __isset = other230.__isset;
-}
-GatewayLoad& GatewayLoad::operator=(const GatewayLoad& other231) {
-  gateway = other231.gateway;
-  sequence = other231.sequence;
-  upstreams = other231.upstreams;
-  waiting_tokens = other231.waiting_tokens;
-  late_waiting_tokens = other231.late_waiting_tokens;
-  withheld_upstreams = other231.withheld_upstreams;
-  list_news = other231.list_news;
-  start_losses = other231.start_losses;
-  answered_parts = other231.answered_parts;
-  __isset = other231.__isset;
+GatewayLoad::GatewayLoad(const GatewayLoad& other235) {
+  gateway = other235.gateway;
+  sequence = other235.sequence;
+  upstreams = other235.upstreams;
+  waiting_tokens = other235.waiting_tokens;
+  late_waiting_tokens = other235.late_waiting_tokens;
+  withheld_upstreams = other235.withheld_upstreams;
+  list_news = other235.list_news;
+  start_losses = other235.start_losses;
+  answered_parts = other235.answered_parts;
+  blocked_causes = other235.blocked_causes;
+  __isset = other235.__isset;
+}
+GatewayLoad::GatewayLoad(GatewayLoad&& other236) noexcept {
+  gateway = std::move(other236.gateway);
+  sequence = other236.sequence;
+  upstreams = std::move(other236.upstreams);
+  waiting_tokens = std::move(other236.waiting_tokens);
+  late_waiting_tokens = std::move(other236.late_waiting_tokens);
+  withheld_upstreams = std::move(other236.withheld_upstreams);
+  list_news = std::move(other236.list_news);
+  start_losses = std::move(other236.start_losses);
+  answered_parts = std::move(other236.answered_parts);
+  blocked_causes = std::move(other236.blocked_causes);
+  __isset = other236.__isset;
+}
+GatewayLoad& GatewayLoad::operator=(const GatewayLoad& other237) {
+  gateway = other237.gateway;
+  sequence = other237.sequence;
+  upstreams = other237.upstreams;
+  waiting_tokens = other237.waiting_tokens;
+  late_waiting_tokens = other237.late_waiting_tokens;
+  withheld_upstreams = other237.withheld_upstreams;
+  list_news = other237.list_news;
+  start_losses = other237.start_losses;
+  answered_parts = other237.answered_parts;
+  blocked_causes = other237.blocked_causes;
+  __isset = other237.__isset;
   return *this;
 }
-GatewayLoad& GatewayLoad::operator=(GatewayLoad&& other232) noexcept {
-  gateway = std::move(other232.gateway);
-  sequence = other232.sequence;
-  upstreams = std::move(other232.upstreams);
-  waiting_tokens = std::move(other232.waiting_tokens);
-  late_waiting_tokens = std::move(other232.late_waiting_tokens);
-  withheld_upstreams = std::move(other232.withheld_upstreams);
-  list_news = std::move(other232.list_news);
-  start_losses = std::move(other232.start_losses);
-  answered_parts = std::move(other232.answered_parts);
-  __isset = other232.__isset;
+GatewayLoad& GatewayLoad::operator=(GatewayLoad&& other238) noexcept {
+  gateway = std::move(other238.gateway);
+  sequence = other238.sequence;
+  upstreams = std::move(other238.upstreams);
+  waiting_tokens = std::move(other238.waiting_tokens);
+  late_waiting_tokens = std::move(other238.late_waiting_tokens);
+  withheld_upstreams = std::move(other238.withheld_upstreams);
+  list_news = std::move(other238.list_news);
+  start_losses = std::move(other238.start_losses);
+  answered_parts = std::move(other238.answered_parts);
+  blocked_causes = std::move(other238.blocked_causes);
+  __isset = other238.__isset;
   return *this;
 }
 void GatewayLoad::printTo(std::ostream& out) const {
@@ -7127,6 +7170,7 @@
   out << ", " << "list_news="; (__isset.list_news ? (out << to_string(list_news)) : (out << "<null>"));
   out << ", " << "start_losses="; (__isset.start_losses ? (out << to_string(start_losses)) : (out << "<null>"));
   out << ", " << "answered_parts="; (__isset.answered_parts ? (out << to_string(answered_parts)) : (out << "<null>"));
+  out << ", " << "blocked_causes="; (__isset.blocked_causes ? (out << to_string(blocked_causes)) : (out << "<null>"));
   out << ")";
 }
 
--- a/wire/gen-cpp/rattanramp_types.h
+++ b/wire/gen-cpp/rattanramp_types.h
@@ -2628,10 +2628,11 @@
 std::ostream& operator<<(std::ostream& out, const GatewayAnsweredPart& obj);
 
 typedef struct _GatewayLoad__isset {
-  _GatewayLoad__isset() : list_news(false), start_losses(false), answered_parts(false) {}
+  _GatewayLoad__isset() : list_news(false), start_losses(false), answered_parts(false), blocked_causes(false) {}
   bool list_news :1;
   bool start_losses :1;
   bool answered_parts :1;
+  bool blocked_causes :1;
 } _GatewayLoad__isset;
 
 /**
@@ -2677,6 +2678,10 @@
    */
   std::vector<GatewayStartLoss>  start_losses;
   std::vector<GatewayAnsweredPart>  answered_parts;
+  /**
+   * Causes that the gateway has blocked; start_losses has the evidence.
+   */
+  std::vector<int64_t>  blocked_causes;
 
   _GatewayLoad__isset __isset;
 
@@ -2698,6 +2703,8 @@
 
   void __set_answered_parts(const std::vector<GatewayAnsweredPart> & val);
 
+  void __set_blocked_causes(const std::vector<int64_t> & val);
+
   bool operator == (const GatewayLoad & rhs) const
   {
     if (!(gateway == rhs.gateway))
@@ -2724,6 +2731,10 @@
       return false;
     else if (__isset.answered_parts && !(answered_parts == rhs.answered_parts))
       return false;
+    if (__isset.blocked_causes != rhs.__isset.blocked_causes)
+      return false;
+    else if (__isset.blocked_causes && !(blocked_causes == rhs.blocked_causes))
+      return false;
     return true;
   }
   bool operator != (const GatewayLoad &rhs) const {
--- a/wire/rattanramp.thrift
+++ b/wire/rattanramp.thrift
@@ -331,4 +331,6 @@
   /** Evidence about what crashes upstreams. Gateways of earlier versions skip these fields. */
   8: optional list<GatewayStartLoss> start_losses
   9: optional list<GatewayAnsweredPart> answered_parts
+  /** Causes that the gateway has blocked; start_losses has the evidence. */
+  10: optional list<i64> blocked_causes
 }
