--- a/tests/core/crash_causes_test.cc
+++ b/tests/core/crash_causes_test.cc
@@ -154,6 +154,25 @@
   cr_assert(!IsRefused(causes, Request(23, {kFirst}), 4'700));
 }
 
+// Guards against closing a service for minutes: after a start of all processes, two parts crash
+// engines at once, and what their requests have in common, as all have, is blocked. A request with
+// one of them must not use up the trial of the common part (found by the soak).
+Test(crash_causes, common_part_is_tried_with_a_request_that_has_no_other_suspect) {
+  constexpr Cause kSecondBad = 4;
+  CrashCauses causes;
+  Lose(causes, 1, Request(1, {kFirst, kBad, kCaller}), 1'000);
+  Lose(causes, 2, Request(1, {kFirst, kBad, kCaller}), 1'100);
+  Lose(causes, 3, Request(2, {kFirst, kSecondBad, kCaller}), 1'200);
+  const core::RequestCauses sound = Request(10, {kFirst, kCaller});
+  cr_assert(IsRefused(causes, sound, 1'300, true));
+  for (std::int64_t at_ms = 3'300; at_ms < 3'400; at_ms += 10) {
+    cr_assert(IsRefused(causes, Request(3, {kFirst, kBad, kCaller}), at_ms, true));
+  }
+  cr_assert(core::JudgeRequest(causes, sound, true, At(3'400)).is_trial);
+  core::RecordAnswered(causes, sound, At(3'400));
+  cr_assert(!IsRefused(causes, Request(11, {kFirst, kCaller}), 4'500));
+}
+
 // Guards against trials of a part that crashes engines while the others are served: they show that
 // it is no outage. Also not after a start that follows the losses.
 Test(crash_causes, part_is_not_tried_soon_when_others_are_answered) {
