Try a common part first with a request that has nothing else unproven

Change: the first trial takes only a request all of whose other parts were answered; the second, 10 s later, also one with parts that were not lost.

--- a/core/crash_causes.cc
+++ b/core/crash_causes.cc
@@ -282,14 +282,17 @@
   return latest;
 }
 
-/// Whether the request has a part besides the blocked one and its companions that was lost with an
-/// upstream and never answered. Its loss would not show which of them is to blame.
+/// Whether the request has a part besides the blocked one and its companions that was never
+/// answered. Its loss would not show which of them is to blame. only_lost: only parts that were
+/// lost with an upstream count.
 bool HasOtherSuspect(const CrashCauses& causes, const RequestCauses& request, Cause blocked,
-                     const std::vector<Cause>& companions) {
+                     const std::vector<Cause>& companions, bool only_lost) {
   return std::any_of(request.parts.begin(), request.parts.end(), [&](Cause part) {
     return part != blocked && !HasPart(companions, part) && !IsKnown(causes, part) &&
-           std::any_of(causes.losses.begin(), causes.losses.end(),
-                       [part](const StartLoss& loss) { return HasPart(loss.causes.parts, part); });
+           (!only_lost ||
+            std::any_of(causes.losses.begin(), causes.losses.end(), [part](const StartLoss& loss) {
+              return HasPart(loss.causes.parts, part);
+            }));
   });
 }
 
@@ -435,7 +438,8 @@
   if (!verdict.is_refused && may_try && !block->is_content &&
       block->early_trials < kMaxEarlyTrials && block->last_loss >= causes.started &&
       now >= block->next_early_trial && !HasContrast(causes, verdict.cause) &&
-      !HasOtherSuspect(causes, request, verdict.cause, block->companions)) {
+      !HasOtherSuspect(causes, request, verdict.cause, block->companions,
+                       /*only_lost=*/now >= block->since + kEarlyTrialInterval)) {
     ++block->early_trials;
     block->next_early_trial = now + kEarlyTrialInterval;
     verdict.is_trial = true;
--- a/tests/core/crash_causes_test.cc
+++ b/tests/core/crash_causes_test.cc
@@ -168,6 +168,8 @@
   for (std::int64_t at_ms = 3'300; at_ms < 3'400; at_ms += 10) {
     cr_assert(IsRefused(causes, Request(3, {kFirst, kBad, kCaller}), at_ms, true));
   }
+  // A part that comes for the first time may crash engines too.
+  cr_assert(IsRefused(causes, Request(4, {kFirst, 99, kCaller}), 3'400, true));
   cr_assert(core::JudgeRequest(causes, sound, true, At(3'400)).is_trial);
   core::RecordAnswered(causes, sound, At(3'400));
   cr_assert(!IsRefused(causes, Request(11, {kFirst, kCaller}), 4'500));
