Word a test comment plainly

Cause: a comment in own_statement_test.cc did not say by what means the peers learn.

Change: the comment names the load reports. No code changes.

Measured: format of the file checked; nothing was run.

Conclusion: wording only.

--- a/tests/gateway/own_statement_test.cc
+++ b/tests/gateway/own_statement_test.cc
@@ -149,7 +149,7 @@
   facts.is_leaving = true;
   gateway::RecordOwnStatement(*fleet.upstreams().at("a"), facts, now);
   cr_assert(!IsUsable(fleet, now));
-  // The peers are told.
+  // The load reports name it to the peers as excluded.
   cr_assert_eq(fleet.LocalExclusions().size(), 1);
   core::DirectoryChange updated;
   updated.updated = {Info("a", 1)};
