--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,4 +1,4 @@
-"""A beat that a server sent before it left is performed late by the store."""
+"""Connections of one machine are reset while the first requests of a new route run."""
 
 import asyncio
 import os
@@ -10,116 +10,94 @@
 from rig import BOUNDS, TROUBLE, Rig, call  # noqa: E402
 from servers import Engine, config, stream_headers  # noqa: E402
 
-DRAIN_S = BOUNDS["drain_ms"] / 1000
-# Allowance for the time at which this process, which plays all stand-ins, notes an arrival.
-SLACK_S = 0.2
-# Requests a second at all gateways, and a lull in them (seconds after the beat). A request that
-# the server answers in the lull would tell its gateway that the server leaves.
-RATE, LULL_S = 6, (0.8, 2.4)
-# Times after the beat whose answer is lost. The pages allow 1 to 6 s for the late write.
-LEAVE_S, LATE_S, EXIT_S, END_S = 1.05, 5.9, 9.0, 10.0
+NEW_ROUTE = {"name": "origin", "kind": "streaming", "service": "verdict-llm", "max_attempts": 1,
+             "target_gap_ms": 300}
+FIRST_PART = {"lineage": "5c1e07a2", "origin": "91bd3f06"}
+# Largest share of a machine's connections that the site's days reset.
+MAX_RESET_SHARE = 0.638
+APPLY_S, CONTACT_S = 2.0, BOUNDS["contact_ms"] / 1000
+STEADY_S = 30
 
 
 async def main(rig):
     rig.store.put("op", "config", config())
-    for number in range(9):
-        engine = Engine(rig, f"engine-{number}", "verdict-llm", "prefill" if number < 3 else "decode",
+    for number in range(7):
+        engine = Engine(rig, f"engine-{number}", "verdict-llm", "prefill" if number < 2 else "decode",
                         slots=64)
         rig.servers.append(engine)
         await engine.start()
-    leaving = rig.servers[-1]
-    acknowledged = {}
-
-    def on_read(gateway, table, rows):
-        is_missing = not any(row["key"] == leaving.id for row in rows)
-        if table == "servers" and leaving.is_leaving and is_missing and gateway not in acknowledged:
-            acknowledged[gateway] = time.monotonic()
-            rig.log(f"{gateway} reads a list from the store without {leaving.name}")
-
-    rig.store.on_read = on_read
-    await rig.start_gateways(["front-a-1", "front-b-1"])
+    await rig.start_gateways(["front-a-1", "front-b-1", "front-c-1"])
     for gateway in rig.gateways:
         await gateway.wait_ready()
     sent = {}
 
-    async def client(number):
-        """One verdict request, which may run once."""
-        gateway = rig.gateways[number % len(rig.gateways)]
-        route = "lineage"
-        request_id = f"{number:04x}{os.urandom(6).hex()}"
-        sent[request_id] = [gateway.name, time.monotonic(), route, None]
+    async def client(gateway, route):
+        request_id = os.urandom(8).hex()
+        sent[request_id] = entry = [gateway.name, time.monotonic(), route, None]
         rig.log(f"client sends {request_id} ({route}) to {gateway.name}")
         try:
-            answer = await call(gateway.callers, "POST", f"/{route}/1",
-                                stream_headers(request_id), b"x" * 5000)
+            entry[3] = answer = await call(
+                gateway.callers, "POST", f"/{route}/1",
+                stream_headers(request_id, first_part=FIRST_PART[route]), b"x" * 5000)
+            rig.log(f"client {request_id} ({route}) gets {answer.status}, "
+                    f"{answer.body.count(b'data:')} events, "
+                    f"{'complete' if answer.is_complete else 'not complete'}"
+                    + (f", Retry-After {answer.headers.get('retry-after')}, {answer.body!r}"
+                       if answer.status != 200 else ""))
         except (OSError, TimeoutError) as error:
-            rig.log(f"client {request_id}: {error!r}")
-            return
-        sent[request_id][3] = answer
-        rig.log(f"client {request_id} gets {answer.status}, {answer.body.count(b'data:')} events, "
-                f"{'complete' if answer.is_complete else 'NOT complete'}")
+            rig.log(f"client {request_id} ({route}): {error!r}")
 
-    begin = float("inf")
-
-    async def traffic():
+    async def traffic(route, pause_s):
         number = 0
         while True:
-            if LULL_S[0] < time.monotonic() - begin < LULL_S[1]:
-                await asyncio.sleep(0.01)
-                continue
-            rig.task(client(number))
+            rig.task(client(rig.gateways[number % len(rig.gateways)], route))
             number += 1
-            await asyncio.sleep(1 / RATE)
+            await asyncio.sleep(pause_s)
 
-    traffic_task = rig.task(traffic())
+    rig.task(traffic("lineage", 0.25))
     await asyncio.sleep(4)
-    # A server that leaves sends no beats; the one before it is sent by the case.
-    leaving.beats = False
+    rig.store.put("op", "config", config(2, [NEW_ROUTE]))
+    rig.log("the operator adds the route 'origin'; acknowledged")
+    await asyncio.sleep(APPLY_S + 0.5)
+    first = rig.gateways[0]
+    # The first requests of the new route, one after the other, until three engines run one each.
     begin = time.monotonic()
-
-    async def until(offset):
-        await asyncio.sleep(begin + offset - time.monotonic())
-
-    beat = leaving.entry()
-    if TROUBLE:
-        rig.log(f"{leaving.name} sends beat seq {beat['seq']} (ready); the store does not answer")
-    else:
-        rig.store.put("servers", leaving.id, beat)
-        rig.log(f"{leaving.name} sends beat seq {beat['seq']} (ready); performed")
-    await until(LEAVE_S)
-    leaving.is_leaving = True
-    left_at = rig.store.remove("servers", leaving.id)
-    rig.log(f"{leaving.name} leaves: its entry is removed; it serves on and says Server-Leaving")
-    await until(LATE_S)
+    engines = set()
+    while len(engines) < 3 and time.monotonic() < begin + 0.6:
+        rig.task(client(first, "origin"))
+        await asyncio.sleep(0.05)
+        engines = {e.name for e in rig.servers for r in e.active if sent[r][2] == "origin"}
+    await asyncio.sleep(0.25)
+    running = [(e, r, c) for e in rig.servers for r, c in list(e.active.items())
+               if sent[r][0] == first.name]
+    open_clients = sum(1 for s in sent.values() if s[0] == first.name and s[3] is None)
+    share = len(running) / (len(running) + open_clients)
+    engines = {e.name for e, r, _ in running if sent[r][2] == "origin"}
+    rig.log(f"{first.name} has {len(running)} connections to engines and {open_clients} to clients; "
+            f"requests of the new route run on {len(engines)} engines")
     if TROUBLE:
-        rig.store.put("servers", leaving.id, beat)
-        rig.log(f"the store performs beat seq {beat['seq']} (ready), {LATE_S} s after it was sent")
-    await until(EXIT_S)
-    leaving.exit()
-    rig.log(f"{leaving.name} exits, {EXIT_S - LEAVE_S:.2f} s after its entry was removed")
-    await until(END_S)
-    traffic_task.cancel()
-    await asyncio.sleep(4.5)
-
-    late = lost = 0
-    for at, request_id, what in leaving.arrivals:
-        gateway, sent_at, route, answer = sent[request_id]
-        bound = acknowledged.get(gateway, float("inf")) + DRAIN_S
-        if at > left_at:
-            rig.log(f"{leaving.name} got {request_id} ({route}, {what}) from {gateway} "
-                    f"{at - left_at:.2f} s after it had left")
-        if at > bound + SLACK_S and sent_at > bound:
-            late += 1
-            is_served = answer is not None and answer.status == 200 and answer.is_complete
-            lost += not is_served
-            rig.log(f"DRAIN: {request_id} ({route}, {what}) from {gateway} reaches {leaving.name} "
-                    f"{at - bound + DRAIN_S:.2f} s after {gateway} had read that it is gone; "
-                    f"{'served' if is_served else 'LOST'}")
-    served = sum(1 for _, _, _, a in sent.values() if a and a.status == 200 and a.is_complete)
-    rig.log(f"{len(sent)} requests, {served} served; {late} reached the leaving server too late, "
-            f"{lost} of these were lost")
-    print(f"{late} late arrivals, {lost} lost")
-    return late > 0
+        rig.log(f"reset_conns: {len(running)} connections of {first.name} to engines are reset, "
+                f"a share of {share:.2f} of these (at most {MAX_RESET_SHARE})")
+        assert share <= MAX_RESET_SHARE
+        for _, _, connection in running:
+            connection.reset()
+    await asyncio.sleep(2 * CONTACT_S)
+    rig.log("steady state begins")
+    steady = time.monotonic()
+    rig.task(traffic("origin", 0.5))
+    await asyncio.sleep(STEADY_S)
+    end = time.monotonic()
+    await asyncio.sleep(5)
+    shares = {}
+    for route in ("lineage", "origin"):
+        asked = [s for s in sent.values() if s[2] == route and steady <= s[1] < end]
+        served = [s for s in asked if s[3] and s[3].status == 200 and s[3].is_complete]
+        shares[route] = len(served) / len(asked)
+        rig.log(f"steady state: {len(served)} of {len(asked)} requests of '{route}' are served")
+        print(f"{route}: {len(served)} of {len(asked)} served")
+        if len(asked) < 20:
+            return False
+    return shares["origin"] < shares["lineage"] / 4
 
 
 Rig.run(FOLDER, main)
