Reset the connection of a request that is given up

Cause: a call that is given up was closed in an orderly way. TCP delivers its bytes once a partition ends, at any later time.

Links that are given up for silence are reset.

Conclusion: an order cannot arrive after the time that the lease allows for it.

--- a/gateway/attempt.cc
+++ b/gateway/attempt.cc
@@ -26,6 +26,7 @@
   std::unique_ptr<Attempt> attempt(
       new Attempt(context, clock, std::move(upstream), std::move(plan), listener));
   attempt->TimeSilence(attempt->plan_.first_byte_timeout);
+  attempt->connection()->SetDeliveryTimeout(attempt->plan_.delivery_timeout);
   attempt->connection()->Send(std::move(attempt->plan_.head), attempt->plan_.body,
                               attempt->plan_.is_head_request, *attempt);
   return attempt;
--- a/gateway/attempt.h
+++ b/gateway/attempt.h
@@ -56,6 +56,10 @@
   /// The request is not sent later than this, for example because the process was paused while it
   /// connected.
   TimePoint send_before = TimePoint::max();
+  /// The upstream does not receive the request later than this after it was sent, even if this
+  /// process is paused and a partition holds the bytes up. Zero: no limit but the end of the
+  /// attempt.
+  Milliseconds delivery_timeout{};
   /// Wait for the head of the answer after which the listener decides whether the attempt goes on;
   /// zero: no limit.
   Duration first_byte_timeout{};
--- a/gateway/stage_controller.cc
+++ b/gateway/stage_controller.cc
@@ -18,10 +18,6 @@
 // upstreams is complete within a second, and crashed engines restart within some seconds.
 constexpr Milliseconds kSettleTime{1'500};
 
-// Longest wait for the answer to an order. Engines answer at once, before they carry the order out;
-// an engine that has not answered may still carry it out later.
-constexpr Milliseconds kOrderTimeout{1'000};
-
 // Time for an engine to finish its running work before it changes its stage (a stream takes 3 to 8
 // s), and for the change to appear in the upstream list.
 constexpr Milliseconds kDrainTime{8'000};
@@ -204,8 +200,11 @@
   AttemptPlan plan;
   plan.head = std::move(call.head);
   plan.body = std::make_shared<const std::string>(std::move(call.body));
-  plan.first_byte_timeout = kOrderTimeout;
-  plan.read_timeout = kOrderTimeout;
+  // Engines answer at once, before they carry the order out; an engine that has not answered may
+  // still carry it out later.
+  plan.first_byte_timeout = core::kOrderTimeout;
+  plan.read_timeout = core::kOrderTimeout;
+  plan.delivery_timeout = core::kOrderTimeout;
   plan.send_before = order_->record_requested + core::kOrderValidity;
   attempt_ = Attempt::Start(state_.context, state_.clock, order_->upstream, std::move(plan), *this);
 }
--- a/http/client_connection.cc
+++ b/http/client_connection.cc
@@ -1,5 +1,9 @@
 #include "http/client_connection.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <array>
 #include <asio/buffer.hpp>
 #include <asio/post.hpp>
@@ -91,15 +95,38 @@
       return;
     }
     self->is_connected_ = true;
-    // Without TCP_NODELAY, a small request is delayed until the previous one is acknowledged. An
-    // error is ignored because the connection also works without the option.
-    std::error_code ignored;
-    self->socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+    self->ConfigureSocket();
     self->Read();
     self->Write();
   });
 }
 
+void ClientConnection::ConfigureSocket() {
+  // Errors are ignored because the connection also works without the options. Without TCP_NODELAY,
+  // a small request is delayed until the previous one is acknowledged.
+  std::error_code ignored;
+  socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+  // Makes each close a reset, also that by the system when this process is killed. After an orderly
+  // close, TCP would deliver unacknowledged bytes once a partition ends, at any later time. Asio's
+  // own option is not used: with it, the socket's destructor would close in an orderly way.
+  const linger reset_on_close = {1, 0};
+  setsockopt(socket_.native_handle(), SOL_SOCKET, SO_LINGER, &reset_on_close,
+             sizeof(reset_on_close));
+  if (delivery_timeout_ > Milliseconds::zero()) {
+    const int timeout_ms = static_cast<int>(delivery_timeout_.count());
+    setsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
+               sizeof(timeout_ms));
+  }
+}
+
+int ClientConnection::delivery_timeout_ms() {
+  int timeout_ms = 0;
+  socklen_t size = sizeof(timeout_ms);
+  const int result =
+      getsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, &size);
+  return result == 0 ? timeout_ms : 0;
+}
+
 void ClientConnection::Write() {
   if (!listener_->MaySend()) {
     // Send may be on the call stack, so the failure is reported from the event loop.
--- a/http/client_connection.h
+++ b/http/client_connection.h
@@ -1,5 +1,6 @@
 // HTTP/1.1 client connection on the event loop. Carries one request at a time. A failure is
-// reported as kNotConnected only if no byte of the request was sent.
+// reported as kNotConnected only if no byte of the request was sent. The connection always ends
+// with a reset, so that the bytes of a request that was given up are not delivered later.
 #pragma once
 
 #include <array>
@@ -58,9 +59,15 @@
   void Send(std::string head, std::shared_ptr<const std::string> body, bool is_head_request,
             ResponseListener& listener);
 
-  /// Closes the connection and aborts the exchange without further calls to the listener.
+  /// Resets the connection and aborts the exchange without further calls to the listener.
   void Close();
 
+  /// Bytes that are unacknowledged for this time are dropped with the connection, also while this
+  /// process is paused. Called before the first Send.
+  void SetDeliveryTimeout(Milliseconds timeout) { delivery_timeout_ = timeout; }
+  /// The timeout that is in force on the connected socket; 0: the system's own.
+  int delivery_timeout_ms();
+
   /// Stops reading from the server, so that TCP flow control stops its sending. ResumeReading
   /// continues.
   void PauseReading() { is_paused_ = true; }
@@ -80,6 +87,7 @@
                    Duration connect_timeout);
 
   void Connect();
+  void ConfigureSocket();
   void Write();
   void Read();
   void OnRead(const std::error_code& error, std::size_t size);
@@ -93,6 +101,8 @@
 
   asio::ip::tcp::endpoint server_;
   Duration connect_timeout_;
+  /// Zero: the system's own.
+  Milliseconds delivery_timeout_{};
   asio::ip::tcp::socket socket_;
   asio::steady_timer connect_timer_;
   std::string request_head_;
--- a/link/link.cc
+++ b/link/link.cc
@@ -186,7 +186,14 @@
   }
   asio::error_code ignored;
   heartbeat_timer_.cancel();
-  socket_.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+  if (reason.kind == ErrorKind::kTimeout) {
+    // The peer may be behind a partition. Frames that were sent to it must not arrive after it.
+    const linger reset_on_close = {1, 0};
+    setsockopt(socket_.native_handle(), SOL_SOCKET, SO_LINGER, &reset_on_close,
+               sizeof(reset_on_close));
+  } else {
+    socket_.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+  }
   socket_.close(ignored);
   const std::shared_ptr<LinkHandler> handler = handler_.lock();
   if (up_.exchange(false) && handler) {
--- a/tests/http/client_connection_test.cc
+++ b/tests/http/client_connection_test.cc
@@ -2,11 +2,13 @@
 
 #include <criterion/criterion.h>
 
+#include <array>
 #include <asio/buffer.hpp>
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/read_until.hpp>
 #include <asio/write.hpp>
+#include <memory>
 #include <optional>
 #include <string>
 #include <thread>
@@ -116,3 +118,48 @@
   context.run();
   cr_assert(recorder.failure == http::ExchangeFailure::kNotConnected);
 }
+
+// Guards against a request that was given up being delivered later (review case 1): an orderly
+// close leaves the bytes with TCP, which sends them again when a partition has ended. Also when the
+// process ends without closing the connection.
+Test(client_connection, given_up_request_is_reset, .timeout = 20) {
+  for (const bool is_closed : {true, false}) {
+    asio::io_context context;
+    tcp::acceptor acceptor(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    RecordingListener recorder;
+    {
+      asio::io_context client_context;
+      const std::shared_ptr<http::ClientConnection> connection = http::ClientConnection::Create(
+          client_context, acceptor.local_endpoint(), Milliseconds(1'000));
+      connection->Send("POST /order HTTP/1.1\r\nContent-Length: 1\r\n\r\n",
+                       std::make_shared<const std::string>("x"), false, recorder);
+      client_context.run_for(Milliseconds(50));
+      if (is_closed) {
+        connection->Close();
+      }
+    }
+    tcp::socket socket = acceptor.accept();
+    std::error_code error;
+    std::array<char, 4'096> bytes{};
+    while (!error) {
+      socket.read_some(asio::buffer(bytes), error);
+    }
+    cr_expect(error == asio::error::connection_reset, "is_closed %d: %s", is_closed,
+              error.message().c_str());
+  }
+}
+
+// Guards against unacknowledged bytes that the system delivers later while this process is paused
+// and cannot close the connection.
+Test(client_connection, delivery_timeout_is_set_on_the_socket, .timeout = 20) {
+  asio::io_context context;
+  tcp::acceptor acceptor(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+  RecordingListener recorder;
+  const std::shared_ptr<http::ClientConnection> connection =
+      http::ClientConnection::Create(context, acceptor.local_endpoint(), Milliseconds(1'000));
+  connection->SetDeliveryTimeout(Milliseconds(700));
+  connection->Send("GET / HTTP/1.1\r\n\r\n", nullptr, false, recorder);
+  context.run_for(Milliseconds(50));
+  cr_assert_eq(connection->delivery_timeout_ms(), 700);
+  connection->Close();
+}
--- a/tests/link/link_test.cc
+++ b/tests/link/link_test.cc
@@ -2,6 +2,7 @@
 
 #include <criterion/criterion.h>
 
+#include <array>
 #include <atomic>
 #include <chrono>
 #include <functional>
@@ -123,6 +124,31 @@
   loop.Stop();
 }
 
+// Guards against frames that reach a silent peer after its link was given up: an orderly close lets
+// TCP deliver them when a partition ends.
+Test(link, silent_link_is_reset) {
+  link_ns::EventLoop loop;
+  asio::io_context peer;
+  asio::ip::tcp::acceptor acceptor(peer,
+                                   asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+  loop.Start();
+  const std::shared_ptr<CountingHandler> client = std::make_shared<CountingHandler>();
+  auto dialer = link_ns::LinkDialer::Create(
+                    loop, "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()),
+                    FastOptions(), client)
+                    .value();
+  dialer->Start();
+  asio::ip::tcp::socket socket = acceptor.accept();
+  std::array<char, 4'096> bytes{};
+  asio::error_code error;
+  while (!error) {
+    socket.read_some(asio::buffer(bytes), error);
+  }
+  cr_assert(error == asio::error::connection_reset, "%s", error.message().c_str());
+  dialer->Stop();
+  loop.Stop();
+}
+
 // Guards against processes with different protocol versions that exchange frames and interpret them
 // differently. The link must not come up.
 Test(link, refuses_other_protocol_version) {
