--- a/core/crash_causes.cc
+++ b/core/crash_causes.cc
@@ -15,6 +15,14 @@
 constexpr std::size_t kMinUpstreams = 3;
 constexpr std::size_t kMinRequests = 2;
 
+// Moments at which the upstreams must have been lost. Losses of requests that were running at the
+// same time can have one moment.
+constexpr std::size_t kMinMoments = 3;
+
+// Error of the times that peers report. A request that is repeated at once starts less than a
+// millisecond after the loss.
+constexpr Milliseconds kMomentTolerance{5};
+
 // The same for a cause that has been answered before the losses. An outage of many upstreams at
 // once meets such causes too: the losses must be spread in time, and other requests must have been
 // answered since the first of them.
@@ -52,6 +60,9 @@
 constexpr Milliseconds kCoincidence{250};
 
 struct Evidence {
+  /// Fewest moments that explain the losses of all upstreams.
+  std::size_t moments = 0;
+  TimePoint last_moment = TimePoint::min();
   std::vector<TimePoint> times;
   std::set<std::int64_t> upstreams;
   std::set<Cause> requests;
@@ -61,7 +72,20 @@
   std::size_t depth = 0;
 };
 
+/// Whether the loss is the first one of its upstream, and its request was sent after the last
+/// moment.
+bool IsNewMoment(const Evidence& evidence, const StartLoss& loss) {
+  return !evidence.upstreams.contains(loss.upstream) &&
+         (evidence.moments == 0 ||
+          loss.at - loss.run_time + kMomentTolerance > evidence.last_moment);
+}
+
+/// The losses must be added in the order of their times.
 void AddLoss(Evidence& evidence, const StartLoss& loss, std::size_t depth) {
+  if (IsNewMoment(evidence, loss)) {
+    ++evidence.moments;
+    evidence.last_moment = loss.at;
+  }
   evidence.times.push_back(loss.at);
   evidence.upstreams.insert(loss.upstream);
   evidence.requests.insert(loss.causes.content);
@@ -88,7 +112,8 @@
 
 bool IsProven(const CrashCauses& causes, Cause cause, bool is_content, const Evidence& evidence) {
   const bool is_known = IsKnown(causes, cause);
-  if (evidence.upstreams.size() < (is_known ? kMinUpstreamsOfAnswered : kMinUpstreams)) {
+  if (evidence.upstreams.size() < (is_known ? kMinUpstreamsOfAnswered : kMinUpstreams) ||
+      evidence.moments < kMinMoments) {
     return false;
   }
   if (is_known && evidence.last - evidence.first < kMinSpreadOfAnswered) {
@@ -225,7 +250,7 @@
   }
   for (const auto& [part, found] : evidence) {
     if (!IsKnown(causes, part) && found.upstreams.size() >= kMinSharedUpstreams &&
-        found.requests.size() >= kMinSharedRequests) {
+        found.requests.size() >= kMinSharedRequests && found.moments >= kMinMoments) {
       Block(causes, part, /*is_content=*/false, found, now, blocked);
     }
   }
@@ -296,6 +321,22 @@
   });
 }
 
+/// The entry of an upstream, which is added if necessary.
+SuspectedUpstream& Suspect(CrashCauses& causes, std::int64_t upstream) {
+  auto& suspected = causes.suspected_upstreams;
+  if (!suspected.contains(upstream) && suspected.size() >= kMaxSuspectedUpstreams) {
+    suspected.erase(std::min_element(
+        suspected.begin(), suspected.end(),
+        [](const auto& a, const auto& b) { return a.second.last_loss < b.second.last_loss; }));
+  }
+  return suspected[upstream];
+}
+
+/// Whether the upstream has been running since the loss.
+bool IsWithdrawn(const StartLoss& loss, const SuspectedUpstream& upstream) {
+  return upstream.running_at != TimePoint::min() && loss.at + kRunningMargin <= upstream.running_at;
+}
+
 void Remember(AnsweredCauses& answered, Cause cause, TimePoint started) {
   if (answered.newer.size() >= kMaxAnswered) {
     answered.older = std::exchange(answered.newer, {});
@@ -314,12 +355,22 @@
   if (loss.causes.parts.size() > kMaxLossParts) {
     loss.causes.parts.resize(kMaxLossParts);
   }
+  SuspectedUpstream& upstream = Suspect(causes, loss.upstream);
+  if (IsWithdrawn(loss, upstream)) {
+    return false;
+  }
+  upstream.last_loss = std::max(upstream.last_loss, loss.at);
   const auto known =
       std::find_if(causes.losses.begin(), causes.losses.end(), [&loss](const StartLoss& other) {
         return other.upstream == loss.upstream && other.causes.content == loss.causes.content;
       });
   if (known != causes.losses.end()) {
-    known->at = std::min(known->at, loss.at);
+    if (loss.at < known->at) {
+      known->at = loss.at;
+      std::stable_sort(causes.losses.begin(), causes.losses.end(),
+                       [](const StartLoss& a, const StartLoss& b) { return a.at < b.at; });
+      causes.is_outdated = true;
+    }
     return false;
   }
   if (causes.losses.size() >= kMaxLosses) {
@@ -333,6 +384,37 @@
   return true;
 }
 
+std::size_t RecordRunning(CrashCauses& causes, std::int64_t upstream, TimePoint at, bool is_own) {
+  const auto found = causes.suspected_upstreams.find(upstream);
+  if (found == causes.suspected_upstreams.end()) {
+    return 0;
+  }
+  SuspectedUpstream& suspected = found->second;
+  if (is_own) {
+    suspected.own_running_at = std::max(suspected.own_running_at, at);
+  }
+  if (at <= suspected.running_at) {
+    return 0;
+  }
+  suspected.running_at = at;
+  const std::size_t withdrawn = std::erase_if(causes.losses, [&](const StartLoss& loss) {
+    return loss.upstream == upstream && IsWithdrawn(loss, suspected);
+  });
+  causes.is_outdated = causes.is_outdated || withdrawn > 0;
+  return withdrawn;
+}
+
+std::map<std::int64_t, TimePoint> UpstreamsSeenRunning(const CrashCauses& causes) {
+  std::map<std::int64_t, TimePoint> running;
+  for (const auto& [upstream, suspected] : causes.suspected_upstreams) {
+    if (suspected.own_running_at >= suspected.last_loss + kRunningMargin &&
+        suspected.last_loss != TimePoint::min()) {
+      running[upstream] = suspected.own_running_at;
+    }
+  }
+  return running;
+}
+
 void RecordAnswered(CrashCauses& causes, const RequestCauses& request, TimePoint started) {
   Remember(causes.answered_contents, request.content, started);
   for (const Cause part : request.parts) {
@@ -382,6 +464,10 @@
 void RemoveOldLosses(CrashCauses& causes, TimePoint now) {
   const std::size_t removed = std::erase_if(
       causes.losses, [now](const StartLoss& loss) { return now - loss.at >= kLossLifetime; });
+  std::erase_if(causes.suspected_upstreams, [now](const auto& entry) {
+    return entry.second.last_loss != TimePoint::min() &&
+           now - entry.second.last_loss >= kLossLifetime;
+  });
   causes.is_outdated = causes.is_outdated || removed > 0;
   if (causes.losses.empty()) {
     causes.blocked_at_peers.clear();
@@ -467,18 +553,25 @@
 std::vector<StartLoss> EvidenceOf(const CrashCauses& causes, Cause cause, TimePoint now) {
   std::vector<StartLoss> kept;
   Evidence evidence;
+  const StartLoss* newest = nullptr;
   for (const StartLoss& loss : causes.losses) {
     if (!CountsAgainst(causes, loss, cause, now)) {
       continue;
     }
+    newest = &loss;
     const bool is_new_upstream = !evidence.upstreams.contains(loss.upstream);
     const bool is_new_request = !evidence.requests.contains(loss.causes.content);
     if ((is_new_upstream && evidence.upstreams.size() < kMinUpstreamsOfAnswered) ||
-        (is_new_request && evidence.requests.size() < kMinRequestsOfAnswered)) {
+        (is_new_request && evidence.requests.size() < kMinRequestsOfAnswered) ||
+        (IsNewMoment(evidence, loss) && evidence.moments < kMinMoments)) {
       kept.push_back(loss);
       AddLoss(evidence, loss, 0);
     }
   }
+  // The newest loss shows how long the losses were spread.
+  if (newest != nullptr && kept.back().at < newest->at) {
+    kept.push_back(*newest);
+  }
   return kept;
 }
 
--- a/core/crash_causes.h
+++ b/core/crash_causes.h
@@ -3,9 +3,11 @@
 // were lost with their upstreams, at this process and at its peers.
 //
 // A crash also ends the sound requests on its upstream, and upstreams end for other reasons. A
-// cause is therefore blocked only if several upstreams were lost under it, by different requests,
-// and nothing with it has been answered since. What one cause explains is no evidence against
-// another one. Not thread-safe.
+// cause is therefore blocked only if several upstreams were lost under it, one after the other, by
+// different requests, and nothing with it has been answered since. A reset of connections, or an
+// outage, loses all requests that run at one moment; however many these are, they count once. An
+// upstream that answers a request which was sent after the loss has not ended, and the loss is no
+// evidence at all. What one cause explains is no evidence against another one. Not thread-safe.
 #pragma once
 
 #include <cstddef>
@@ -39,6 +41,18 @@
   TimePoint at;
   /// Recorded by this process, not by a peer.
   bool is_own = false;
+  /// Time from the start of the attempt until `at`.
+  Duration run_time{};
+};
+
+/// What is known of an upstream under which requests were lost.
+struct SuspectedUpstream {
+  TimePoint last_loss = TimePoint::min();
+  /// Latest time at which it was running as the same incarnation; TimePoint::min(): unknown.
+  TimePoint running_at = TimePoint::min();
+  /// The same as far as this process has seen it itself. Only this is reported to the peers, so
+  /// that the time does not grow with each relay.
+  TimePoint own_running_at = TimePoint::min();
 };
 
 /// Blocks of peers that are kept.
@@ -47,6 +61,14 @@
 /// Parts that are kept of one loss; prompts with more lose those at their end.
 inline constexpr std::size_t kMaxLossParts = 32;
 
+/// Upstreams under which requests were lost that are kept; those with the oldest losses go first.
+inline constexpr std::size_t kMaxSuspectedUpstreams = 1'024;
+
+/// Time from a loss after which an answer shows that the upstream did not end. It covers the start
+/// of a new process with the same id until the list of upstreams tells them apart, and the
+/// differences between the clocks of processes.
+inline constexpr Milliseconds kRunningMargin{2'000};
+
 /// Losses that are kept. The oldest ones go first, those of blocked causes last.
 inline constexpr std::size_t kMaxLosses = 256;
 
@@ -88,6 +110,8 @@
   TimePoint started;
   /// Oldest first.
   std::vector<StartLoss> losses;
+  /// By upstream.
+  std::unordered_map<std::int64_t, SuspectedUpstream> suspected_upstreams;
   /// Parts of requests that this process, and those that its peers, have seen answered. Only the
   /// first are reported to the peers, so that the times do not grow with each relay.
   AnsweredCauses answered_parts;
@@ -105,9 +129,18 @@
 };
 
 /// Records a loss that this process or a peer has observed. A loss that is known already keeps its
-/// earliest time. Returns whether it is new.
+/// earliest time. Returns whether it is new; a loss of an upstream that has been running since is
+/// not recorded.
 bool RecordLoss(CrashCauses& causes, StartLoss loss, TimePoint now);
 
+/// Records that an upstream has answered a request that was sent to it at `at`, so that its earlier
+/// losses were those of connections. is_own: seen by this process, not by a peer. Returns the
+/// number of losses that are withdrawn.
+std::size_t RecordRunning(CrashCauses& causes, std::int64_t upstream, TimePoint at, bool is_own);
+
+/// Upstreams with losses that this process has seen running since, with the latest time.
+std::map<std::int64_t, TimePoint> UpstreamsSeenRunning(const CrashCauses& causes);
+
 /// Records that an upstream has answered a request that was sent to it at `started`.
 void RecordAnswered(CrashCauses& causes, const RequestCauses& request, TimePoint started);
 
--- a/gateway/attempt.cc
+++ b/gateway/attempt.cc
@@ -12,6 +12,18 @@
 // is silent.
 constexpr Milliseconds kSilenceCheckInterval{100};
 
+AttemptFailure AttemptFailureOf(http::ExchangeFailure failure) {
+  switch (failure) {
+    case http::ExchangeFailure::kNotConnected:
+      return AttemptFailure::kNotConnected;
+    case http::ExchangeFailure::kMalformed:
+      return AttemptFailure::kMalformed;
+    case http::ExchangeFailure::kConnectionLost:
+      break;
+  }
+  return AttemptFailure::kConnectionLost;
+}
+
 void AddLoad(core::UpstreamLoad& load, const core::UpstreamLoad& part, std::int64_t sign) {
   load.running += sign * part.running;
   load.reserved_tokens += sign * part.reserved_tokens;
@@ -120,9 +132,7 @@
   timer_.cancel();
   ++*timer_sequence_;
   ReleaseLoad();
-  listener_.OnAttemptFailure(failure == http::ExchangeFailure::kNotConnected
-                                 ? AttemptFailure::kNotConnected
-                                 : AttemptFailure::kConnectionLost);
+  listener_.OnAttemptFailure(AttemptFailureOf(failure));
 }
 
 void Attempt::TimeSilence(Duration timeout) {
--- a/gateway/attempt.h
+++ b/gateway/attempt.h
@@ -17,9 +17,10 @@
 enum class AttemptFailure {
   /// No connection could be made, so the upstream has not run the request.
   kNotConnected,
-  /// The connection was closed or reset, or the answer was malformed, after the request was sent.
-  /// The request may have run.
+  /// The connection was closed or reset after the request was sent. The request may have run.
   kConnectionLost,
+  /// The answer was malformed or too large. The upstream was running, and the request may have run.
+  kMalformed,
   /// No bytes arrived within the timeout, and the connection was closed. The request may have run.
   kTimedOut,
 };
--- a/gateway/crash_guard.cc
+++ b/gateway/crash_guard.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "base/hash.h"
+#include "base/log.h"
 
 namespace rattanramp::gateway {
 namespace {
@@ -62,14 +63,31 @@
                       std::chrono::duration_cast<Milliseconds>(verdict.retry_after).count()};
 }
 
-void RecordStartLoss(RequestContext& request, GatewayState& state, const Upstream& upstream) {
+void RecordStartLoss(RequestContext& request, GatewayState& state, const Upstream& upstream,
+                     TimePoint started) {
   request.is_trial = false;
+  if (upstream.info.is_draining || upstream.is_removed || upstream.is_leaving) {
+    return;
+  }
   const TimePoint now = state.clock.now();
-  if (core::RecordLoss(state.crash_causes, {upstream.key, request.causes, now, true}, now)) {
+  if (core::RecordLoss(state.crash_causes, {upstream.key, request.causes, now, true, now - started},
+                       now)) {
     state.on_reservation_change();
   }
 }
 
+void RecordRunningUpstream(GatewayState& state, const Upstream& upstream, TimePoint started) {
+  const std::size_t withdrawn =
+      core::RecordRunning(state.crash_causes, upstream.key, started, /*is_own=*/true);
+  if (withdrawn == 0) {
+    return;
+  }
+  Log(LogLevel::kInfo, "lost_upstream_runs",
+      {{"upstream", upstream.info.id}, {"losses", withdrawn}});
+  state.metrics.Count("crash_evidence_withdrawn_total", static_cast<double>(withdrawn));
+  state.on_reservation_change();
+}
+
 void RecordAnsweredStart(const RequestContext& request, GatewayState& state, TimePoint started) {
   core::RecordAnswered(state.crash_causes, request.causes, started);
 }
--- a/gateway/crash_guard.h
+++ b/gateway/crash_guard.h
@@ -26,9 +26,15 @@
 /// each attempt.
 std::optional<CrashRefusal> CheckCrashCauses(RequestContext& request, GatewayState& state);
 
-/// Records that the upstream was lost before it had shown that it can answer the request, and
-/// reports it to the peers.
-void RecordStartLoss(RequestContext& request, GatewayState& state, const Upstream& upstream);
+/// Records that the connection to the upstream was lost before it had shown that it can answer the
+/// request, and reports it to the peers. started: when the request was sent there. The end of an
+/// upstream that leaves is planned and not recorded.
+void RecordStartLoss(RequestContext& request, GatewayState& state, const Upstream& upstream,
+                     TimePoint started);
+
+/// Records that the upstream has answered a request that was sent to it at `started`, whatever the
+/// answer, and reports it to the peers if it withdraws evidence.
+void RecordRunningUpstream(GatewayState& state, const Upstream& upstream, TimePoint started);
 
 /// Records that an upstream has shown that it can answer the request. started: when it was sent
 /// there.
--- a/gateway/crash_records.cc
+++ b/gateway/crash_records.cc
@@ -31,7 +31,8 @@
     list.push_back({{"upstream", loss.upstream},
                     {"content", loss.causes.content},
                     {"parts", loss.causes.parts},
-                    {"clock_ms", own_ms + offset_ms}});
+                    {"clock_ms", own_ms + offset_ms},
+                    {"run_ms", std::chrono::duration_cast<Milliseconds>(loss.run_time).count()}});
   }
   return nlohmann::json({{"losses", list}}).dump();
 }
@@ -45,6 +46,12 @@
   if (!row || !row->is_object() || !row->contains("losses") || !(*row)["losses"].is_array()) {
     return losses;
   }
+  // The estimate of the store's clock may be behind; the times between the losses must not change.
+  for (const nlohmann::json& entry : (*row)["losses"]) {
+    if (entry.is_object() && entry.contains("clock_ms") && entry["clock_ms"].is_number_integer()) {
+      clock_ms = std::max(clock_ms, entry["clock_ms"].get<std::int64_t>());
+    }
+  }
   for (const nlohmann::json& entry : (*row)["losses"]) {
     const auto is_integer = [&entry](const char* name) {
       return entry.contains(name) && entry[name].is_number_integer();
@@ -58,7 +65,7 @@
     if (at_ms < 0) {
       return {};
     }
-    const Milliseconds age(std::max<std::int64_t>(0, clock_ms - at_ms));
+    const Milliseconds age(clock_ms - at_ms);
     if (age >= core::kLossLifetime) {
       continue;
     }
@@ -66,6 +73,9 @@
     loss.at = now - age;
     loss.upstream = entry["upstream"].get<std::int64_t>();
     loss.causes.content = entry["content"].get<core::Cause>();
+    // Rows of earlier versions have no run time.
+    loss.run_time = Milliseconds(
+        is_integer("run_ms") ? std::max<std::int64_t>(0, entry["run_ms"].get<std::int64_t>()) : 0);
     for (const nlohmann::json& part : entry["parts"]) {
       if (!part.is_number_integer()) {
         return {};
@@ -76,6 +86,8 @@
   return losses;
 }
 
+std::string KeyOf(core::Cause cause) { return fmt::format("{:016x}", cause); }
+
 }  // namespace
 
 CrashRecords::CrashRecords(GatewayState& state, std::unique_ptr<store::AsyncTable> table,
@@ -84,6 +96,11 @@
 
 void CrashRecords::Tick(bool is_first) {
   const TimePoint now = state_.clock.now();
+  // Rows that another gateway has written are unknown to the one that takes over.
+  if (is_first && !std::exchange(was_first_, is_first)) {
+    has_read_ = false;
+  }
+  was_first_ = is_first;
   if (is_stopped_ || is_busy_ || now < next_call_) {
     return;
   }
@@ -113,6 +130,7 @@
 void CrashRecords::OnRows(const store::TableRows& rows) {
   const TimePoint now = state_.clock.now();
   core::ObserveStoreClock(store_clock_, rows.clock_ms, now);
+  outdated_.clear();
   for (const store::TableRow& row : rows.rows) {
     const std::vector<core::StartLoss> losses = DecodeLosses(row.value, rows.clock_ms, now);
     if (losses.empty()) {
@@ -132,6 +150,14 @@
 }
 
 void CrashRecords::WriteNext(TimePoint now) {
+  core::UpdateBlocked(state_.crash_causes, now);
+  const auto lifted = std::find_if(written_.begin(), written_.end(), [this](const auto& entry) {
+    return !state_.crash_causes.blocked.contains(entry.first);
+  });
+  if (lifted != written_.end()) {
+    outdated_.push_back(KeyOf(lifted->first));
+    written_.erase(lifted);
+  }
   const auto on_done = [this](const Result<void>& done) {
     RecordResult(done.has_value(), "written", done ? "" : done.error().message);
   };
@@ -154,8 +180,7 @@
       continue;
     }
     is_busy_ = true;
-    table_->Write(table_name_, fmt::format("{:016x}", cause),
-                  EncodeLosses(losses, *store_clock_.offset_ms),
+    table_->Write(table_name_, KeyOf(cause), EncodeLosses(losses, *store_clock_.offset_ms),
                   [this, on_done, cause = cause, newest](const Result<void>& done) {
                     if (done) {
                       written_[cause] = newest;
--- a/gateway/crash_records.h
+++ b/gateway/crash_records.h
@@ -18,8 +18,9 @@
   CrashRecords(GatewayState& state, std::unique_ptr<store::AsyncTable> table,
                std::string table_name);
 
-  /// Reads the table once, then writes the causes that have been blocked for a while and removes
-  /// outdated rows. is_first: this gateway is the one that writes.
+  /// Reads the table at the start and when this gateway takes over the writing, then writes the
+  /// causes that have been blocked for a while and removes the rows of those that are not blocked
+  /// any more. is_first: this gateway is the one that writes.
   void Tick(bool is_first);
   void Stop();
 
@@ -38,6 +39,7 @@
   bool is_busy_ = false;
   bool is_stopped_ = false;
   bool is_failing_ = false;
+  bool was_first_ = false;
   TimePoint next_call_;
   /// Time of the newest loss in the row of each cause.
   std::map<core::Cause, TimePoint> written_;
--- a/gateway/generation_exchange.cc
+++ b/gateway/generation_exchange.cc
@@ -533,6 +533,9 @@
                                       const core::AnswerFacts& facts) {
   answer_head_ = head;
   answer_facts_ = facts;
+  if (!facts.wrong_instance) {
+    RecordRunningUpstream(state_, attempt_->upstream(), attempt_started_);
+  }
   const bool is_stream =
       head.status == 200 && facts.is_signed && facts.is_event_stream && !facts.is_encoded;
   if (phase_ != Phase::kDecode || !is_stream) {
@@ -738,7 +741,7 @@
 
 void GenerationExchange::RecordLossUnlessProven() {
   if (!is_proven_) {
-    RecordStartLoss(request_, state_, attempt_->upstream());
+    RecordStartLoss(request_, state_, attempt_->upstream(), attempt_started_);
   }
 }
 
@@ -809,8 +812,8 @@
   const TimePoint now = state_.clock.now();
   if (failure != AttemptFailure::kTimedOut) {
     core::RecordAnswer(attempt_->upstream().health,
-                       failure == AttemptFailure::kConnectionLost ? core::AnswerResult::kLost
-                                                                  : core::AnswerResult::kNoAnswer,
+                       failure == AttemptFailure::kNotConnected ? core::AnswerResult::kNoAnswer
+                                                                : core::AnswerResult::kLost,
                        now);
   }
   if (failure == AttemptFailure::kNotConnected) {
--- a/gateway/load_exchange.cc
+++ b/gateway/load_exchange.cc
@@ -39,9 +39,15 @@
 constexpr std::size_t kMaxReportedLosses = 16;
 constexpr Milliseconds kLossReportTime{30'000};
 
+// Longest time between the start of an attempt and its loss that is taken from a report.
+constexpr Milliseconds kMaxRunTime{60'000};
+
 // Answered parts that one report lists at most.
 constexpr std::size_t kMaxReportedParts = 32;
 
+// Upstreams that one report lists at most as running since their losses.
+constexpr std::size_t kMaxReportedUpstreams = 32;
+
 // Gateways that relay the evidence of blocked causes to each peer in a repeat interval.
 constexpr std::int64_t kRelays = 8;
 
@@ -418,10 +424,23 @@
       entry.parts.push_back(static_cast<std::int64_t>(part));
     }
     entry.age_ms = std::chrono::duration_cast<Milliseconds>(now - loss.at).count();
+    entry.__set_run_ms(std::chrono::duration_cast<Milliseconds>(loss.run_time).count());
   }
   if (!encoded.empty()) {
     report.__set_start_losses(encoded);
   }
+  std::vector<wire::GatewayRunningUpstream> running;
+  for (const auto& [upstream, at] : core::UpstreamsSeenRunning(crash_causes_)) {
+    if (running.size() >= kMaxReportedUpstreams) {
+      break;
+    }
+    wire::GatewayRunningUpstream& entry = running.emplace_back();
+    entry.upstream_key = upstream;
+    entry.age_ms = std::chrono::duration_cast<Milliseconds>(now - at).count();
+  }
+  if (!running.empty()) {
+    report.__set_running_upstreams(running);
+  }
   std::vector<wire::GatewayAnsweredPart> answered;
   for (const auto& [part, started] : core::AnsweredPartsInQuestion(crash_causes_)) {
     if (answered.size() >= kMaxReportedParts) {
@@ -449,8 +468,15 @@
       loss.causes.parts.push_back(static_cast<core::Cause>(part));
     }
     loss.at = now - Milliseconds(entry.age_ms);
+    loss.run_time = Milliseconds(std::clamp<std::int64_t>(entry.run_ms, 0, kMaxRunTime.count()));
     core::RecordLoss(crash_causes_, std::move(loss), now);
   }
+  for (const wire::GatewayRunningUpstream& entry : report.running_upstreams) {
+    if (entry.age_ms >= 0 && entry.age_ms <= core::kLossLifetime.count()) {
+      core::RecordRunning(crash_causes_, entry.upstream_key, now - Milliseconds(entry.age_ms),
+                          /*is_own=*/false);
+    }
+  }
   for (const std::int64_t cause : report.blocked_causes) {
     core::RecordPeerBlock(crash_causes_, static_cast<core::Cause>(cause));
   }
--- a/gateway/plain_exchange.cc
+++ b/gateway/plain_exchange.cc
@@ -258,6 +258,9 @@
 void PlainExchange::OnAnswerHead(const http::ResponseHead& head, const core::AnswerFacts& facts) {
   answer_head_ = head;
   answer_facts_ = facts;
+  if (!facts.wrong_instance) {
+    RecordRunningUpstream(state_, attempt_->upstream(), attempt_started_);
+  }
 }
 
 BodyProgress PlainExchange::OnAnswerBody(std::string_view bytes) {
@@ -333,9 +336,11 @@
     return;
   }
   ++possible_runs_;
-  if (failure == AttemptFailure::kConnectionLost) {
+  if (failure != AttemptFailure::kTimedOut) {
     core::RecordAnswer(attempt_->upstream().health, core::AnswerResult::kLost, now);
-    RecordStartLoss(request_, state_, attempt_->upstream());
+  }
+  if (failure == AttemptFailure::kConnectionLost) {
+    RecordStartLoss(request_, state_, attempt_->upstream(), attempt_started_);
   }
   if (!Retry(true,
              failure == AttemptFailure::kTimedOut ? "upstream timed out" : "connection lost")) {
--- a/tests/core/crash_causes_test.cc
+++ b/tests/core/crash_causes_test.cc
@@ -28,6 +28,12 @@
   core::RecordLoss(causes, {upstream, request, At(at_ms), true}, At(at_ms));
 }
 
+/// The same for an attempt that ran for `run_ms`.
+void LoseAfter(CrashCauses& causes, std::int64_t upstream, const core::RequestCauses& request,
+               std::int64_t at_ms, std::int64_t run_ms) {
+  core::RecordLoss(causes, {upstream, request, At(at_ms), true, Milliseconds(run_ms)}, At(at_ms));
+}
+
 bool IsRefused(CrashCauses& causes, const core::RequestCauses& request, std::int64_t at_ms,
                bool may_try = false) {
   return core::JudgeRequest(causes, request, may_try, At(at_ms)).is_refused;
@@ -379,3 +385,83 @@
     RC_ASSERT(!IsRefused(causes, Request(91, {kFirst, kCaller}), 6'000));
   }));
 }
+
+// Guards against a reset of a machine's connections being taken for the end of its upstreams
+// (review case 4): the first requests of a new route, all running at that moment, say nothing of
+// the part that they share. Also of the content of plain requests, and at a peer that is told of
+// them.
+Test(crash_causes, losses_of_one_moment_are_no_evidence) {
+  CrashCauses causes;
+  CrashCauses peer;
+  for (std::int64_t i = 0; i < 8; ++i) {
+    const core::RequestCauses stream = Request(static_cast<Cause>(i % 4), {kFirst, kBad});
+    const core::RequestCauses plain = Request(77, {});
+    LoseAfter(causes, i, stream, 1'000 + i, 400 - 50 * i);
+    LoseAfter(causes, 20 + i, plain, 1'000 + i, 300);
+  }
+  for (const core::StartLoss& loss : causes.losses) {
+    core::RecordLoss(peer, loss, At(1'100));
+  }
+  core::RecordPeerBlock(peer, kBad);
+  for (CrashCauses* each : {&causes, &peer}) {
+    cr_expect(!IsRefused(*each, Request(30, {kFirst, kBad}), 1'200));
+    cr_expect(!IsRefused(*each, Request(77, {}), 1'200));
+  }
+}
+
+// Guards against a cause that crashes engines being taken for a reset because its requests overlap:
+// those that are sent after the first crashes show it.
+Test(crash_causes, engines_that_end_in_series_are_evidence) {
+  CrashCauses causes;
+  core::RecordAnswered(causes, Request(20, {kFirst, kCaller}), At(0));
+  LoseAfter(causes, 1, Request(1, {kFirst, kBad, kCaller}), 100, 90);
+  LoseAfter(causes, 2, Request(2, {kFirst, kBad, kCaller}), 110, 90);
+  LoseAfter(causes, 3, Request(1, {kFirst, kBad, kCaller}), 180, 70);
+  cr_assert(!IsRefused(causes, Request(4, {kFirst, kBad, kCaller}), 190));
+  LoseAfter(causes, 4, Request(3, {kFirst, kBad, kCaller}), 400, 60);
+  cr_assert(IsRefused(causes, Request(4, {kFirst, kBad, kCaller}), 410));
+  cr_assert(!IsRefused(causes, Request(5, {kFirst, kCaller}), 410));
+}
+
+// Guards against a sound part that stays blocked after connections were reset at several moments:
+// upstreams that answer requests which were sent later have not ended. What a peer repeats of their
+// losses is not believed either. Upstreams that do not answer any more stay evidence.
+Test(crash_causes, upstream_that_runs_on_withdraws_its_losses) {
+  CrashCauses causes;
+  core::RecordAnswered(causes, Request(20, {kFirst, kCaller}), At(0));
+  CrashThree(causes, 100);
+  cr_assert(IsRefused(causes, Request(5, {kFirst, kBad, kCaller}), 400));
+  const std::vector<core::StartLoss> losses = causes.losses;
+  const std::int64_t margin_ms = core::kRunningMargin.count();
+  // The answer to a request that was sent before the loss shows nothing.
+  cr_assert_eq(core::RecordRunning(causes, 3, At(250), true), 0);
+  cr_assert_eq(core::RecordRunning(causes, 9, At(400 + margin_ms), true), 0);
+  cr_assert(IsRefused(causes, Request(6, {kFirst, kBad, kCaller}), 2'500));
+  cr_assert_eq(core::RecordRunning(causes, 3, At(400 + margin_ms), true), 2);
+  cr_assert(!IsRefused(causes, Request(6, {kFirst, kBad, kCaller}), 2'600));
+  for (core::StartLoss loss : losses) {
+    loss.is_own = false;
+    core::RecordLoss(causes, loss, At(2'700));
+  }
+  cr_assert(!IsRefused(causes, Request(7, {kFirst, kBad, kCaller}), 2'800));
+  cr_assert_eq(core::UpstreamsSeenRunning(causes).size(), 1);
+  // It ends under the part after all.
+  Lose(causes, 3, Request(8, {kFirst, kBad, kCaller}), 5'000);
+  cr_assert(IsRefused(causes, Request(9, {kFirst, kBad, kCaller}), 5'100));
+}
+
+// Guards against evidence against a part that was answered before which reaches the peers without
+// the time over which its losses are spread.
+Test(crash_causes, evidence_shows_how_long_the_losses_are_spread) {
+  CrashCauses causes;
+  core::RecordAnswered(causes, Request(20, {kFirst, kBad}), At(0));
+  core::RecordAnswered(causes, Request(21, {kFirst}), At(0));
+  for (std::int64_t i = 0; i < 6; ++i) {
+    Lose(causes, i, Request(static_cast<Cause>(i), {kFirst, kBad}), 100 + i * 300);
+    core::RecordAnswered(causes, Request(static_cast<Cause>(30 + i), {kFirst}), At(150 + i * 300));
+  }
+  cr_assert(IsRefused(causes, Request(40, {kFirst, kBad}), 2'000));
+  const std::vector<core::StartLoss> evidence = core::EvidenceOf(causes, kBad, At(2'000));
+  cr_assert_leq(evidence.size(), 5);
+  cr_assert_geq(ToMs(evidence.back().at - evidence.front().at), 1'000.0);
+}
--- a/tests/gateway/plain_exchange_test.cc
+++ b/tests/gateway/plain_exchange_test.cc
@@ -1,5 +1,6 @@
 #include <criterion/criterion.h>
 
+#include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 #include <atomic>
 #include <string>
@@ -290,3 +291,29 @@
   fixture.Run(RequestKind::kRepeatable, false);
   cr_assert_eq(fixture.sink.status, 200, "%d %s", fixture.sink.status, fixture.sink.body.c_str());
 }
+
+// Guards against a path that is refused for minutes because servers spoilt their answers to its
+// first requests (review case 4): a server that sends bytes that are no answer has not ended. A
+// server that leaves ends as planned.
+Test(plain_exchange, spoilt_answers_and_planned_ends_are_no_crashes, .timeout = 30) {
+  ExchangeFixture fixture;
+  FakeEngine server([&](const std::string& /*head*/, int number) {
+    if (number == 0) {
+      return FakeAnswer{"no answer\r\n\r\n"};
+    }
+    asio::post(fixture.context, [&fixture] {
+      core::AnswerFacts facts;
+      facts.is_leaving = true;
+      gateway::RecordOwnStatement(*fixture.fleet.upstreams().at("a"), facts, DefaultClock().now());
+    });
+    return FakeAnswer{"", true};
+  });
+  fixture.Add("a", UpstreamStage::kPlain, server.port());
+  for (int i = 0; i < 2; ++i) {
+    fixture.context.restart();
+    fixture.Run(RequestKind::kOnce, false);
+    cr_expect_eq(fixture.sink.status, 502);
+    cr_expect(fixture.state.crash_causes.losses.empty(), "request %d", i);
+  }
+  cr_expect_eq(server.heads().size(), 2);
+}
--- a/wire/gen-cpp/rattanramp_types.cpp
+++ b/wire/gen-cpp/rattanramp_types.cpp
@@ -6403,6 +6403,11 @@
 void GatewayStartLoss::__set_age_ms(const int64_t val) {
   this->age_ms = val;
 }
+
+void GatewayStartLoss::__set_run_ms(const int64_t val) {
+  this->run_ms = val;
+__isset.run_ms = true;
+}
 std::ostream& operator<<(std::ostream& out, const GatewayStartLoss& obj)
 {
   obj.printTo(out);
@@ -6479,6 +6484,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->run_ms);
+          this->__isset.run_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6528,6 +6541,11 @@
   xfer += oprot->writeI64(this->age_ms);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.run_ms) {
+    xfer += oprot->writeFieldBegin("run_ms", ::apache::thrift::protocol::T_I64, 5);
+    xfer += oprot->writeI64(this->run_ms);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6539,6 +6557,8 @@
   swap(a.content, b.content);
   swap(a.parts, b.parts);
   swap(a.age_ms, b.age_ms);
+  swap(a.run_ms, b.run_ms);
+  swap(a.__isset, b.__isset);
 }
 
 GatewayStartLoss::GatewayStartLoss(const GatewayStartLoss& other181) {
@@ -6546,18 +6566,24 @@
   content = other181.content;
   parts = other181.parts;
   age_ms = other181.age_ms;
+  run_ms = other181.run_ms;
+  __isset = other181.__isset;
 }
 GatewayStartLoss::GatewayStartLoss(GatewayStartLoss&& other182) noexcept {
   upstream_key = other182.upstream_key;
   content = other182.content;
   parts = std::move(other182.parts);
   age_ms = other182.age_ms;
+  run_ms = other182.run_ms;
+  __isset = other182.__isset;
 }
 GatewayStartLoss& GatewayStartLoss::operator=(const GatewayStartLoss& other183) {
   upstream_key = other183.upstream_key;
   content = other183.content;
   parts = other183.parts;
   age_ms = other183.age_ms;
+  run_ms = other183.run_ms;
+  __isset = other183.__isset;
   return *this;
 }
 GatewayStartLoss& GatewayStartLoss::operator=(GatewayStartLoss&& other184) noexcept {
@@ -6565,6 +6591,8 @@
   content = other184.content;
   parts = std::move(other184.parts);
   age_ms = other184.age_ms;
+  run_ms = other184.run_ms;
+  __isset = other184.__isset;
   return *this;
 }
 void GatewayStartLoss::printTo(std::ostream& out) const {
@@ -6574,6 +6602,131 @@
   out << ", " << "content=" << to_string(content);
   out << ", " << "parts=" << to_string(parts);
   out << ", " << "age_ms=" << to_string(age_ms);
+  out << ", " << "run_ms="; (__isset.run_ms ? (out << to_string(run_ms)) : (out << "<null>"));
+  out << ")";
+}
+
+
+GatewayRunningUpstream::~GatewayRunningUpstream() noexcept {
+}
+
+
+void GatewayRunningUpstream::__set_upstream_key(const int64_t val) {
+  this->upstream_key = val;
+}
+
+void GatewayRunningUpstream::__set_age_ms(const int64_t val) {
+  this->age_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const GatewayRunningUpstream& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t GatewayRunningUpstream::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_upstream_key = false;
+  bool isset_age_ms = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->upstream_key);
+          isset_upstream_key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->age_ms);
+          isset_age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_upstream_key)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_age_ms)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t GatewayRunningUpstream::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("GatewayRunningUpstream");
+
+  xfer += oprot->writeFieldBegin("upstream_key", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->upstream_key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(GatewayRunningUpstream &a, GatewayRunningUpstream &b) {
+  using ::std::swap;
+  swap(a.upstream_key, b.upstream_key);
+  swap(a.age_ms, b.age_ms);
+}
+
+GatewayRunningUpstream::GatewayRunningUpstream(const GatewayRunningUpstream& other185) noexcept {
+  upstream_key = other185.upstream_key;
+  age_ms = other185.age_ms;
+}
+GatewayRunningUpstream::GatewayRunningUpstream(GatewayRunningUpstream&& other186) noexcept {
+  upstream_key = other186.upstream_key;
+  age_ms = other186.age_ms;
+}
+GatewayRunningUpstream& GatewayRunningUpstream::operator=(const GatewayRunningUpstream& other187) noexcept {
+  upstream_key = other187.upstream_key;
+  age_ms = other187.age_ms;
+  return *this;
+}
+GatewayRunningUpstream& GatewayRunningUpstream::operator=(GatewayRunningUpstream&& other188) noexcept {
+  upstream_key = other188.upstream_key;
+  age_ms = other188.age_ms;
+  return *this;
+}
+void GatewayRunningUpstream::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "GatewayRunningUpstream(";
+  out << "upstream_key=" << to_string(upstream_key);
+  out << ", " << "age_ms=" << to_string(age_ms);
   out << ")";
 }
 
@@ -6675,22 +6828,22 @@
   swap(a.age_ms, b.age_ms);
 }
 
-GatewayAnsweredPart::GatewayAnsweredPart(const GatewayAnsweredPart& other185) noexcept {
-  part = other185.part;
-  age_ms = other185.age_ms;
+GatewayAnsweredPart::GatewayAnsweredPart(const GatewayAnsweredPart& other189) noexcept {
+  part = other189.part;
+  age_ms = other189.age_ms;
 }
-GatewayAnsweredPart::GatewayAnsweredPart(GatewayAnsweredPart&& other186) noexcept {
-  part = other186.part;
-  age_ms = other186.age_ms;
+GatewayAnsweredPart::GatewayAnsweredPart(GatewayAnsweredPart&& other190) noexcept {
+  part = other190.part;
+  age_ms = other190.age_ms;
 }
-GatewayAnsweredPart& GatewayAnsweredPart::operator=(const GatewayAnsweredPart& other187) noexcept {
-  part = other187.part;
-  age_ms = other187.age_ms;
+GatewayAnsweredPart& GatewayAnsweredPart::operator=(const GatewayAnsweredPart& other191) noexcept {
+  part = other191.part;
+  age_ms = other191.age_ms;
   return *this;
 }
-GatewayAnsweredPart& GatewayAnsweredPart::operator=(GatewayAnsweredPart&& other188) noexcept {
-  part = other188.part;
-  age_ms = other188.age_ms;
+GatewayAnsweredPart& GatewayAnsweredPart::operator=(GatewayAnsweredPart&& other192) noexcept {
+  part = other192.part;
+  age_ms = other192.age_ms;
   return *this;
 }
 void GatewayAnsweredPart::printTo(std::ostream& out) const {
@@ -6749,6 +6902,11 @@
   this->blocked_causes = val;
 __isset.blocked_causes = true;
 }
+
+void GatewayLoad::__set_running_upstreams(const std::vector<GatewayRunningUpstream> & val) {
+  this->running_upstreams = val;
+__isset.running_upstreams = true;
+}
 std::ostream& operator<<(std::ostream& out, const GatewayLoad& obj)
 {
   obj.printTo(out);
@@ -6803,14 +6961,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->upstreams.clear();
-            uint32_t _size189;
-            ::apache::thrift::protocol::TType _etype192;
-            xfer += iprot->readListBegin(_etype192, _size189);
-            this->upstreams.resize(_size189);
-            uint32_t _i193;
-            for (_i193 = 0; _i193 < _size189; ++_i193)
+            uint32_t _size193;
+            ::apache::thrift::protocol::TType _etype196;
+            xfer += iprot->readListBegin(_etype196, _size193);
+            this->upstreams.resize(_size193);
+            uint32_t _i197;
+            for (_i197 = 0; _i197 < _size193; ++_i197)
             {
-              xfer += this->upstreams[_i193].read(iprot);
+              xfer += this->upstreams[_i197].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6823,17 +6981,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->waiting_tokens.clear();
-            uint32_t _size194;
-            ::apache::thrift::protocol::TType _ktype195;
-            ::apache::thrift::protocol::TType _vtype196;
-            xfer += iprot->readMapBegin(_ktype195, _vtype196, _size194);
-            uint32_t _i198;
-            for (_i198 = 0; _i198 < _size194; ++_i198)
+            uint32_t _size198;
+            ::apache::thrift::protocol::TType _ktype199;
+            ::apache::thrift::protocol::TType _vtype200;
+            xfer += iprot->readMapBegin(_ktype199, _vtype200, _size198);
+            uint32_t _i202;
+            for (_i202 = 0; _i202 < _size198; ++_i202)
             {
-              std::string _key199;
-              xfer += iprot->readString(_key199);
-              int64_t& _val200 = this->waiting_tokens[_key199];
-              xfer += iprot->readI64(_val200);
+              std::string _key203;
+              xfer += iprot->readString(_key203);
+              int64_t& _val204 = this->waiting_tokens[_key203];
+              xfer += iprot->readI64(_val204);
             }
             xfer += iprot->readMapEnd();
           }
@@ -6846,17 +7004,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->late_waiting_tokens.clear();
-            uint32_t _size201;
-            ::apache::thrift::protocol::TType _ktype202;
-            ::apache::thrift::protocol::TType _vtype203;
-            xfer += iprot->readMapBegin(_ktype202, _vtype203, _size201);
-            uint32_t _i205;
-            for (_i205 = 0; _i205 < _size201; ++_i205)
+            uint32_t _size205;
+            ::apache::thrift::protocol::TType _ktype206;
+            ::apache::thrift::protocol::TType _vtype207;
+            xfer += iprot->readMapBegin(_ktype206, _vtype207, _size205);
+            uint32_t _i209;
+            for (_i209 = 0; _i209 < _size205; ++_i209)
             {
-              std::string _key206;
-              xfer += iprot->readString(_key206);
-              int64_t& _val207 = this->late_waiting_tokens[_key206];
-              xfer += iprot->readI64(_val207);
+              std::string _key210;
+              xfer += iprot->readString(_key210);
+              int64_t& _val211 = this->late_waiting_tokens[_key210];
+              xfer += iprot->readI64(_val211);
             }
             xfer += iprot->readMapEnd();
           }
@@ -6869,14 +7027,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->withheld_upstreams.clear();
-            uint32_t _size208;
-            ::apache::thrift::protocol::TType _etype211;
-            xfer += iprot->readListBegin(_etype211, _size208);
-            this->withheld_upstreams.resize(_size208);
-            uint32_t _i212;
-            for (_i212 = 0; _i212 < _size208; ++_i212)
+            uint32_t _size212;
+            ::apache::thrift::protocol::TType _etype215;
+            xfer += iprot->readListBegin(_etype215, _size212);
+            this->withheld_upstreams.resize(_size212);
+            uint32_t _i216;
+            for (_i216 = 0; _i216 < _size212; ++_i216)
             {
-              xfer += iprot->readI64(this->withheld_upstreams[_i212]);
+              xfer += iprot->readI64(this->withheld_upstreams[_i216]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6897,14 +7055,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->start_losses.clear();
-            uint32_t _size213;
-            ::apache::thrift::protocol::TType _etype216;
-            xfer += iprot->readListBegin(_etype216, _size213);
-            this->start_losses.resize(_size213);
-            uint32_t _i217;
-            for (_i217 = 0; _i217 < _size213; ++_i217)
+            uint32_t _size217;
+            ::apache::thrift::protocol::TType _etype220;
+            xfer += iprot->readListBegin(_etype220, _size217);
+            this->start_losses.resize(_size217);
+            uint32_t _i221;
+            for (_i221 = 0; _i221 < _size217; ++_i221)
             {
-              xfer += this->start_losses[_i217].read(iprot);
+              xfer += this->start_losses[_i221].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6917,14 +7075,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->answered_parts.clear();
-            uint32_t _size218;
-            ::apache::thrift::protocol::TType _etype221;
-            xfer += iprot->readListBegin(_etype221, _size218);
-            this->answered_parts.resize(_size218);
-            uint32_t _i222;
-            for (_i222 = 0; _i222 < _size218; ++_i222)
+            uint32_t _size222;
+            ::apache::thrift::protocol::TType _etype225;
+            xfer += iprot->readListBegin(_etype225, _size222);
+            this->answered_parts.resize(_size222);
+            uint32_t _i226;
+            for (_i226 = 0; _i226 < _size222; ++_i226)
             {
-              xfer += this->answered_parts[_i222].read(iprot);
+              xfer += this->answered_parts[_i226].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6937,14 +7095,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->blocked_causes.clear();
-            uint32_t _size223;
-            ::apache::thrift::protocol::TType _etype226;
-            xfer += iprot->readListBegin(_etype226, _size223);
-            this->blocked_causes.resize(_size223);
-            uint32_t _i227;
-            for (_i227 = 0; _i227 < _size223; ++_i227)
+            uint32_t _size227;
+            ::apache::thrift::protocol::TType _etype230;
+            xfer += iprot->readListBegin(_etype230, _size227);
+            this->blocked_causes.resize(_size227);
+            uint32_t _i231;
+            for (_i231 = 0; _i231 < _size227; ++_i231)
             {
-              xfer += iprot->readI64(this->blocked_causes[_i227]);
+              xfer += iprot->readI64(this->blocked_causes[_i231]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6953,6 +7111,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->running_upstreams.clear();
+            uint32_t _size232;
+            ::apache::thrift::protocol::TType _etype235;
+            xfer += iprot->readListBegin(_etype235, _size232);
+            this->running_upstreams.resize(_size232);
+            uint32_t _i236;
+            for (_i236 = 0; _i236 < _size232; ++_i236)
+            {
+              xfer += this->running_upstreams[_i236].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.running_upstreams = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6993,10 +7171,10 @@
   xfer += oprot->writeFieldBegin("upstreams", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->upstreams.size()));
-    std::vector<GatewayUpstreamLoad> ::const_iterator _iter228;
-    for (_iter228 = this->upstreams.begin(); _iter228 != this->upstreams.end(); ++_iter228)
+    std::vector<GatewayUpstreamLoad> ::const_iterator _iter237;
+    for (_iter237 = this->upstreams.begin(); _iter237 != this->upstreams.end(); ++_iter237)
     {
-      xfer += (*_iter228).write(oprot);
+      xfer += (*_iter237).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7005,11 +7183,11 @@
   xfer += oprot->writeFieldBegin("waiting_tokens", ::apache::thrift::protocol::T_MAP, 4);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->waiting_tokens.size()));
-    std::map<std::string, int64_t> ::const_iterator _iter229;
-    for (_iter229 = this->waiting_tokens.begin(); _iter229 != this->waiting_tokens.end(); ++_iter229)
+    std::map<std::string, int64_t> ::const_iterator _iter238;
+    for (_iter238 = this->waiting_tokens.begin(); _iter238 != this->waiting_tokens.end(); ++_iter238)
     {
-      xfer += oprot->writeString(_iter229->first);
-      xfer += oprot->writeI64(_iter229->second);
+      xfer += oprot->writeString(_iter238->first);
+      xfer += oprot->writeI64(_iter238->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -7018,11 +7196,11 @@
   xfer += oprot->writeFieldBegin("late_waiting_tokens", ::apache::thrift::protocol::T_MAP, 5);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->late_waiting_tokens.size()));
-    std::map<std::string, int64_t> ::const_iterator _iter230;
-    for (_iter230 = this->late_waiting_tokens.begin(); _iter230 != this->late_waiting_tokens.end(); ++_iter230)
+    std::map<std::string, int64_t> ::const_iterator _iter239;
+    for (_iter239 = this->late_waiting_tokens.begin(); _iter239 != this->late_waiting_tokens.end(); ++_iter239)
     {
-      xfer += oprot->writeString(_iter230->first);
-      xfer += oprot->writeI64(_iter230->second);
+      xfer += oprot->writeString(_iter239->first);
+      xfer += oprot->writeI64(_iter239->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -7031,10 +7209,10 @@
   xfer += oprot->writeFieldBegin("withheld_upstreams", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->withheld_upstreams.size()));
-    std::vector<int64_t> ::const_iterator _iter231;
-    for (_iter231 = this->withheld_upstreams.begin(); _iter231 != this->withheld_upstreams.end(); ++_iter231)
+    std::vector<int64_t> ::const_iterator _iter240;
+    for (_iter240 = this->withheld_upstreams.begin(); _iter240 != this->withheld_upstreams.end(); ++_iter240)
     {
-      xfer += oprot->writeI64((*_iter231));
+      xfer += oprot->writeI64((*_iter240));
     }
     xfer += oprot->writeListEnd();
   }
@@ -7049,10 +7227,10 @@
     xfer += oprot->writeFieldBegin("start_losses", ::apache::thrift::protocol::T_LIST, 8);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->start_losses.size()));
-      std::vector<GatewayStartLoss> ::const_iterator _iter232;
-      for (_iter232 = this->start_losses.begin(); _iter232 != this->start_losses.end(); ++_iter232)
+      std::vector<GatewayStartLoss> ::const_iterator _iter241;
+      for (_iter241 = this->start_losses.begin(); _iter241 != this->start_losses.end(); ++_iter241)
       {
-        xfer += (*_iter232).write(oprot);
+        xfer += (*_iter241).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -7062,10 +7240,10 @@
     xfer += oprot->writeFieldBegin("answered_parts", ::apache::thrift::protocol::T_LIST, 9);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->answered_parts.size()));
-      std::vector<GatewayAnsweredPart> ::const_iterator _iter233;
-      for (_iter233 = this->answered_parts.begin(); _iter233 != this->answered_parts.end(); ++_iter233)
+      std::vector<GatewayAnsweredPart> ::const_iterator _iter242;
+      for (_iter242 = this->answered_parts.begin(); _iter242 != this->answered_parts.end(); ++_iter242)
       {
-        xfer += (*_iter233).write(oprot);
+        xfer += (*_iter242).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -7075,10 +7253,23 @@
     xfer += oprot->writeFieldBegin("blocked_causes", ::apache::thrift::protocol::T_LIST, 10);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->blocked_causes.size()));
-      std::vector<int64_t> ::const_iterator _iter234;
-      for (_iter234 = this->blocked_causes.begin(); _iter234 != this->blocked_causes.end(); ++_iter234)
+      std::vector<int64_t> ::const_iterator _iter243;
+      for (_iter243 = this->blocked_causes.begin(); _iter243 != this->blocked_causes.end(); ++_iter243)
+      {
+        xfer += oprot->writeI64((*_iter243));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.running_upstreams) {
+    xfer += oprot->writeFieldBegin("running_upstreams", ::apache::thrift::protocol::T_LIST, 11);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->running_upstreams.size()));
+      std::vector<GatewayRunningUpstream> ::const_iterator _iter244;
+      for (_iter244 = this->running_upstreams.begin(); _iter244 != this->running_upstreams.end(); ++_iter244)
       {
-        xfer += oprot->writeI64((*_iter234));
+        xfer += (*_iter244).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -7101,61 +7292,66 @@
   swap(a.start_losses, b.start_losses);
   swap(a.answered_parts, b.answered_parts);
   swap(a.blocked_causes, b.blocked_causes);
+  swap(a.running_upstreams, b.running_upstreams);
   swap(a.__isset, b.__isset);
 }
 
-GatewayLoad::GatewayLoad(const GatewayLoad& other235) {
-  gateway = other235.gateway;
-  sequence = other235.sequence;
-  upstreams = other235.upstreams;
-  waiting_tokens = other235.waiting_tokens;
-  late_waiting_tokens = other235.late_waiting_tokens;
-  withheld_upstreams = other235.withheld_upstreams;
-  list_news = other235.list_news;
-  start_losses = other235.start_losses;
-  answered_parts = other235.answered_parts;
-  blocked_causes = other235.blocked_causes;
-  __isset = other235.__isset;
-}
-GatewayLoad::GatewayLoad(GatewayLoad&& other236) noexcept {
-  gateway = std::move(other236.gateway);
-  sequence = other236.sequence;
-  upstreams = std::move(other236.upstreams);
-  waiting_tokens = std::move(other236.waiting_tokens);
-  late_waiting_tokens = std::move(other236.late_waiting_tokens);
-  withheld_upstreams = std::move(other236.withheld_upstreams);
-  list_news = std::move(other236.list_news);
-  start_losses = std::move(other236.start_losses);
-  answered_parts = std::move(other236.answered_parts);
-  blocked_causes = std::move(other236.blocked_causes);
-  __isset = other236.__isset;
-}
-GatewayLoad& GatewayLoad::operator=(const GatewayLoad& other237) {
-  gateway = other237.gateway;
-  sequence = other237.sequence;
-  upstreams = other237.upstreams;
-  waiting_tokens = other237.waiting_tokens;
-  late_waiting_tokens = other237.late_waiting_tokens;
-  withheld_upstreams = other237.withheld_upstreams;
-  list_news = other237.list_news;
-  start_losses = other237.start_losses;
-  answered_parts = other237.answered_parts;
-  blocked_causes = other237.blocked_causes;
-  __isset = other237.__isset;
+GatewayLoad::GatewayLoad(const GatewayLoad& other245) {
+  gateway = other245.gateway;
+  sequence = other245.sequence;
+  upstreams = other245.upstreams;
+  waiting_tokens = other245.waiting_tokens;
+  late_waiting_tokens = other245.late_waiting_tokens;
+  withheld_upstreams = other245.withheld_upstreams;
+  list_news = other245.list_news;
+  start_losses = other245.start_losses;
+  answered_parts = other245.answered_parts;
+  blocked_causes = other245.blocked_causes;
+  running_upstreams = other245.running_upstreams;
+  __isset = other245.__isset;
+}
+GatewayLoad::GatewayLoad(GatewayLoad&& other246) noexcept {
+  gateway = std::move(other246.gateway);
+  sequence = other246.sequence;
+  upstreams = std::move(other246.upstreams);
+  waiting_tokens = std::move(other246.waiting_tokens);
+  late_waiting_tokens = std::move(other246.late_waiting_tokens);
+  withheld_upstreams = std::move(other246.withheld_upstreams);
+  list_news = std::move(other246.list_news);
+  start_losses = std::move(other246.start_losses);
+  answered_parts = std::move(other246.answered_parts);
+  blocked_causes = std::move(other246.blocked_causes);
+  running_upstreams = std::move(other246.running_upstreams);
+  __isset = other246.__isset;
+}
+GatewayLoad& GatewayLoad::operator=(const GatewayLoad& other247) {
+  gateway = other247.gateway;
+  sequence = other247.sequence;
+  upstreams = other247.upstreams;
+  waiting_tokens = other247.waiting_tokens;
+  late_waiting_tokens = other247.late_waiting_tokens;
+  withheld_upstreams = other247.withheld_upstreams;
+  list_news = other247.list_news;
+  start_losses = other247.start_losses;
+  answered_parts = other247.answered_parts;
+  blocked_causes = other247.blocked_causes;
+  running_upstreams = other247.running_upstreams;
+  __isset = other247.__isset;
   return *this;
 }
-GatewayLoad& GatewayLoad::operator=(GatewayLoad&& other238) noexcept {
-  gateway = std::move(other238.gateway);
-  sequence = other238.sequence;
-  upstreams = std::move(other238.upstreams);
-  waiting_tokens = std::move(other238.waiting_tokens);
-  late_waiting_tokens = std::move(other238.late_waiting_tokens);
-  withheld_upstreams = std::move(other238.withheld_upstreams);
-  list_news = std::move(other238.list_news);
-  start_losses = std::move(other238.start_losses);
-  answered_parts = std::move(other238.answered_parts);
-  blocked_causes = std::move(other238.blocked_causes);
-  __isset = other238.__isset;
+GatewayLoad& GatewayLoad::operator=(GatewayLoad&& other248) noexcept {
+  gateway = std::move(other248.gateway);
+  sequence = other248.sequence;
+  upstreams = std::move(other248.upstreams);
+  waiting_tokens = std::move(other248.waiting_tokens);
+  late_waiting_tokens = std::move(other248.late_waiting_tokens);
+  withheld_upstreams = std::move(other248.withheld_upstreams);
+  list_news = std::move(other248.list_news);
+  start_losses = std::move(other248.start_losses);
+  answered_parts = std::move(other248.answered_parts);
+  blocked_causes = std::move(other248.blocked_causes);
+  running_upstreams = std::move(other248.running_upstreams);
+  __isset = other248.__isset;
   return *this;
 }
 void GatewayLoad::printTo(std::ostream& out) const {
@@ -7171,6 +7367,7 @@
   out << ", " << "start_losses="; (__isset.start_losses ? (out << to_string(start_losses)) : (out << "<null>"));
   out << ", " << "answered_parts="; (__isset.answered_parts ? (out << to_string(answered_parts)) : (out << "<null>"));
   out << ", " << "blocked_causes="; (__isset.blocked_causes ? (out << to_string(blocked_causes)) : (out << "<null>"));
+  out << ", " << "running_upstreams="; (__isset.running_upstreams ? (out << to_string(running_upstreams)) : (out << "<null>"));
   out << ")";
 }
 
--- a/wire/gen-cpp/rattanramp_types.h
+++ b/wire/gen-cpp/rattanramp_types.h
@@ -186,6 +186,8 @@
 
 class GatewayStartLoss;
 
+class GatewayRunningUpstream;
+
 class GatewayAnsweredPart;
 
 class GatewayLoad;
@@ -2514,6 +2516,10 @@
 
 std::ostream& operator<<(std::ostream& out, const GatewayListNews& obj);
 
+typedef struct _GatewayStartLoss__isset {
+  _GatewayStartLoss__isset() : run_ms(false) {}
+  bool run_ms :1;
+} _GatewayStartLoss__isset;
 
 /**
  * A request that was lost with its upstream before the upstream had shown that it can answer it.
@@ -2528,7 +2534,8 @@
   GatewayStartLoss() noexcept
                    : upstream_key(0),
                      content(0),
-                     age_ms(0) {
+                     age_ms(0),
+                     run_ms(0) {
   }
 
   virtual ~GatewayStartLoss() noexcept;
@@ -2542,6 +2549,12 @@
    */
   std::vector<int64_t>  parts;
   int64_t age_ms;
+  /**
+   * Time from the start of the attempt until the loss.
+   */
+  int64_t run_ms;
+
+  _GatewayStartLoss__isset __isset;
 
   void __set_upstream_key(const int64_t val);
 
@@ -2551,6 +2564,8 @@
 
   void __set_age_ms(const int64_t val);
 
+  void __set_run_ms(const int64_t val);
+
   bool operator == (const GatewayStartLoss & rhs) const
   {
     if (!(upstream_key == rhs.upstream_key))
@@ -2561,6 +2576,10 @@
       return false;
     if (!(age_ms == rhs.age_ms))
       return false;
+    if (__isset.run_ms != rhs.__isset.run_ms)
+      return false;
+    else if (__isset.run_ms && !(run_ms == rhs.run_ms))
+      return false;
     return true;
   }
   bool operator != (const GatewayStartLoss &rhs) const {
@@ -2580,6 +2599,54 @@
 std::ostream& operator<<(std::ostream& out, const GatewayStartLoss& obj);
 
 
+/**
+ * An upstream with losses, and how long ago a request was sent there that it has answered.
+ */
+class GatewayRunningUpstream : public virtual ::apache::thrift::TBase {
+ public:
+
+  GatewayRunningUpstream(const GatewayRunningUpstream&) noexcept;
+  GatewayRunningUpstream(GatewayRunningUpstream&&) noexcept;
+  GatewayRunningUpstream& operator=(const GatewayRunningUpstream&) noexcept;
+  GatewayRunningUpstream& operator=(GatewayRunningUpstream&&) noexcept;
+  GatewayRunningUpstream() noexcept
+                         : upstream_key(0),
+                           age_ms(0) {
+  }
+
+  virtual ~GatewayRunningUpstream() noexcept;
+  int64_t upstream_key;
+  int64_t age_ms;
+
+  void __set_upstream_key(const int64_t val);
+
+  void __set_age_ms(const int64_t val);
+
+  bool operator == (const GatewayRunningUpstream & rhs) const
+  {
+    if (!(upstream_key == rhs.upstream_key))
+      return false;
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const GatewayRunningUpstream &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const GatewayRunningUpstream & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(GatewayRunningUpstream &a, GatewayRunningUpstream &b);
+
+std::ostream& operator<<(std::ostream& out, const GatewayRunningUpstream& obj);
+
+
 /**
  * A part of prompts, and how long ago a request with it was sent that an upstream has answered.
  */
@@ -2628,11 +2695,12 @@
 std::ostream& operator<<(std::ostream& out, const GatewayAnsweredPart& obj);
 
 typedef struct _GatewayLoad__isset {
-  _GatewayLoad__isset() : list_news(false), start_losses(false), answered_parts(false), blocked_causes(false) {}
+  _GatewayLoad__isset() : list_news(false), start_losses(false), answered_parts(false), blocked_causes(false), running_upstreams(false) {}
   bool list_news :1;
   bool start_losses :1;
   bool answered_parts :1;
   bool blocked_causes :1;
+  bool running_upstreams :1;
 } _GatewayLoad__isset;
 
 /**
@@ -2682,6 +2750,10 @@
    * Causes that the gateway has blocked; start_losses has the evidence.
    */
   std::vector<int64_t>  blocked_causes;
+  /**
+   * Upstreams that the gateway has seen running since their losses.
+   */
+  std::vector<GatewayRunningUpstream>  running_upstreams;
 
   _GatewayLoad__isset __isset;
 
@@ -2705,6 +2777,8 @@
 
   void __set_blocked_causes(const std::vector<int64_t> & val);
 
+  void __set_running_upstreams(const std::vector<GatewayRunningUpstream> & val);
+
   bool operator == (const GatewayLoad & rhs) const
   {
     if (!(gateway == rhs.gateway))
@@ -2735,6 +2809,10 @@
       return false;
     else if (__isset.blocked_causes && !(blocked_causes == rhs.blocked_causes))
       return false;
+    if (__isset.running_upstreams != rhs.__isset.running_upstreams)
+      return false;
+    else if (__isset.running_upstreams && !(running_upstreams == rhs.running_upstreams))
+      return false;
     return true;
   }
   bool operator != (const GatewayLoad &rhs) const {
--- a/wire/rattanramp.thrift
+++ b/wire/rattanramp.thrift
@@ -306,6 +306,14 @@
   /** Hashes of the parts of its prompt but the last, in the order of the prompt. */
   3: required list<i64> parts
   4: required i64 age_ms
+  /** Time from the start of the attempt until the loss. */
+  5: optional i64 run_ms
+}
+
+/** An upstream with losses, and how long ago a request was sent there that it has answered. */
+struct GatewayRunningUpstream {
+  1: required i64 upstream_key
+  2: required i64 age_ms
 }
 
 /** A part of prompts, and how long ago a request with it was sent that an upstream has answered. */
@@ -333,4 +341,6 @@
   9: optional list<GatewayAnsweredPart> answered_parts
   /** Causes that the gateway has blocked; start_losses has the evidence. */
   10: optional list<i64> blocked_causes
+  /** Upstreams that the gateway has seen running since their losses. */
+  11: optional list<GatewayRunningUpstream> running_upstreams
 }
