Keep what a server says of itself beyond its entry

Cause: the statement was kept with the entry's object and copied when the entry was removed; one that came in a later answer was lost, and a beat that the store performs late brought the server back. Evidence: the log has upstream_leaves and then upstream_added with the same start time and leaving false.

Change: one object for each incarnation, shared by all its entries. Draining is final for an incarnation. An entry that was removed and comes back is closed until its server has answered a health check.

Conclusion: neither a late answer nor a late beat returns a server that has left.

--- a/gateway/attempt.h
+++ b/gateway/attempt.h
@@ -99,7 +99,7 @@
   /// While the connection was made, the upstream may have said elsewhere that it leaves or pauses.
   bool MaySend() override {
     const TimePoint now = clock_.now();
-    return now <= plan_.send_before && !upstream_->is_leaving && now >= upstream_->paused_until;
+    return now <= plan_.send_before && !upstream_->is_leaving() && now >= upstream_->paused_until();
   }
   bool OnHead(const http::ResponseHead& head) override;
   void OnBody(std::string_view bytes) override;
--- a/gateway/crash_guard.cc
+++ b/gateway/crash_guard.cc
@@ -66,7 +66,7 @@
 void RecordStartLoss(RequestContext& request, GatewayState& state, const Upstream& upstream,
                      TimePoint started) {
   request.is_trial = false;
-  if (upstream.info.is_draining || upstream.is_removed || upstream.is_leaving) {
+  if (upstream.info.is_draining || upstream.is_removed || upstream.is_leaving()) {
     return;
   }
   const TimePoint now = state.clock.now();
--- a/gateway/fleet.cc
+++ b/gateway/fleet.cc
@@ -26,8 +26,8 @@
 // a connection, and one new connection in 256 requests.
 constexpr std::size_t kMaxRequestsPerConnection = 256;
 
-// Upstreams that have left and are remembered.
-constexpr std::size_t kMaxLeft = 4'096;
+// Removed upstreams whose statements are remembered.
+constexpr std::size_t kMaxRemoved = 4'096;
 
 asio::ip::tcp::endpoint EndpointOf(const core::UpstreamInfo& info) {
   // The decoder of the upstream list has already validated the address.
@@ -42,18 +42,20 @@
 
 bool IsClosed(const Upstream& upstream, TimePoint now) {
   return upstream.is_removed || upstream.info.is_draining || upstream.is_excluded ||
-         upstream.is_leaving || now < upstream.paused_until;
+         upstream.is_leaving() || upstream.statement->is_unconfirmed ||
+         now < upstream.paused_until();
 }
 
 void RecordOwnStatement(Upstream& upstream, const core::AnswerFacts& facts, TimePoint now) {
+  OwnStatement& statement = *upstream.statement;
   if (facts.pause_ms) {
-    if (upstream.paused_until <= now) {
+    if (statement.paused_until <= now) {
       Log(LogLevel::kInfo, "upstream_pauses",
           {{"upstream", upstream.info.id}, {"pause_ms", *facts.pause_ms}});
     }
-    upstream.paused_until = std::max(upstream.paused_until, now + Milliseconds(*facts.pause_ms));
+    statement.paused_until = std::max(statement.paused_until, now + Milliseconds(*facts.pause_ms));
   }
-  if (!facts.is_leaving || std::exchange(upstream.is_leaving, true)) {
+  if (!facts.is_leaving || std::exchange(statement.is_leaving, true)) {
     return;
   }
   Log(LogLevel::kInfo, "upstream_leaves", {{"upstream", upstream.info.id}});
@@ -81,6 +83,8 @@
         EndExclusion(found->second->key);
       }
       found->second->info = info;
+      // A beat from before the entry said so may still be performed.
+      found->second->statement->is_leaving |= info.is_draining;
     } else {
       Remove(info.id);
       Add(info);
@@ -178,7 +182,7 @@
     keys.push_back(key);
   }
   for (const auto& [id, upstream] : by_id_) {
-    if (upstream->is_leaving && !local_exclusions_.contains(upstream->key)) {
+    if (upstream->is_leaving() && !local_exclusions_.contains(upstream->key)) {
       keys.push_back(upstream->key);
     }
   }
@@ -189,14 +193,14 @@
                                             TimePoint now) const {
   std::optional<TimePoint> earliest;
   for (const std::shared_ptr<Upstream>& upstream : OfService(service)) {
-    if (upstream->info.stage != stage || upstream->info.is_draining || upstream->is_leaving ||
-        upstream->is_excluded) {
+    if (upstream->info.stage != stage || upstream->info.is_draining || upstream->is_leaving() ||
+        upstream->is_excluded || upstream->statement->is_unconfirmed) {
       continue;
     }
-    if (upstream->paused_until <= now) {
+    if (upstream->paused_until() <= now) {
       return std::nullopt;
     }
-    earliest = std::min(earliest.value_or(TimePoint::max()), upstream->paused_until);
+    earliest = std::min(earliest.value_or(TimePoint::max()), upstream->paused_until());
   }
   return earliest;
 }
@@ -235,7 +239,13 @@
   upstream->info = info;
   upstream->endpoint = EndpointOf(info);
   upstream->key = KeyOf(info);
-  upstream->is_leaving = left_.contains(upstream->key);
+  const auto [statement, is_new] = statements_.try_emplace(upstream->key, upstream->statement);
+  upstream->statement = statement->second;
+  upstream->statement->is_leaving |= info.is_draining;
+  upstream->statement->is_unconfirmed = !is_new;
+  if (!is_new && !upstream->is_leaving()) {
+    returned_.push_back(upstream);
+  }
   by_service_[info.service].push_back(upstream);
   by_key_[upstream->key] = upstream;
   by_id_[info.id] = upstream;
@@ -249,12 +259,6 @@
   }
   std::shared_ptr<Upstream> upstream = found->second;
   upstream->is_removed = true;
-  if (upstream->is_leaving) {
-    if (left_.size() >= kMaxLeft) {
-      left_.erase(left_.begin());
-    }
-    left_.insert(upstream->key);
-  }
   for (IdleConnection& idle : upstream->idle) {
     idle.upstream_connection.connection->Close();
   }
@@ -265,6 +269,21 @@
     by_key_.erase(keyed);
   }
   by_id_.erase(found);
+  removed_keys_.push_back(upstream->key);
+  ForgetOldStatements();
+}
+
+void Fleet::ForgetOldStatements() {
+  while (removed_keys_.size() > kMaxRemoved) {
+    const std::int64_t key = removed_keys_.front();
+    removed_keys_.pop_front();
+    const bool is_needed =
+        by_key_.contains(key) ||
+        std::find(removed_keys_.begin(), removed_keys_.end(), key) != removed_keys_.end();
+    if (!is_needed) {
+      statements_.erase(key);
+    }
+  }
 }
 
 void Fleet::AddToSums(const PeerState& state, std::int64_t sign) {
@@ -327,7 +346,7 @@
   const Duration usable =
       idle_timeout_ms ? Milliseconds(*idle_timeout_ms) - kIdleMargin : Duration(kDefaultIdleTime);
   http::ClientConnection& connection = *upstream_connection.connection;
-  if (upstream->is_removed || upstream->is_leaving || usable <= Duration::zero() ||
+  if (upstream->is_removed || upstream->is_leaving() || usable <= Duration::zero() ||
       upstream_connection.sent_ids.size() >= kMaxRequestsPerConnection) {
     connection.Close();
     return;
--- a/gateway/fleet.h
+++ b/gateway/fleet.h
@@ -5,14 +5,15 @@
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "base/clock.h"
@@ -38,6 +39,18 @@
   TimePoint usable_until;
 };
 
+/// What an incarnation of an upstream has said of itself, in answers and in the list. Belongs to
+/// the incarnation, not to its entry: it holds when the entry is removed or comes back.
+struct OwnStatement {
+  /// It leaves, and gets no new requests any more.
+  bool is_leaving = false;
+  /// It has asked this gateway for no requests before this time.
+  TimePoint paused_until;
+  /// Its entry was removed and has come back. The store may have performed an old beat late, so
+  /// that the upstream gets no requests before it has answered a health check.
+  bool is_unconfirmed = false;
+};
+
 struct Upstream {
   core::UpstreamInfo info;
   asio::ip::tcp::endpoint endpoint;
@@ -53,10 +66,11 @@
   /// Receives no new requests, because this gateway or a peer has recorded that the upstream drains
   /// or changes its stage.
   bool is_excluded = false;
-  /// The upstream has said in an answer that it leaves. Never reset for this incarnation.
-  bool is_leaving = false;
-  /// The upstream has asked this gateway for no requests before this time.
-  TimePoint paused_until;
+  /// Shared by all objects of the same incarnation, also by those that are removed.
+  std::shared_ptr<OwnStatement> statement = std::make_shared<OwnStatement>();
+
+  bool is_leaving() const { return statement->is_leaving; }
+  TimePoint paused_until() const { return statement->paused_until; }
 };
 
 /// Whether no new request may be sent to the upstream, whatever its load and health.
@@ -127,6 +141,9 @@
   /// requests.
   std::vector<PeerLoad> LocalLoad() const;
 
+  /// Upstreams that have come back since the last call and are unconfirmed.
+  std::vector<std::shared_ptr<Upstream>> TakeReturned() { return std::exchange(returned_, {}); }
+
   std::size_t size() const { return by_id_.size(); }
   const std::map<std::string, std::shared_ptr<Upstream>, std::less<>>& upstreams() const {
     return by_id_;
@@ -135,6 +152,8 @@
  private:
   void Add(const core::UpstreamInfo& info);
   void Remove(const std::string& id);
+  /// Forgets what the upstreams said that were removed before the last kMaxRemoved.
+  void ForgetOldStatements();
   /// Adds a peer's report to the sums, or subtracts it (sign -1).
   void AddToSums(const PeerState& state, std::int64_t sign);
   /// Copies the sums of one upstream key to the upstream.
@@ -155,9 +174,12 @@
   std::map<std::string, core::WaitingTokens> peer_waiting_;
   /// By key: until when.
   std::map<std::int64_t, TimePoint> local_exclusions_;
-  /// Keys of upstreams that have said that they leave and are no longer in the list, which may
-  /// bring them back: an older list, or a store that has lost its newest rows.
-  std::set<std::int64_t> left_;
+  /// By key: of the upstreams in the list, and of those that were removed, which may come back: an
+  /// older list, a store that has lost its newest rows, or one that performs an old beat late.
+  std::unordered_map<std::int64_t, std::shared_ptr<OwnStatement>> statements_;
+  std::vector<std::shared_ptr<Upstream>> returned_;
+  /// Keys of upstreams that were removed, oldest first; a key may occur several times.
+  std::deque<std::int64_t> removed_keys_;
 };
 
 /// Returns a connection to the upstream: the most recently used idle one, or a new one. An idle
--- a/gateway/stage_controller.cc
+++ b/gateway/stage_controller.cc
@@ -123,7 +123,7 @@
     engine.failure_domain = candidates[i].failure_domain;
     engine.may_change = candidates[i].is_usable && change == pending_changes_.end() &&
                         !refused_until_.contains(upstreams[i]->key);
-    if (upstreams[i]->info.is_draining || upstreams[i]->is_leaving) {
+    if (upstreams[i]->info.is_draining || upstreams[i]->is_leaving()) {
       engine.stage = core::UpstreamStage::kPlain;
     }
     engines.push_back(engine);
--- a/tests/gateway/own_statement_test.cc
+++ b/tests/gateway/own_statement_test.cc
@@ -3,9 +3,12 @@
 
 #include <algorithm>
 #include <asio/post.hpp>
+#include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
+#include "gateway/return_check.h"
 #include "tests/gateway/exchange_fixture.h"
 
 using namespace rattanramp;
@@ -227,3 +230,98 @@
   cr_assert(retry_after != nullptr);
   cr_expect_gt(std::stod(*retry_after), 20.0);
 }
+
+// Guards against a server that is used again after it has left (review case 5): its statement comes
+// in an answer that ends after the entry was seen to be gone, and the store then performs an old
+// beat. Pauses hold in the same way.
+Test(own_statement, statement_after_the_removal_holds) {
+  const TimePoint now = DefaultClock().now();
+  gateway::Fleet fleet;
+  core::DirectoryChange added;
+  added.added = {Info("a", 1), Info("b", 1)};
+  core::DirectoryChange removed;
+  removed.removed = added.added;
+  fleet.Apply(added);
+  const std::shared_ptr<gateway::Upstream> leaving = fleet.upstreams().at("a");
+  const std::shared_ptr<gateway::Upstream> paused = fleet.upstreams().at("b");
+  fleet.Apply(removed);
+  core::AnswerFacts facts;
+  facts.is_leaving = true;
+  gateway::RecordOwnStatement(*leaving, facts, now);
+  facts.is_leaving = false;
+  facts.pause_ms = 3'000;
+  gateway::RecordOwnStatement(*paused, facts, now);
+  fleet.Apply(added);
+  cr_assert(fleet.upstreams().at("a")->is_leaving());
+  cr_assert(fleet.upstreams().at("b")->paused_until() == now + Milliseconds(3'000));
+  cr_assert(!IsUsable(fleet, now));
+  // The statement also holds when the entry is back before the answer.
+  fleet.Apply(removed);
+  added.added = {Info("c", 1)};
+  removed.removed = added.added;
+  fleet.Apply(added);
+  const std::shared_ptr<gateway::Upstream> first = fleet.upstreams().at("c");
+  fleet.Apply(removed);
+  fleet.Apply(added);
+  facts.is_leaving = true;
+  gateway::RecordOwnStatement(*first, facts, now);
+  cr_assert(fleet.upstreams().at("c")->is_leaving());
+}
+
+// Guards against an old beat that is performed late and turns a draining server back to ready.
+Test(own_statement, draining_server_does_not_become_ready) {
+  const TimePoint now = DefaultClock().now();
+  gateway::Fleet fleet;
+  core::DirectoryChange added;
+  added.added = {Info("a", 1)};
+  fleet.Apply(added);
+  core::DirectoryChange updated;
+  updated.updated = {Info("a", 1)};
+  updated.updated[0].is_draining = true;
+  fleet.Apply(updated);
+  updated.updated[0].is_draining = false;
+  fleet.Apply(updated);
+  cr_assert(!IsUsable(fleet, now));
+}
+
+// Guards against requests to a server that has left without a word: a beat that the store performs
+// late brings its entry back. The server answers a health check that it leaves; one that was only
+// missing from the list confirms that it runs and is used again.
+Test(own_statement, returned_server_is_used_after_a_health_check, .timeout = 30) {
+  for (const bool is_leaving : {true, false}) {
+    FakeEngine server([&](const std::string& head, int /*number*/) {
+      if (!head.starts_with("GET /healthz ")) {
+        return Answer(200, "Response-Seal: s\r\n");
+      }
+      cr_expect_eq(tests::FieldOf(head, "Expect-Instance"), "a");
+      return FakeAnswer{is_leaving
+                            ? "HTTP/1.1 503 X\r\nServer-Leaving: 1\r\nContent-Length: 0\r\n\r\n"
+                            : "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"};
+    });
+    ExchangeFixture fixture;
+    fixture.Add("a", UpstreamStage::kPlain, server.port());
+    core::RoutingRules rules;
+    core::ServiceRule service;
+    service.name = "s";
+    service.health_path = "/healthz";
+    rules.services = {service};
+    const std::shared_ptr<const core::RoutingTable> table =
+        core::RoutingTable::Create(rules).value();
+    gateway::ReturnCheck check(fixture.state);
+    core::DirectoryChange change;
+    change.removed = {fixture.fleet.upstreams().at("a")->info};
+    fixture.fleet.Apply(change);
+    change.added = std::exchange(change.removed, {});
+    fixture.fleet.Apply(change);
+    const TimePoint now = DefaultClock().now();
+    cr_expect(!IsUsable(fixture.fleet, now));
+    for (int i = 0; i < 50; ++i) {
+      check.Tick(*table);
+      fixture.context.restart();
+      fixture.context.run_for(Milliseconds(10));
+    }
+    cr_expect_eq(IsUsable(fixture.fleet, now), !is_leaving);
+    cr_expect_eq(fixture.fleet.upstreams().at("a")->is_leaving(), is_leaving);
+    cr_expect_eq(server.heads().size(), 1);
+  }
+}
