--- a/agent/epoch.cc
+++ b/agent/epoch.cc
@@ -80,9 +80,10 @@
   while (!stopping_.load()) {
     const Result<std::int64_t> epoch = AcquireEpoch(store_, agent_id_, incarnation_);
     if (epoch) {
-      epoch_.store(epoch.value());
       Log(LogLevel::kInfo, "epoch_taken", {{"epoch", epoch.value()}});
+      // Orders are sent as soon as the epoch is visible, and need the token that on_epoch_ sets.
       on_epoch_(epoch.value());
+      epoch_.store(epoch.value());
       return;
     }
     if (!reported) {
