--- a/agent/event_stream.cc
+++ b/agent/event_stream.cc
@@ -22,7 +22,7 @@
     begin = end + 1;
   }
   pending_.erase(0, begin);
-  return true;
+  return pending_.size() <= kMaxEventBytes && data_.size() <= kMaxEventBytes;
 }
 
 bool EventStream::ParseLine(std::string_view line) {
--- a/agent/event_stream.h
+++ b/agent/event_stream.h
@@ -1,6 +1,7 @@
 // Parser of the server-sent events of an engine.
 #pragma once
 
+#include <cstddef>
 #include <functional>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -8,12 +9,15 @@
 
 namespace rattanramp::agent {
 
+/// Longest event of an engine, in bytes.
+inline constexpr std::size_t kMaxEventBytes = 256 * 1024;
+
 class EventStream {
  public:
   explicit EventStream(std::function<void(const nlohmann::json&)> on_event);
 
   /// Parses received bytes, which may end anywhere within an event. Returns false if an event is
-  /// not a JSON object.
+  /// not a JSON object, or longer than kMaxEventBytes.
   bool Feed(std::string_view bytes);
 
  private:
--- a/agent/http_engine.cc
+++ b/agent/http_engine.cc
@@ -22,6 +22,9 @@
 constexpr Milliseconds kRunReadTimeout{600'000};
 constexpr Milliseconds kControlReadTimeout{1000};
 
+// Longest body of an answer that reports an error.
+constexpr std::size_t kMaxErrorBytes = 64 * 1024;
+
 std::string ErrorKindOf(const std::string& body) {
   const json parsed = json::parse(body, nullptr, false);
   if (!parsed.is_object() || !parsed.contains("error")) {
@@ -86,7 +89,7 @@
   request.content_receiver = [&](const char* data, std::size_t size, std::uint64_t, std::uint64_t) {
     if (http_status != kOk) {
       error_body.append(data, size);
-      return true;
+      return error_body.size() <= kMaxErrorBytes;
     }
     try {
       return !control.stopped() && events.Feed(std::string_view(data, size));
--- a/tests/agent/http_engine_test.cc
+++ b/tests/agent/http_engine_test.cc
@@ -9,6 +9,7 @@
 #include <asio/write.hpp>
 #include <thread>
 
+#include "agent/event_stream.h"
 #include "agent/http_service.h"
 #include "standins/engine_server.h"
 #include "standins/expected_output.h"
@@ -161,3 +162,82 @@
                   reply.http_status, size);
   }
 }
+
+namespace {
+
+// Bytes that a faulty server sends at most, so that a test without a bound in the client ends too.
+constexpr std::size_t kEndlessBytes = 64 * 1024 * 1024;
+
+/// Bytes that a call reads from a server that starts its answer with `start` and sends `piece`
+/// again and again until the caller closes the connection.
+std::size_t BytesReadOfEndlessAnswer(const std::string& start, const std::string& piece,
+                                     RunStatus& status) {
+  using asio::ip::tcp;
+  asio::io_context context;
+  tcp::acceptor acceptor(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+  std::size_t sent = 0;
+  std::thread server([&] {
+    tcp::socket socket = acceptor.accept();
+    std::string request;
+    asio::read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n");
+    std::error_code error;
+    asio::write(socket, asio::buffer(start), error);
+    while (!error && sent < kEndlessBytes) {
+      sent += asio::write(socket, asio::buffer(piece), error);
+    }
+  });
+  const std::unique_ptr<HttpService> port =
+      HttpService::Create(UrlOf(acceptor.local_endpoint().port())).value();
+  RunControl control;
+  CallRequest request;
+  request.request_id = "c1";
+  request.method = "POST";
+  request.path = "/claims";
+  request.timeout = Milliseconds(2'000);
+  status = port->Call(request, control).status;
+  server.join();
+  return sent;
+}
+
+}  // namespace
+
+// Guards against an agent that runs out of memory because its service sends a body without end.
+Test(http_service, endless_body_ends_the_call, .timeout = 60) {
+  RunStatus status = RunStatus::kDone;
+  const std::string filler(4'096, 'x');
+  cr_expect_lt(BytesReadOfEndlessAnswer("HTTP/1.1 200 OK\r\n\r\n", filler, status),
+               kEndlessBytes / 2);
+  cr_expect_eq(status, RunStatus::kBroken);
+  cr_expect_lt(BytesReadOfEndlessAnswer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                                        "1000\r\n" + filler + "\r\n", status),
+               kEndlessBytes / 2);
+  cr_expect_eq(status, RunStatus::kBroken);
+}
+
+// The same for a head without end, in one line or in many.
+Test(http_service, endless_head_ends_the_call, .timeout = 60) {
+  RunStatus status = RunStatus::kDone;
+  const std::string filler(4'096, 'x');
+  cr_expect_lt(BytesReadOfEndlessAnswer("HTTP/1.1 200 OK\r\nX-Long: ", filler, status),
+               kEndlessBytes / 2);
+  cr_expect_lt(BytesReadOfEndlessAnswer("HTTP/1.1 200 OK\r\n",
+                                        "X-More: " + filler.substr(0, 100) + "\r\n", status),
+               kEndlessBytes / 2);
+}
+
+// Guards against events of an engine that never end, or never reach their end of line.
+Test(http_engine, endless_event_ends_the_stream) {
+  int events = 0;
+  EventStream stream([&](const nlohmann::json& /*event*/) { ++events; });
+  const std::string filler(4'096, 'x');
+  std::size_t fed = 0;
+  while (fed < kEndlessBytes && stream.Feed(filler)) {
+    fed += filler.size();
+  }
+  cr_expect_leq(fed, kMaxEventBytes);
+  EventStream lines([&](const nlohmann::json& /*event*/) { ++events; });
+  for (fed = 0; fed < kEndlessBytes && lines.Feed("data: " + filler + "\n"); fed += filler.size()) {
+  }
+  cr_expect_leq(fed, kMaxEventBytes);
+  cr_expect_eq(events, 0);
+}
--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -60,3 +60,22 @@
   cr_assert(empty && empty->has_value());
   cr_assert_eq(empty->value().rows.size(), 0);
 }
+
+// Guards against a process that runs out of memory because the service, or what answers in its
+// place, sends a body without end.
+Test(store_client, endless_answer_is_an_error, .timeout = 30) {
+  tests::FakeEngine service([&](const std::string& /*head*/, int /*number*/) -> tests::FakeAnswer {
+    tests::FakeAnswer answer{"HTTP/1.1 200 OK\r\n\r\n"};
+    answer.endless = std::string(4'096, ' ');
+    return answer;
+  });
+  asio::io_context context;
+  const std::unique_ptr<platform::StoreClient> client =
+      platform::StoreClient::Create(context, {asio::ip::address_v4::loopback(), service.port()});
+  std::optional<Result<store::TableRows>> rows;
+  client->ReadAll("t", [&](Result<store::TableRows> read) { rows = std::move(read); });
+  tests::RunUntil(context, [&] { return rows.has_value(); });
+  cr_assert(rows && !rows->has_value());
+  cr_expect_eq(rows->error().kind, ErrorKind::kProtocol);
+  cr_expect_lt(service.endless_bytes(), 32 * 1024 * 1024);
+}
