Withdraw a loss only when the list still has the same incarnation

Cause: a server may start again under its old id.

Change: an answer to a request that was sent 0.5 s after the loss is kept for 1.5 s, and withdraws the loss if the list still has the incarnation then.

Conclusion: a reset is taken back within about two seconds, a crash is not.

--- a/core/crash_causes.cc
+++ b/core/crash_causes.cc
@@ -384,6 +384,13 @@
   return true;
 }
 
+bool MayWithdraw(const CrashCauses& causes, std::int64_t upstream, TimePoint at) {
+  const auto suspected = causes.suspected_upstreams.find(upstream);
+  return suspected != causes.suspected_upstreams.end() &&
+         at >= suspected->second.last_loss + kRunningMargin &&
+         suspected->second.own_running_at < suspected->second.last_loss + kRunningMargin;
+}
+
 std::size_t RecordRunning(CrashCauses& causes, std::int64_t upstream, TimePoint at, bool is_own) {
   const auto found = causes.suspected_upstreams.find(upstream);
   if (found == causes.suspected_upstreams.end()) {
--- a/core/crash_causes.h
+++ b/core/crash_causes.h
@@ -64,10 +64,9 @@
 /// Upstreams under which requests were lost that are kept; those with the oldest losses go first.
 inline constexpr std::size_t kMaxSuspectedUpstreams = 1'024;
 
-/// Time from a loss after which an answer shows that the upstream did not end. It covers the start
-/// of a new process with the same id until the list of upstreams tells them apart, and the
-/// differences between the clocks of processes.
-inline constexpr Milliseconds kRunningMargin{2'000};
+/// Time from a loss after which a request must have been sent whose answer withdraws the loss. It
+/// covers the differences between the clocks of processes.
+inline constexpr Milliseconds kRunningMargin{500};
 
 /// Losses that are kept. The oldest ones go first, those of blocked causes last.
 inline constexpr std::size_t kMaxLosses = 256;
@@ -133,6 +132,9 @@
 /// not recorded.
 bool RecordLoss(CrashCauses& causes, StartLoss loss, TimePoint now);
 
+/// Whether an answer of the upstream to a request that was sent to it at `at` withdraws losses.
+bool MayWithdraw(const CrashCauses& causes, std::int64_t upstream, TimePoint at);
+
 /// Records that an upstream has answered a request that was sent to it at `at`, so that its earlier
 /// losses were those of connections. is_own: seen by this process, not by a peer. Returns the
 /// number of losses that are withdrawn.
--- a/gateway/crash_guard.cc
+++ b/gateway/crash_guard.cc
@@ -12,6 +12,10 @@
 namespace rattanramp::gateway {
 namespace {
 
+// Time from an answer until the list of upstreams shows that it came from a new process with the
+// same id: its registration, and the time between two reads of the list.
+constexpr Milliseconds kIncarnationCheckTime{1'500};
+
 // Keeps a part of a prompt and the content of a request with the same text apart.
 constexpr std::uint64_t kPartSeed = 1;
 
@@ -77,15 +81,31 @@
 }
 
 void RecordRunningUpstream(GatewayState& state, const Upstream& upstream, TimePoint started) {
-  const std::size_t withdrawn =
-      core::RecordRunning(state.crash_causes, upstream.key, started, /*is_own=*/true);
-  if (withdrawn == 0) {
-    return;
+  if (core::MayWithdraw(state.crash_causes, upstream.key, started)) {
+    state.running_signs.try_emplace(upstream.key, RunningSign{started, state.clock.now()});
   }
-  Log(LogLevel::kInfo, "lost_upstream_runs",
-      {{"upstream", upstream.info.id}, {"losses", withdrawn}});
-  state.metrics.Count("crash_evidence_withdrawn_total", static_cast<double>(withdrawn));
-  state.on_reservation_change();
+}
+
+void ConfirmRunningUpstreams(GatewayState& state) {
+  const TimePoint now = state.clock.now();
+  std::erase_if(state.running_signs, [&state, now](const auto& entry) {
+    const auto& [key, sign] = entry;
+    const Upstream* upstream = state.fleet.Find(key);
+    if (upstream != nullptr && now - sign.answered < kIncarnationCheckTime) {
+      return false;
+    }
+    const std::size_t withdrawn =
+        upstream == nullptr
+            ? 0
+            : core::RecordRunning(state.crash_causes, key, sign.sent, /*is_own=*/true);
+    if (withdrawn > 0) {
+      Log(LogLevel::kInfo, "lost_upstream_runs",
+          {{"upstream", upstream->info.id}, {"losses", withdrawn}});
+      state.metrics.Count("crash_evidence_withdrawn_total", static_cast<double>(withdrawn));
+      state.on_reservation_change();
+    }
+    return true;
+  });
 }
 
 void RecordAnsweredStart(const RequestContext& request, GatewayState& state, TimePoint started) {
--- a/gateway/crash_guard.h
+++ b/gateway/crash_guard.h
@@ -33,9 +33,13 @@
                      TimePoint started);
 
 /// Records that the upstream has answered a request that was sent to it at `started`, whatever the
-/// answer, and reports it to the peers if it withdraws evidence.
+/// answer.
 void RecordRunningUpstream(GatewayState& state, const Upstream& upstream, TimePoint started);
 
+/// Withdraws the losses of upstreams that have answered since and are still in the list as the same
+/// incarnation, and reports it to the peers. Called at intervals.
+void ConfirmRunningUpstreams(GatewayState& state);
+
 /// Records that an upstream has shown that it can answer the request. started: when it was sent
 /// there.
 void RecordAnsweredStart(const RequestContext& request, GatewayState& state, TimePoint started);
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -13,6 +13,7 @@
 #include "base/bounded_json.h"
 #include "base/hash.h"
 #include "base/log.h"
+#include "gateway/crash_guard.h"
 #include "gateway/generation_exchange.h"
 #include "gateway/plain_exchange.h"
 #include "platform/config_format.h"
@@ -438,6 +439,7 @@
 void Gateway::UpdateBlockedCauses() {
   core::CrashCauses& causes = state_.crash_causes;
   state_.tries_blocked_causes = load_exchange_->is_first();
+  ConfirmRunningUpstreams(state_);
   core::UpdateBlocked(causes, clock_.now());
   crash_records_->Tick(load_exchange_->is_first());
   for (const auto& [cause, block] : causes.blocked) {
--- a/gateway/gateway_state.h
+++ b/gateway/gateway_state.h
@@ -23,6 +23,13 @@
 
 namespace rattanramp::gateway {
 
+/// An answer that shows that an upstream has not ended.
+struct RunningSign {
+  /// When the request was sent.
+  TimePoint sent;
+  TimePoint answered;
+};
+
 struct GatewayState {
   asio::io_context& context;
   const Clock& clock;
@@ -42,6 +49,9 @@
   /// Set when the process has begun to stop.
   std::optional<core::StopPlan> stop = {};
   core::CrashCauses crash_causes = {};
+  /// Answers of upstreams under which requests were lost, by key, until the list of upstreams has
+  /// had the time to show that they came from another incarnation.
+  std::map<std::int64_t, RunningSign> running_signs = {};
   /// This gateway tries causes again that are blocked.
   bool tries_blocked_causes = false;
 };
--- a/tests/gateway/crashing_part_test.cc
+++ b/tests/gateway/crashing_part_test.cc
@@ -144,6 +144,10 @@
     });
   }
 
+  /// Connections are not reset any more.
+  void EndResets() { resets_ = kResetStreams; }
+  /// Rows of evidence in the store.
+  std::size_t crash_rows() { return tables_.tables["rattanramp_crashes"].size(); }
   /// Engines that have ended under a request with the part.
   int crashes() const { return crashes_; }
   /// Calls with the part that have reached engines, prefills included.
@@ -307,3 +311,28 @@
   cr_assert_eq(lost, kResetStreams);
   cr_assert_eq(served, 8, "%d of 8 requests were served after the reset", served);
 }
+
+// Guards against a sound part that stays blocked after connections were reset at several moments
+// (review case 4): its engines answer other requests. All gateways take the block back, and the
+// evidence leaves the store.
+Test(crashing_part, part_is_released_when_its_engines_run_on, .timeout = 60) {
+  CrashingFleet fleet(2);
+  int refused = 0;
+  int served = 0;
+  fleet.Run([&] {
+    for (int i = 0; i < kResetStreams; ++i) {
+      refused += fleet.Call(0, "new", "/q/x").find(" 503 ") != std::string::npos ? 1 : 0;
+    }
+    fleet.EndResets();
+    for (int i = 0; i < 200; ++i) {
+      fleet.Call(static_cast<std::size_t>(i % 2), "");
+      std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    for (std::size_t i = 0; i < 8; ++i) {
+      served += fleet.Call(i % 2, "new", "/q/x").find("0\r\n\r\n") != std::string::npos ? 1 : 0;
+    }
+  });
+  cr_assert_gt(refused, 0);
+  cr_assert_eq(served, 8, "%d of 8 requests were served", served);
+  cr_assert_eq(fleet.crash_rows(), 0);
+}
