Use a returned server that has no health check when its entry stays

Cause: a server that does not answer health checks would never be used again after its entry was missing once.

Change: any answer below 500 that does not say that the server leaves confirms it; without one, an entry that stays for 5 s has been renewed, as one that is not expires after 3.6 s.

Conclusion: no sound server is kept out for good.

--- a/gateway/return_check.cc
+++ b/gateway/return_check.cc
@@ -18,12 +18,20 @@
 // Time between two checks of an upstream that does not confirm that it runs.
 constexpr Milliseconds kCheckInterval{1'000};
 
+// Time in the list after which an upstream counts as running without an answer to a check. An entry
+// that is not renewed expires after three heartbeats, which take 3.6 s, and is missing from the
+// next read of the list.
+constexpr Milliseconds kListedTime{5'000};
+
+// Lowest status with which a server says that it is failing or leaves.
+constexpr int kMinFailureStatus = 500;
+
 }  // namespace
 
 class ReturnCheck::Check final : private AttemptListener {
  public:
   Check(GatewayState& state, std::shared_ptr<Upstream> upstream)
-      : state_(state), upstream_(std::move(upstream)) {}
+      : state_(state), upstream_(std::move(upstream)), returned_(state.clock.now()) {}
 
   bool is_done() const {
     return upstream_->is_removed || upstream_->is_leaving() ||
@@ -31,7 +39,12 @@
   }
 
   void Tick(const core::RoutingTable& rules) {
-    if (attempt_ || state_.clock.now() < next_check_) {
+    const TimePoint now = state_.clock.now();
+    if (now - returned_ >= kListedTime) {
+      Confirm();
+      return;
+    }
+    if (attempt_ || now < next_check_) {
       return;
     }
     const core::ServiceRule* service = rules.FindService(upstream_->info.service);
@@ -49,20 +62,24 @@
 
  private:
   void OnAnswerHead(const http::ResponseHead& head, const core::AnswerFacts& facts) override {
-    is_healthy_ = head.status == 200 && !facts.wrong_instance && !facts.is_leaving;
+    is_running_ = head.status < kMinFailureStatus && !facts.wrong_instance && !facts.is_leaving;
   }
   BodyProgress OnAnswerBody(std::string_view /*bytes*/) override { return BodyProgress::kNone; }
 
   void OnAnswerComplete() override {
-    if (std::exchange(is_healthy_, false)) {
-      upstream_->statement->is_unconfirmed = false;
-      Log(LogLevel::kInfo, "returned_upstream_confirmed", {{"upstream", upstream_->info.id}});
-      state_.dispatcher.WakeAll();
+    if (std::exchange(is_running_, false)) {
+      Confirm();
     }
     End();
   }
   void OnAttemptFailure(AttemptFailure /*failure*/) override { End(); }
 
+  void Confirm() {
+    upstream_->statement->is_unconfirmed = false;
+    Log(LogLevel::kInfo, "returned_upstream_confirmed", {{"upstream", upstream_->info.id}});
+    state_.dispatcher.WakeAll();
+  }
+
   void End() {
     attempt_.reset();
     next_check_ = state_.clock.now() + kCheckInterval;
@@ -71,8 +88,9 @@
   GatewayState& state_;
   std::shared_ptr<Upstream> upstream_;
   std::unique_ptr<Attempt> attempt_;
+  TimePoint returned_;
   TimePoint next_check_;
-  bool is_healthy_ = false;
+  bool is_running_ = false;
 };
 
 ReturnCheck::ReturnCheck(GatewayState& state) : state_(state) {}
--- a/gateway/return_check.h
+++ b/gateway/return_check.h
@@ -1,5 +1,6 @@
 // Checks the health of upstreams whose entry was removed and has come back, before they get
-// requests: one that has left says so, and a running one was only missing from the list.
+// requests: one that has left says so, and a running one was only missing from the list. One that
+// answers no checks is used when its entry has stayed long enough to have been renewed.
 #pragma once
 
 #include <memory>
--- a/tests/gateway/own_statement_test.cc
+++ b/tests/gateway/own_statement_test.cc
@@ -325,3 +325,32 @@
     cr_expect_eq(server.heads().size(), 1);
   }
 }
+
+// Guards against a sound server that is never used again because it has no health check: its entry
+// stays in the list, so that it must have been renewed.
+Test(own_statement, returned_server_without_health_check_is_used_later, .timeout = 30) {
+  FakeEngine server([](const std::string& /*head*/, int /*number*/) {
+    return FakeAnswer{"", true};
+  });
+  ExchangeFixture fixture;
+  fixture.Add("a", UpstreamStage::kPlain, server.port());
+  core::RoutingRules rules;
+  core::ServiceRule service;
+  service.name = "s";
+  rules.services = {service};
+  const std::shared_ptr<const core::RoutingTable> table = core::RoutingTable::Create(rules).value();
+  gateway::ReturnCheck check(fixture.state);
+  core::DirectoryChange change;
+  change.removed = {fixture.fleet.upstreams().at("a")->info};
+  fixture.fleet.Apply(change);
+  change.added = std::exchange(change.removed, {});
+  fixture.fleet.Apply(change);
+  const TimePoint returned = DefaultClock().now();
+  while (!IsUsable(fixture.fleet, returned)) {
+    check.Tick(*table);
+    fixture.context.restart();
+    fixture.context.run_for(Milliseconds(50));
+    cr_assert_lt(ToMs(DefaultClock().now() - returned), 10'000.0);
+  }
+  cr_expect_gt(ToMs(DefaultClock().now() - returned), 3'600.0);
+}
