Confirm a returned server by its entry alone

Cause: the health check of a returned server reaches servers that do not know it.

Change: no check; an entry that stays for 6 s has been renewed. If most of a service come back with one read, the list was incomplete and they are used at once.

Conclusion: less code, no probes, and the same bound for a server that has left.

--- a/gateway/fleet.cc
+++ b/gateway/fleet.cc
@@ -29,6 +29,10 @@
 // Removed upstreams whose statements are remembered.
 constexpr std::size_t kMaxRemoved = 4'096;
 
+// Time in the list after which the entry of an upstream that has come back must have been renewed:
+// one that is not expires after three heartbeats of 1.2 s, and is missing from the next read.
+constexpr Milliseconds kRenewedTime{6'000};
+
 asio::ip::tcp::endpoint EndpointOf(const core::UpstreamInfo& info) {
   // The decoder of the upstream list has already validated the address.
   return {asio::ip::make_address_v4(info.address), info.port};
@@ -72,6 +76,7 @@
   for (const core::UpstreamInfo& info : change.added) {
     Add(info);
   }
+  ConfirmMostlyReturned(change);
   for (const core::UpstreamInfo& info : change.updated) {
     const auto found = by_id_.find(info.id);
     const bool is_same_process =
@@ -92,6 +97,41 @@
   }
 }
 
+void Fleet::ConfirmMostlyReturned(const core::DirectoryChange& change) {
+  std::map<std::string_view, std::size_t> returned;
+  for (const core::UpstreamInfo& info : change.added) {
+    returned[info.service] += by_id_.at(info.id)->statement->is_unconfirmed ? 1 : 0;
+  }
+  for (const auto& [service, count] : returned) {
+    const std::span<const std::shared_ptr<Upstream>> upstreams = OfService(service);
+    if (count < 2 || 2 * count <= upstreams.size()) {
+      continue;
+    }
+    for (const std::shared_ptr<Upstream>& upstream : upstreams) {
+      upstream->statement->is_unconfirmed = false;
+    }
+  }
+}
+
+void Fleet::ConfirmReturned(TimePoint now) {
+  std::erase_if(returned_, [now](auto& entry) {
+    auto& [upstream, seen] = entry;
+    if (upstream->is_removed || upstream->is_leaving() || !upstream->statement->is_unconfirmed) {
+      return true;
+    }
+    if (!seen) {
+      seen = now;
+      Log(LogLevel::kInfo, "upstream_returned", {{"upstream", upstream->info.id}});
+    }
+    if (now - *seen < kRenewedTime) {
+      return false;
+    }
+    upstream->statement->is_unconfirmed = false;
+    Log(LogLevel::kInfo, "returned_upstream_confirmed", {{"upstream", upstream->info.id}});
+    return true;
+  });
+}
+
 std::span<const std::shared_ptr<Upstream>> Fleet::OfService(std::string_view service) const {
   const auto found = by_service_.find(service);
   return found == by_service_.end() ? std::span<const std::shared_ptr<Upstream>>()
@@ -244,7 +284,7 @@
   upstream->statement->is_leaving |= info.is_draining;
   upstream->statement->is_unconfirmed = !is_new;
   if (!is_new && !upstream->is_leaving()) {
-    returned_.push_back(upstream);
+    returned_.emplace_back(upstream, std::nullopt);
   }
   by_service_[info.service].push_back(upstream);
   by_key_[upstream->key] = upstream;
--- a/gateway/fleet.h
+++ b/gateway/fleet.h
@@ -47,7 +47,7 @@
   /// It has asked this gateway for no requests before this time.
   TimePoint paused_until;
   /// Its entry was removed and has come back. The store may have performed an old beat late, so
-  /// that the upstream gets no requests before it has answered a health check.
+  /// that the upstream gets no requests before the entry must have been renewed.
   bool is_unconfirmed = false;
 };
 
@@ -141,8 +141,9 @@
   /// requests.
   std::vector<PeerLoad> LocalLoad() const;
 
-  /// Upstreams that have come back since the last call and are unconfirmed.
-  std::vector<std::shared_ptr<Upstream>> TakeReturned() { return std::exchange(returned_, {}); }
+  /// Lets upstreams that have come back get requests when their entries have stayed long enough to
+  /// have been renewed. Called at intervals.
+  void ConfirmReturned(TimePoint now);
 
   std::size_t size() const { return by_id_.size(); }
   const std::map<std::string, std::shared_ptr<Upstream>, std::less<>>& upstreams() const {
@@ -152,6 +153,9 @@
  private:
   void Add(const core::UpstreamInfo& info);
   void Remove(const std::string& id);
+  /// Lets the upstreams of a service get requests at once if most of them have come back with this
+  /// change: the list was incomplete.
+  void ConfirmMostlyReturned(const core::DirectoryChange& change);
   /// Forgets what the upstreams said that were removed before the last kMaxRemoved.
   void ForgetOldStatements();
   /// Adds a peer's report to the sums, or subtracts it (sign -1).
@@ -177,7 +181,8 @@
   /// By key: of the upstreams in the list, and of those that were removed, which may come back: an
   /// older list, a store that has lost its newest rows, or one that performs an old beat late.
   std::unordered_map<std::int64_t, std::shared_ptr<OwnStatement>> statements_;
-  std::vector<std::shared_ptr<Upstream>> returned_;
+  /// Upstreams that have come back, and when this was first seen by ConfirmReturned.
+  std::vector<std::pair<std::shared_ptr<Upstream>, std::optional<TimePoint>>> returned_;
   /// Keys of upstreams that were removed, oldest first; a key may occur several times.
   std::deque<std::int64_t> removed_keys_;
 };
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -159,7 +159,6 @@
       settings_(std::move(settings)),
       dispatcher_(context, clock),
       state_{context, clock, settings_, fleet_, dispatcher_, metrics_, retry_windows_, {}, {}, 1},
-      return_check_(state_),
       status_host_(std::make_unique<StatusHost>(*this)),
       caller_acceptor_(context),
       readiness_acceptor_(context),
@@ -423,8 +422,8 @@
   }
   if (table_) {
     stage_controller_->Tick(*table_, load_exchange_->is_first());
-    return_check_.Tick(*table_);
   }
+  fleet_.ConfirmReturned(clock_.now());
   UpdateBlockedCauses();
   dispatcher_.WakeAll();
   tick_timer_.expires_after(kTickInterval);
@@ -468,7 +467,6 @@
   }
   state_.stop = {clock_.now(), settings_.stop_grace};
   stage_controller_->Stop();
-  return_check_.Stop();
   crash_records_->Stop();
   on_stopped_ = std::move(done);
   Log(LogLevel::kInfo, "stop_started",
