--- a/tests/core/crash_causes_test.cc
+++ b/tests/core/crash_causes_test.cc
@@ -388,8 +388,8 @@
 
 // Guards against a reset of a machine's connections being taken for the end of its upstreams
 // (review case 4): the first requests of a new route, all running at that moment, say nothing of
-// the part that they share. Also of the content of plain requests, and at a peer that is told of
-// them.
+// the part that they share. Also of the content of plain requests, and at a peer that receives the
+// losses in a report.
 Test(crash_causes, losses_of_one_moment_are_no_evidence) {
   CrashCauses causes;
   CrashCauses peer;
