Log how an answer was framed and how its connection ended

Change: ResponseHead names its framing, failures distinguish an orderly end from a reset, and both reach the log. No decision changes. Measured: client_connection::orderly_end_and_reset_are_told_apart (new); the two tests that expected a lost connection now expect the reset. test_http 14 of 14.

--- a/gateway/attempt.cc
+++ b/gateway/attempt.cc
@@ -18,10 +18,12 @@
       return AttemptFailure::kNotConnected;
     case http::ExchangeFailure::kMalformed:
       return AttemptFailure::kMalformed;
-    case http::ExchangeFailure::kConnectionLost:
+    case http::ExchangeFailure::kConnectionClosed:
+      return AttemptFailure::kConnectionClosed;
+    case http::ExchangeFailure::kConnectionReset:
       break;
   }
-  return AttemptFailure::kConnectionLost;
+  return AttemptFailure::kConnectionReset;
 }
 
 void AddLoad(core::UpstreamLoad& load, const core::UpstreamLoad& part, std::int64_t sign) {
@@ -32,6 +34,22 @@
 
 }  // namespace
 
+std::string_view FailureName(AttemptFailure failure) {
+  switch (failure) {
+    case AttemptFailure::kNotConnected:
+      return "not connected";
+    case AttemptFailure::kConnectionClosed:
+      return "connection closed";
+    case AttemptFailure::kConnectionReset:
+      return "connection reset";
+    case AttemptFailure::kMalformed:
+      return "malformed answer";
+    case AttemptFailure::kTimedOut:
+      break;
+  }
+  return "silent";
+}
+
 std::unique_ptr<Attempt> Attempt::Start(asio::io_context& context, const Clock& clock,
                                         std::shared_ptr<Upstream> upstream, AttemptPlan plan,
                                         AttemptListener& listener) {
--- a/gateway/attempt.h
+++ b/gateway/attempt.h
@@ -17,14 +17,26 @@
 enum class AttemptFailure {
   /// No connection could be made, so the upstream has not run the request.
   kNotConnected,
-  /// The connection was closed or reset after the request was sent. The request may have run.
-  kConnectionLost,
+  /// The upstream closed the connection in an orderly way before its answer was complete. The
+  /// request may have run.
+  kConnectionClosed,
+  /// The connection was reset after the request was sent. The request may have run.
+  kConnectionReset,
   /// The answer was malformed or too large. The upstream was running, and the request may have run.
   kMalformed,
   /// No bytes arrived within the timeout, and the connection was closed. The request may have run.
   kTimedOut,
 };
 
+/// Whether the connection was lost, which can be the end of the upstream.
+inline bool IsConnectionLost(AttemptFailure failure) {
+  return failure == AttemptFailure::kConnectionClosed ||
+         failure == AttemptFailure::kConnectionReset;
+}
+
+/// Description of a failure for the log.
+std::string_view FailureName(AttemptFailure failure);
+
 /// What the bytes of an answer mean for the attempt.
 enum class BodyProgress {
   /// The wait for further bytes starts anew.
--- a/gateway/generation_exchange.cc
+++ b/gateway/generation_exchange.cc
@@ -615,7 +615,7 @@
     const bool is_stray = answer_head_.status == 200 && is_stream_open_;
     if (answer_head_.status >= 500 || is_stray ||
         !core::IsAnswerOfRun(answer_facts_, answer_head_.status)) {
-      OnDecodeBroken(AttemptFailure::kConnectionLost);
+      OnDecodeBroken(AttemptFailure::kConnectionClosed);
       return;
     }
     ForwardAnswer();
@@ -623,16 +623,17 @@
   }
   // An engine that ends right after the head of an answer without a length looks like one that has
   // nothing to say.
-  const bool is_empty = answer_head_.body_ends_at_close && splitter_.events == 0;
+  const bool is_empty =
+      answer_head_.framing == http::BodyFraming::kUntilClose && splitter_.events == 0;
   if (core::HasUnfinishedEvent(splitter_) || is_empty) {
     core::RecordAnswer(health, core::AnswerResult::kLost, now);
     RecordLossUnlessProven();
-    OnDecodeBroken(AttemptFailure::kConnectionLost);
+    OnDecodeBroken(AttemptFailure::kConnectionClosed);
     return;
   }
   core::RecordAnswer(health, core::AnswerResult::kSuccess, now);
   // The end of an answer without a length may also be that of its engine.
-  CheckProven(/*is_complete=*/!answer_head_.body_ends_at_close);
+  CheckProven(/*is_complete=*/answer_head_.framing != http::BodyFraming::kUntilClose);
   phase_ = Phase::kDone;
   core::RecordGeneration(
       ProfileOf(state_, request_.service->name),
@@ -643,8 +644,9 @@
   ReleaseDecode();
   sink_.StreamBytes(splitter_.partial);
   LogRequestEnd(request_, state_, 200, "answered",
-                fmt::format("{} events, first after {:.0f} ms", splitter_.events,
-                            ToMs(first_event_.value_or(now) - request_.arrived)));
+                fmt::format("{} events, first after {:.0f} ms, framing {}", splitter_.events,
+                            ToMs(first_event_.value_or(now) - request_.arrived),
+                            http::FramingName(answer_head_.framing)));
   sink_.EndStream();
 }
 
@@ -656,7 +658,8 @@
     sink_.Abort();
     return;
   }
-  LogRequestEnd(request_, state_, answer_head_.status, "answered", "");
+  LogRequestEnd(request_, state_, answer_head_.status, "answered",
+                fmt::format("no stream, framing {}", http::FramingName(answer_head_.framing)));
   sink_.Answer(answer_head_.status, platform::CallerFields(answer_head_), std::move(answer_body_));
 }
 
@@ -722,10 +725,11 @@
 }
 
 std::string GenerationExchange::DescribeLoss(std::string_view cause) const {
-  return fmt::format("{} after {:.0f} ms and {} events, prompt parts {}", cause,
-                     ToMs(state_.clock.now() - attempt_started_),
-                     splitter_.events - events_before_attempt_,
-                     fmt::join(request_.facts.prompt_parts, " "));
+  return fmt::format(
+      "{} after {:.0f} ms and {} events, framing {}, {} bytes of an event, prompt parts {}", cause,
+      ToMs(state_.clock.now() - attempt_started_), splitter_.events - events_before_attempt_,
+      is_streaming_ ? http::FramingName(answer_head_.framing) : "none", splitter_.partial.size(),
+      fmt::join(request_.facts.prompt_parts, " "));
 }
 
 void GenerationExchange::CheckProven(bool is_complete) {
@@ -787,8 +791,7 @@
 
 void GenerationExchange::OnDecodeBroken(AttemptFailure failure) {
   ++possible_runs_;
-  LogRequestStep(request_, "decode_broke", *decode_,
-                 DescribeLoss(failure == AttemptFailure::kTimedOut ? "silent" : "connection lost"));
+  LogRequestStep(request_, "decode_broke", *decode_, DescribeLoss(FailureName(failure)));
   attempt_.reset();
   ReleaseDecode();
   const bool may_continue = core::MayRunAgain(*request_.route) &&
@@ -820,7 +823,7 @@
     // The call has reached no engine, so the next one is no further arrival.
     has_retry_ = true;
   }
-  if (failure == AttemptFailure::kConnectionLost) {
+  if (IsConnectionLost(failure)) {
     RecordLossUnlessProven();
   }
   if (phase_ == Phase::kPrefill) {
--- a/gateway/plain_exchange.cc
+++ b/gateway/plain_exchange.cc
@@ -317,7 +317,8 @@
 
 void PlainExchange::ForwardAnswer() {
   is_done_ = true;
-  LogRequestEnd(request_, state_, answer_head_.status, "answered", "");
+  LogRequestEnd(request_, state_, answer_head_.status, "answered",
+                fmt::format("framing {}", http::FramingName(answer_head_.framing)));
   sink_.Answer(answer_head_.status, platform::CallerFields(answer_head_), std::move(answer_body_));
 }
 
@@ -339,11 +340,10 @@
   if (failure != AttemptFailure::kTimedOut) {
     core::RecordAnswer(attempt_->upstream().health, core::AnswerResult::kLost, now);
   }
-  if (failure == AttemptFailure::kConnectionLost) {
+  if (IsConnectionLost(failure)) {
     RecordStartLoss(request_, state_, attempt_->upstream(), attempt_started_);
   }
-  if (!Retry(true,
-             failure == AttemptFailure::kTimedOut ? "upstream timed out" : "connection lost")) {
+  if (!Retry(true, FailureName(failure))) {
     is_done_ = true;
     AnswerOutcomeUnknown(request_, state_, sink_, 502,
                          "connection to the upstream lost before the complete answer");
--- a/http/client_connection.cc
+++ b/http/client_connection.cc
@@ -148,7 +148,7 @@
         // While a read is pending, it fails too and reports the failure, so that the listener
         // is called once.
         if (error && !self->is_closed_ && !self->is_reading_) {
-          self->Fail(ExchangeFailure::kConnectionLost);
+          self->Fail(ExchangeFailure::kConnectionReset);
         }
       });
 }
@@ -239,10 +239,11 @@
 }
 
 bool ClientConnection::FinishResponse() {
-  const bool keep_alive = parser_->head().keep_alive && !parser_->head().body_ends_at_close;
+  const bool keep_alive =
+      parser_->head().keep_alive && parser_->head().framing != BodyFraming::kUntilClose;
   if (is_discarding_) {
     if (!keep_alive && parser_->head().status >= 200) {
-      Fail(ExchangeFailure::kConnectionLost);
+      Fail(ExchangeFailure::kConnectionReset);
       return false;
     }
     parser_.emplace(is_head_request_);
@@ -277,7 +278,7 @@
     listener->OnComplete(false);
     return;
   }
-  Fail(ExchangeFailure::kConnectionLost);
+  Fail(is_orderly ? ExchangeFailure::kConnectionClosed : ExchangeFailure::kConnectionReset);
 }
 
 void ClientConnection::Fail(ExchangeFailure failure) {
--- a/http/client_connection.h
+++ b/http/client_connection.h
@@ -23,9 +23,11 @@
 enum class ExchangeFailure {
   /// The connection could not be established; no byte of the request was sent.
   kNotConnected,
-  /// The connection was closed or reset after sending had started and before the response was
-  /// complete. The server may have processed the request.
-  kConnectionLost,
+  /// The server closed the connection in an orderly way after sending had started and before the
+  /// response was complete. It may have processed the request.
+  kConnectionClosed,
+  /// The same, but the connection was reset, or carries responses to other requests only.
+  kConnectionReset,
   /// The received bytes are not a valid HTTP response.
   kMalformed,
 };
--- a/http/message.cc
+++ b/http/message.cc
@@ -100,6 +100,18 @@
                         : std::string_view(phrase.data(), phrase.size());
 }
 
+std::string_view FramingName(BodyFraming framing) {
+  switch (framing) {
+    case BodyFraming::kLength:
+      return "length";
+    case BodyFraming::kChunks:
+      return "chunks";
+    case BodyFraming::kUntilClose:
+      break;
+  }
+  return "close";
+}
+
 std::string_view PathOf(std::string_view target) { return target.substr(0, target.find('?')); }
 
 }  // namespace rattanramp::http
--- a/http/message.h
+++ b/http/message.h
@@ -28,15 +28,26 @@
   bool keep_alive = true;
 };
 
+/// How the end of a response's body is known.
+enum class BodyFraming {
+  /// From the Content-Length, or the response has no body.
+  kLength,
+  /// From the last chunk.
+  kChunks,
+  /// The body ends with the connection. A server that stops early closes it too.
+  kUntilClose,
+};
+
 struct ResponseHead {
   int status = 0;
   Fields fields;
   bool keep_alive = true;
-  /// The body has neither a Content-Length nor chunked coding and ends when the server closes the
-  /// connection.
-  bool body_ends_at_close = false;
+  BodyFraming framing = BodyFraming::kLength;
 };
 
+/// Name of a framing for the log.
+std::string_view FramingName(BodyFraming framing);
+
 bool EqualsIgnoreCase(std::string_view a, std::string_view b);
 
 /// Value of the first field with that name, compared without case; null when there is none.
--- a/http/parser.cc
+++ b/http/parser.cc
@@ -189,6 +189,17 @@
   std::string body;
 };
 
+namespace {
+
+BodyFraming FramingOf(const basic_parser<false>& parser) {
+  if (parser.need_eof()) {
+    return BodyFraming::kUntilClose;
+  }
+  return parser.chunked() ? BodyFraming::kChunks : BodyFraming::kLength;
+}
+
+}  // namespace
+
 ResponseParser::ResponseParser(bool is_head_request)
     : impl_(std::make_unique<Impl>(is_head_request)) {}
 ResponseParser::~ResponseParser() = default;
@@ -211,7 +222,7 @@
     }
     if (!had_head && impl_->is_header_done()) {
       impl_->head.keep_alive = impl_->keep_alive();
-      impl_->head.body_ends_at_close = impl_->need_eof();
+      impl_->head.framing = FramingOf(*impl_);
       break;
     }
     if (ec == beast::http::error::need_more || parsed == 0) {
--- a/tests/http/client_connection_test.cc
+++ b/tests/http/client_connection_test.cc
@@ -76,7 +76,14 @@
   cr_assert_eq(complete.body, "whole");
   const RecordingListener truncated = ExchangeOneRequest(response, true);
   cr_assert(!truncated.is_reusable.has_value());
-  cr_assert(truncated.failure == http::ExchangeFailure::kConnectionLost);
+  cr_assert(truncated.failure == http::ExchangeFailure::kConnectionReset);
+}
+
+// Guards against an orderly end and a reset that the log cannot tell apart.
+Test(client_connection, orderly_end_and_reset_are_told_apart, .timeout = 20) {
+  const std::string part = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart";
+  cr_assert(ExchangeOneRequest(part, false).failure == http::ExchangeFailure::kConnectionClosed);
+  cr_assert(ExchangeOneRequest(part, true).failure == http::ExchangeFailure::kConnectionReset);
 }
 
 // Guards against a late response being reported as the response to the next request. The listener
@@ -105,7 +112,7 @@
 // received it: it could then be sent again and run twice.
 Test(client_connection, failure_states_whether_the_request_was_sent, .timeout = 20) {
   const RecordingListener reset = ExchangeOneRequest("", true);
-  cr_assert(reset.failure == http::ExchangeFailure::kConnectionLost);
+  cr_assert(reset.failure == http::ExchangeFailure::kConnectionReset);
 
   asio::io_context context;
   tcp::acceptor acceptor(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
--- a/tests/http/parser_test.cc
+++ b/tests/http/parser_test.cc
@@ -93,7 +93,7 @@
   http::ResponseParser unframed(false);
   cr_assert(FeedInSegments(unframed, "HTTP/1.1 200 OK\r\n\r\nabc", 7).has_value());
   cr_assert(!unframed.is_complete());
-  cr_assert(unframed.head().body_ends_at_close);
+  cr_assert(unframed.head().framing == http::BodyFraming::kUntilClose);
   cr_assert(unframed.FinishAtEof());
   cr_assert_eq(unframed.TakeBody(), "abc");
 
