State the end of an answer to callers only if an upstream has stated it

Cause: an answer with neither a length nor chunks ends with its connection. A crash closes the connection in an orderly way too, and the gateway sent the last chunk after each orderly close that was not within an event. A part of a comment or of a line end did not count as one, and neither did a continuation that ended right after its head. Plain answers and answers of engines that are no streams got a length. Change: core::JudgeEnding tells a stated end from an unstated one, and the gateway passes an unstated one on as it is: no length, no chunks, and an orderly close. Where the caller was promised chunks, another engine is asked to go on. An unstated end is no evidence of a crash. Why it works: what the caller reads from the framing is now what an upstream has framed; an end within an event, a comment or a line end that nobody has stated is a break.

--- a/core/event_splitter.cc
+++ b/core/event_splitter.cc
@@ -59,6 +59,7 @@
     return false;
   }
   splitter.is_continuation = false;
+  splitter.is_silent = false;
   splitter.largest_step = std::max(splitter.largest_step, step);
   splitter.last_id = event.id;
   ++splitter.events;
@@ -99,10 +100,20 @@
   return events;
 }
 
-bool HasUnfinishedEvent(const EventSplitter& splitter) {
+StreamEnding JudgeEnding(const EventSplitter& splitter, bool is_end_stated) {
   const std::string_view line = std::string_view(splitter.partial).substr(splitter.read_bytes);
-  return splitter.is_malformed || splitter.lines.has_fields ||
-         (!line.empty() && !line.starts_with(':') && line != "\r");
+  const bool is_in_event =
+      splitter.lines.has_fields || (!line.empty() && !line.starts_with(':') && line != "\r");
+  if (splitter.is_malformed || is_in_event) {
+    return StreamEnding::kBroken;
+  }
+  if (is_end_stated) {
+    return StreamEnding::kWhole;
+  }
+  if (!splitter.partial.empty()) {
+    return StreamEnding::kBroken;
+  }
+  return splitter.is_silent ? StreamEnding::kNoEvent : StreamEnding::kUnstated;
 }
 
 void DropPartialEvent(EventSplitter& splitter) {
@@ -111,6 +122,7 @@
   splitter.lines = {};
   splitter.is_malformed = false;
   splitter.is_continuation = true;
+  splitter.is_silent = true;
 }
 
 }  // namespace rattanramp::core
--- a/core/event_splitter.h
+++ b/core/event_splitter.h
@@ -41,8 +41,10 @@
   EventLines lines;
   /// Largest difference between the ids of two successive events; 0: not known.
   std::int64_t largest_step = 0;
-  /// The next event is the first one of another upstream.
+  /// The next event is the first one of its upstream, which continues the stream of another one.
   bool is_continuation = false;
+  /// The current upstream has sent no event with an id.
+  bool is_silent = true;
 };
 
 /// Appends `bytes` and returns all complete events. Keeps the incomplete rest in `partial`. An
@@ -52,8 +54,21 @@
 /// returned.
 std::string TakeCompleteEvents(EventSplitter& splitter, std::string_view bytes);
 
-/// Whether the stream would end in the middle of an event if no further bytes followed.
-bool HasUnfinishedEvent(const EventSplitter& splitter);
+/// What the end of an upstream's stream shows.
+enum class StreamEnding {
+  /// The upstream has stated the end, and it is not within an event.
+  kWhole,
+  /// The connection ended between two events. The stream is whole, or its upstream has crashed.
+  kUnstated,
+  /// The same, but the upstream has sent no event.
+  kNoEvent,
+  /// The stream ended within an event; if the end is not stated, also within a comment or a line
+  /// end.
+  kBroken,
+};
+
+/// Judges a stream of which no further bytes follow. is_end_stated: by a length or a last chunk.
+StreamEnding JudgeEnding(const EventSplitter& splitter, bool is_end_stated);
 
 /// Discards the incomplete event and what followed it; the upstream that continues the stream sends
 /// the event again.
--- a/gateway/caller_connection.cc
+++ b/gateway/caller_connection.cc
@@ -198,8 +198,8 @@
   FinishAnswer();
 }
 
-void CallerConnection::StartStream(int status, const http::Fields& fields) {
-  is_chunked_ = !is_http_1_0_;
+void CallerConnection::StartStream(int status, const http::Fields& fields, StreamEnd end) {
+  is_chunked_ = !is_http_1_0_ && end == StreamEnd::kStated;
   if (!is_chunked_) {
     keep_alive_ = false;
   }
--- a/gateway/caller_connection.h
+++ b/gateway/caller_connection.h
@@ -52,7 +52,7 @@
   bool is_serving() const { return exchange_ != nullptr || is_answering_; }
 
   void Answer(int status, const http::Fields& fields, std::string body) override;
-  void StartStream(int status, const http::Fields& fields) override;
+  void StartStream(int status, const http::Fields& fields, StreamEnd end) override;
   void StreamBytes(std::string_view bytes) override;
   void EndStream() override;
   void Abort() override;
--- a/gateway/caller_sink.h
+++ b/gateway/caller_sink.h
@@ -9,6 +9,14 @@
 
 namespace rattanramp::gateway {
 
+/// How the end of a streamed answer is shown to the caller.
+enum class StreamEnd {
+  /// By a last chunk, which states that the answer is whole.
+  kStated,
+  /// By the end of the connection, because the upstream has not stated the end either.
+  kByClose,
+};
+
 /// Receives the answer to one request. Exactly one of Answer, EndStream and Abort ends an exchange;
 /// the exchange is destroyed after that call has returned.
 class CallerSink {
@@ -16,7 +24,7 @@
   virtual ~CallerSink() = default;
   /// Sends a complete answer.
   virtual void Answer(int status, const http::Fields& fields, std::string body) = 0;
-  virtual void StartStream(int status, const http::Fields& fields) = 0;
+  virtual void StartStream(int status, const http::Fields& fields, StreamEnd end) = 0;
   virtual void StreamBytes(std::string_view bytes) = 0;
   virtual void EndStream() = 0;
   /// Closes the connection in a way that shows the caller that the answer is incomplete.
--- a/gateway/generation_exchange.cc
+++ b/gateway/generation_exchange.cc
@@ -545,7 +545,8 @@
   is_streaming_ = true;
   if (!is_stream_open_) {
     is_stream_open_ = true;
-    sink_.StartStream(head.status, platform::CallerFields(head));
+    stream_end_ = StreamEndOf(head);
+    sink_.StartStream(head.status, platform::CallerFields(head), stream_end_);
   }
 }
 
@@ -621,19 +622,26 @@
     ForwardAnswer();
     return;
   }
-  // An engine that ends right after the head of an answer without a length looks like one that has
-  // nothing to say.
-  const bool is_empty =
-      answer_head_.framing == http::BodyFraming::kUntilClose && splitter_.events == 0;
-  if (core::HasUnfinishedEvent(splitter_) || is_empty) {
+  const core::StreamEnding ending =
+      core::JudgeEnding(splitter_, StreamEndOf(answer_head_) == StreamEnd::kStated);
+  // An engine that ends right after its head is lost, but one that was asked to go on may have had
+  // nothing to add.
+  const bool is_lost = ending == core::StreamEnding::kBroken ||
+                       (ending == core::StreamEnding::kNoEvent && splitter_.events == 0);
+  if (is_lost) {
     core::RecordAnswer(health, core::AnswerResult::kLost, now);
     RecordLossUnlessProven();
+  }
+  // The last chunk is sent only if an engine has stated the end.
+  const bool is_unconfirmed =
+      ending == core::StreamEnding::kNoEvent ||
+      (ending == core::StreamEnding::kUnstated && stream_end_ == StreamEnd::kStated);
+  if (is_lost || is_unconfirmed) {
     OnDecodeBroken(AttemptFailure::kConnectionClosed);
     return;
   }
   core::RecordAnswer(health, core::AnswerResult::kSuccess, now);
-  // The end of an answer without a length may also be that of its engine.
-  CheckProven(/*is_complete=*/answer_head_.framing != http::BodyFraming::kUntilClose);
+  CheckProven(/*is_complete=*/ending == core::StreamEnding::kWhole);
   phase_ = Phase::kDone;
   core::RecordGeneration(
       ProfileOf(state_, request_.service->name),
@@ -660,7 +668,7 @@
   }
   LogRequestEnd(request_, state_, answer_head_.status, "answered",
                 fmt::format("no stream, framing {}", http::FramingName(answer_head_.framing)));
-  sink_.Answer(answer_head_.status, platform::CallerFields(answer_head_), std::move(answer_body_));
+  ForwardWholeAnswer(sink_, answer_head_, std::move(answer_body_));
 }
 
 void GenerationExchange::OnPrefillAnswer() {
--- a/gateway/generation_exchange.h
+++ b/gateway/generation_exchange.h
@@ -129,6 +129,8 @@
   core::EventSplitter splitter_;
   /// The head of the stream has been sent to the caller.
   bool is_stream_open_ = false;
+  /// How the end of that stream is shown to the caller.
+  StreamEnd stream_end_ = StreamEnd::kStated;
   /// The current attempt's answer is a stream of events.
   bool is_streaming_ = false;
   bool is_paused_ = false;
--- a/gateway/plain_exchange.cc
+++ b/gateway/plain_exchange.cc
@@ -319,7 +319,7 @@
   is_done_ = true;
   LogRequestEnd(request_, state_, answer_head_.status, "answered",
                 fmt::format("framing {}", http::FramingName(answer_head_.framing)));
-  sink_.Answer(answer_head_.status, platform::CallerFields(answer_head_), std::move(answer_body_));
+  ForwardWholeAnswer(sink_, answer_head_, std::move(answer_body_));
 }
 
 void PlainExchange::OnAttemptFailure(AttemptFailure failure) {
--- a/gateway/request_context.cc
+++ b/gateway/request_context.cc
@@ -40,6 +40,22 @@
               fmt::format("outcome unknown: {}\n", reason));
 }
 
+StreamEnd StreamEndOf(const http::ResponseHead& head) {
+  return head.framing == http::BodyFraming::kUntilClose ? StreamEnd::kByClose : StreamEnd::kStated;
+}
+
+void ForwardWholeAnswer(CallerSink& sink, const http::ResponseHead& head, std::string body) {
+  const http::Fields fields = platform::CallerFields(head);
+  const StreamEnd end = StreamEndOf(head);
+  if (end == StreamEnd::kStated) {
+    sink.Answer(head.status, fields, std::move(body));
+    return;
+  }
+  sink.StartStream(head.status, fields, end);
+  sink.StreamBytes(body);
+  sink.EndStream();
+}
+
 void LogRequestEnd(const RequestContext& request, GatewayState& state, int status,
                    std::string_view outcome, std::string_view reason) {
   const TimePoint now = state.clock.now();
--- a/gateway/request_context.h
+++ b/gateway/request_context.h
@@ -58,6 +58,13 @@
 void AnswerOutcomeUnknown(RequestContext& request, GatewayState& state, CallerSink& sink,
                           int status, std::string_view reason);
 
+/// How the end of a stream whose first upstream has answered with `head` is shown to the caller.
+StreamEnd StreamEndOf(const http::ResponseHead& head);
+
+/// Passes on an upstream's answer that has ended without an error. It gets a length only if the
+/// upstream has stated its end.
+void ForwardWholeAnswer(CallerSink& sink, const http::ResponseHead& head, std::string body);
+
 /// Writes the log line and updates the metrics of a request that has ended.
 void LogRequestEnd(const RequestContext& request, GatewayState& state, int status,
                    std::string_view outcome, std::string_view reason);
--- a/tests/core/event_splitter_test.cc
+++ b/tests/core/event_splitter_test.cc
@@ -10,6 +10,7 @@
 #include <vector>
 
 using namespace rattanramp;
+using core::StreamEnding;
 
 // Guards against a missing, duplicated or merged event: only complete events are returned, whatever
 // the sizes of the chunks are.
@@ -101,7 +102,8 @@
     }
     RC_ASSERT(PassInPieces(splitter, stream) == stream);
     RC_ASSERT(!splitter.is_malformed);
-    RC_ASSERT(!core::HasUnfinishedEvent(splitter));
+    RC_ASSERT(core::JudgeEnding(splitter, true) == StreamEnding::kWhole);
+    RC_ASSERT(core::JudgeEnding(splitter, false) == StreamEnding::kUnstated);
     RC_ASSERT(splitter.events == count);
   });
   cr_assert(ok);
@@ -182,11 +184,37 @@
   for (const std::string rest : {"i", "id: 2", "id: 2\n", "id: 2\ndata: x\n", "data: x\n: c"}) {
     core::EventSplitter splitter;
     cr_assert_eq(core::TakeCompleteEvents(splitter, EventText(1) + rest), EventText(1));
-    cr_assert(core::HasUnfinishedEvent(splitter), "%s", rest.c_str());
+    for (const bool is_end_stated : {true, false}) {
+      cr_assert(core::JudgeEnding(splitter, is_end_stated) == StreamEnding::kBroken, "%s",
+                rest.c_str());
+    }
   }
   for (const std::string rest : {"", ": c", ": c\n", ": c\n\n", "\r", "\r\n"}) {
     core::EventSplitter splitter;
     core::TakeCompleteEvents(splitter, EventText(1) + rest);
-    cr_assert(!core::HasUnfinishedEvent(splitter), "%s", rest.c_str());
+    cr_assert(core::JudgeEnding(splitter, true) == StreamEnding::kWhole, "%s", rest.c_str());
+  }
+}
+
+// Guards against an end that nobody has stated and counts as complete: between two events it is not
+// known whether the upstream has crashed, and within a comment or a line end it has.
+Test(event_splitter, unstated_end_is_not_complete) {
+  for (const std::string rest : {":", ": c", ": c\n", ": c\r\n\r", "\r"}) {
+    core::EventSplitter splitter;
+    core::TakeCompleteEvents(splitter, EventText(1) + rest);
+    cr_assert(core::JudgeEnding(splitter, false) == StreamEnding::kBroken, "%s", rest.c_str());
+  }
+  for (const std::string rest : {"", ": c\n\n", "\r\n"}) {
+    core::EventSplitter splitter;
+    core::TakeCompleteEvents(splitter, EventText(1) + rest);
+    cr_assert(core::JudgeEnding(splitter, false) == StreamEnding::kUnstated, "%s", rest.c_str());
+    core::DropPartialEvent(splitter);
+    cr_assert(core::JudgeEnding(splitter, false) == StreamEnding::kNoEvent, "%s", rest.c_str());
+    core::TakeCompleteEvents(splitter, ": c\n\n");
+    cr_assert(core::JudgeEnding(splitter, false) == StreamEnding::kNoEvent, "%s", rest.c_str());
+    core::TakeCompleteEvents(splitter, EventText(2));
+    cr_assert(core::JudgeEnding(splitter, false) == StreamEnding::kUnstated, "%s", rest.c_str());
   }
+  cr_assert(core::JudgeEnding(core::EventSplitter(), false) == StreamEnding::kNoEvent);
+  cr_assert(core::JudgeEnding(core::EventSplitter(), true) == StreamEnding::kWhole);
 }
--- a/tests/gateway/caller_connection_test.cc
+++ b/tests/gateway/caller_connection_test.cc
@@ -141,7 +141,7 @@
 Test(caller_connection, aborted_stream_delivers_events_without_final_chunk, .timeout = 20) {
   Host host;
   host.serve = [](gateway::CallerSink& sink) {
-    sink.StartStream(200, {});
+    sink.StartStream(200, {}, gateway::StreamEnd::kStated);
     sink.StreamBytes("id: 1\n\n");
     sink.Abort();
   };
@@ -217,7 +217,7 @@
   gateway::CallerSink* stream = nullptr;
   host.serve = [&](gateway::CallerSink& sink) {
     if (std::exchange(is_first, false)) {
-      sink.StartStream(200, {});
+      sink.StartStream(200, {}, gateway::StreamEnd::kStated);
       stream = &sink;
     } else {
       sink.Answer(503, {}, "refused");
--- a/tests/gateway/exchange_fixture.cc
+++ b/tests/gateway/exchange_fixture.cc
@@ -15,7 +15,8 @@
   context.stop();
 }
 
-void RecordingSink::StartStream(int code, const http::Fields& answer_fields) {
+void RecordingSink::StartStream(int code, const http::Fields& answer_fields,
+                                gateway::StreamEnd /*end*/) {
   status = code;
   fields = answer_fields;
 }
--- a/tests/gateway/exchange_fixture.h
+++ b/tests/gateway/exchange_fixture.h
@@ -17,7 +17,7 @@
 struct RecordingSink final : gateway::CallerSink {
   explicit RecordingSink(asio::io_context& context) : context(context) {}
   void Answer(int code, const http::Fields& answer_fields, std::string text) override;
-  void StartStream(int code, const http::Fields& answer_fields) override;
+  void StartStream(int code, const http::Fields& answer_fields, gateway::StreamEnd end) override;
   void StreamBytes(std::string_view bytes) override { body += bytes; }
   void EndStream() override;
   void Abort() override;
