Do not state the end of a call's answer that its service has not stated

A plain service behind rattanramp-agent may answer with neither a length nor chunks; the agent took the end of the connection for the end of the answer, recorded it as the result of the key, and the entry sent it with a length. Change: CallReply, the recorded result and the End message say whether the end was stated; the entry then sends no length and closes the connection. Looked at and sound: engines' streams at the agent need their end event; prefills and reads of the store carry JSON objects, which do not parse if they are cut; for writes to the store and orders the status is the answer; a cut head, length or chunk is an error. Measured: http_service::end_that_is_not_stated_is_reported, entry_calls::answer_without_a_stated_end_gets_no_length and store_client::cut_answer_without_a_length_is_an_error are new, cut_head::prefill_answer_is_not_used covers the body too.

--- a/agent/calls.cc
+++ b/agent/calls.cc
@@ -19,6 +19,10 @@
 constexpr std::int64_t kQueueRetryMs = 200;
 constexpr Milliseconds kEvictionPeriod{10'000};
 
+core::CallResult ResultOf(const CallReply& reply) {
+  return {reply.http_status, reply.content_type, reply.body, reply.is_end_stated};
+}
+
 wire::RefusalKind::type RefusalKindOf(core::CallRefusal refusal) {
   switch (refusal) {
     case core::CallRefusal::kKeyReused:
@@ -279,7 +283,7 @@
     return;
   }
   if (reply.status == RunStatus::kDone) {
-    Answer(*attempt, core::CallResult{reply.http_status, reply.content_type, reply.body}, false);
+    Answer(*attempt, ResultOf(reply), false);
     return;
   }
   if (reply.status == RunStatus::kRefused) {
@@ -300,7 +304,7 @@
   const bool caller_key = entry != ledger_.calls.end() && !entry->second.issued;
   core::IntentRecord record = claim;
   if (reply.status == RunStatus::kDone) {
-    const core::CallResult result{reply.http_status, reply.content_type, reply.body};
+    const core::CallResult result = ResultOf(reply);
     record.state = "done";
     record.result = result;
     if (caller_key) {
@@ -347,6 +351,9 @@
   end.complete = true;
   end.status = result.status;
   end.content_type = result.content_type;
+  if (!result.is_end_stated) {
+    end.__set_end_unstated(true);
+  }
   end.replayed = replayed;
   attempts_.Finish(attempt, std::move(end));
 }
--- a/agent/http_service.cc
+++ b/agent/http_service.cc
@@ -81,6 +81,8 @@
     result.http_status = reply.response.status;
     result.content_type = reply.response.get_header_value("Content-Type");
     result.body = std::move(reply.response.body);
+    result.is_end_stated = reply.response.has_header("Content-Length") ||
+                           reply.response.get_header_value("Transfer-Encoding") == "chunked";
   }
   return result;
 }
--- a/agent/upstream_port.h
+++ b/agent/upstream_port.h
@@ -107,6 +107,9 @@
   int http_status = 0;
   std::string content_type;
   std::string body;
+  /// The service has stated the end of the body, by a length or a last chunk. Otherwise the body
+  /// ended with its connection, and the service may have crashed before it was whole.
+  bool is_end_stated = true;
   std::string message;
 };
 
--- a/core/call_ledger.cc
+++ b/core/call_ledger.cc
@@ -237,6 +237,9 @@
   if (record.state == "done") {
     object["status"] = record.result.status;
     object["content_type"] = record.result.content_type;
+    if (!record.result.is_end_stated) {
+      object["end_unstated"] = true;
+    }
     object["body"] = BytesToText(record.result.body);
   }
   return object.dump();
@@ -259,6 +262,7 @@
     if (record.state == "done") {
       record.result.status = object.at("status").get<int>();
       record.result.content_type = object.at("content_type").get<std::string>();
+      record.result.is_end_stated = !object.value("end_unstated", false);
       record.result.body = TextToBytes(object.at("body").get<std::string>());
     }
     return record;
--- a/core/call_ledger.h
+++ b/core/call_ledger.h
@@ -25,6 +25,8 @@
   int status = 0;
   std::string content_type;
   std::string body;
+  /// The upstream has stated the end of the body, which is therefore whole.
+  bool is_end_stated = true;
 };
 
 /// Parts of a key issued by an agent: rr1.<agent>.<incarnation>.<issued_s>.<nonce>.
--- a/entry/call_driver.cc
+++ b/entry/call_driver.cc
@@ -256,6 +256,7 @@
   answer_.status = end.status;
   answer_.content_type = end.content_type;
   answer_.replayed = end.replayed;
+  answer_.is_end_stated = !(end.__isset.end_unstated && end.end_unstated);
   return std::nullopt;
 }
 
--- a/entry/call_driver.h
+++ b/entry/call_driver.h
@@ -33,6 +33,8 @@
   std::string body;
   /// The response was recorded by an earlier run; the call did not run again.
   bool replayed = false;
+  /// The upstream has stated the end of the body, which is therefore whole.
+  bool is_end_stated = true;
 };
 
 /// Returns the agent id in an issued key "rr1.<agent>.<incarnation>.<issued_s>.<nonce>", or an
--- a/entry/caller_api.cc
+++ b/entry/caller_api.cc
@@ -75,6 +75,25 @@
   WriteRefusal(refusal, request_id, response);
 }
 
+/// Sets type and body of the answer to a call. The body gets a length only if the upstream has
+/// stated its end; otherwise it ends with the connection.
+void SetCallAnswer(CallAnswer answer, httplib::Response& response) {
+  const std::string type =
+      answer.content_type.empty() ? "application/octet-stream" : std::move(answer.content_type);
+  if (answer.is_end_stated) {
+    response.set_content(std::move(answer.body), type);
+    return;
+  }
+  response.set_header("Connection", "close");
+  HttpServer::CloseAfterResponse();
+  response.set_content_provider(
+      type, [body = std::move(answer.body)](std::size_t /*offset*/, httplib::DataSink& sink) {
+        sink.write(body.data(), body.size());
+        sink.done();
+        return true;
+      });
+}
+
 }  // namespace
 
 CallerApi::CallerApi(CallerApiContext context) : context_(std::move(context)) {}
@@ -258,8 +277,7 @@
   if (answer.value().replayed) {
     response.set_header("Idempotent-Replayed", "true");
   }
-  const std::string& type = answer.value().content_type;
-  response.set_content(answer.value().body, type.empty() ? "application/octet-stream" : type);
+  SetCallAnswer(std::move(answer.value()), response);
 }
 
 void CallerApi::IssueCallKey(const httplib::Request& request, httplib::Response& response,
--- a/tests/agent/http_engine_test.cc
+++ b/tests/agent/http_engine_test.cc
@@ -7,6 +7,7 @@
 #include <asio/ip/tcp.hpp>
 #include <asio/read_until.hpp>
 #include <asio/write.hpp>
+#include <functional>
 #include <thread>
 
 #include "agent/event_stream.h"
@@ -168,23 +169,16 @@
 // Bytes that a faulty server sends at most, so that a test without a bound in the client ends too.
 constexpr std::size_t kEndlessBytes = 64 * 1024 * 1024;
 
-/// Bytes that a call reads from a server that starts its answer with `start` and sends `piece`
-/// again and again until the caller closes the connection.
-std::size_t BytesReadOfEndlessAnswer(const std::string& start, const std::string& piece,
-                                     RunStatus& status) {
+/// Calls a server that runs `serve` after it has read the request; then its connection is closed.
+CallReply CallServer(const std::function<void(asio::ip::tcp::socket&)>& serve) {
   using asio::ip::tcp;
   asio::io_context context;
   tcp::acceptor acceptor(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
-  std::size_t sent = 0;
   std::thread server([&] {
     tcp::socket socket = acceptor.accept();
     std::string request;
     asio::read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n");
-    std::error_code error;
-    asio::write(socket, asio::buffer(start), error);
-    while (!error && sent < kEndlessBytes) {
-      sent += asio::write(socket, asio::buffer(piece), error);
-    }
+    serve(socket);
   });
   const std::unique_ptr<HttpService> port =
       HttpService::Create(UrlOf(acceptor.local_endpoint().port())).value();
@@ -194,13 +188,71 @@
   request.method = "POST";
   request.path = "/claims";
   request.timeout = Milliseconds(2'000);
-  status = port->Call(request, control).status;
+  CallReply reply = port->Call(request, control);
   server.join();
+  return reply;
+}
+
+/// Bytes that a call reads from a server that starts its answer with `start` and sends `piece`
+/// again and again until the caller closes the connection.
+std::size_t BytesReadOfEndlessAnswer(const std::string& start, const std::string& piece,
+                                     RunStatus& status) {
+  std::size_t sent = 0;
+  const CallReply reply = CallServer([&](asio::ip::tcp::socket& socket) {
+    std::error_code error;
+    asio::write(socket, asio::buffer(start), error);
+    while (!error && sent < kEndlessBytes) {
+      sent += asio::write(socket, asio::buffer(piece), error);
+    }
+  });
+  status = reply.status;
   return sent;
 }
 
+/// Calls a server that sends `answer` and closes the connection, normally or by a reset.
+CallReply CallClosingServer(const std::string& answer, bool reset) {
+  return CallServer([&](asio::ip::tcp::socket& socket) {
+    asio::write(socket, asio::buffer(answer));
+    if (reset) {
+      // A reset drops bytes that the peer has not read.
+      std::this_thread::sleep_for(Milliseconds(30));
+      const linger reset_on_close = {1, 0};
+      setsockopt(socket.native_handle(), SOL_SOCKET, SO_LINGER, &reset_on_close,
+                 sizeof(reset_on_close));
+    }
+  });
+}
+
 }  // namespace
 
+// Guards against a body that was cut and counts as whole: without a length or chunks, a service
+// that crashes ends its answer like one that has finished.
+Test(http_service, end_that_is_not_stated_is_reported, .timeout = 60) {
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::string with_length = ok + "Content-Length: 4\r\n\r\n";
+  const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+  for (const std::string& whole : {with_length + "done", chunked + "4\r\ndone\r\n0\r\n\r\n"}) {
+    const CallReply reply = CallClosingServer(whole, false);
+    cr_expect_eq(reply.status, RunStatus::kDone);
+    cr_expect_eq(reply.body, std::string("done"));
+    cr_expect(reply.is_end_stated);
+  }
+  for (std::size_t size = 0; size <= 4; ++size) {
+    const std::string part = std::string("done").substr(0, size);
+    const CallReply unframed = CallClosingServer(ok + "\r\n" + part, false);
+    cr_expect_eq(unframed.status, RunStatus::kDone);
+    cr_expect_eq(unframed.body, part);
+    cr_expect(!unframed.is_end_stated);
+    cr_expect_eq(CallClosingServer(ok + "\r\n" + part, true).status, RunStatus::kBroken);
+  }
+  for (const bool reset : {false, true}) {
+    for (const std::string& cut : {with_length, with_length + "don", chunked, chunked + "4\r\ndo",
+                                   chunked + "4\r\ndone\r\n", chunked + "4\r\ndone\r\n0\r\n"}) {
+      cr_expect_eq(CallClosingServer(cut, reset).status, RunStatus::kBroken, "%s", cut.c_str());
+    }
+  }
+}
+
 // Guards against an agent that runs out of memory because its service sends a body without end.
 Test(http_service, endless_body_ends_the_call, .timeout = 60) {
   RunStatus status = RunStatus::kDone;
--- a/tests/core/call_ledger_test.cc
+++ b/tests/core/call_ledger_test.cc
@@ -501,10 +501,12 @@
     record.incarnation = 3;
     record.attempt = "t";
     record.state = "done";
-    record.result = CallResult{200, "application/octet-stream", body + "\xff\x00\x80"};
+    record.result = CallResult{200, "application/octet-stream", body + "\xff\x00\x80",
+                               *rc::gen::arbitrary<bool>()};
     const Result<IntentRecord> read = ParseIntent(FormatIntent(record));
     RC_ASSERT(read.has_value());
     RC_ASSERT(read.value().result.body == record.result.body);
+    RC_ASSERT(read.value().result.is_end_stated == record.result.is_end_stated);
   }));
   cr_assert(!ParseIntent("[]").has_value());
   cr_assert(!ParseIntent("{\"agent\":1}").has_value());
--- a/tests/entry/entry_calls_test.cc
+++ b/tests/entry/entry_calls_test.cc
@@ -1,5 +1,11 @@
 #include <criterion/criterion.h>
 
+#include <asio/buffer.hpp>
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/read.hpp>
+#include <asio/write.hpp>
+
 #include "entry/call_driver.h"
 #include "tests/support/entry_agents.h"
 
@@ -172,3 +178,39 @@
   cr_assert_eq(result->status, 200, "%s", result->body.c_str());
   cr_assert_eq(result->body, std::string("s2 GET /patterns/1"));
 }
+
+// Guards against an answer that gets a length although its service may have crashed before it was
+// whole: an end that the service has not stated is not stated to the caller.
+Test(entry_calls, answer_without_a_stated_end_gets_no_length) {
+  const Hook answer = OnSubmit([](FakeAgent& agent, const wire::Submit& submit) {
+    agent.SendGranted(submit.attempt_id);
+    agent.SendChunk(submit.attempt_id, 0, "done", 0);
+    wire::End end;
+    end.attempt_id = submit.attempt_id;
+    end.outcome = wire::Outcome::RAN;
+    end.complete = true;
+    end.status = 200;
+    end.total_bytes = 4;
+    end.content_type = "text/plain";
+    end.__set_end_unstated(true);
+    wire::Frame frame;
+    frame.__set_attempt_end(end);
+    agent.Send(frame);
+  });
+  const std::shared_ptr<FakeAgent> agent = ServiceAgent("s1", "claims", answer);
+  const EntryFixture fixture({agent});
+  asio::io_context context;
+  asio::ip::tcp::socket socket(context);
+  socket.connect(
+      {asio::ip::address_v4::loopback(), static_cast<std::uint16_t>(fixture.entry->caller_port())});
+  asio::write(socket, asio::buffer(std::string("POST /services/claims/x HTTP/1.1\r\nHost: h\r\n"
+                                               "Idempotency-Key: k\r\nContent-Length: 0\r\n\r\n")));
+  std::string text;
+  std::error_code error;
+  asio::read(socket, asio::dynamic_buffer(text), error);
+  cr_expect_eq(error, asio::error::eof);
+  cr_expect(text.starts_with("HTTP/1.1 200"), "%s", text.c_str());
+  cr_expect(text.ends_with("\r\n\r\ndone"), "%s", text.c_str());
+  cr_expect_eq(text.find("Content-Length"), std::string::npos, "%s", text.c_str());
+  cr_expect_eq(text.find("Transfer-Encoding"), std::string::npos, "%s", text.c_str());
+}
--- a/tests/gateway/cut_head_test.cc
+++ b/tests/gateway/cut_head_test.cc
@@ -83,13 +83,13 @@
   }
 }
 
-// Guards against a decode that is sent although the head of the prefill's answer was cut.
+// Guards against a decode that is sent although the prefill's answer was cut, in its head or, as it
+// has no length, in its body.
 Test(cut_head, prefill_answer_is_not_used, .timeout = 60) {
   const std::string whole =
       "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n\r\n"
       R"({"kv_handle":"h","tokens":5000})";
-  const std::size_t head_size = whole.find("\r\n\r\n") + 4;
-  for (std::size_t size = 0; size < head_size; ++size) {
+  for (std::size_t size = 0; size < whole.size(); ++size) {
     FakeEngine prefill([&](const std::string& /*request*/, int /*number*/) {
       return CutAnswer(whole.substr(0, size));
     });
--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -13,12 +13,8 @@
 
 namespace {
 
-/// Result of reading a table from a service that answers with `body`.
-std::optional<Result<store::TableRows>> ReadAnswer(const std::string& body) {
-  tests::FakeEngine service([&](const std::string& /*head*/, int /*number*/) -> tests::FakeAnswer {
-    return {"HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
-            body};
-  });
+/// Result of reading a table from a service.
+std::optional<Result<store::TableRows>> ReadFrom(tests::FakeEngine& service) {
   asio::io_context context;
   const std::unique_ptr<platform::StoreClient> client =
       platform::StoreClient::Create(context, {asio::ip::address_v4::loopback(), service.port()});
@@ -28,6 +24,17 @@
   return rows;
 }
 
+std::optional<Result<store::TableRows>> ReadAnswer(const tests::FakeAnswer& answer) {
+  tests::FakeEngine service([&](const std::string& /*head*/, int /*number*/) { return answer; });
+  return ReadFrom(service);
+}
+
+/// Result of reading a table from a service that answers with `body`.
+std::optional<Result<store::TableRows>> ReadAnswer(const std::string& body) {
+  return ReadAnswer(tests::FakeAnswer{
+      "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body});
+}
+
 }  // namespace
 
 // Guards against a process that ends, or cannot read a table any more, because one row has a value
@@ -69,13 +76,21 @@
     answer.endless = std::string(4'096, ' ');
     return answer;
   });
-  asio::io_context context;
-  const std::unique_ptr<platform::StoreClient> client =
-      platform::StoreClient::Create(context, {asio::ip::address_v4::loopback(), service.port()});
-  std::optional<Result<store::TableRows>> rows;
-  client->ReadAll("t", [&](Result<store::TableRows> read) { rows = std::move(read); });
-  tests::RunUntil(context, [&] { return rows.has_value(); });
+  const std::optional<Result<store::TableRows>> rows = ReadFrom(service);
   cr_assert(rows && !rows->has_value());
   cr_expect_eq(rows->error().kind, ErrorKind::kProtocol);
   cr_expect_lt(service.endless_bytes(), 32 * 1024 * 1024);
 }
+
+// Guards against a table that lost rows because its answer was cut: without a length, a service
+// that crashes ends its answer like one that has finished.
+Test(store_client, cut_answer_without_a_length_is_an_error, .timeout = 30) {
+  const std::string body = R"({"ver":5,"rows":[{"key":"a","ver":1},{"key":"b","ver":2}]})";
+  for (std::size_t size = 0; size <= body.size(); ++size) {
+    tests::FakeAnswer answer{"HTTP/1.1 200 OK\r\n\r\n" + body.substr(0, size)};
+    answer.close = true;
+    const std::optional<Result<store::TableRows>> rows = ReadAnswer(answer);
+    cr_assert(rows);
+    cr_expect_eq(rows->has_value(), size == body.size(), "%zu bytes", size);
+  }
+}
--- a/wire/gen-cpp/rattanramp_types.cpp
+++ b/wire/gen-cpp/rattanramp_types.cpp
@@ -3135,6 +3135,11 @@
 void End::__set_crashes(const std::vector<CrashCount> & val) {
   this->crashes = val;
 }
+
+void End::__set_end_unstated(const bool val) {
+  this->end_unstated = val;
+__isset.end_unstated = true;
+}
 std::ostream& operator<<(std::ostream& out, const End& obj)
 {
   obj.printTo(out);
@@ -3291,6 +3296,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->end_unstated);
+          this->__isset.end_unstated = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3373,6 +3386,11 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.end_unstated) {
+    xfer += oprot->writeFieldBegin("end_unstated", ::apache::thrift::protocol::T_BOOL, 15);
+    xfer += oprot->writeBool(this->end_unstated);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3394,6 +3412,7 @@
   swap(a.content_type, b.content_type);
   swap(a.replayed, b.replayed);
   swap(a.crashes, b.crashes);
+  swap(a.end_unstated, b.end_unstated);
   swap(a.__isset, b.__isset);
 }
 
@@ -3412,6 +3431,7 @@
   content_type = other76.content_type;
   replayed = other76.replayed;
   crashes = other76.crashes;
+  end_unstated = other76.end_unstated;
   __isset = other76.__isset;
 }
 End::End(End&& other77) noexcept {
@@ -3429,6 +3449,7 @@
   content_type = std::move(other77.content_type);
   replayed = other77.replayed;
   crashes = std::move(other77.crashes);
+  end_unstated = other77.end_unstated;
   __isset = other77.__isset;
 }
 End& End::operator=(const End& other78) {
@@ -3446,6 +3467,7 @@
   content_type = other78.content_type;
   replayed = other78.replayed;
   crashes = other78.crashes;
+  end_unstated = other78.end_unstated;
   __isset = other78.__isset;
   return *this;
 }
@@ -3464,6 +3486,7 @@
   content_type = std::move(other79.content_type);
   replayed = other79.replayed;
   crashes = std::move(other79.crashes);
+  end_unstated = other79.end_unstated;
   __isset = other79.__isset;
   return *this;
 }
@@ -3484,6 +3507,7 @@
   out << ", " << "content_type=" << to_string(content_type);
   out << ", " << "replayed=" << to_string(replayed);
   out << ", " << "crashes=" << to_string(crashes);
+  out << ", " << "end_unstated="; (__isset.end_unstated ? (out << to_string(end_unstated)) : (out << "<null>"));
   out << ")";
 }
 
--- a/wire/gen-cpp/rattanramp_types.h
+++ b/wire/gen-cpp/rattanramp_types.h
@@ -1274,7 +1274,7 @@
 std::ostream& operator<<(std::ostream& out, const Chunk& obj);
 
 typedef struct _End__isset {
-  _End__isset() : attempt_id(false), outcome(false), complete(false), status(false), total_bytes(false), output_tokens(false), prefill_tokens(false), cached_tokens(false), error(false), message(false), remedy(false), content_type(false), replayed(false), crashes(false) {}
+  _End__isset() : attempt_id(false), outcome(false), complete(false), status(false), total_bytes(false), output_tokens(false), prefill_tokens(false), cached_tokens(false), error(false), message(false), remedy(false), content_type(false), replayed(false), crashes(false), end_unstated(false) {}
   bool attempt_id :1;
   bool outcome :1;
   bool complete :1;
@@ -1289,6 +1289,7 @@
   bool content_type :1;
   bool replayed :1;
   bool crashes :1;
+  bool end_unstated :1;
 } _End__isset;
 
 class End : public virtual ::apache::thrift::TBase {
@@ -1311,7 +1312,8 @@
         message(),
         remedy(),
         content_type(),
-        replayed(0) {
+        replayed(0),
+        end_unstated(0) {
   }
 
   virtual ~End() noexcept;
@@ -1346,6 +1348,10 @@
    */
   bool replayed;
   std::vector<CrashCount>  crashes;
+  /**
+   * True when the upstream has not stated the end of its answer, which may not be whole.
+   */
+  bool end_unstated;
 
   _End__isset __isset;
 
@@ -1377,6 +1383,8 @@
 
   void __set_crashes(const std::vector<CrashCount> & val);
 
+  void __set_end_unstated(const bool val);
+
   bool operator == (const End & rhs) const
   {
     if (!(attempt_id == rhs.attempt_id))
@@ -1409,6 +1417,10 @@
       return false;
     if (!(crashes == rhs.crashes))
       return false;
+    if (__isset.end_unstated != rhs.__isset.end_unstated)
+      return false;
+    else if (__isset.end_unstated && !(end_unstated == rhs.end_unstated))
+      return false;
     return true;
   }
   bool operator != (const End &rhs) const {
--- a/wire/rattanramp.thrift
+++ b/wire/rattanramp.thrift
@@ -172,6 +172,8 @@
   /** True when the result is a recorded one and the call did not run again. */
   13: bool replayed
   14: list<CrashCount> crashes
+  /** True when the upstream has not stated the end of its answer, which may not be whole. */
+  15: optional bool end_unstated
 }
 
 struct Cancel {
