Reset a caller's connection when an answer without chunks or a length is cut

Cause: since such answers are passed on as they are, their end is the close of the caller's connection. If the gateway itself ends in the midst of one (SIGKILL, the end of a grace time, a stalled caller), the system closed the connection in an orderly way, and the part looked whole. The same held for callers of HTTP/1.0 before. Change: SO_LINGER makes each close a reset from the start of such an answer until all its bytes are written. Conclusion: the gateway's own end no longer looks like the end of an answer.

--- a/gateway/caller_connection.cc
+++ b/gateway/caller_connection.cc
@@ -1,6 +1,7 @@
 #include "gateway/caller_connection.h"
 
 #include <spdlog/fmt/fmt.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <asio/buffer.hpp>
@@ -202,6 +203,7 @@
   is_chunked_ = !is_http_1_0_ && end == StreamEnd::kStated;
   if (!is_chunked_) {
     keep_alive_ = false;
+    SetResetOnClose(true);
   }
   AppendHead(status, fields, is_chunked_ ? "Transfer-Encoding: chunked\r\n" : "");
   Write();
@@ -242,12 +244,15 @@
     Write();
     return;
   }
-  // Without chunks or a length, only a reset shows that the answer is incomplete.
-  std::error_code ignored;  // if this fails, the close below ends the connection without a reset
-  socket_.set_option(asio::socket_base::linger(true, 0), ignored);
   Close();
 }
 
+void CallerConnection::SetResetOnClose(bool enabled) {
+  // Asio's own option is not used: with it, the socket's destructor would close in an orderly way.
+  const linger option = {enabled ? 1 : 0, 0};
+  setsockopt(socket_.native_handle(), SOL_SOCKET, SO_LINGER, &option, sizeof(option));
+}
+
 void CallerConnection::AppendHead(int status, const http::Fields& fields,
                                   std::string_view framing) {
   if (host_.is_stopping()) {
@@ -337,6 +342,7 @@
     return;
   }
   is_lingering_ = true;
+  SetResetOnClose(false);
   std::error_code ignored;  // the peer may already have closed the connection
   socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
   buffer_.clear();
--- a/gateway/caller_connection.h
+++ b/gateway/caller_connection.h
@@ -76,6 +76,9 @@
   bool has_unread_bytes() const;
   void OnTimer();
   void LingerThenClose();
+  /// Whether a close resets the connection, also that by the system when this process is killed.
+  /// Without chunks or a length, only a reset shows that an answer is incomplete.
+  void SetResetOnClose(bool enabled);
 
   asio::ip::tcp::socket socket_;
   CallerHost& host_;
--- a/tests/gateway/caller_connection_test.cc
+++ b/tests/gateway/caller_connection_test.cc
@@ -23,12 +23,14 @@
 
 /// Answers nothing; records that the caller has disconnected.
 struct SilentExchange final : gateway::Exchange {
-  explicit SilentExchange(bool& disconnected) : is_caller_disconnected(disconnected) {}
+  SilentExchange(bool& disconnected, const std::function<void()>& on_bytes_sent)
+      : is_caller_disconnected(disconnected), on_bytes_sent(on_bytes_sent) {}
   void OnCallerDisconnected() override { is_caller_disconnected = true; }
-  void OnBytesSent() override {}
+  void OnBytesSent() override { on_bytes_sent(); }
   void OnStopProgress() override {}
   void EndForStop() override {}
   bool& is_caller_disconnected;
+  const std::function<void()>& on_bytes_sent;
 };
 
 /// Serves each request with `serve` and records its target and body.
@@ -38,7 +40,7 @@
                                                    std::string body) override {
     targets.push_back(head.target + body);
     serve(sink);
-    return std::make_unique<SilentExchange>(is_caller_disconnected);
+    return std::make_unique<SilentExchange>(is_caller_disconnected, on_bytes_sent);
   }
   core::CallerLimits caller_limits() const override { return limits; }
   bool is_stopping() const override { return stop_requested; }
@@ -47,6 +49,7 @@
   std::function<void(gateway::CallerSink&)> serve = [](gateway::CallerSink& sink) {
     sink.Answer(200, {}, "ok");
   };
+  std::function<void()> on_bytes_sent = [] {};
   std::function<void(gateway::CallerConnection&)> on_start =
       [](gateway::CallerConnection& /*connection*/) {};
   core::CallerLimits limits;
@@ -410,3 +413,33 @@
   });
   cr_assert_geq(text.size(), kBodyBytes, "%zu bytes", text.size());
 }
+
+// Guards against an answer that looks whole although this process ended in the midst of it: without
+// chunks or a length, the close by the system would look like the end of the answer.
+Test(caller_connection, answer_without_chunks_is_reset_if_it_is_cut, .timeout = 20) {
+  for (const bool is_cut : {true, false}) {
+    Host host;
+    gateway::CallerConnection* cut = nullptr;
+    host.on_start = [&](gateway::CallerConnection& connection) {
+      cut = is_cut ? &connection : nullptr;
+    };
+    host.on_bytes_sent = [&] {
+      if (cut != nullptr) {
+        cut->Close();
+      }
+    };
+    host.serve = [&](gateway::CallerSink& sink) {
+      sink.StartStream(200, {}, gateway::StreamEnd::kByClose);
+      sink.StreamBytes("id: 1\ndata: x\n\n");
+      if (!is_cut) {
+        sink.EndStream();
+      }
+    };
+    const std::string text = RunClient(host, [](tcp::socket& socket) {
+      asio::write(socket, asio::buffer(std::string(kRequest)));
+      return ReadToEnd(socket);
+    });
+    cr_expect_eq(text.find("[Connection reset") != std::string::npos, is_cut, "%s", text.c_str());
+    cr_expect_eq(text.ends_with("id: 1\ndata: x\n\n"), !is_cut);
+  }
+}
