--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+from http_io import reset_connection
+
 CHUNK_BYTES = 16 * 1024
 
 
@@ -24,7 +26,7 @@
 
     def reset_all(self):
         for writer in list(self._writers):
-            writer.transport.abort()
+            reset_connection(writer)
 
     def clear_faults(self):
         self.delay_s = 0.0
@@ -33,12 +35,12 @@
 
     async def _accept(self, reader, writer):
         if self.refuses:
-            writer.transport.abort()
+            reset_connection(writer)
             return
         try:
             target_reader, target_writer = await asyncio.open_connection(*self.target)
         except OSError:
-            writer.transport.abort()
+            reset_connection(writer)
             return
         self._writers.update((writer, target_writer))
         await asyncio.gather(self._pump(reader, target_writer, "up"),
@@ -56,4 +58,4 @@
                 await writer.drain()
             writer.close()
         except (ConnectionError, OSError):
-            writer.transport.abort()
+            reset_connection(writer)
