--- a/entry/caller_api.cc
+++ b/entry/caller_api.cc
@@ -81,7 +81,7 @@
   const std::string type =
       answer.content_type.empty() ? "application/octet-stream" : std::move(answer.content_type);
   if (answer.is_end_stated) {
-    response.set_content(std::move(answer.body), type);
+    response.set_content(answer.body, type);
     return;
   }
   response.set_header("Connection", "close");
