--- a/core/routing_table.h
+++ b/core/routing_table.h
@@ -44,9 +44,27 @@
   std::int64_t priority = 0;
   std::int64_t max_upstreams = 1;
   bool is_resumable = false;
+  /// Takes requests without a key, also while there are workspaces.
+  bool is_public = false;
   std::vector<ServiceShare> services;
 };
 
+/// A group of callers with keys and a limit of its own.
+struct WorkspaceRule {
+  std::string name;
+  /// Each request carries one of them; a secret, never logged nor passed on.
+  std::vector<std::string> keys;
+  /// Replaces the priority of the route.
+  std::optional<std::int64_t> priority;
+  /// Units per second, and units beyond them at once, over all gateways together; 0: no limit.
+  double rate_per_s = 0;
+  double burst = 0;
+  /// The unit is a token (prompt and largest output), not a request.
+  bool counts_tokens = false;
+  /// Tokens that a request without a token count takes.
+  std::int64_t plain_tokens = 1;
+};
+
 /// Capacity and timing of the engines of a service; absent for plain services.
 struct EngineLimits {
   std::int64_t slots = 0;
@@ -83,6 +101,8 @@
   std::int64_t version = 0;
   std::vector<RouteRule> routes;
   std::vector<ServiceRule> services;
+  /// Empty: callers need no keys.
+  std::vector<WorkspaceRule> workspaces;
   CallerLimits limits;
 };
 
@@ -100,6 +120,7 @@
   const CallerLimits& limits() const { return rules_.limits; }
   std::span<const RouteRule> routes() const { return rules_.routes; }
   std::span<const ServiceRule> services() const { return rules_.services; }
+  std::span<const WorkspaceRule> workspaces() const { return rules_.workspaces; }
 
  private:
   RoutingRules rules_;
--- a/gateway/load_exchange.cc
+++ b/gateway/load_exchange.cc
@@ -277,6 +277,9 @@
   }
   state.excluded = report.withheld_upstreams;
   RecordCrashEvidence(report);
+  for (ReportSection* section : sections_) {
+    section->Record(report);
+  }
   if (decoded.value().is_change) {
     fleet_.ChangePeerState(report.gateway, std::move(state));
   } else {
@@ -303,6 +306,9 @@
       Log(LogLevel::kInfo, "peer_lost",
           {{"peer", last_report->first}, {"silent_ms", ToMs(now - last_report->second.received)}});
       fleet_.RemovePeer(last_report->first);
+      for (ReportSection* section : sections_) {
+        section->OnPeerLost(last_report->first);
+      }
       last_report = last_reports_.erase(last_report);
       on_change_();
     } else {
@@ -356,7 +362,10 @@
 
 void LoadExchange::SendChange() {
   SentLoad load = LocalLoad();
-  if (IsSame(load, last_sent_)) {
+  const bool has_news =
+      std::any_of(sections_.begin(), sections_.end(),
+                  [](const ReportSection* section) { return section->has_news(); });
+  if (!has_news && IsSame(load, last_sent_)) {
     return;
   }
   const std::vector<PeerLoad> changed = ChangedLoads(last_sent_.loads, load.loads);
@@ -366,6 +375,9 @@
   if (has_new_losses) {
     AddCrashEvidence(report, /*relays=*/false);
   }
+  for (ReportSection* section : sections_) {
+    section->AddTo(report, /*is_complete=*/false);
+  }
   const std::string datagram = wire::EncodeGatewayLoadChange(report);
   const std::size_t bytes = peers_.size() * (datagram.size() + kHeaderBytes);
   next_change_report_ =
@@ -382,6 +394,9 @@
   // Each peer gets relayed evidence from about kRelays gateways in each repeat interval.
   const std::int64_t turns = 1 + static_cast<std::int64_t>(peers_.size()) / kRelays;
   AddCrashEvidence(report, ++complete_reports_ % turns == 0);
+  for (ReportSection* section : sections_) {
+    section->AddTo(report, /*is_complete=*/true);
+  }
   if (news != nullptr) {
     report.__set_list_news(EncodeNews(*news));
   }
@@ -488,6 +503,18 @@
   }
 }
 
+void LoadExchange::SendTo(const std::string& peer,
+                          const std::function<void(wire::GatewayLoad&)>& fill) {
+  const auto found = peers_.find(peer);
+  if (found == peers_.end()) {
+    return;
+  }
+  wire::GatewayLoad report = MakeReport({});
+  fill(report);
+  std::error_code ignored;  // as in SendToPeers
+  socket_.send_to(asio::buffer(wire::EncodeGatewayLoadChange(report)), found->second, 0, ignored);
+}
+
 void LoadExchange::SendToPeers(const std::string& datagram) {
   for (const auto& [name, endpoint] : peers_) {
     // A failed send is treated as a lost datagram; the next complete report follows soon.
--- a/gateway/load_exchange.h
+++ b/gateway/load_exchange.h
@@ -50,6 +50,19 @@
   std::uint64_t own_losses = 0;
 };
 
+/// A part of the reports that another module fills and reads.
+class ReportSection {
+ public:
+  virtual ~ReportSection() = default;
+  /// Adds the module's fields to a report. is_complete: one of the reports at intervals, which
+  /// repeat what earlier ones have told; the others are sent when something has changed.
+  virtual void AddTo(wire::GatewayLoad& report, bool is_complete) = 0;
+  virtual void Record(const wire::GatewayLoad& report) = 0;
+  /// Whether there is something that peers must know before the next complete report.
+  virtual bool has_news() const { return false; }
+  virtual void OnPeerLost(const std::string& /*peer*/) {}
+};
+
 class LoadExchange {
  public:
   using ListNewsHandler = std::function<void(const core::ListNews&)>;
@@ -61,6 +74,12 @@
       std::function<void()> on_change, std::function<void()> on_unknown_peer,
       ListNewsHandler on_list_news = nullptr);
 
+  /// The section must outlive the exchange.
+  void AddSection(ReportSection& section) { sections_.push_back(&section); }
+  /// Sends one peer, at once, a report that has the fields which `fill` adds. No effect if the peer
+  /// is unknown.
+  void SendTo(const std::string& peer, const std::function<void(wire::GatewayLoad&)>& fill);
+
   /// Replaces the peers to which reports are sent.
   void SetPeers(std::map<std::string, asio::ip::udp::endpoint> peers);
   /// Reports what has changed to the peers after ReportPace::start_delay, or later if the reports
@@ -117,6 +136,7 @@
   asio::ip::udp::endpoint sender_;
   std::map<std::string, asio::ip::udp::endpoint> peers_;
   std::map<std::string, LastReport> last_reports_;
+  std::vector<ReportSection*> sections_;
   SentLoad last_sent_;
   SentLoad last_complete_;
   TimePoint last_complete_at_;
--- a/gateway/settings.cc
+++ b/gateway/settings.cc
@@ -13,6 +13,8 @@
 
 using nlohmann::json;
 
+constexpr double kBytesPerMegabyte = 1024.0 * 1024.0;
+
 Error Invalid(std::string_view field, const json& value, std::string_view allowed) {
   return Error{ErrorKind::kInvalidArgument, fmt::format("settings: {} is {}", field, value.dump()),
                fmt::format("set it to {}", allowed)};
@@ -73,6 +75,12 @@
   return *number;
 }
 
+// The same for a field that may be missing or null.
+Result<double> ReadOptionalNumber(const json& object, std::string_view pointer, double fallback) {
+  return Find(object, pointer).is_null() ? Result<double>(fallback)
+                                         : ReadNumber(object, pointer, 0);
+}
+
 Duration Seconds(double seconds) {
   return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
 }
@@ -126,6 +134,25 @@
       return number->error();
     }
   }
+  const Result<double> key_removal = ReadOptionalNumber(parsed, "/workspaces/key_removal_ms", 0);
+  const Result<double> limit_window = ReadOptionalNumber(parsed, "/workspaces/limit_window_s", 8);
+  const Result<double> overshoot = ReadOptionalNumber(parsed, "/workspaces/limit_overshoot", 0.1);
+  const Result<double> limit_slack = ReadOptionalNumber(parsed, "/workspaces/limit_slack", 0);
+  const Result<double> memory = ReadOptionalNumber(parsed, "/process/memory_mb", 0);
+  const Result<double> descriptors = ReadOptionalNumber(parsed, "/process/max_descriptors", 0);
+  for (const Result<double>* number :
+       {&key_removal, &limit_window, &overshoot, &limit_slack, &memory, &descriptors}) {
+    if (!*number) {
+      return number->error();
+    }
+  }
+  if (key_removal.value() > 0) {
+    settings.key_removal_limit = Seconds(key_removal.value() / 1'000);
+  }
+  settings.limit_tolerance = {Seconds(limit_window.value()), overshoot.value(),
+                              limit_slack.value()};
+  settings.memory_limit_bytes = static_cast<std::int64_t>(memory.value() * kBytesPerMegabyte);
+  settings.max_descriptors = static_cast<std::int64_t>(descriptors.value());
   settings.metrics_port = static_cast<std::uint16_t>(metrics.value());
   settings.peer_port = static_cast<std::uint16_t>(peer.value());
   settings.stop_grace = Seconds(grace.value());
--- a/gateway/settings.h
+++ b/gateway/settings.h
@@ -3,6 +3,7 @@
 
 #include <asio/ip/tcp.hpp>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -11,6 +12,14 @@
 
 namespace rattanramp::gateway {
 
+/// In each window, a workspace may use (rate * window + burst) * (1 + overshoot) + slack.
+struct LimitTolerance {
+  Duration window = Milliseconds(8'000);
+  double overshoot = 0.1;
+  /// In units of the limit.
+  double slack = 0;
+};
+
 struct Settings {
   std::string node;
   std::string failure_domain;
@@ -30,6 +39,14 @@
   /// Time within which a gateway must stop sending requests to a draining upstream.
   Duration upstream_drain_limit = Milliseconds(2'000);
   core::RetryBound retry_bound;
+  /// A key that the operator has removed must not be used later than this after the removal, also
+  /// while the platform's store is away; empty: no such bound.
+  std::optional<Duration> key_removal_limit;
+  /// Tolerance of the limits of workspaces.
+  LimitTolerance limit_tolerance;
+  /// Memory and descriptors of the process that the VM allows; 0: not known.
+  std::int64_t memory_limit_bytes = 0;
+  std::int64_t max_descriptors = 0;
 };
 
 /// Errors: kInvalidArgument names the field, its value and what is allowed.
--- a/wire/gen-cpp/rattanramp_types.cpp
+++ b/wire/gen-cpp/rattanramp_types.cpp
@@ -239,6 +239,47 @@
   }
 }
 
+int _kGatewayUpstreamSignKindValues[] = {
+  /**
+   * A connection could not be made, or was lost under a request.
+   */
+  GatewayUpstreamSignKind::FAILED,
+  /**
+   * The upstream has answered a request.
+   */
+  GatewayUpstreamSignKind::ANSWERED
+};
+const char* _kGatewayUpstreamSignKindNames[] = {
+  /**
+   * A connection could not be made, or was lost under a request.
+   */
+  "FAILED",
+  /**
+   * The upstream has answered a request.
+   */
+  "ANSWERED"
+};
+const std::map<int, const char*> _GatewayUpstreamSignKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(2, _kGatewayUpstreamSignKindValues, _kGatewayUpstreamSignKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+
+std::ostream& operator<<(std::ostream& out, const GatewayUpstreamSignKind::type& val) {
+  std::map<int, const char*>::const_iterator it = _GatewayUpstreamSignKind_VALUES_TO_NAMES.find(val);
+  if (it != _GatewayUpstreamSignKind_VALUES_TO_NAMES.end()) {
+    out << it->second;
+  } else {
+    out << static_cast<int>(val);
+  }
+  return out;
+}
+
+std::string to_string(const GatewayUpstreamSignKind::type& val) {
+  std::map<int, const char*>::const_iterator it = _GatewayUpstreamSignKind_VALUES_TO_NAMES.find(val);
+  if (it != _GatewayUpstreamSignKind_VALUES_TO_NAMES.end()) {
+    return std::string(it->second);
+  } else {
+    return std::to_string(static_cast<int>(val));
+  }
+}
+
 
 Hello::~Hello() noexcept {
 }
@@ -6879,66 +6920,149 @@
 }
 
 
-GatewayLoad::~GatewayLoad() noexcept {
+GatewayConfigEvidence::~GatewayConfigEvidence() noexcept {
 }
 
 
-void GatewayLoad::__set_gateway(const std::string& val) {
-  this->gateway = val;
+void GatewayConfigEvidence::__set_row_version(const int64_t val) {
+  this->row_version = val;
 }
 
-void GatewayLoad::__set_sequence(const int64_t val) {
-  this->sequence = val;
+void GatewayConfigEvidence::__set_clock_ms(const int64_t val) {
+  this->clock_ms = val;
 }
-
-void GatewayLoad::__set_upstreams(const std::vector<GatewayUpstreamLoad> & val) {
-  this->upstreams = val;
+std::ostream& operator<<(std::ostream& out, const GatewayConfigEvidence& obj)
+{
+  obj.printTo(out);
+  return out;
 }
 
-void GatewayLoad::__set_waiting_tokens(const std::map<std::string, int64_t> & val) {
-  this->waiting_tokens = val;
-}
 
-void GatewayLoad::__set_late_waiting_tokens(const std::map<std::string, int64_t> & val) {
-  this->late_waiting_tokens = val;
+uint32_t GatewayConfigEvidence::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_row_version = false;
+  bool isset_clock_ms = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->row_version);
+          isset_row_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->clock_ms);
+          isset_clock_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_row_version)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_clock_ms)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
 }
 
-void GatewayLoad::__set_withheld_upstreams(const std::vector<int64_t> & val) {
-  this->withheld_upstreams = val;
+uint32_t GatewayConfigEvidence::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("GatewayConfigEvidence");
+
+  xfer += oprot->writeFieldBegin("row_version", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->row_version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("clock_ms", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->clock_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
 }
 
-void GatewayLoad::__set_list_news(const GatewayListNews& val) {
-  this->list_news = val;
-__isset.list_news = true;
+void swap(GatewayConfigEvidence &a, GatewayConfigEvidence &b) {
+  using ::std::swap;
+  swap(a.row_version, b.row_version);
+  swap(a.clock_ms, b.clock_ms);
 }
 
-void GatewayLoad::__set_start_losses(const std::vector<GatewayStartLoss> & val) {
-  this->start_losses = val;
-__isset.start_losses = true;
+GatewayConfigEvidence::GatewayConfigEvidence(const GatewayConfigEvidence& other193) noexcept {
+  row_version = other193.row_version;
+  clock_ms = other193.clock_ms;
+}
+GatewayConfigEvidence::GatewayConfigEvidence(GatewayConfigEvidence&& other194) noexcept {
+  row_version = other194.row_version;
+  clock_ms = other194.clock_ms;
+}
+GatewayConfigEvidence& GatewayConfigEvidence::operator=(const GatewayConfigEvidence& other195) noexcept {
+  row_version = other195.row_version;
+  clock_ms = other195.clock_ms;
+  return *this;
+}
+GatewayConfigEvidence& GatewayConfigEvidence::operator=(GatewayConfigEvidence&& other196) noexcept {
+  row_version = other196.row_version;
+  clock_ms = other196.clock_ms;
+  return *this;
+}
+void GatewayConfigEvidence::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "GatewayConfigEvidence(";
+  out << "row_version=" << to_string(row_version);
+  out << ", " << "clock_ms=" << to_string(clock_ms);
+  out << ")";
 }
 
-void GatewayLoad::__set_answered_parts(const std::vector<GatewayAnsweredPart> & val) {
-  this->answered_parts = val;
-__isset.answered_parts = true;
+
+GatewayConfigRow::~GatewayConfigRow() noexcept {
 }
 
-void GatewayLoad::__set_blocked_causes(const std::vector<int64_t> & val) {
-  this->blocked_causes = val;
-__isset.blocked_causes = true;
+
+void GatewayConfigRow::__set_row_version(const int64_t val) {
+  this->row_version = val;
 }
 
-void GatewayLoad::__set_running_upstreams(const std::vector<GatewayRunningUpstream> & val) {
-  this->running_upstreams = val;
-__isset.running_upstreams = true;
+void GatewayConfigRow::__set_text(const std::string& val) {
+  this->text = val;
 }
-std::ostream& operator<<(std::ostream& out, const GatewayLoad& obj)
+std::ostream& operator<<(std::ostream& out, const GatewayConfigRow& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t GatewayLoad::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t GatewayConfigRow::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -6950,12 +7074,8 @@
 
   using ::apache::thrift::protocol::TProtocolException;
 
-  bool isset_gateway = false;
-  bool isset_sequence = false;
-  bool isset_upstreams = false;
-  bool isset_waiting_tokens = false;
-  bool isset_late_waiting_tokens = false;
-  bool isset_withheld_upstreams = false;
+  bool isset_row_version = false;
+  bool isset_text = false;
 
   while (true)
   {
@@ -6966,191 +7086,17 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->gateway);
-          isset_gateway = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->sequence);
-          isset_sequence = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->upstreams.clear();
-            uint32_t _size193;
-            ::apache::thrift::protocol::TType _etype196;
-            xfer += iprot->readListBegin(_etype196, _size193);
-            this->upstreams.resize(_size193);
-            uint32_t _i197;
-            for (_i197 = 0; _i197 < _size193; ++_i197)
-            {
-              xfer += this->upstreams[_i197].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          isset_upstreams = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_MAP) {
-          {
-            this->waiting_tokens.clear();
-            uint32_t _size198;
-            ::apache::thrift::protocol::TType _ktype199;
-            ::apache::thrift::protocol::TType _vtype200;
-            xfer += iprot->readMapBegin(_ktype199, _vtype200, _size198);
-            uint32_t _i202;
-            for (_i202 = 0; _i202 < _size198; ++_i202)
-            {
-              std::string _key203;
-              xfer += iprot->readString(_key203);
-              int64_t& _val204 = this->waiting_tokens[_key203];
-              xfer += iprot->readI64(_val204);
-            }
-            xfer += iprot->readMapEnd();
-          }
-          isset_waiting_tokens = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_MAP) {
-          {
-            this->late_waiting_tokens.clear();
-            uint32_t _size205;
-            ::apache::thrift::protocol::TType _ktype206;
-            ::apache::thrift::protocol::TType _vtype207;
-            xfer += iprot->readMapBegin(_ktype206, _vtype207, _size205);
-            uint32_t _i209;
-            for (_i209 = 0; _i209 < _size205; ++_i209)
-            {
-              std::string _key210;
-              xfer += iprot->readString(_key210);
-              int64_t& _val211 = this->late_waiting_tokens[_key210];
-              xfer += iprot->readI64(_val211);
-            }
-            xfer += iprot->readMapEnd();
-          }
-          isset_late_waiting_tokens = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->withheld_upstreams.clear();
-            uint32_t _size212;
-            ::apache::thrift::protocol::TType _etype215;
-            xfer += iprot->readListBegin(_etype215, _size212);
-            this->withheld_upstreams.resize(_size212);
-            uint32_t _i216;
-            for (_i216 = 0; _i216 < _size212; ++_i216)
-            {
-              xfer += iprot->readI64(this->withheld_upstreams[_i216]);
-            }
-            xfer += iprot->readListEnd();
-          }
-          isset_withheld_upstreams = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 7:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->list_news.read(iprot);
-          this->__isset.list_news = true;
+          xfer += iprot->readI64(this->row_version);
+          isset_row_version = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 8:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->start_losses.clear();
-            uint32_t _size217;
-            ::apache::thrift::protocol::TType _etype220;
-            xfer += iprot->readListBegin(_etype220, _size217);
-            this->start_losses.resize(_size217);
-            uint32_t _i221;
-            for (_i221 = 0; _i221 < _size217; ++_i221)
-            {
-              xfer += this->start_losses[_i221].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.start_losses = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 9:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->answered_parts.clear();
-            uint32_t _size222;
-            ::apache::thrift::protocol::TType _etype225;
-            xfer += iprot->readListBegin(_etype225, _size222);
-            this->answered_parts.resize(_size222);
-            uint32_t _i226;
-            for (_i226 = 0; _i226 < _size222; ++_i226)
-            {
-              xfer += this->answered_parts[_i226].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.answered_parts = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 10:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->blocked_causes.clear();
-            uint32_t _size227;
-            ::apache::thrift::protocol::TType _etype230;
-            xfer += iprot->readListBegin(_etype230, _size227);
-            this->blocked_causes.resize(_size227);
-            uint32_t _i231;
-            for (_i231 = 0; _i231 < _size227; ++_i231)
-            {
-              xfer += iprot->readI64(this->blocked_causes[_i231]);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.blocked_causes = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 11:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->running_upstreams.clear();
-            uint32_t _size232;
-            ::apache::thrift::protocol::TType _etype235;
-            xfer += iprot->readListBegin(_etype235, _size232);
-            this->running_upstreams.resize(_size232);
-            uint32_t _i236;
-            for (_i236 = 0; _i236 < _size232; ++_i236)
-            {
-              xfer += this->running_upstreams[_i236].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.running_upstreams = true;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->text);
+          isset_text = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -7164,28 +7110,1001 @@
 
   xfer += iprot->readStructEnd();
 
-  if (!isset_gateway)
-    throw TProtocolException(TProtocolException::INVALID_DATA);
-  if (!isset_sequence)
-    throw TProtocolException(TProtocolException::INVALID_DATA);
-  if (!isset_upstreams)
-    throw TProtocolException(TProtocolException::INVALID_DATA);
-  if (!isset_waiting_tokens)
-    throw TProtocolException(TProtocolException::INVALID_DATA);
-  if (!isset_late_waiting_tokens)
+  if (!isset_row_version)
     throw TProtocolException(TProtocolException::INVALID_DATA);
-  if (!isset_withheld_upstreams)
+  if (!isset_text)
     throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
-uint32_t GatewayLoad::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t GatewayConfigRow::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("GatewayLoad");
+  xfer += oprot->writeStructBegin("GatewayConfigRow");
 
-  xfer += oprot->writeFieldBegin("gateway", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->gateway);
+  xfer += oprot->writeFieldBegin("row_version", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->row_version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("text", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->text);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(GatewayConfigRow &a, GatewayConfigRow &b) {
+  using ::std::swap;
+  swap(a.row_version, b.row_version);
+  swap(a.text, b.text);
+}
+
+GatewayConfigRow::GatewayConfigRow(const GatewayConfigRow& other197) {
+  row_version = other197.row_version;
+  text = other197.text;
+}
+GatewayConfigRow::GatewayConfigRow(GatewayConfigRow&& other198) noexcept {
+  row_version = other198.row_version;
+  text = std::move(other198.text);
+}
+GatewayConfigRow& GatewayConfigRow::operator=(const GatewayConfigRow& other199) {
+  row_version = other199.row_version;
+  text = other199.text;
+  return *this;
+}
+GatewayConfigRow& GatewayConfigRow::operator=(GatewayConfigRow&& other200) noexcept {
+  row_version = other200.row_version;
+  text = std::move(other200.text);
+  return *this;
+}
+void GatewayConfigRow::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "GatewayConfigRow(";
+  out << "row_version=" << to_string(row_version);
+  out << ", " << "text=" << to_string(text);
+  out << ")";
+}
+
+
+GatewayWorkspaceUse::~GatewayWorkspaceUse() noexcept {
+}
+
+
+void GatewayWorkspaceUse::__set_workspace(const int64_t val) {
+  this->workspace = val;
+}
+
+void GatewayWorkspaceUse::__set_used(const int64_t val) {
+  this->used = val;
+}
+
+void GatewayWorkspaceUse::__set_demand_per_s(const int64_t val) {
+  this->demand_per_s = val;
+}
+
+void GatewayWorkspaceUse::__set_waiting(const int64_t val) {
+  this->waiting = val;
+__isset.waiting = true;
+}
+std::ostream& operator<<(std::ostream& out, const GatewayWorkspaceUse& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t GatewayWorkspaceUse::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_workspace = false;
+  bool isset_used = false;
+  bool isset_demand_per_s = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->workspace);
+          isset_workspace = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->used);
+          isset_used = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->demand_per_s);
+          isset_demand_per_s = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->waiting);
+          this->__isset.waiting = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_workspace)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_used)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_demand_per_s)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t GatewayWorkspaceUse::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("GatewayWorkspaceUse");
+
+  xfer += oprot->writeFieldBegin("workspace", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->workspace);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("used", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->used);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("demand_per_s", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->demand_per_s);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.waiting) {
+    xfer += oprot->writeFieldBegin("waiting", ::apache::thrift::protocol::T_I64, 4);
+    xfer += oprot->writeI64(this->waiting);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(GatewayWorkspaceUse &a, GatewayWorkspaceUse &b) {
+  using ::std::swap;
+  swap(a.workspace, b.workspace);
+  swap(a.used, b.used);
+  swap(a.demand_per_s, b.demand_per_s);
+  swap(a.waiting, b.waiting);
+  swap(a.__isset, b.__isset);
+}
+
+GatewayWorkspaceUse::GatewayWorkspaceUse(const GatewayWorkspaceUse& other201) noexcept {
+  workspace = other201.workspace;
+  used = other201.used;
+  demand_per_s = other201.demand_per_s;
+  waiting = other201.waiting;
+  __isset = other201.__isset;
+}
+GatewayWorkspaceUse::GatewayWorkspaceUse(GatewayWorkspaceUse&& other202) noexcept {
+  workspace = other202.workspace;
+  used = other202.used;
+  demand_per_s = other202.demand_per_s;
+  waiting = other202.waiting;
+  __isset = other202.__isset;
+}
+GatewayWorkspaceUse& GatewayWorkspaceUse::operator=(const GatewayWorkspaceUse& other203) noexcept {
+  workspace = other203.workspace;
+  used = other203.used;
+  demand_per_s = other203.demand_per_s;
+  waiting = other203.waiting;
+  __isset = other203.__isset;
+  return *this;
+}
+GatewayWorkspaceUse& GatewayWorkspaceUse::operator=(GatewayWorkspaceUse&& other204) noexcept {
+  workspace = other204.workspace;
+  used = other204.used;
+  demand_per_s = other204.demand_per_s;
+  waiting = other204.waiting;
+  __isset = other204.__isset;
+  return *this;
+}
+void GatewayWorkspaceUse::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "GatewayWorkspaceUse(";
+  out << "workspace=" << to_string(workspace);
+  out << ", " << "used=" << to_string(used);
+  out << ", " << "demand_per_s=" << to_string(demand_per_s);
+  out << ", " << "waiting="; (__isset.waiting ? (out << to_string(waiting)) : (out << "<null>"));
+  out << ")";
+}
+
+
+GatewayUpstreamSign::~GatewayUpstreamSign() noexcept {
+}
+
+
+void GatewayUpstreamSign::__set_upstream_key(const int64_t val) {
+  this->upstream_key = val;
+}
+
+void GatewayUpstreamSign::__set_kind(const GatewayUpstreamSignKind::type val) {
+  this->kind = val;
+}
+
+void GatewayUpstreamSign::__set_age_ms(const int64_t val) {
+  this->age_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const GatewayUpstreamSign& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t GatewayUpstreamSign::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_upstream_key = false;
+  bool isset_kind = false;
+  bool isset_age_ms = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->upstream_key);
+          isset_upstream_key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast205;
+          xfer += iprot->readI32(ecast205);
+          this->kind = static_cast<GatewayUpstreamSignKind::type>(ecast205);
+          isset_kind = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->age_ms);
+          isset_age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_upstream_key)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_kind)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_age_ms)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t GatewayUpstreamSign::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("GatewayUpstreamSign");
+
+  xfer += oprot->writeFieldBegin("upstream_key", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->upstream_key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->kind));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(GatewayUpstreamSign &a, GatewayUpstreamSign &b) {
+  using ::std::swap;
+  swap(a.upstream_key, b.upstream_key);
+  swap(a.kind, b.kind);
+  swap(a.age_ms, b.age_ms);
+}
+
+GatewayUpstreamSign::GatewayUpstreamSign(const GatewayUpstreamSign& other206) noexcept {
+  upstream_key = other206.upstream_key;
+  kind = other206.kind;
+  age_ms = other206.age_ms;
+}
+GatewayUpstreamSign::GatewayUpstreamSign(GatewayUpstreamSign&& other207) noexcept {
+  upstream_key = other207.upstream_key;
+  kind = other207.kind;
+  age_ms = other207.age_ms;
+}
+GatewayUpstreamSign& GatewayUpstreamSign::operator=(const GatewayUpstreamSign& other208) noexcept {
+  upstream_key = other208.upstream_key;
+  kind = other208.kind;
+  age_ms = other208.age_ms;
+  return *this;
+}
+GatewayUpstreamSign& GatewayUpstreamSign::operator=(GatewayUpstreamSign&& other209) noexcept {
+  upstream_key = other209.upstream_key;
+  kind = other209.kind;
+  age_ms = other209.age_ms;
+  return *this;
+}
+void GatewayUpstreamSign::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "GatewayUpstreamSign(";
+  out << "upstream_key=" << to_string(upstream_key);
+  out << ", " << "kind=" << to_string(kind);
+  out << ", " << "age_ms=" << to_string(age_ms);
+  out << ")";
+}
+
+
+GatewayUpstreamSpeed::~GatewayUpstreamSpeed() noexcept {
+}
+
+
+void GatewayUpstreamSpeed::__set_upstream_key(const int64_t val) {
+  this->upstream_key = val;
+}
+
+void GatewayUpstreamSpeed::__set_slowness_permille(const int32_t val) {
+  this->slowness_permille = val;
+}
+
+void GatewayUpstreamSpeed::__set_samples(const int32_t val) {
+  this->samples = val;
+}
+
+void GatewayUpstreamSpeed::__set_age_ms(const int64_t val) {
+  this->age_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const GatewayUpstreamSpeed& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t GatewayUpstreamSpeed::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_upstream_key = false;
+  bool isset_slowness_permille = false;
+  bool isset_samples = false;
+  bool isset_age_ms = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->upstream_key);
+          isset_upstream_key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->slowness_permille);
+          isset_slowness_permille = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->samples);
+          isset_samples = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->age_ms);
+          isset_age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_upstream_key)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_slowness_permille)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_samples)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_age_ms)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t GatewayUpstreamSpeed::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("GatewayUpstreamSpeed");
+
+  xfer += oprot->writeFieldBegin("upstream_key", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->upstream_key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("slowness_permille", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->slowness_permille);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("samples", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->samples);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(GatewayUpstreamSpeed &a, GatewayUpstreamSpeed &b) {
+  using ::std::swap;
+  swap(a.upstream_key, b.upstream_key);
+  swap(a.slowness_permille, b.slowness_permille);
+  swap(a.samples, b.samples);
+  swap(a.age_ms, b.age_ms);
+}
+
+GatewayUpstreamSpeed::GatewayUpstreamSpeed(const GatewayUpstreamSpeed& other210) noexcept {
+  upstream_key = other210.upstream_key;
+  slowness_permille = other210.slowness_permille;
+  samples = other210.samples;
+  age_ms = other210.age_ms;
+}
+GatewayUpstreamSpeed::GatewayUpstreamSpeed(GatewayUpstreamSpeed&& other211) noexcept {
+  upstream_key = other211.upstream_key;
+  slowness_permille = other211.slowness_permille;
+  samples = other211.samples;
+  age_ms = other211.age_ms;
+}
+GatewayUpstreamSpeed& GatewayUpstreamSpeed::operator=(const GatewayUpstreamSpeed& other212) noexcept {
+  upstream_key = other212.upstream_key;
+  slowness_permille = other212.slowness_permille;
+  samples = other212.samples;
+  age_ms = other212.age_ms;
+  return *this;
+}
+GatewayUpstreamSpeed& GatewayUpstreamSpeed::operator=(GatewayUpstreamSpeed&& other213) noexcept {
+  upstream_key = other213.upstream_key;
+  slowness_permille = other213.slowness_permille;
+  samples = other213.samples;
+  age_ms = other213.age_ms;
+  return *this;
+}
+void GatewayUpstreamSpeed::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "GatewayUpstreamSpeed(";
+  out << "upstream_key=" << to_string(upstream_key);
+  out << ", " << "slowness_permille=" << to_string(slowness_permille);
+  out << ", " << "samples=" << to_string(samples);
+  out << ", " << "age_ms=" << to_string(age_ms);
+  out << ")";
+}
+
+
+GatewayLoad::~GatewayLoad() noexcept {
+}
+
+
+void GatewayLoad::__set_gateway(const std::string& val) {
+  this->gateway = val;
+}
+
+void GatewayLoad::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void GatewayLoad::__set_upstreams(const std::vector<GatewayUpstreamLoad> & val) {
+  this->upstreams = val;
+}
+
+void GatewayLoad::__set_waiting_tokens(const std::map<std::string, int64_t> & val) {
+  this->waiting_tokens = val;
+}
+
+void GatewayLoad::__set_late_waiting_tokens(const std::map<std::string, int64_t> & val) {
+  this->late_waiting_tokens = val;
+}
+
+void GatewayLoad::__set_withheld_upstreams(const std::vector<int64_t> & val) {
+  this->withheld_upstreams = val;
+}
+
+void GatewayLoad::__set_list_news(const GatewayListNews& val) {
+  this->list_news = val;
+__isset.list_news = true;
+}
+
+void GatewayLoad::__set_start_losses(const std::vector<GatewayStartLoss> & val) {
+  this->start_losses = val;
+__isset.start_losses = true;
+}
+
+void GatewayLoad::__set_answered_parts(const std::vector<GatewayAnsweredPart> & val) {
+  this->answered_parts = val;
+__isset.answered_parts = true;
+}
+
+void GatewayLoad::__set_blocked_causes(const std::vector<int64_t> & val) {
+  this->blocked_causes = val;
+__isset.blocked_causes = true;
+}
+
+void GatewayLoad::__set_running_upstreams(const std::vector<GatewayRunningUpstream> & val) {
+  this->running_upstreams = val;
+__isset.running_upstreams = true;
+}
+
+void GatewayLoad::__set_config_evidence(const GatewayConfigEvidence& val) {
+  this->config_evidence = val;
+__isset.config_evidence = true;
+}
+
+void GatewayLoad::__set_wanted_config(const int64_t val) {
+  this->wanted_config = val;
+__isset.wanted_config = true;
+}
+
+void GatewayLoad::__set_config_row(const GatewayConfigRow& val) {
+  this->config_row = val;
+__isset.config_row = true;
+}
+
+void GatewayLoad::__set_started_unix_ms(const int64_t val) {
+  this->started_unix_ms = val;
+__isset.started_unix_ms = true;
+}
+
+void GatewayLoad::__set_workspace_use(const std::vector<GatewayWorkspaceUse> & val) {
+  this->workspace_use = val;
+__isset.workspace_use = true;
+}
+
+void GatewayLoad::__set_upstream_signs(const std::vector<GatewayUpstreamSign> & val) {
+  this->upstream_signs = val;
+__isset.upstream_signs = true;
+}
+
+void GatewayLoad::__set_upstream_speeds(const std::vector<GatewayUpstreamSpeed> & val) {
+  this->upstream_speeds = val;
+__isset.upstream_speeds = true;
+}
+std::ostream& operator<<(std::ostream& out, const GatewayLoad& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t GatewayLoad::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_gateway = false;
+  bool isset_sequence = false;
+  bool isset_upstreams = false;
+  bool isset_waiting_tokens = false;
+  bool isset_late_waiting_tokens = false;
+  bool isset_withheld_upstreams = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->gateway);
+          isset_gateway = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          isset_sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->upstreams.clear();
+            uint32_t _size214;
+            ::apache::thrift::protocol::TType _etype217;
+            xfer += iprot->readListBegin(_etype217, _size214);
+            this->upstreams.resize(_size214);
+            uint32_t _i218;
+            for (_i218 = 0; _i218 < _size214; ++_i218)
+            {
+              xfer += this->upstreams[_i218].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_upstreams = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->waiting_tokens.clear();
+            uint32_t _size219;
+            ::apache::thrift::protocol::TType _ktype220;
+            ::apache::thrift::protocol::TType _vtype221;
+            xfer += iprot->readMapBegin(_ktype220, _vtype221, _size219);
+            uint32_t _i223;
+            for (_i223 = 0; _i223 < _size219; ++_i223)
+            {
+              std::string _key224;
+              xfer += iprot->readString(_key224);
+              int64_t& _val225 = this->waiting_tokens[_key224];
+              xfer += iprot->readI64(_val225);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          isset_waiting_tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->late_waiting_tokens.clear();
+            uint32_t _size226;
+            ::apache::thrift::protocol::TType _ktype227;
+            ::apache::thrift::protocol::TType _vtype228;
+            xfer += iprot->readMapBegin(_ktype227, _vtype228, _size226);
+            uint32_t _i230;
+            for (_i230 = 0; _i230 < _size226; ++_i230)
+            {
+              std::string _key231;
+              xfer += iprot->readString(_key231);
+              int64_t& _val232 = this->late_waiting_tokens[_key231];
+              xfer += iprot->readI64(_val232);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          isset_late_waiting_tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->withheld_upstreams.clear();
+            uint32_t _size233;
+            ::apache::thrift::protocol::TType _etype236;
+            xfer += iprot->readListBegin(_etype236, _size233);
+            this->withheld_upstreams.resize(_size233);
+            uint32_t _i237;
+            for (_i237 = 0; _i237 < _size233; ++_i237)
+            {
+              xfer += iprot->readI64(this->withheld_upstreams[_i237]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_withheld_upstreams = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->list_news.read(iprot);
+          this->__isset.list_news = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->start_losses.clear();
+            uint32_t _size238;
+            ::apache::thrift::protocol::TType _etype241;
+            xfer += iprot->readListBegin(_etype241, _size238);
+            this->start_losses.resize(_size238);
+            uint32_t _i242;
+            for (_i242 = 0; _i242 < _size238; ++_i242)
+            {
+              xfer += this->start_losses[_i242].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.start_losses = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->answered_parts.clear();
+            uint32_t _size243;
+            ::apache::thrift::protocol::TType _etype246;
+            xfer += iprot->readListBegin(_etype246, _size243);
+            this->answered_parts.resize(_size243);
+            uint32_t _i247;
+            for (_i247 = 0; _i247 < _size243; ++_i247)
+            {
+              xfer += this->answered_parts[_i247].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.answered_parts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->blocked_causes.clear();
+            uint32_t _size248;
+            ::apache::thrift::protocol::TType _etype251;
+            xfer += iprot->readListBegin(_etype251, _size248);
+            this->blocked_causes.resize(_size248);
+            uint32_t _i252;
+            for (_i252 = 0; _i252 < _size248; ++_i252)
+            {
+              xfer += iprot->readI64(this->blocked_causes[_i252]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.blocked_causes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->running_upstreams.clear();
+            uint32_t _size253;
+            ::apache::thrift::protocol::TType _etype256;
+            xfer += iprot->readListBegin(_etype256, _size253);
+            this->running_upstreams.resize(_size253);
+            uint32_t _i257;
+            for (_i257 = 0; _i257 < _size253; ++_i257)
+            {
+              xfer += this->running_upstreams[_i257].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.running_upstreams = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->config_evidence.read(iprot);
+          this->__isset.config_evidence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->wanted_config);
+          this->__isset.wanted_config = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->config_row.read(iprot);
+          this->__isset.config_row = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->started_unix_ms);
+          this->__isset.started_unix_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->workspace_use.clear();
+            uint32_t _size258;
+            ::apache::thrift::protocol::TType _etype261;
+            xfer += iprot->readListBegin(_etype261, _size258);
+            this->workspace_use.resize(_size258);
+            uint32_t _i262;
+            for (_i262 = 0; _i262 < _size258; ++_i262)
+            {
+              xfer += this->workspace_use[_i262].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.workspace_use = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->upstream_signs.clear();
+            uint32_t _size263;
+            ::apache::thrift::protocol::TType _etype266;
+            xfer += iprot->readListBegin(_etype266, _size263);
+            this->upstream_signs.resize(_size263);
+            uint32_t _i267;
+            for (_i267 = 0; _i267 < _size263; ++_i267)
+            {
+              xfer += this->upstream_signs[_i267].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.upstream_signs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->upstream_speeds.clear();
+            uint32_t _size268;
+            ::apache::thrift::protocol::TType _etype271;
+            xfer += iprot->readListBegin(_etype271, _size268);
+            this->upstream_speeds.resize(_size268);
+            uint32_t _i272;
+            for (_i272 = 0; _i272 < _size268; ++_i272)
+            {
+              xfer += this->upstream_speeds[_i272].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.upstream_speeds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_gateway)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_sequence)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_upstreams)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_waiting_tokens)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_late_waiting_tokens)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_withheld_upstreams)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t GatewayLoad::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("GatewayLoad");
+
+  xfer += oprot->writeFieldBegin("gateway", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->gateway);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 2);
@@ -7195,10 +8114,10 @@
   xfer += oprot->writeFieldBegin("upstreams", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->upstreams.size()));
-    std::vector<GatewayUpstreamLoad> ::const_iterator _iter237;
-    for (_iter237 = this->upstreams.begin(); _iter237 != this->upstreams.end(); ++_iter237)
+    std::vector<GatewayUpstreamLoad> ::const_iterator _iter273;
+    for (_iter273 = this->upstreams.begin(); _iter273 != this->upstreams.end(); ++_iter273)
     {
-      xfer += (*_iter237).write(oprot);
+      xfer += (*_iter273).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7207,11 +8126,11 @@
   xfer += oprot->writeFieldBegin("waiting_tokens", ::apache::thrift::protocol::T_MAP, 4);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->waiting_tokens.size()));
-    std::map<std::string, int64_t> ::const_iterator _iter238;
-    for (_iter238 = this->waiting_tokens.begin(); _iter238 != this->waiting_tokens.end(); ++_iter238)
+    std::map<std::string, int64_t> ::const_iterator _iter274;
+    for (_iter274 = this->waiting_tokens.begin(); _iter274 != this->waiting_tokens.end(); ++_iter274)
     {
-      xfer += oprot->writeString(_iter238->first);
-      xfer += oprot->writeI64(_iter238->second);
+      xfer += oprot->writeString(_iter274->first);
+      xfer += oprot->writeI64(_iter274->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -7220,11 +8139,11 @@
   xfer += oprot->writeFieldBegin("late_waiting_tokens", ::apache::thrift::protocol::T_MAP, 5);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->late_waiting_tokens.size()));
-    std::map<std::string, int64_t> ::const_iterator _iter239;
-    for (_iter239 = this->late_waiting_tokens.begin(); _iter239 != this->late_waiting_tokens.end(); ++_iter239)
+    std::map<std::string, int64_t> ::const_iterator _iter275;
+    for (_iter275 = this->late_waiting_tokens.begin(); _iter275 != this->late_waiting_tokens.end(); ++_iter275)
     {
-      xfer += oprot->writeString(_iter239->first);
-      xfer += oprot->writeI64(_iter239->second);
+      xfer += oprot->writeString(_iter275->first);
+      xfer += oprot->writeI64(_iter275->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -7233,10 +8152,10 @@
   xfer += oprot->writeFieldBegin("withheld_upstreams", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->withheld_upstreams.size()));
-    std::vector<int64_t> ::const_iterator _iter240;
-    for (_iter240 = this->withheld_upstreams.begin(); _iter240 != this->withheld_upstreams.end(); ++_iter240)
+    std::vector<int64_t> ::const_iterator _iter276;
+    for (_iter276 = this->withheld_upstreams.begin(); _iter276 != this->withheld_upstreams.end(); ++_iter276)
     {
-      xfer += oprot->writeI64((*_iter240));
+      xfer += oprot->writeI64((*_iter276));
     }
     xfer += oprot->writeListEnd();
   }
@@ -7251,10 +8170,10 @@
     xfer += oprot->writeFieldBegin("start_losses", ::apache::thrift::protocol::T_LIST, 8);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->start_losses.size()));
-      std::vector<GatewayStartLoss> ::const_iterator _iter241;
-      for (_iter241 = this->start_losses.begin(); _iter241 != this->start_losses.end(); ++_iter241)
+      std::vector<GatewayStartLoss> ::const_iterator _iter277;
+      for (_iter277 = this->start_losses.begin(); _iter277 != this->start_losses.end(); ++_iter277)
       {
-        xfer += (*_iter241).write(oprot);
+        xfer += (*_iter277).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -7264,10 +8183,10 @@
     xfer += oprot->writeFieldBegin("answered_parts", ::apache::thrift::protocol::T_LIST, 9);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->answered_parts.size()));
-      std::vector<GatewayAnsweredPart> ::const_iterator _iter242;
-      for (_iter242 = this->answered_parts.begin(); _iter242 != this->answered_parts.end(); ++_iter242)
+      std::vector<GatewayAnsweredPart> ::const_iterator _iter278;
+      for (_iter278 = this->answered_parts.begin(); _iter278 != this->answered_parts.end(); ++_iter278)
       {
-        xfer += (*_iter242).write(oprot);
+        xfer += (*_iter278).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -7277,10 +8196,10 @@
     xfer += oprot->writeFieldBegin("blocked_causes", ::apache::thrift::protocol::T_LIST, 10);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->blocked_causes.size()));
-      std::vector<int64_t> ::const_iterator _iter243;
-      for (_iter243 = this->blocked_causes.begin(); _iter243 != this->blocked_causes.end(); ++_iter243)
+      std::vector<int64_t> ::const_iterator _iter279;
+      for (_iter279 = this->blocked_causes.begin(); _iter279 != this->blocked_causes.end(); ++_iter279)
       {
-        xfer += oprot->writeI64((*_iter243));
+        xfer += oprot->writeI64((*_iter279));
       }
       xfer += oprot->writeListEnd();
     }
@@ -7290,10 +8209,69 @@
     xfer += oprot->writeFieldBegin("running_upstreams", ::apache::thrift::protocol::T_LIST, 11);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->running_upstreams.size()));
-      std::vector<GatewayRunningUpstream> ::const_iterator _iter244;
-      for (_iter244 = this->running_upstreams.begin(); _iter244 != this->running_upstreams.end(); ++_iter244)
+      std::vector<GatewayRunningUpstream> ::const_iterator _iter280;
+      for (_iter280 = this->running_upstreams.begin(); _iter280 != this->running_upstreams.end(); ++_iter280)
+      {
+        xfer += (*_iter280).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.config_evidence) {
+    xfer += oprot->writeFieldBegin("config_evidence", ::apache::thrift::protocol::T_STRUCT, 12);
+    xfer += this->config_evidence.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.wanted_config) {
+    xfer += oprot->writeFieldBegin("wanted_config", ::apache::thrift::protocol::T_I64, 13);
+    xfer += oprot->writeI64(this->wanted_config);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.config_row) {
+    xfer += oprot->writeFieldBegin("config_row", ::apache::thrift::protocol::T_STRUCT, 14);
+    xfer += this->config_row.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.started_unix_ms) {
+    xfer += oprot->writeFieldBegin("started_unix_ms", ::apache::thrift::protocol::T_I64, 15);
+    xfer += oprot->writeI64(this->started_unix_ms);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.workspace_use) {
+    xfer += oprot->writeFieldBegin("workspace_use", ::apache::thrift::protocol::T_LIST, 16);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->workspace_use.size()));
+      std::vector<GatewayWorkspaceUse> ::const_iterator _iter281;
+      for (_iter281 = this->workspace_use.begin(); _iter281 != this->workspace_use.end(); ++_iter281)
+      {
+        xfer += (*_iter281).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.upstream_signs) {
+    xfer += oprot->writeFieldBegin("upstream_signs", ::apache::thrift::protocol::T_LIST, 17);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->upstream_signs.size()));
+      std::vector<GatewayUpstreamSign> ::const_iterator _iter282;
+      for (_iter282 = this->upstream_signs.begin(); _iter282 != this->upstream_signs.end(); ++_iter282)
       {
-        xfer += (*_iter244).write(oprot);
+        xfer += (*_iter282).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.upstream_speeds) {
+    xfer += oprot->writeFieldBegin("upstream_speeds", ::apache::thrift::protocol::T_LIST, 18);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->upstream_speeds.size()));
+      std::vector<GatewayUpstreamSpeed> ::const_iterator _iter283;
+      for (_iter283 = this->upstream_speeds.begin(); _iter283 != this->upstream_speeds.end(); ++_iter283)
+      {
+        xfer += (*_iter283).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -7317,65 +8295,100 @@
   swap(a.answered_parts, b.answered_parts);
   swap(a.blocked_causes, b.blocked_causes);
   swap(a.running_upstreams, b.running_upstreams);
+  swap(a.config_evidence, b.config_evidence);
+  swap(a.wanted_config, b.wanted_config);
+  swap(a.config_row, b.config_row);
+  swap(a.started_unix_ms, b.started_unix_ms);
+  swap(a.workspace_use, b.workspace_use);
+  swap(a.upstream_signs, b.upstream_signs);
+  swap(a.upstream_speeds, b.upstream_speeds);
   swap(a.__isset, b.__isset);
 }
 
-GatewayLoad::GatewayLoad(const GatewayLoad& other245) {
-  gateway = other245.gateway;
-  sequence = other245.sequence;
-  upstreams = other245.upstreams;
-  waiting_tokens = other245.waiting_tokens;
-  late_waiting_tokens = other245.late_waiting_tokens;
-  withheld_upstreams = other245.withheld_upstreams;
-  list_news = other245.list_news;
-  start_losses = other245.start_losses;
-  answered_parts = other245.answered_parts;
-  blocked_causes = other245.blocked_causes;
-  running_upstreams = other245.running_upstreams;
-  __isset = other245.__isset;
-}
-GatewayLoad::GatewayLoad(GatewayLoad&& other246) noexcept {
-  gateway = std::move(other246.gateway);
-  sequence = other246.sequence;
-  upstreams = std::move(other246.upstreams);
-  waiting_tokens = std::move(other246.waiting_tokens);
-  late_waiting_tokens = std::move(other246.late_waiting_tokens);
-  withheld_upstreams = std::move(other246.withheld_upstreams);
-  list_news = std::move(other246.list_news);
-  start_losses = std::move(other246.start_losses);
-  answered_parts = std::move(other246.answered_parts);
-  blocked_causes = std::move(other246.blocked_causes);
-  running_upstreams = std::move(other246.running_upstreams);
-  __isset = other246.__isset;
-}
-GatewayLoad& GatewayLoad::operator=(const GatewayLoad& other247) {
-  gateway = other247.gateway;
-  sequence = other247.sequence;
-  upstreams = other247.upstreams;
-  waiting_tokens = other247.waiting_tokens;
-  late_waiting_tokens = other247.late_waiting_tokens;
-  withheld_upstreams = other247.withheld_upstreams;
-  list_news = other247.list_news;
-  start_losses = other247.start_losses;
-  answered_parts = other247.answered_parts;
-  blocked_causes = other247.blocked_causes;
-  running_upstreams = other247.running_upstreams;
-  __isset = other247.__isset;
+GatewayLoad::GatewayLoad(const GatewayLoad& other284) {
+  gateway = other284.gateway;
+  sequence = other284.sequence;
+  upstreams = other284.upstreams;
+  waiting_tokens = other284.waiting_tokens;
+  late_waiting_tokens = other284.late_waiting_tokens;
+  withheld_upstreams = other284.withheld_upstreams;
+  list_news = other284.list_news;
+  start_losses = other284.start_losses;
+  answered_parts = other284.answered_parts;
+  blocked_causes = other284.blocked_causes;
+  running_upstreams = other284.running_upstreams;
+  config_evidence = other284.config_evidence;
+  wanted_config = other284.wanted_config;
+  config_row = other284.config_row;
+  started_unix_ms = other284.started_unix_ms;
+  workspace_use = other284.workspace_use;
+  upstream_signs = other284.upstream_signs;
+  upstream_speeds = other284.upstream_speeds;
+  __isset = other284.__isset;
+}
+GatewayLoad::GatewayLoad(GatewayLoad&& other285) noexcept {
+  gateway = std::move(other285.gateway);
+  sequence = other285.sequence;
+  upstreams = std::move(other285.upstreams);
+  waiting_tokens = std::move(other285.waiting_tokens);
+  late_waiting_tokens = std::move(other285.late_waiting_tokens);
+  withheld_upstreams = std::move(other285.withheld_upstreams);
+  list_news = std::move(other285.list_news);
+  start_losses = std::move(other285.start_losses);
+  answered_parts = std::move(other285.answered_parts);
+  blocked_causes = std::move(other285.blocked_causes);
+  running_upstreams = std::move(other285.running_upstreams);
+  config_evidence = std::move(other285.config_evidence);
+  wanted_config = other285.wanted_config;
+  config_row = std::move(other285.config_row);
+  started_unix_ms = other285.started_unix_ms;
+  workspace_use = std::move(other285.workspace_use);
+  upstream_signs = std::move(other285.upstream_signs);
+  upstream_speeds = std::move(other285.upstream_speeds);
+  __isset = other285.__isset;
+}
+GatewayLoad& GatewayLoad::operator=(const GatewayLoad& other286) {
+  gateway = other286.gateway;
+  sequence = other286.sequence;
+  upstreams = other286.upstreams;
+  waiting_tokens = other286.waiting_tokens;
+  late_waiting_tokens = other286.late_waiting_tokens;
+  withheld_upstreams = other286.withheld_upstreams;
+  list_news = other286.list_news;
+  start_losses = other286.start_losses;
+  answered_parts = other286.answered_parts;
+  blocked_causes = other286.blocked_causes;
+  running_upstreams = other286.running_upstreams;
+  config_evidence = other286.config_evidence;
+  wanted_config = other286.wanted_config;
+  config_row = other286.config_row;
+  started_unix_ms = other286.started_unix_ms;
+  workspace_use = other286.workspace_use;
+  upstream_signs = other286.upstream_signs;
+  upstream_speeds = other286.upstream_speeds;
+  __isset = other286.__isset;
   return *this;
 }
-GatewayLoad& GatewayLoad::operator=(GatewayLoad&& other248) noexcept {
-  gateway = std::move(other248.gateway);
-  sequence = other248.sequence;
-  upstreams = std::move(other248.upstreams);
-  waiting_tokens = std::move(other248.waiting_tokens);
-  late_waiting_tokens = std::move(other248.late_waiting_tokens);
-  withheld_upstreams = std::move(other248.withheld_upstreams);
-  list_news = std::move(other248.list_news);
-  start_losses = std::move(other248.start_losses);
-  answered_parts = std::move(other248.answered_parts);
-  blocked_causes = std::move(other248.blocked_causes);
-  running_upstreams = std::move(other248.running_upstreams);
-  __isset = other248.__isset;
+GatewayLoad& GatewayLoad::operator=(GatewayLoad&& other287) noexcept {
+  gateway = std::move(other287.gateway);
+  sequence = other287.sequence;
+  upstreams = std::move(other287.upstreams);
+  waiting_tokens = std::move(other287.waiting_tokens);
+  late_waiting_tokens = std::move(other287.late_waiting_tokens);
+  withheld_upstreams = std::move(other287.withheld_upstreams);
+  list_news = std::move(other287.list_news);
+  start_losses = std::move(other287.start_losses);
+  answered_parts = std::move(other287.answered_parts);
+  blocked_causes = std::move(other287.blocked_causes);
+  running_upstreams = std::move(other287.running_upstreams);
+  config_evidence = std::move(other287.config_evidence);
+  wanted_config = other287.wanted_config;
+  config_row = std::move(other287.config_row);
+  started_unix_ms = other287.started_unix_ms;
+  workspace_use = std::move(other287.workspace_use);
+  upstream_signs = std::move(other287.upstream_signs);
+  upstream_speeds = std::move(other287.upstream_speeds);
+  __isset = other287.__isset;
   return *this;
 }
 void GatewayLoad::printTo(std::ostream& out) const {
@@ -7392,6 +8405,13 @@
   out << ", " << "answered_parts="; (__isset.answered_parts ? (out << to_string(answered_parts)) : (out << "<null>"));
   out << ", " << "blocked_causes="; (__isset.blocked_causes ? (out << to_string(blocked_causes)) : (out << "<null>"));
   out << ", " << "running_upstreams="; (__isset.running_upstreams ? (out << to_string(running_upstreams)) : (out << "<null>"));
+  out << ", " << "config_evidence="; (__isset.config_evidence ? (out << to_string(config_evidence)) : (out << "<null>"));
+  out << ", " << "wanted_config="; (__isset.wanted_config ? (out << to_string(wanted_config)) : (out << "<null>"));
+  out << ", " << "config_row="; (__isset.config_row ? (out << to_string(config_row)) : (out << "<null>"));
+  out << ", " << "started_unix_ms="; (__isset.started_unix_ms ? (out << to_string(started_unix_ms)) : (out << "<null>"));
+  out << ", " << "workspace_use="; (__isset.workspace_use ? (out << to_string(workspace_use)) : (out << "<null>"));
+  out << ", " << "upstream_signs="; (__isset.upstream_signs ? (out << to_string(upstream_signs)) : (out << "<null>"));
+  out << ", " << "upstream_speeds="; (__isset.upstream_speeds ? (out << to_string(upstream_speeds)) : (out << "<null>"));
   out << ")";
 }
 
--- a/wire/gen-cpp/rattanramp_types.h
+++ b/wire/gen-cpp/rattanramp_types.h
@@ -128,6 +128,25 @@
 
 std::string to_string(const RefusalKind::type& val);
 
+struct GatewayUpstreamSignKind {
+  enum type {
+    /**
+     * A connection could not be made, or was lost under a request.
+     */
+    FAILED = 0,
+    /**
+     * The upstream has answered a request.
+     */
+    ANSWERED = 1
+  };
+};
+
+extern const std::map<int, const char*> _GatewayUpstreamSignKind_VALUES_TO_NAMES;
+
+std::ostream& operator<<(std::ostream& out, const GatewayUpstreamSignKind::type& val);
+
+std::string to_string(const GatewayUpstreamSignKind::type& val);
+
 class Hello;
 
 class Heartbeat;
@@ -190,6 +209,16 @@
 
 class GatewayAnsweredPart;
 
+class GatewayConfigEvidence;
+
+class GatewayConfigRow;
+
+class GatewayWorkspaceUse;
+
+class GatewayUpstreamSign;
+
+class GatewayUpstreamSpeed;
+
 class GatewayLoad;
 
 typedef struct _Hello__isset {
@@ -2706,13 +2735,326 @@
 
 std::ostream& operator<<(std::ostream& out, const GatewayAnsweredPart& obj);
 
+
+/**
+ * A version of the configuration, and when the store has shown it to be the newest.
+ */
+class GatewayConfigEvidence : public virtual ::apache::thrift::TBase {
+ public:
+
+  GatewayConfigEvidence(const GatewayConfigEvidence&) noexcept;
+  GatewayConfigEvidence(GatewayConfigEvidence&&) noexcept;
+  GatewayConfigEvidence& operator=(const GatewayConfigEvidence&) noexcept;
+  GatewayConfigEvidence& operator=(GatewayConfigEvidence&&) noexcept;
+  GatewayConfigEvidence() noexcept
+                        : row_version(0),
+                          clock_ms(0) {
+  }
+
+  virtual ~GatewayConfigEvidence() noexcept;
+  /**
+   * Version of the configuration's row.
+   */
+  int64_t row_version;
+  /**
+   * The store's clock at that time.
+   */
+  int64_t clock_ms;
+
+  void __set_row_version(const int64_t val);
+
+  void __set_clock_ms(const int64_t val);
+
+  bool operator == (const GatewayConfigEvidence & rhs) const
+  {
+    if (!(row_version == rhs.row_version))
+      return false;
+    if (!(clock_ms == rhs.clock_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const GatewayConfigEvidence &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const GatewayConfigEvidence & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(GatewayConfigEvidence &a, GatewayConfigEvidence &b);
+
+std::ostream& operator<<(std::ostream& out, const GatewayConfigEvidence& obj);
+
+
+/**
+ * The configuration itself, for a gateway that the store does not answer.
+ */
+class GatewayConfigRow : public virtual ::apache::thrift::TBase {
+ public:
+
+  GatewayConfigRow(const GatewayConfigRow&);
+  GatewayConfigRow(GatewayConfigRow&&) noexcept;
+  GatewayConfigRow& operator=(const GatewayConfigRow&);
+  GatewayConfigRow& operator=(GatewayConfigRow&&) noexcept;
+  GatewayConfigRow() noexcept
+                   : row_version(0),
+                     text() {
+  }
+
+  virtual ~GatewayConfigRow() noexcept;
+  int64_t row_version;
+  std::string text;
+
+  void __set_row_version(const int64_t val);
+
+  void __set_text(const std::string& val);
+
+  bool operator == (const GatewayConfigRow & rhs) const
+  {
+    if (!(row_version == rhs.row_version))
+      return false;
+    if (!(text == rhs.text))
+      return false;
+    return true;
+  }
+  bool operator != (const GatewayConfigRow &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const GatewayConfigRow & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(GatewayConfigRow &a, GatewayConfigRow &b);
+
+std::ostream& operator<<(std::ostream& out, const GatewayConfigRow& obj);
+
+typedef struct _GatewayWorkspaceUse__isset {
+  _GatewayWorkspaceUse__isset() : waiting(false) {}
+  bool waiting :1;
+} _GatewayWorkspaceUse__isset;
+
+/**
+ * What one workspace has used at one gateway.
+ */
+class GatewayWorkspaceUse : public virtual ::apache::thrift::TBase {
+ public:
+
+  GatewayWorkspaceUse(const GatewayWorkspaceUse&) noexcept;
+  GatewayWorkspaceUse(GatewayWorkspaceUse&&) noexcept;
+  GatewayWorkspaceUse& operator=(const GatewayWorkspaceUse&) noexcept;
+  GatewayWorkspaceUse& operator=(GatewayWorkspaceUse&&) noexcept;
+  GatewayWorkspaceUse() noexcept
+                      : workspace(0),
+                        used(0),
+                        demand_per_s(0),
+                        waiting(0) {
+  }
+
+  virtual ~GatewayWorkspaceUse() noexcept;
+  /**
+   * Hash of its name.
+   */
+  int64_t workspace;
+  /**
+   * Units that were taken since the start of the gateway's process.
+   */
+  int64_t used;
+  /**
+   * Units per second that its callers have asked for lately, refused ones included.
+   */
+  int64_t demand_per_s;
+  /**
+   * Units of requests that wait for an upstream.
+   */
+  int64_t waiting;
+
+  _GatewayWorkspaceUse__isset __isset;
+
+  void __set_workspace(const int64_t val);
+
+  void __set_used(const int64_t val);
+
+  void __set_demand_per_s(const int64_t val);
+
+  void __set_waiting(const int64_t val);
+
+  bool operator == (const GatewayWorkspaceUse & rhs) const
+  {
+    if (!(workspace == rhs.workspace))
+      return false;
+    if (!(used == rhs.used))
+      return false;
+    if (!(demand_per_s == rhs.demand_per_s))
+      return false;
+    if (__isset.waiting != rhs.__isset.waiting)
+      return false;
+    else if (__isset.waiting && !(waiting == rhs.waiting))
+      return false;
+    return true;
+  }
+  bool operator != (const GatewayWorkspaceUse &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const GatewayWorkspaceUse & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(GatewayWorkspaceUse &a, GatewayWorkspaceUse &b);
+
+std::ostream& operator<<(std::ostream& out, const GatewayWorkspaceUse& obj);
+
+
+/**
+ * A sign of life, or of the opposite, of an upstream that some gateway suspects to have ended.
+ */
+class GatewayUpstreamSign : public virtual ::apache::thrift::TBase {
+ public:
+
+  GatewayUpstreamSign(const GatewayUpstreamSign&) noexcept;
+  GatewayUpstreamSign(GatewayUpstreamSign&&) noexcept;
+  GatewayUpstreamSign& operator=(const GatewayUpstreamSign&) noexcept;
+  GatewayUpstreamSign& operator=(GatewayUpstreamSign&&) noexcept;
+  GatewayUpstreamSign() noexcept
+                      : upstream_key(0),
+                        kind(static_cast<GatewayUpstreamSignKind::type>(0)),
+                        age_ms(0) {
+  }
+
+  virtual ~GatewayUpstreamSign() noexcept;
+  int64_t upstream_key;
+  /**
+   * 
+   * @see GatewayUpstreamSignKind
+   */
+  GatewayUpstreamSignKind::type kind;
+  int64_t age_ms;
+
+  void __set_upstream_key(const int64_t val);
+
+  void __set_kind(const GatewayUpstreamSignKind::type val);
+
+  void __set_age_ms(const int64_t val);
+
+  bool operator == (const GatewayUpstreamSign & rhs) const
+  {
+    if (!(upstream_key == rhs.upstream_key))
+      return false;
+    if (!(kind == rhs.kind))
+      return false;
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const GatewayUpstreamSign &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const GatewayUpstreamSign & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(GatewayUpstreamSign &a, GatewayUpstreamSign &b);
+
+std::ostream& operator<<(std::ostream& out, const GatewayUpstreamSign& obj);
+
+
+/**
+ * Speed of an upstream against its equals, as a gateway has measured it.
+ */
+class GatewayUpstreamSpeed : public virtual ::apache::thrift::TBase {
+ public:
+
+  GatewayUpstreamSpeed(const GatewayUpstreamSpeed&) noexcept;
+  GatewayUpstreamSpeed(GatewayUpstreamSpeed&&) noexcept;
+  GatewayUpstreamSpeed& operator=(const GatewayUpstreamSpeed&) noexcept;
+  GatewayUpstreamSpeed& operator=(GatewayUpstreamSpeed&&) noexcept;
+  GatewayUpstreamSpeed() noexcept
+                       : upstream_key(0),
+                         slowness_permille(0),
+                         samples(0),
+                         age_ms(0) {
+  }
+
+  virtual ~GatewayUpstreamSpeed() noexcept;
+  int64_t upstream_key;
+  /**
+   * Time that its work takes, in thousandths of the time that it takes at the median upstream.
+   */
+  int32_t slowness_permille;
+  /**
+   * Answers that the measurement rests on.
+   */
+  int32_t samples;
+  int64_t age_ms;
+
+  void __set_upstream_key(const int64_t val);
+
+  void __set_slowness_permille(const int32_t val);
+
+  void __set_samples(const int32_t val);
+
+  void __set_age_ms(const int64_t val);
+
+  bool operator == (const GatewayUpstreamSpeed & rhs) const
+  {
+    if (!(upstream_key == rhs.upstream_key))
+      return false;
+    if (!(slowness_permille == rhs.slowness_permille))
+      return false;
+    if (!(samples == rhs.samples))
+      return false;
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const GatewayUpstreamSpeed &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const GatewayUpstreamSpeed & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(GatewayUpstreamSpeed &a, GatewayUpstreamSpeed &b);
+
+std::ostream& operator<<(std::ostream& out, const GatewayUpstreamSpeed& obj);
+
 typedef struct _GatewayLoad__isset {
-  _GatewayLoad__isset() : list_news(false), start_losses(false), answered_parts(false), blocked_causes(false), running_upstreams(false) {}
+  _GatewayLoad__isset() : list_news(false), start_losses(false), answered_parts(false), blocked_causes(false), running_upstreams(false), config_evidence(false), wanted_config(false), config_row(false), started_unix_ms(false), workspace_use(false), upstream_signs(false), upstream_speeds(false) {}
   bool list_news :1;
   bool start_losses :1;
   bool answered_parts :1;
   bool blocked_causes :1;
   bool running_upstreams :1;
+  bool config_evidence :1;
+  bool wanted_config :1;
+  bool config_row :1;
+  bool started_unix_ms :1;
+  bool workspace_use :1;
+  bool upstream_signs :1;
+  bool upstream_speeds :1;
 } _GatewayLoad__isset;
 
 /**
@@ -2727,7 +3069,9 @@
   GatewayLoad& operator=(GatewayLoad&&) noexcept;
   GatewayLoad() noexcept
               : gateway(),
-                sequence(0) {
+                sequence(0),
+                wanted_config(0),
+                started_unix_ms(0) {
   }
 
   virtual ~GatewayLoad() noexcept;
@@ -2766,6 +3110,22 @@
    * Upstreams that the gateway has seen running since their losses.
    */
   std::vector<GatewayRunningUpstream>  running_upstreams;
+  /**
+   * Fields that gateways of earlier versions skip.
+   */
+  GatewayConfigEvidence config_evidence;
+  /**
+   * The row version of the configuration that the gateway asks the receiver for.
+   */
+  int64_t wanted_config;
+  GatewayConfigRow config_row;
+  /**
+   * Start of the gateway's process in Unix ms; counts of an earlier process are not continued.
+   */
+  int64_t started_unix_ms;
+  std::vector<GatewayWorkspaceUse>  workspace_use;
+  std::vector<GatewayUpstreamSign>  upstream_signs;
+  std::vector<GatewayUpstreamSpeed>  upstream_speeds;
 
   _GatewayLoad__isset __isset;
 
@@ -2791,6 +3151,20 @@
 
   void __set_running_upstreams(const std::vector<GatewayRunningUpstream> & val);
 
+  void __set_config_evidence(const GatewayConfigEvidence& val);
+
+  void __set_wanted_config(const int64_t val);
+
+  void __set_config_row(const GatewayConfigRow& val);
+
+  void __set_started_unix_ms(const int64_t val);
+
+  void __set_workspace_use(const std::vector<GatewayWorkspaceUse> & val);
+
+  void __set_upstream_signs(const std::vector<GatewayUpstreamSign> & val);
+
+  void __set_upstream_speeds(const std::vector<GatewayUpstreamSpeed> & val);
+
   bool operator == (const GatewayLoad & rhs) const
   {
     if (!(gateway == rhs.gateway))
@@ -2825,6 +3199,34 @@
       return false;
     else if (__isset.running_upstreams && !(running_upstreams == rhs.running_upstreams))
       return false;
+    if (__isset.config_evidence != rhs.__isset.config_evidence)
+      return false;
+    else if (__isset.config_evidence && !(config_evidence == rhs.config_evidence))
+      return false;
+    if (__isset.wanted_config != rhs.__isset.wanted_config)
+      return false;
+    else if (__isset.wanted_config && !(wanted_config == rhs.wanted_config))
+      return false;
+    if (__isset.config_row != rhs.__isset.config_row)
+      return false;
+    else if (__isset.config_row && !(config_row == rhs.config_row))
+      return false;
+    if (__isset.started_unix_ms != rhs.__isset.started_unix_ms)
+      return false;
+    else if (__isset.started_unix_ms && !(started_unix_ms == rhs.started_unix_ms))
+      return false;
+    if (__isset.workspace_use != rhs.__isset.workspace_use)
+      return false;
+    else if (__isset.workspace_use && !(workspace_use == rhs.workspace_use))
+      return false;
+    if (__isset.upstream_signs != rhs.__isset.upstream_signs)
+      return false;
+    else if (__isset.upstream_signs && !(upstream_signs == rhs.upstream_signs))
+      return false;
+    if (__isset.upstream_speeds != rhs.__isset.upstream_speeds)
+      return false;
+    else if (__isset.upstream_speeds && !(upstream_speeds == rhs.upstream_speeds))
+      return false;
     return true;
   }
   bool operator != (const GatewayLoad &rhs) const {
--- a/wire/rattanramp.thrift
+++ b/wire/rattanramp.thrift
@@ -324,6 +324,56 @@
   2: required i64 age_ms
 }
 
+/** A version of the configuration, and when the store has shown it to be the newest. */
+struct GatewayConfigEvidence {
+  /** Version of the configuration's row. */
+  1: required i64 row_version
+  /** The store's clock at that time. */
+  2: required i64 clock_ms
+}
+
+/** The configuration itself, for a gateway that the store does not answer. */
+struct GatewayConfigRow {
+  1: required i64 row_version
+  2: required string text
+}
+
+/** What one workspace has used at one gateway. */
+struct GatewayWorkspaceUse {
+  /** Hash of its name. */
+  1: required i64 workspace
+  /** Units that were taken since the start of the gateway's process. */
+  2: required i64 used
+  /** Units per second that its callers have asked for lately, refused ones included. */
+  3: required i64 demand_per_s
+  /** Units of requests that wait for an upstream. */
+  4: optional i64 waiting
+}
+
+enum GatewayUpstreamSignKind {
+  /** A connection could not be made, or was lost under a request. */
+  FAILED = 0
+  /** The upstream has answered a request. */
+  ANSWERED = 1
+}
+
+/** A sign of life, or of the opposite, of an upstream that some gateway suspects to have ended. */
+struct GatewayUpstreamSign {
+  1: required i64 upstream_key
+  2: required GatewayUpstreamSignKind kind
+  3: required i64 age_ms
+}
+
+/** Speed of an upstream against its equals, as a gateway has measured it. */
+struct GatewayUpstreamSpeed {
+  1: required i64 upstream_key
+  /** Time that its work takes, in thousandths of the time that it takes at the median upstream. */
+  2: required i32 slowness_permille
+  /** Answers that the measurement rests on. */
+  3: required i32 samples
+  4: required i64 age_ms
+}
+
 /** Work of one gateway, sent to its peers in one datagram. */
 struct GatewayLoad {
   1: required string gateway
@@ -345,4 +395,14 @@
   10: optional list<i64> blocked_causes
   /** Upstreams that the gateway has seen running since their losses. */
   11: optional list<GatewayRunningUpstream> running_upstreams
+  /** Fields that gateways of earlier versions skip. */
+  12: optional GatewayConfigEvidence config_evidence
+  /** The row version of the configuration that the gateway asks the receiver for. */
+  13: optional i64 wanted_config
+  14: optional GatewayConfigRow config_row
+  /** Start of the gateway's process in Unix ms; counts of an earlier process are not continued. */
+  15: optional i64 started_unix_ms
+  16: optional list<GatewayWorkspaceUse> workspace_use
+  17: optional list<GatewayUpstreamSign> upstream_signs
+  18: optional list<GatewayUpstreamSpeed> upstream_speeds
 }
