Serve callers by their keys, and only while the configuration is known to be new

The configuration has workspaces with keys; the gateway knew none, passed keys on to upstreams and ran requests with unknown keys and with keys that had been taken away. Change: core/caller_keys finds the workspace of a key, core/config_freshness decides whether it may still be used, by evidence in own time; gateway/caller_check applies both on arrival and before the first send; gateway/config_evidence passes evidence and rows between gateways. Keys and stated workspaces are taken out of the head in every form, and the workspace's name is set. Malformed requests are no longer logged with their bytes, which may hold a key. Held calls end within .6 of the bound. Conclusion: without workspaces in the configuration nothing is read, dropped or refused.

--- a/core/routing_table.cc
+++ b/core/routing_table.cc
@@ -64,6 +64,7 @@
   for (std::size_t i = 0; i < table->rules_.services.size(); ++i) {
     table->services_[table->rules_.services[i].name] = i;
   }
+  table->keys_ = CallerKeys(table->rules_.workspaces);
   return std::shared_ptr<const RoutingTable>(std::move(table));
 }
 
--- a/core/routing_table.h
+++ b/core/routing_table.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "base/result.h"
+#include "core/caller_keys.h"
 
 namespace rattanramp::core {
 
@@ -108,6 +109,10 @@
 
 class RoutingTable {
  public:
+  RoutingTable() = default;
+  RoutingTable(const RoutingTable&) = delete;
+  RoutingTable& operator=(const RoutingTable&) = delete;
+
   /// Errors: kInvalidArgument, with the name of the route and the invalid field.
   static Result<std::shared_ptr<const RoutingTable>> Create(RoutingRules rules);
 
@@ -121,12 +126,15 @@
   std::span<const RouteRule> routes() const { return rules_.routes; }
   std::span<const ServiceRule> services() const { return rules_.services; }
   std::span<const WorkspaceRule> workspaces() const { return rules_.workspaces; }
+  const CallerKeys& keys() const { return keys_; }
 
  private:
   RoutingRules rules_;
   /// By lower-case host, longest prefix first; indexes into rules_.routes.
   std::map<std::string, std::vector<std::size_t>, std::less<>> by_host_;
   std::map<std::string, std::size_t, std::less<>> services_;
+  /// Refers to rules_.workspaces.
+  CallerKeys keys_;
 };
 
 /// Selects the service of a request by weight. The same hash selects the same service.
--- a/gateway/caller_connection.cc
+++ b/gateway/caller_connection.cc
@@ -19,9 +19,6 @@
 // so that a close by the caller is detected.
 constexpr std::size_t kMaxPipelinedBytes = 64 * 1024;
 
-// Bytes of a malformed request that are logged.
-constexpr std::size_t kLoggedBytes = 120;
-
 // How long the rest of a refused request is read before the connection is closed. Closing with
 // unread bytes would reset the connection before the caller has read the refusal.
 constexpr Milliseconds kLingerTime{1'000};
@@ -141,7 +138,7 @@
     Log(LogLevel::kWarning, "request_unreadable",
         {{"error", used.error().message},
          {"has_head", parser_->has_head()},
-         {"bytes", buffer_.substr(0, kLoggedBytes)}});
+         {"bytes", buffer_.size()}});
     if (used.error().kind == ErrorKind::kOverloaded) {
       Refuse(parser_->body_too_large() ? 413 : 431, used.error().message);
     } else {
--- /dev/null
+++ b/gateway/config_evidence.cc
@@ -0,0 +1,95 @@
+#include "gateway/config_evidence.h"
+
+#include <utility>
+
+#include "base/log.h"
+#include "core/config_freshness.h"
+
+namespace rattanramp::gateway {
+namespace {
+
+// Largest text of a configuration that fits into one datagram, with room for the other fields.
+constexpr std::size_t kMaxRowBytes = 60'000;
+
+// Time between two requests for a row; an answer takes one round trip between gateways.
+constexpr Milliseconds kRequestInterval{100};
+
+// Bytes per second of rows that are sent to peers, out of the link of the smallest VM (10 Mbit/s).
+// Peers that get none ask another gateway or again.
+constexpr std::int64_t kMaxRowBytesPerSecond = 250'000;
+
+}  // namespace
+
+ConfigEvidenceSection::ConfigEvidenceSection(GatewayState& state, Send send, RowHandler on_row)
+    : state_(state), send_(std::move(send)), on_row_(std::move(on_row)) {}
+
+void ConfigEvidenceSection::SetRow(const std::string& text, std::int64_t row_version) {
+  row_text_ = text;
+  row_version_ = row_version;
+}
+
+void ConfigEvidenceSection::AddTo(wire::GatewayLoad& report, bool /*is_complete*/) {
+  const core::ConfigEvidence& newest = state_.freshness.newest;
+  if (!is_active() || newest.row_version == 0 || newest.clock_ms == 0) {
+    return;
+  }
+  wire::GatewayConfigEvidence evidence;
+  evidence.row_version = newest.row_version;
+  evidence.clock_ms = newest.clock_ms;
+  report.__set_config_evidence(evidence);
+}
+
+void ConfigEvidenceSection::Record(const wire::GatewayLoad& report) {
+  if (!is_active()) {
+    return;
+  }
+  if (report.__isset.config_row && report.config_row.row_version > row_version_) {
+    state_.metrics.Count("config_rows_from_peers_total");
+    Log(LogLevel::kInfo, "configuration_from_peer",
+        {{"peer", report.gateway}, {"row_version", report.config_row.row_version}});
+    on_row_(report.config_row.text, report.config_row.row_version);
+  }
+  if (report.__isset.config_evidence) {
+    const wire::GatewayConfigEvidence& evidence = report.config_evidence;
+    core::RecordPeerEvidence(state_.freshness, {evidence.row_version, evidence.clock_ms},
+                             state_.clock.now());
+    if (evidence.row_version > row_version_) {
+      RequestRow(report.gateway);
+    }
+  }
+  if (report.__isset.wanted_config && row_version_ >= report.wanted_config) {
+    SendRow(report.gateway);
+  }
+}
+
+void ConfigEvidenceSection::RequestRow(const std::string& peer) {
+  const TimePoint now = state_.clock.now();
+  if (next_request_ && now < *next_request_) {
+    return;
+  }
+  next_request_ = now + kRequestInterval;
+  state_.metrics.Count("config_rows_requested_total");
+  send_(peer, [this](wire::GatewayLoad& report) {
+    report.__set_wanted_config(state_.freshness.newest.row_version);
+  });
+}
+
+void ConfigEvidenceSection::SendRow(const std::string& peer) {
+  const TimePoint now = state_.clock.now();
+  if (row_text_.empty() || row_text_.size() > kMaxRowBytes || (next_row_ && now < *next_row_)) {
+    return;
+  }
+  next_row_ = now + std::chrono::microseconds(static_cast<std::int64_t>(row_text_.size()) *
+                                              1'000'000 / kMaxRowBytesPerSecond);
+  state_.metrics.Count("config_rows_sent_total");
+  send_(peer, [this](wire::GatewayLoad& report) {
+    wire::GatewayConfigRow row;
+    row.row_version = row_version_;
+    row.text = row_text_;
+    report.__set_config_row(row);
+    // The receiver needs the evidence, too.
+    AddTo(report, /*is_complete=*/false);
+  });
+}
+
+}  // namespace rattanramp::gateway
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -13,6 +13,7 @@
 #include "base/bounded_json.h"
 #include "base/hash.h"
 #include "base/log.h"
+#include "gateway/caller_check.h"
 #include "gateway/crash_guard.h"
 #include "gateway/generation_exchange.h"
 #include "gateway/plain_exchange.h"
@@ -130,6 +131,7 @@
     return exchange.error();
   }
   gateway->load_exchange_ = std::move(exchange.value());
+  gateway->load_exchange_->AddSection(gateway->config_evidence_);
   gateway->state_.crash_causes.started = clock.now();
   gateway->state_.on_reservation_change = [raw = gateway.get()] {
     raw->load_exchange_->ScheduleReport();
@@ -141,9 +143,13 @@
       gateway->state_, source.make_client(), source.order_table, own.node);
   gateway->crash_records_ =
       std::make_unique<CrashRecords>(gateway->state_, source.make_client(), source.crash_table);
-  gateway->watch_ = std::make_unique<StoreWatch>(
-      context, clock, static_cast<StoreListener&>(*gateway), std::move(source),
-      PollIntervalsFor(own.disconnected_after, own.upstream_drain_limit), own.node, row.dump());
+  PollIntervals intervals = PollIntervalsFor(own.disconnected_after, own.upstream_drain_limit);
+  if (own.key_removal_limit) {
+    intervals = WithKeyRemovalLimit(intervals, *own.key_removal_limit);
+  }
+  gateway->watch_ =
+      std::make_unique<StoreWatch>(context, clock, static_cast<StoreListener&>(*gateway),
+                                   std::move(source), intervals, own.node, row.dump());
   gateway->stage_controller_ = std::move(stage_controller);
   gateway->Accept(gateway->caller_acceptor_, *gateway);
   gateway->Accept(gateway->readiness_acceptor_, *gateway->status_host_);
@@ -160,6 +166,12 @@
       dispatcher_(context, clock),
       state_{context, clock, settings_, fleet_, dispatcher_, metrics_, retry_windows_, {}, {}, 1},
       return_check_(state_),
+      config_evidence_(
+          state_,
+          [this](const std::string& peer, const auto& fill) { load_exchange_->SendTo(peer, fill); },
+          [this](const std::string& text, std::int64_t row_version) {
+            OnConfigRow(text, row_version);
+          }),
       status_host_(std::make_unique<StatusHost>(*this)),
       caller_acceptor_(context),
       readiness_acceptor_(context),
@@ -223,7 +235,7 @@
 }
 
 bool Gateway::is_ready() const {
-  return table_ != nullptr && directory_.has_read && !is_stopping();
+  return table_ != nullptr && directory_.has_read && !is_stopping() && MayServeCallers(state_);
 }
 
 core::CallerLimits Gateway::caller_limits() const {
@@ -280,6 +292,9 @@
       now + Milliseconds(std::min(request.facts.deadline_ms.value_or(kDefaultDeadlineMs),
                                   route->timeout_ms));
   request.target = now + Milliseconds(route->target_latency_ms);
+  if (!AdmitCaller(request, state_, sink)) {
+    return nullptr;
+  }
   if (!AcceptsWork(request)) {
     AnswerNotRun(request, state_, sink, "the process is stopping", core::kStopRetryAfter.count());
     return nullptr;
@@ -292,6 +307,11 @@
 }
 
 void Gateway::OnConfigRow(const std::string& text, std::int64_t row_version) {
+  // The store and the peers may both bring a row, in any order.
+  if (row_version <= config_evidence_.row_version()) {
+    return;
+  }
+  config_evidence_.SetRow(text, row_version);
   Result<core::RoutingRules> rules = platform::DecodeConfig(text);
   if (!rules) {
     Log(LogLevel::kError, "configuration_rejected",
@@ -310,10 +330,18 @@
     return;
   }
   table_ = std::move(table.value());
+  state_.table = table_;
+  core::RecordVersionInForce(state_.freshness, row_version, clock_.now());
+  LogKeyFaults(*table_);
   Log(LogLevel::kInfo, "configuration_in_force",
       {{"version", table_->version()},
        {"row_version", row_version},
-       {"routes", table_->routes().size()}});
+       {"routes", table_->routes().size()},
+       {"workspaces", table_->workspaces().size()}});
+}
+
+void Gateway::OnConfigEvidence(const core::ConfigEvidence& evidence, TimePoint sent) {
+  core::RecordOwnEvidence(state_.freshness, evidence, sent, clock_.now());
 }
 
 void Gateway::OnUpstreamRows(const std::vector<store::TableRow>& rows, bool has_failed,
@@ -571,6 +599,7 @@
       {"upstream_list_age_ms", directory_.has_read ? ToMs(now - directory_.last_read) : -1.0},
       {"gateways", state_.gateways},
       {"live_peers", load_exchange_->live_peers()},
+      {"callers", CallerState(state_)},
       {"connections", connections_.size()},
       {"upstreams", upstreams}};
   return dump.dump(1) + "\n";
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -18,6 +18,7 @@
 #include "core/routing_table.h"
 #include "core/upstream_directory.h"
 #include "gateway/caller_connection.h"
+#include "gateway/config_evidence.h"
 #include "gateway/crash_records.h"
 #include "gateway/dispatcher.h"
 #include "gateway/event_loop_delay.h"
@@ -79,6 +80,7 @@
   void OnConnectionEnd(const CallerConnection* connection) override;
 
   void OnConfigRow(const std::string& text, std::int64_t row_version) override;
+  void OnConfigEvidence(const core::ConfigEvidence& evidence, TimePoint sent) override;
   void OnUpstreamRows(const std::vector<store::TableRow>& rows, bool has_failed,
                       std::int64_t clock_ms) override;
   std::size_t ListPeers() const override;
@@ -101,6 +103,7 @@
   /// Latest read of the list that a peer has announced, by the store's clock.
   std::int64_t heard_list_clock_ms_ = 0;
   std::shared_ptr<const core::RoutingTable> table_;
+  ConfigEvidenceSection config_evidence_;
   std::unique_ptr<LoadExchange> load_exchange_;
   std::unique_ptr<StoreWatch> watch_;
   std::unique_ptr<StageController> stage_controller_;
--- a/gateway/gateway_state.h
+++ b/gateway/gateway_state.h
@@ -12,6 +12,7 @@
 #include "base/clock.h"
 #include "base/metrics.h"
 #include "core/answer_budget.h"
+#include "core/config_freshness.h"
 #include "core/crash_causes.h"
 #include "core/retry_window.h"
 #include "core/routing_table.h"
@@ -30,6 +31,19 @@
   TimePoint answered;
 };
 
+/// Requests of callers, for the state page and the log.
+struct CallerCounts {
+  struct LogPace {
+    std::optional<TimePoint> last;
+    /// Refusals since the last line.
+    std::int64_t unlogged = 0;
+  };
+  /// By name of the workspace (empty: not known) and outcome.
+  std::map<std::string, std::map<std::string, std::int64_t>> by_workspace;
+  /// By cause of the refusal.
+  std::map<std::string, LogPace> log_pace;
+};
+
 struct GatewayState {
   asio::io_context& context;
   const Clock& clock;
@@ -54,6 +68,10 @@
   std::map<std::int64_t, RunningSign> running_signs = {};
   /// This gateway tries causes again that are blocked.
   bool tries_blocked_causes = false;
+  /// The configuration in force; null before the first.
+  std::shared_ptr<const core::RoutingTable> table = nullptr;
+  core::ConfigFreshness freshness = {};
+  CallerCounts callers = {};
 };
 
 /// Profile of a service until its first generation has ended. The values are the means of the
--- a/gateway/generation_exchange.cc
+++ b/gateway/generation_exchange.cc
@@ -10,6 +10,7 @@
 #include "base/hash.h"
 #include "base/log.h"
 #include "core/placement.h"
+#include "gateway/caller_check.h"
 #include "gateway/crash_guard.h"
 
 namespace rattanramp::gateway {
@@ -91,7 +92,7 @@
         }
       });
   PrepareCrashGuard(exchange->request_);
-  if (exchange->EndIfItCrashesEngines() || exchange->RefuseIfQueueIsLong()) {
+  if (exchange->EndIfItMayNotRun() || exchange->RefuseIfQueueIsLong()) {
     return exchange;
   }
   exchange->caller_timeout_timer_.expires_after(exchange->CallerTimeoutAt() - kMinServiceTime -
@@ -277,7 +278,7 @@
 void GenerationExchange::Enqueue() {
   phase_ = Phase::kWaiting;
   core::QueuedRequest waiting;
-  waiting.priority = request_.route->priority;
+  waiting.priority = request_.priority();
   waiting.due = request_.target;
   if (is_stream_open_) {
     // The caller has already received part of this stream, so it precedes all requests that have
@@ -312,7 +313,7 @@
     return true;
   }
   const std::uint64_t queue_id = std::exchange(queue_id_, 0);
-  if (EndIfItCrashesEngines()) {
+  if (EndIfItMayNotRun()) {
     return true;
   }
   queue_id_ = queue_id;
@@ -364,8 +365,8 @@
   return true;
 }
 
-bool GenerationExchange::EndIfItCrashesEngines() {
-  const std::optional<CrashRefusal> refusal = CheckCrashCauses(request_, state_);
+bool GenerationExchange::EndIfItMayNotRun() {
+  const std::optional<CrashRefusal> refusal = CheckAttempt(request_, state_);
   if (refusal) {
     EndWithFailure(refusal->reason, refusal->retry_after_ms);
   }
@@ -435,6 +436,7 @@
   call.call = platform::UpstreamCall::kPrefill;
   call.instance = prefill->info.id;
   call.remaining_ms = RemainingMs(request_, now);
+  call.workspace = request_.workspace_name();
   AttemptPlan plan;
   plan.head = platform::EncodeUpstreamRequest(request_.head, request_.body->size(), call);
   plan.body = request_.body;
@@ -465,6 +467,7 @@
   platform::UpstreamRequest call;
   call.instance = decode_->info.id;
   call.remaining_ms = RemainingMs(request_, now);
+  call.workspace = request_.workspace_name();
   call.kv_source = kv_source;
   call.resume_after_event = ResumePoint();
   AttemptPlan plan;
@@ -705,7 +708,7 @@
     EndForStop();
     return;
   }
-  if (EndIfItCrashesEngines()) {
+  if (EndIfItMayNotRun()) {
     return;
   }
   MoveIfOverloaded(now);
--- a/gateway/generation_exchange.h
+++ b/gateway/generation_exchange.h
@@ -44,8 +44,8 @@
   /// (or, for a request that the caller has retried, would miss the caller's timeout).
   bool RefuseIfQueueIsLong();
   bool TryStart();
-  /// Ends the request if something that it has in common with others crashes engines.
-  bool EndIfItCrashesEngines();
+  /// Ends the request if CheckAttempt refuses it.
+  bool EndIfItMayNotRun();
   void OnCallerTimeout();
   /// Whether the process stops before the request could end, if it were started now. An open stream
   /// is continued as long as possible.
--- a/gateway/plain_exchange.cc
+++ b/gateway/plain_exchange.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "core/placement.h"
+#include "gateway/caller_check.h"
 #include "gateway/crash_guard.h"
 
 namespace rattanramp::gateway {
@@ -45,7 +46,7 @@
         }
       });
   PrepareCrashGuard(exchange->request_);
-  if (!exchange->EndIfItCrashesUpstreams()) {
+  if (!exchange->EndIfItMayNotRun()) {
     exchange->Enqueue();
   }
   return exchange;
@@ -77,7 +78,7 @@
 
 void PlainExchange::Enqueue() {
   core::QueuedRequest waiting;
-  waiting.priority = request_.route->priority;
+  waiting.priority = request_.priority();
   waiting.due = request_.target;
   waiting.deadline = request_.deadline;
   queue_id_ =
@@ -102,7 +103,7 @@
     return true;
   }
   const std::uint64_t queue_id = std::exchange(queue_id_, 0);
-  if (EndIfItCrashesUpstreams()) {
+  if (EndIfItMayNotRun()) {
     return true;
   }
   queue_id_ = queue_id;
@@ -144,6 +145,7 @@
   platform::UpstreamRequest call;
   call.instance = upstream->info.id;
   call.remaining_ms = RemainingMs(request_, now);
+  call.workspace = request_.workspace_name();
   plan.head = platform::EncodeUpstreamRequest(request_.head, request_.body->size(), call);
   plan.body = request_.body;
   plan.request_id = request_.facts.request_id;
@@ -165,8 +167,8 @@
   return true;
 }
 
-bool PlainExchange::EndIfItCrashesUpstreams() {
-  const std::optional<CrashRefusal> refusal = CheckCrashCauses(request_, state_);
+bool PlainExchange::EndIfItMayNotRun() {
+  const std::optional<CrashRefusal> refusal = CheckAttempt(request_, state_);
   if (refusal) {
     EndUnanswered(502, refusal->reason, refusal->retry_after_ms);
   }
--- a/gateway/plain_exchange.h
+++ b/gateway/plain_exchange.h
@@ -29,7 +29,7 @@
   void Enqueue();
   bool TryStart();
   /// Ends the request if it crashes upstreams whenever it is sent.
-  bool EndIfItCrashesUpstreams();
+  bool EndIfItMayNotRun();
   void OnDeadline();
   /// Whether the process stops before the request could end, if it were started now.
   bool IsTooLateInStop() const;
--- a/gateway/request_context.cc
+++ b/gateway/request_context.cc
@@ -60,6 +60,11 @@
                    std::string_view outcome, std::string_view reason) {
   const TimePoint now = state.clock.now();
   const double total_ms = ToMs(now - request.arrived);
+  if (request.workspace != nullptr) {
+    ++state.callers.by_workspace[request.workspace->name][std::string(outcome)];
+    state.metrics.Count(fmt::format("workspace_requests_total{{workspace=\"{}\",outcome=\"{}\"}}",
+                                    request.workspace->name, outcome));
+  }
   state.metrics.Count(
       fmt::format("requests_total{{route=\"{}\",outcome=\"{}\"}}", request.route->name, outcome));
   state.metrics.Observe(fmt::format("request_ms{{route=\"{}\"}}", request.route->name), total_ms);
@@ -69,6 +74,7 @@
   Log(LogLevel::kInfo, "request_end",
       {{"request", request.facts.request_id},
        {"route", request.route->name},
+       {"workspace", request.workspace_name()},
        {"config_version", request.table->version()},
        {"status", status},
        {"outcome", outcome},
--- a/gateway/request_context.h
+++ b/gateway/request_context.h
@@ -26,6 +26,10 @@
   std::shared_ptr<const core::RoutingTable> table;
   const core::RouteRule* route = nullptr;
   const core::ServiceRule* service = nullptr;
+  /// Whose the request is; owned by `table`. Null: the request needs no key.
+  const core::WorkspaceRule* workspace = nullptr;
+  /// A secret, never logged nor passed on.
+  std::string caller_key;
   TimePoint arrived;
   /// The earlier of the caller's deadline and the route's timeout.
   TimePoint deadline;
@@ -42,6 +46,14 @@
   core::RequestCauses causes;
   /// The request is sent although something that it has in common with others is blocked.
   bool is_trial = false;
+
+  /// Requests of priority 0 start first.
+  std::int64_t priority() const {
+    return workspace == nullptr ? route->priority : workspace->priority.value_or(route->priority);
+  }
+  std::string_view workspace_name() const {
+    return workspace == nullptr ? std::string_view() : workspace->name;
+  }
 };
 
 /// Time left until the deadline in whole ms, at least 1.
--- a/gateway/store_watch.cc
+++ b/gateway/store_watch.cc
@@ -21,6 +21,11 @@
 // covers the call, the handlers queued before it on the event loop, and requests sent just before.
 constexpr Milliseconds kUpstreamDrainMargin{900};
 
+// Share of the limit on the use of removed keys after which a held call without a change has been
+// answered, and the time that its answer takes.
+constexpr double kMaxHoldShare = 0.6;
+constexpr Milliseconds kHoldReplyTime{200};
+
 // Lower limit of the intervals. Bounds that would need a shorter interval are not met. At this
 // limit 600 nodes make about three calls a second each, within the 2,000 reads a second that the
 // users' store allows.
@@ -60,6 +65,13 @@
   return intervals;
 }
 
+PollIntervals WithKeyRemovalLimit(PollIntervals intervals, Duration key_removal_limit) {
+  const auto longest =
+      std::chrono::duration_cast<Milliseconds>(kMaxHoldShare * key_removal_limit) - kHoldReplyTime;
+  intervals.config_wait = std::min(intervals.config_wait, std::max(kMinInterval, longest));
+  return intervals;
+}
+
 StoreWatch::Poller::Poller(asio::io_context& context, std::unique_ptr<store::AsyncTable> client)
     : table(std::move(client)), timer(context) {}
 
@@ -99,6 +111,7 @@
 }
 
 void StoreWatch::ReadConfig() {
+  config_call_sent_ = clock_.now();
   config_.table->ReadAll(source_.config_table, [this](const Result<store::TableRows>& rows) {
     if (!rows) {
       ScheduleNext(config_, RecordFailure(config_, "configuration", rows.error()),
@@ -112,6 +125,7 @@
 }
 
 void StoreWatch::WaitForConfig() {
+  config_call_sent_ = clock_.now();
   config_.table->WaitForChanges(
       source_.config_table, config_table_version_, intervals_.config_wait,
       [this](const Result<store::TableRows>& rows) {
@@ -136,11 +150,17 @@
   core::ObserveStoreClock(store_clock_, rows.clock_ms, clock_.now());
   config_table_version_ = std::max(config_table_version_, rows.version);
   for (const store::TableRow& row : rows.rows) {
-    if (row.key == source_.config_key && !row.is_removed && row.version > config_row_version_) {
+    if (row.key == source_.config_key && row.version > config_row_version_) {
+      // A configuration that was removed has no successor that could be in force.
       config_row_version_ = row.version;
-      listener_.OnConfigRow(row.value, row.version);
+      if (!row.is_removed) {
+        listener_.OnConfigRow(row.value, row.version);
+      }
     }
   }
+  if (config_row_version_ > 0 && rows.clock_ms > 0) {
+    listener_.OnConfigEvidence({config_row_version_, rows.clock_ms}, config_call_sent_);
+  }
 }
 
 void StoreWatch::ReadUpstreams() {
--- a/gateway/store_watch.h
+++ b/gateway/store_watch.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "core/config_freshness.h"
 #include "core/shared_list.h"
 #include "core/upstream_directory.h"
 #include "gateway/store_source.h"
@@ -25,6 +26,9 @@
  public:
   virtual ~StoreListener() = default;
   virtual void OnConfigRow(const std::string& text, std::int64_t row_version) = 0;
+  /// Called after each reply about the configuration, also one without a change, once its rows have
+  /// been passed on. sent: when the call was sent.
+  virtual void OnConfigEvidence(const core::ConfigEvidence& /*evidence*/, TimePoint /*sent*/) {}
   /// has_failed: at least one read has failed since the previous successful one.
   /// clock_ms: the store's clock at the read; 0: unknown.
   virtual void OnUpstreamRows(const std::vector<store::TableRow>& rows, bool has_failed,
@@ -51,6 +55,10 @@
 /// detected within disconnected_after, and a draining upstream within upstream_drain_limit.
 PollIntervals PollIntervalsFor(Duration disconnected_after, Duration upstream_drain_limit);
 
+/// Shortens the held calls so that their replies show often enough that the configuration is the
+/// newest: a key that was taken away must not be used later than `key_removal_limit` after that.
+PollIntervals WithKeyRemovalLimit(PollIntervals intervals, Duration key_removal_limit);
+
 class StoreWatch {
  public:
   StoreWatch(asio::io_context& context, const Clock& clock, StoreListener& listener,
@@ -114,6 +122,7 @@
   Poller gateways_;
   std::int64_t config_table_version_ = 0;
   std::int64_t config_row_version_ = 0;
+  TimePoint config_call_sent_;
   bool is_stopped_ = false;
   bool has_used_first_interval_ = false;
   core::StoreClock store_clock_;
--- a/http/message.h
+++ b/http/message.h
@@ -22,6 +22,8 @@
   /// Path and query as received from the client.
   std::string target;
   Fields fields;
+  /// Fields at the end of `fields` that came after a body in chunks.
+  std::size_t trailer_fields = 0;
   /// Minor version of HTTP/1.x.
   int minor_version = 1;
   /// The connection may carry another request after this one.
--- a/http/parser.cc
+++ b/http/parser.cc
@@ -54,6 +54,7 @@
   void on_field_impl(field /*name*/, beast::string_view name, beast::string_view value,
                      ErrorCode& ec) override {
     ec = {};
+    head.trailer_fields += is_header_done() ? 1 : 0;
     head.fields.push_back({ToString(name), ToString(value)});
   }
   void on_header_impl(ErrorCode& ec) override {
