--- a/core/bench/main.cc
+++ b/core/bench/main.cc
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "core/bench/allocations.h"
+#include "core/bench/caller_keys.h"
 #include "core/bench/fleet.h"
 #include "core/bench/simulation.h"
 #include "core/membership.h"
@@ -240,6 +241,7 @@
     output["prefix"] = MeasurePrefix(seed);
     output["subset"] = MeasureSubset();
     output["membership"] = MeasureMembership();
+    output["caller_keys"] = MeasureCallerKeys(seed);
   }
   for (const double load : {0.7, 1.0, 1.3}) {
     for (const bool planned : {false, true}) {
