--- a/core/bench/main.cc
+++ b/core/bench/main.cc
@@ -17,6 +17,7 @@
 #include "core/prefix.h"
 #include "core/route.h"
 #include "core/subset.h"
+#include "core/workspace_limits.h"
 
 namespace rattanramp::core {
 namespace {
@@ -189,6 +190,54 @@
   return {{"vms", kVms}, {"members", members}, {"merge", Quantiles(times)}};
 }
 
+/// Decisions on the limits of many workspaces that are in use at all gateways.
+Json MeasureWorkspaceLimits(int workspaces, int gateways, std::uint64_t seed) {
+  constexpr int kDecisions = 50'000;
+  std::mt19937_64 random(seed);
+  TimePoint now{std::chrono::hours(1)};
+  WorkspaceLimits limits({Milliseconds(8'000), 0.1, 120'000}, {}, now);
+  std::vector<WorkspaceRule> rules(static_cast<std::size_t>(workspaces));
+  std::vector<WorkspaceUse> uses;
+  for (WorkspaceRule& rule : rules) {
+    rule.name = "workspace-" + std::to_string(&rule - rules.data());
+    rule.rate_per_s = rule.burst = 29'000;
+    uses.push_back({WorkspaceKey(rule.name), 5'000, 5'000});
+  }
+  std::vector<std::string> peers;
+  for (int i = 1; i < gateways; ++i) {
+    peers.push_back("gateway-" + std::to_string(i));
+  }
+  limits.SetMembers(peers, now);
+  limits.SetRules(rules, now);
+  const auto hear = [&] {
+    for (const std::string& peer : peers) {
+      limits.Record(peer, 1, uses, now);
+    }
+  };
+  const double record_ns = TimeNs(hear);
+  std::vector<double> samples;
+  samples.reserve(kDecisions);
+  int taken = 0;
+  for (int i = 0; i < kDecisions; ++i) {
+    now += std::chrono::microseconds(200);
+    if (i % 250 == 0) {
+      for (const std::string& peer : peers) {
+        limits.Record(peer, 1, {}, now);
+      }
+    }
+    const std::string& name = rules[random() % rules.size()].name;
+    samples.push_back(
+        TimeNs([&] { taken += limits.Take(WorkspaceKey(name), 5'270, now).is_taken ? 1 : 0; }));
+  }
+  Json result = Quantiles(std::move(samples));
+  result["workspaces"] = workspaces;
+  result["gateways"] = gateways;
+  result["taken"] = taken;
+  result["record_entry_ns"] =
+      record_ns / (static_cast<double>(uses.size()) * static_cast<double>(peers.size()));
+  return result;
+}
+
 Json MeasurePolicy(double load, bool planned, std::uint64_t first_seed, int seeds) {
   SimulationResult sum;
   Json good = Json::array();
@@ -232,14 +281,26 @@
   app.add_option("--seed", seed, "first seed");
   app.add_option("--seeds", seeds, "runs of the policy simulation per load");
   app.add_flag("--policy-only", policy_only, "run the policy simulation only");
+  bool limits_only = false;
+  app.add_flag("--limits-only", limits_only, "measure the limits of workspaces only");
   CLI11_PARSE(app, argc, argv);
   Json output;
+  const auto measure_limits = [seed] {
+    return Json{MeasureWorkspaceLimits(16, 31, seed), MeasureWorkspaceLimits(8'200, 31, seed),
+                MeasureWorkspaceLimits(8'200, 103, seed)};
+  };
+  if (limits_only) {
+    output["workspace_limits"] = measure_limits();
+    std::cout << output.dump(1) << '\n';
+    return 0;
+  }
   if (!policy_only) {
     output["route"] = {MeasureRoute(15, 3, seed), MeasureRoute(300, 3, seed),
                        MeasureRoute(3'900, 13, seed)};
     output["prefix"] = MeasurePrefix(seed);
     output["subset"] = MeasureSubset();
     output["membership"] = MeasureMembership();
+    output["workspace_limits"] = measure_limits();
   }
   for (const double load : {0.7, 1.0, 1.3}) {
     for (const bool planned : {false, true}) {
