--- a/tests/soak/site_model.py
+++ b/tests/soak/site_model.py
@@ -58,7 +58,8 @@
             "stop_grace_s": STOP_GRACE_S,
             "disconnected_after_ms": int(DISCONNECTED_AFTER_S * 1000),
             "upstream_leave_ms": int(DRAIN_S * 1000),
-            "retry_bound": {"ratio": RETRY_RATIO, "slack": slack, "window_s": RETRY_WINDOW_S}}
+            "retry_bound": {"ratio": RETRY_RATIO, "slack": slack, "window_s": RETRY_WINDOW_S},
+            "process": self.site.process_limits}
         with open(self.settings_path(), "w", encoding="utf-8") as file:
             json.dump(settings, file)
 
@@ -117,6 +118,11 @@
             self.upstreams.append(Upstream(self, f"p{i}", "plain", None, 6))
         self.gateways = [Gateway(self, i) for i in range(gateways)]
         self.is_slow = False
+        self.engine_slots = 12
+        # What the VM allows a gateway: memory_mb and max_descriptors; null: not known.
+        self.process_limits = {}
+        self.caller_limits = {"max_header_bytes": 16384, "max_body_bytes": 4194304,
+                              "header_timeout_ms": 3000, "idle_timeout_ms": 15000}
         # Parts of prompts that crash each engine which begins to answer a request with them.
         self.crashing_parts = set()
         self.config_version = 0
@@ -159,11 +165,10 @@
             "version": self.config_version, "routes": routes,
             "services": [
                 {"name": "engines", "health_path": "/healthz", "max_conns": 200,
-                 "engine": {"slots": 12, "kv_tokens": 65000, "stride": 72, "kv_hold_s": 0.5,
+                 "engine": {"slots": self.engine_slots, "kv_tokens": 65000, "stride": 72, "kv_hold_s": 0.5,
                             "switch_s": 1.0, "models": [{"name": "m"}]}},
                 {"name": "plain", "health_path": "/healthz", "max_conns": 200}],
-            "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304,
-                       "header_timeout_ms": 3000, "idle_timeout_ms": 15000}}
+            "limits": self.caller_limits}
         acknowledged = self.store.put("op", "config", config)
         self.configs.append((acknowledged, {r["prefix"] for r in routes}))
 
