--- a/gateway/caller_connection.cc
+++ b/gateway/caller_connection.cc
@@ -10,7 +10,9 @@
 #include <asio/write.hpp>
 #include <utility>
 
+#include "base/heap.h"
 #include "base/log.h"
+#include "platform/request_format.h"
 
 namespace rattanramp::gateway {
 namespace {
@@ -19,6 +21,12 @@
 // so that a close by the caller is detected.
 constexpr std::size_t kMaxPipelinedBytes = 64 * 1024;
 
+// Capacity of a buffer that is kept while the buffer is empty.
+constexpr std::size_t kKeptCapacity = 16 * 1024;
+
+// Retry-After of a request that was refused for lack of memory.
+constexpr std::int64_t kNoMemoryRetryMs = 1'000;
+
 // Bytes of a malformed request that are logged.
 constexpr std::size_t kLoggedBytes = 120;
 
@@ -34,6 +42,12 @@
 // loop reads them in its next turn.
 constexpr Milliseconds kUnreadWait{10};
 
+void FreeIfEmpty(std::string& buffer) {
+  if (buffer.empty() && buffer.capacity() > kKeptCapacity) {
+    buffer = std::string();
+  }
+}
+
 }  // namespace
 
 std::shared_ptr<CallerConnection> CallerConnection::Create(asio::ip::tcp::socket socket,
@@ -42,7 +56,10 @@
 }
 
 CallerConnection::CallerConnection(asio::ip::tcp::socket socket, CallerHost& host)
-    : socket_(std::move(socket)), host_(host), timer_(socket_.get_executor()) {}
+    : socket_(std::move(socket)),
+      host_(host),
+      timer_(socket_.get_executor()),
+      memory_(host.memory()) {}
 
 CallerConnection::~CallerConnection() = default;
 
@@ -50,13 +67,17 @@
   // The connection also works without TCP_NODELAY.
   std::error_code ignored;
   socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+  if (memory_ != nullptr) {
+    holder_ = memory_->Join(*this);
+    ReportMemory();
+  }
   ArmIdleTimer();
   Read();
 }
 
 void CallerConnection::CloseIfIdle() {
   if (has_answered_ && !is_answering_ && !is_lingering_ && buffer_.empty() && !parser_ &&
-      unsent_bytes() == 0 && !has_unread_bytes()) {
+      waiting_input_ == 0 && unsent_bytes() == 0 && !has_unread_bytes()) {
     Close();
   }
 }
@@ -69,6 +90,10 @@
   timer_.cancel();
   std::error_code ignored;  // the descriptor is released even if close fails
   socket_.close(ignored);
+  if (memory_ != nullptr) {
+    memory_->Leave(holder_);
+    memory_ = nullptr;
+  }
   if (exchange_) {
     exchange_->OnCallerDisconnected();
     asio::post(socket_.get_executor(),
@@ -90,7 +115,8 @@
 }
 
 void CallerConnection::Read() {
-  if (is_reading_ || is_closed_ || (is_answering_ && buffer_.size() >= kMaxPipelinedBytes)) {
+  if (is_reading_ || is_closed_ || waiting_input_ > 0 ||
+      (is_answering_ && buffer_.size() >= kMaxPipelinedBytes)) {
     return;
   }
   is_reading_ = true;
@@ -110,17 +136,122 @@
     Close();
     return;
   }
-  if (is_lingering_) {
+  if (is_lingering_ || (close_after_write_ && !is_answering_)) {
+    // The rest of a refused request.
     Read();
     return;
   }
+  if (memory_ != nullptr) {
+    memory_->ReportMoved(holder_, size);
+    if (!memory_->MayTake(holder_, size)) {
+      waiting_input_ = size;
+      if (!parser_ && !is_answering_) {
+        ArmTimer(Milliseconds(host_.caller_limits().head_timeout_ms));
+      }
+      return;
+    }
+  }
+  TakeInput(size);
+}
+
+void CallerConnection::TakeInput(std::size_t size) {
   buffer_.append(input_.data(), size);
   if (!is_answering_) {
     ParseBuffer();
   }
+  FreeIfEmpty(buffer_);
+  ReportMemory();
   Read();
 }
 
+void CallerConnection::OnMemory() {
+  if (is_closed_) {
+    return;
+  }
+  if (is_lingering_) {
+    waiting_input_ = 0;
+    Read();
+    return;
+  }
+  if (waiting_input_ > 0 && close_after_write_ && !is_answering_) {
+    waiting_input_ = 0;
+    Read();
+  }
+  if (waiting_input_ > 0) {
+    TakeInput(std::exchange(waiting_input_, 0));
+  }
+  if (exchange_) {
+    exchange_->OnBytesSent();
+  }
+}
+
+void CallerConnection::ReportMemory() {
+  if (memory_ == nullptr) {
+    return;
+  }
+  core::HolderPhase phase = core::HolderPhase::kIdle;
+  if (unsent_bytes() > 0) {
+    phase = core::HolderPhase::kSending;
+  } else if (is_answering_) {
+    phase = core::HolderPhase::kServing;
+  } else if (parser_ || !buffer_.empty()) {
+    phase = core::HolderPhase::kReceiving;
+  }
+  memory_->Report(
+      holder_,
+      {kConnectionBytes, HeldBytes(buffer_), request_bytes_ + (parser_ ? parser_->held_bytes() : 0),
+       answer_bytes_ + HeldBytes(unsent_) + HeldBytes(write_buffer_)},
+      phase);
+}
+
+std::size_t CallerConnection::max_unsent_bytes() const {
+  return memory_ == nullptr ? kMaxUnsentBytes : memory_->max_unsent_bytes();
+}
+
+bool CallerConnection::KeepAnswer(std::size_t bytes) {
+  if (memory_ == nullptr) {
+    return true;
+  }
+  answer_bytes_ = bytes;
+  ReportMemory();
+  return bytes == 0 || memory_->MayTake(holder_, input_.size());
+}
+
+void CallerConnection::StopWaitingForAnswer() {
+  if (memory_ != nullptr && waiting_input_ == 0) {
+    memory_->StopWaiting(holder_);
+  }
+}
+
+void CallerConnection::RefuseForMemory() {
+  if (memory_ != nullptr) {
+    memory_->CountRefusal();
+  }
+  Refuse(503, "the process lacks memory for the request",
+         platform::RefusalFields({}, kNoMemoryRetryMs));
+}
+
+bool CallerConnection::CloseForRoom() {
+  if (is_closed_) {
+    return false;
+  }
+  if (parser_) {
+    Log(LogLevel::kDebug, "caller_stalled", {{"what", "request"}});
+    Refuse(408, "timeout: the request stalled while the process lacked memory");
+    return true;
+  }
+  if (unsent_bytes() == 0 && has_unread_bytes()) {
+    return false;
+  }
+  Log(LogLevel::kDebug, "caller_stalled", {{"what", unsent_bytes() > 0 ? "answer" : "idle"}});
+  if (unsent_bytes() > 0) {
+    // The system must not go on holding the unsent bytes either.
+    SetResetOnClose(true);
+  }
+  Close();
+  return true;
+}
+
 void CallerConnection::ParseBuffer() {
   // Blank lines before a request are skipped, as RFC 9112 requires.
   if (!parser_) {
@@ -150,6 +281,12 @@
     return;
   }
   buffer_.erase(0, used.value());
+  if (parser_->has_head() && !parser_->is_complete() &&
+      buffer_.size() > static_cast<std::size_t>(limits.max_head_bytes)) {
+    // The parser keeps only what it cannot parse before more bytes arrive.
+    Refuse(431, "the trailers or the size line of a chunk are too large");
+    return;
+  }
   if (parser_->is_complete()) {
     Serve();
     return;
@@ -163,6 +300,7 @@
 
 void CallerConnection::Serve() {
   http::RequestHead head = parser_->head();
+  request_bytes_ = parser_->held_bytes();
   std::string body = std::move(parser_->body());
   parser_.reset();
   // The exchange has its own deadline timer.
@@ -182,13 +320,15 @@
   }
 }
 
-void CallerConnection::Refuse(int status, std::string_view text) {
+void CallerConnection::Refuse(int status, std::string_view text, http::Fields fields) {
   parser_.reset();
+  buffer_ = std::string();
   is_answering_ = true;
   keep_alive_ = false;
   std::string body(text);
   body += "\n";
-  Answer(status, {{"Content-Type", "text/plain"}}, std::move(body));
+  fields.push_back({"Content-Type", "text/plain"});
+  Answer(status, fields, std::move(body));
 }
 
 void CallerConnection::Answer(int status, const http::Fields& fields, std::string body) {
@@ -232,6 +372,9 @@
 
 void CallerConnection::Abort() {
   is_answering_ = false;
+  request_bytes_ = 0;
+  answer_bytes_ = 0;
+  StopWaitingForAnswer();
   if (exchange_) {
     asio::post(socket_.get_executor(),
                [finished = std::shared_ptr<Exchange>(std::move(exchange_))] {});
@@ -241,6 +384,7 @@
     // sent.
     keep_alive_ = false;
     close_after_write_ = true;
+    ArmIdleTimer();
     Write();
     return;
   }
@@ -272,7 +416,10 @@
 
 void CallerConnection::FinishAnswer() {
   is_answering_ = false;
+  request_bytes_ = 0;
+  answer_bytes_ = 0;
   has_answered_ = true;
+  StopWaitingForAnswer();
   if (exchange_) {
     // The exchange is still on the call stack, so it is destroyed later, from the event loop.
     asio::post(socket_.get_executor(),
@@ -281,45 +428,64 @@
   // During a stop too, a connection that the head of this answer promised to keep takes one more
   // request; the caller may have sent it already.
   close_after_write_ = !keep_alive_;
+  // Ends the connection too if the caller does not read the answer.
+  ArmIdleTimer();
   Write();
   if (is_closed_ || close_after_write_) {
     return;
   }
-  ArmIdleTimer();
   std::shared_ptr<CallerConnection> self = shared_from_this();
   asio::post(socket_.get_executor(), [self] {
     if (!self->is_closed_ && !self->is_answering_) {
       self->ParseBuffer();
+      FreeIfEmpty(self->buffer_);
+      self->ReportMemory();
       self->Read();
     }
   });
 }
 
 void CallerConnection::Write() {
-  if (is_writing_ || is_closed_) {
+  if (is_closed_) {
+    return;
+  }
+  if (is_writing_) {
+    ReportMemory();
     return;
   }
   if (unsent_.empty()) {
     if (close_after_write_ && !is_answering_) {
       LingerThenClose();
     }
+    ReportMemory();
     return;
   }
   is_writing_ = true;
   write_buffer_ = std::exchange(unsent_, {});
+  ReportMemory();
   std::shared_ptr<CallerConnection> self = shared_from_this();
   asio::async_write(
       socket_, asio::buffer(write_buffer_),
       [self](const std::error_code& error, std::size_t size) {
-        self->has_sent_bytes_ = self->has_sent_bytes_ || size > 0;
+        self->OnSent(size);
         return asio::transfer_all()(error, size);
       },
       [self](const std::error_code& error, std::size_t /*size*/) { self->OnWritten(error); });
 }
 
+void CallerConnection::OnSent(std::size_t size) {
+  has_sent_bytes_ = has_sent_bytes_ || size > 0;
+  if (memory_ != nullptr && size > sent_bytes_) {
+    memory_->ReportMoved(holder_, size - sent_bytes_);
+  }
+  sent_bytes_ = size;
+}
+
 void CallerConnection::OnWritten(const std::error_code& error) {
   is_writing_ = false;
+  sent_bytes_ = 0;
   write_buffer_.clear();
+  FreeIfEmpty(write_buffer_);
   if (is_closed_) {
     return;
   }
@@ -345,8 +511,11 @@
   SetResetOnClose(false);
   std::error_code ignored;  // the peer may already have closed the connection
   socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-  buffer_.clear();
+  buffer_ = std::string();
+  waiting_input_ = 0;
+  StopWaitingForAnswer();
   ArmTimer(kLingerTime);
+  ReportMemory();
   Read();
 }
 
@@ -360,7 +529,7 @@
 
 bool CallerConnection::has_unread_bytes() const {
   std::error_code error;  // the pending read reports the same error
-  return socket_.available(error) > 0 && !error;
+  return waiting_input_ > 0 || (socket_.available(error) > 0 && !error);
 }
 
 void CallerConnection::ArmTimer(Duration wait) {
@@ -382,6 +551,10 @@
     is_overdue_ = true;
     return;
   }
+  if (waiting_input_ > 0 && !is_answering_ && !is_lingering_) {
+    RefuseForMemory();
+    return;
+  }
   if (parser_ && !is_lingering_) {
     Refuse(408, "timeout: the request was not received completely in time");
     return;
--- a/gateway/caller_connection.h
+++ b/gateway/caller_connection.h
@@ -12,6 +12,7 @@
 
 #include "base/clock.h"
 #include "core/routing_table.h"
+#include "gateway/caller_memory.h"
 #include "gateway/caller_sink.h"
 #include "http/parser.h"
 
@@ -30,9 +31,12 @@
   /// While true, answers carry "Connection: close".
   virtual bool is_stopping() const = 0;
   virtual void OnConnectionEnd(const CallerConnection* connection) = 0;
+  /// Memory that the connections share; null: not bounded.
+  virtual CallerMemory* memory() { return nullptr; }
 };
 
 class CallerConnection final : public CallerSink,
+                               private CallerMemory::Holder,
                                public std::enable_shared_from_this<CallerConnection> {
  public:
   static std::shared_ptr<CallerConnection> Create(asio::ip::tcp::socket socket, CallerHost& host);
@@ -47,8 +51,12 @@
   void OnStopProgress();
   /// Ends the request in progress, because the process is about to exit.
   void EndForStop();
-  /// Destroys the request in progress without an answer. Not to be called from that request.
-  void DropExchange() { exchange_.reset(); }
+  /// Destroys the request in progress without an answer, because the gateway and its memory end.
+  /// Not to be called from that request.
+  void DropExchange() {
+    exchange_.reset();
+    memory_ = nullptr;
+  }
   bool is_serving() const { return exchange_ != nullptr || is_answering_; }
 
   void Answer(int status, const http::Fields& fields, std::string body) override;
@@ -57,18 +65,25 @@
   void EndStream() override;
   void Abort() override;
   std::size_t unsent_bytes() const override { return write_buffer_.size() + unsent_.size(); }
+  std::size_t max_unsent_bytes() const override;
+  bool KeepAnswer(std::size_t bytes) override;
 
  private:
   CallerConnection(asio::ip::tcp::socket socket, CallerHost& host);
 
   void Read();
   void OnRead(const std::error_code& error, std::size_t size);
+  /// Parses bytes that are in input_.
+  void TakeInput(std::size_t size);
   void ParseBuffer();
-  void Refuse(int status, std::string_view text);
+  void Refuse(int status, std::string_view text, http::Fields fields = {});
+  void RefuseForMemory();
   void Serve();
   void FinishAnswer();
   void AppendHead(int status, const http::Fields& fields, std::string_view framing);
   void Write();
+  /// `size`: bytes of write_buffer_ that were sent so far.
+  void OnSent(std::size_t size);
   void OnWritten(const std::error_code& error);
   void ArmTimer(Duration wait);
   void ArmIdleTimer();
@@ -76,6 +91,11 @@
   bool has_unread_bytes() const;
   void OnTimer();
   void LingerThenClose();
+  void OnMemory() override;
+  bool CloseForRoom() override;
+  void StopWaitingForAnswer();
+  /// Tells the memory that the callers share what this connection holds.
+  void ReportMemory();
   /// Whether a close resets the connection, also that by the system when this process is killed.
   /// Without chunks or a length, only a reset shows that an answer is incomplete.
   void SetResetOnClose(bool enabled);
@@ -90,6 +110,14 @@
   std::array<char, 8 * 1024> input_;
   /// Bytes that have been read but not parsed yet.
   std::string buffer_;
+  /// Bytes in input_ that wait for memory. Until it is free, the connection is not read.
+  std::size_t waiting_input_ = 0;
+  /// Null: not bounded.
+  CallerMemory* memory_;
+  core::HolderId holder_ = 0;
+  /// Memory of the request that is being served, and of its answer as far as it is not unsent yet.
+  std::size_t request_bytes_ = 0;
+  std::size_t answer_bytes_ = 0;
   std::optional<http::RequestParser> parser_;
   std::unique_ptr<Exchange> exchange_;
   std::string write_buffer_;
@@ -107,6 +135,8 @@
   bool is_overdue_ = false;
   /// Bytes were sent since the timer was armed.
   bool has_sent_bytes_ = false;
+  /// Bytes of write_buffer_ that were sent.
+  std::size_t sent_bytes_ = 0;
   /// Close the connection after all bytes are written.
   bool close_after_write_ = false;
   bool is_lingering_ = false;
--- a/gateway/caller_sink.h
+++ b/gateway/caller_sink.h
@@ -31,6 +31,11 @@
   virtual void Abort() = 0;
   /// Bytes that have not been written to the caller's connection yet.
   virtual std::size_t unsent_bytes() const = 0;
+  /// Unsent bytes above which reading from the upstream pauses.
+  virtual std::size_t max_unsent_bytes() const { return 256 * 1024; }
+  /// States how many bytes of an answer are held until it is complete. False: reading from the
+  /// upstream pauses; Exchange::OnBytesSent is called when it may go on.
+  virtual bool KeepAnswer(std::size_t /*bytes*/) { return true; }
 };
 
 /// One request of a caller while it is being served.
@@ -39,7 +44,8 @@
   virtual ~Exchange() = default;
   /// The caller has closed its connection.
   virtual void OnCallerDisconnected() = 0;
-  /// Bytes were written to the caller's connection; unsent_bytes() has decreased.
+  /// Bytes were written to the caller's connection and unsent_bytes() has decreased, or there is
+  /// memory again for an answer that is being kept.
   virtual void OnBytesSent() = 0;
   /// The process is stopping. Refuses the request if it is queued and can no longer end in time.
   virtual void OnStopProgress() = 0;
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -53,6 +53,13 @@
 
 constexpr std::string_view kTextType = "text/plain";
 
+// Largest body of a request to the readiness check, the metrics or the state dump; these need none.
+constexpr std::int64_t kMaxStatusBodyBytes = 1'024;
+
+// Connections and memory for these requests.
+constexpr std::size_t kMaxStatusConnections = 32;
+constexpr core::MemoryShares kStatusMemory = {4 * 1024 * 1024, 1024 * 1024, 512 * 1024};
+
 // Returns where a peer receives load reports; nullopt if the row cannot be decoded.
 std::optional<asio::ip::udp::endpoint> DecodeGatewayRow(const std::string& text) {
   const std::optional<nlohmann::json> row = ParseBoundedJson(text);
@@ -89,6 +96,7 @@
       sink.Answer(gateway_.is_ready() ? 200 : 503, fields,
                   gateway_.is_ready() ? "ready\n" : "not ready\n");
     } else if (head.method == "GET" && path == "/metrics") {
+      gateway_.caller_memory_.UpdateMetrics();
       sink.Answer(200, fields, gateway_.metrics_.PrometheusText());
     } else if (head.method == "GET" && path == "/state") {
       sink.Answer(200, {{"Content-Type", "application/json"}}, gateway_.StateDump());
@@ -97,7 +105,12 @@
     }
     return nullptr;
   }
-  core::CallerLimits caller_limits() const override { return {}; }
+  core::CallerLimits caller_limits() const override {
+    core::CallerLimits limits;
+    limits.max_body_bytes = kMaxStatusBodyBytes;
+    return limits;
+  }
+  CallerMemory* memory() override { return &gateway_.status_memory_; }
   bool is_stopping() const override { return false; }
   void OnConnectionEnd(const CallerConnection* connection) override {
     gateway_.OnConnectionEnd(connection);
@@ -164,7 +177,11 @@
       caller_acceptor_(context),
       readiness_acceptor_(context),
       metrics_acceptor_(context),
-      tick_timer_(context) {}
+      tick_timer_(context),
+      caller_memory_(context, clock, metrics_, core::SharesOf(settings_.memory_limit_bytes),
+                     CallerConnectionLimit(settings_.max_descriptors,
+                                           core::SharesOf(settings_.memory_limit_bytes))),
+      status_memory_(context, clock, metrics_, kStatusMemory, kMaxStatusConnections) {}
 
 Gateway::~Gateway() {
   // Handlers of the event loop keep connections alive beyond this object, but the exchanges use its
@@ -203,17 +220,39 @@
           return;
         }
         if (error) {
+          // Mostly for lack of descriptors, so another try at once would fail too.
           Log(LogLevel::kWarning, "accept_failed", {{"error", error.message()}});
+          waiting_acceptors_.emplace_back(&acceptor, &host);
+          return;
+        }
+        std::shared_ptr<CallerConnection> connection =
+            CallerConnection::Create(std::move(socket), host);
+        connections_[connection.get()] = connection;
+        connection->Start();
+        if (HasRoomFor(host)) {
+          Accept(acceptor, host);
         } else {
-          std::shared_ptr<CallerConnection> connection =
-              CallerConnection::Create(std::move(socket), host);
-          connections_[connection.get()] = connection;
-          connection->Start();
+          metrics_.Count("accept_pauses_total");
+          waiting_acceptors_.emplace_back(&acceptor, &host);
         }
-        Accept(acceptor, host);
       });
 }
 
+bool Gateway::HasRoomFor(CallerHost& host) {
+  CallerMemory& memory = *host.memory();
+  return !memory.is_full() || memory.MakeRoomForConnection();
+}
+
+void Gateway::ResumeAccepting() {
+  for (const auto& [acceptor, host] : std::exchange(waiting_acceptors_, {})) {
+    if (HasRoomFor(*host)) {
+      Accept(*acceptor, *host);
+    } else {
+      waiting_acceptors_.emplace_back(acceptor, host);
+    }
+  }
+}
+
 void Gateway::OnConnectionEnd(const CallerConnection* connection) {
   const auto found = connections_.find(connection);
   if (found != connections_.end()) {
@@ -427,6 +466,9 @@
   }
   fleet_.ConfirmReturned(clock_.now());
   UpdateBlockedCauses();
+  caller_memory_.Tick();
+  status_memory_.Tick();
+  ResumeAccepting();
   dispatcher_.WakeAll();
   tick_timer_.expires_after(kTickInterval);
   tick_timer_.async_wait([this](const std::error_code& error) {
@@ -572,6 +614,7 @@
       {"gateways", state_.gateways},
       {"live_peers", load_exchange_->live_peers()},
       {"connections", connections_.size()},
+      {"caller_memory", caller_memory_.StateDump()},
       {"upstreams", upstreams}};
   return dump.dump(1) + "\n";
 }
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -6,10 +6,12 @@
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base/clock.h"
@@ -18,6 +20,7 @@
 #include "core/routing_table.h"
 #include "core/upstream_directory.h"
 #include "gateway/caller_connection.h"
+#include "gateway/caller_memory.h"
 #include "gateway/crash_records.h"
 #include "gateway/dispatcher.h"
 #include "gateway/event_loop_delay.h"
@@ -61,6 +64,10 @@
 
   Result<void> Listen(asio::ip::tcp::acceptor& acceptor, const asio::ip::tcp::endpoint& endpoint);
   void Accept(asio::ip::tcp::acceptor& acceptor, CallerHost& host);
+  /// Accepts connections again where there is room for them.
+  void ResumeAccepting();
+  /// Whether another connection may be accepted. May close one that is idle.
+  bool HasRoomFor(CallerHost& host);
   void Tick();
   void CheckStopped();
   bool AcceptsWork(const RequestContext& request);
@@ -77,6 +84,7 @@
   core::CallerLimits caller_limits() const override;
   bool is_stopping() const override { return state_.stop.has_value(); }
   void OnConnectionEnd(const CallerConnection* connection) override;
+  CallerMemory* memory() override { return &caller_memory_; }
 
   void OnConfigRow(const std::string& text, std::int64_t row_version) override;
   void OnUpstreamRows(const std::vector<store::TableRow>& rows, bool has_failed,
@@ -113,6 +121,11 @@
   asio::ip::tcp::acceptor metrics_acceptor_;
   asio::steady_timer tick_timer_;
   EventLoopDelay loop_delay_{metrics_};
+  CallerMemory caller_memory_;
+  /// Reserved for the readiness check, the metrics and the state dump.
+  CallerMemory status_memory_;
+  /// Acceptors that wait for room or for a descriptor.
+  std::vector<std::pair<asio::ip::tcp::acceptor*, CallerHost*>> waiting_acceptors_;
   std::map<const CallerConnection*, std::shared_ptr<CallerConnection>> connections_;
   /// No request is running any more, and none is accepted.
   bool is_finishing_ = false;
--- a/gateway/generation_exchange.cc
+++ b/gateway/generation_exchange.cc
@@ -64,9 +64,6 @@
 // Number of failures without a run after which the request is refused.
 constexpr std::int64_t kMaxFailuresWithoutRun = 4;
 
-// Unsent bytes to the caller above which reading from the engine pauses.
-constexpr std::size_t kMaxUnsentBytes = 256 * 1024;
-
 // Retry-After when the engines have no capacity: a part of a stream's duration, in which some of
 // the running streams end.
 constexpr std::int64_t kNoCapacityRetryMs = 800;
@@ -139,7 +136,7 @@
 }
 
 void GenerationExchange::OnBytesSent() {
-  if (is_paused_ && attempt_ && sink_.unsent_bytes() < kMaxUnsentBytes / 2) {
+  if (is_paused_ && attempt_ && sink_.unsent_bytes() < sink_.max_unsent_bytes() / 2) {
     is_paused_ = false;
     attempt_->ResumeReading();
   }
@@ -578,7 +575,7 @@
   UpdateReservation();
   sink_.StreamBytes(events);
   const bool goes_on = progress == BodyProgress::kProgress || progress == BodyProgress::kNone;
-  if (goes_on && sink_.unsent_bytes() > kMaxUnsentBytes && attempt_) {
+  if (goes_on && sink_.unsent_bytes() > sink_.max_unsent_bytes() && attempt_) {
     is_paused_ = true;
     attempt_->PauseReading();
   }
--- a/gateway/plain_exchange.cc
+++ b/gateway/plain_exchange.cc
@@ -75,6 +75,12 @@
   attempt_.reset();
 }
 
+void PlainExchange::OnBytesSent() {
+  if (std::exchange(is_paused_, false) && attempt_ && !is_done_) {
+    attempt_->ResumeReading();
+  }
+}
+
 void PlainExchange::Enqueue() {
   core::QueuedRequest waiting;
   waiting.priority = request_.route->priority;
@@ -158,8 +164,10 @@
     plan.silence_result = core::AnswerResult::kErrorAnswer;
   }
   ++sent_attempts_;
-  answer_body_.clear();
+  answer_body_ = {};
   answer_allowance_.Release();
+  sink_.KeepAnswer(0);
+  is_paused_ = false;
   plan.send_before = request_.deadline;
   attempt_ = Attempt::Start(state_.context, state_.clock, upstream, std::move(plan), *this);
   return true;
@@ -268,6 +276,10 @@
     return BodyProgress::kTooLarge;
   }
   answer_body_.append(bytes);
+  if (!sink_.KeepAnswer(answer_body_.size())) {
+    is_paused_ = true;
+    attempt_->PauseReading();
+  }
   return BodyProgress::kProgress;
 }
 
--- a/gateway/plain_exchange.h
+++ b/gateway/plain_exchange.h
@@ -19,7 +19,7 @@
   ~PlainExchange() override;
 
   void OnCallerDisconnected() override;
-  void OnBytesSent() override {}
+  void OnBytesSent() override;
   void OnStopProgress() override;
   void EndForStop() override;
 
@@ -63,6 +63,8 @@
   core::AnswerFacts answer_facts_;
   std::string answer_body_;
   core::AnswerAllowance answer_allowance_;
+  /// Reading from the upstream is paused for lack of memory.
+  bool is_paused_ = false;
   TimePoint attempt_started_;
   /// Number of attempts that may have run the request.
   std::int64_t possible_runs_ = 0;
--- a/gateway/program.cc
+++ b/gateway/program.cc
@@ -8,6 +8,7 @@
 #include <memory>
 
 #include "base/clock.h"
+#include "base/heap.h"
 #include "base/log.h"
 #include "gateway/gateway.h"
 #include "gateway/settings.h"
@@ -109,6 +110,7 @@
     std::cerr << logging.error().message << "; " << logging.error().remedy << "\n";
     return kExitInvalidSettings;
   }
+  FixLargeBlocks();
   // Without SIGPIPE, a write to a connection that the peer has closed returns an error instead of
   // ending the process.
   std::signal(SIGPIPE, SIG_IGN);
--- a/http/client_connection.cc
+++ b/http/client_connection.cc
@@ -145,6 +145,11 @@
       socket_, buffers,
       [self, body = request_body_](const std::error_code& error, std::size_t /*size*/) {
         self->is_writing_ = false;
+        // An idle connection must not hold the request that it carried last.
+        if (!error) {
+          self->request_body_.reset();
+          self->request_head_ = {};
+        }
         // While a read is pending, it fails too and reports the failure, so that the listener
         // is called once.
         if (error && !self->is_closed_ && !self->is_reading_) {
--- a/http/parser.cc
+++ b/http/parser.cc
@@ -7,6 +7,8 @@
 #include <ostream>
 #include <utility>
 
+#include "base/heap.h"
+
 namespace rattanramp::http {
 namespace {
 
@@ -54,7 +56,11 @@
   void on_field_impl(field /*name*/, beast::string_view name, beast::string_view value,
                      ErrorCode& ec) override {
     ec = {};
-    head.fields.push_back({ToString(name), ToString(value)});
+    // Trailers must not become fields of the request.
+    if (!is_header_done()) {
+      field_bytes += name.size() + value.size();
+      head.fields.push_back({ToString(name), ToString(value)});
+    }
   }
   void on_header_impl(ErrorCode& ec) override {
     ec = {};
@@ -94,6 +100,7 @@
 
   RequestHead head;
   std::string body;
+  std::size_t field_bytes = 0;
   std::uint64_t max_body;
   bool body_too_large = false;
 };
@@ -137,6 +144,10 @@
 }
 const RequestHead& RequestParser::head() const { return impl_->head; }
 std::string& RequestParser::body() { return impl_->body; }
+std::size_t RequestParser::held_bytes() const {
+  return impl_->head.target.size() + impl_->field_bytes +
+         impl_->head.fields.capacity() * sizeof(Field) + HeldBytes(impl_->body);
+}
 
 struct ResponseParser::Impl final : basic_parser<false> {
   explicit Impl(bool is_head_request) {
--- a/http/parser.h
+++ b/http/parser.h
@@ -35,8 +35,10 @@
   /// The client sends the body only after it has received "100 Continue".
   bool expects_continue() const;
   const RequestHead& head() const;
-  /// Body bytes received so far, without chunk framing.
+  /// Body bytes received so far, without chunk framing. Trailers are dropped.
   std::string& body();
+  /// Memory that the head and the body take.
+  std::size_t held_bytes() const;
 
  private:
   struct Impl;
--- a/tests/gateway/caller_connection_test.cc
+++ b/tests/gateway/caller_connection_test.cc
@@ -44,6 +44,7 @@
   }
   core::CallerLimits caller_limits() const override { return limits; }
   bool is_stopping() const override { return stop_requested; }
+  gateway::CallerMemory* memory() override { return shared_memory; }
   void OnConnectionEnd(const gateway::CallerConnection* /*connection*/) override { ended = true; }
 
   std::function<void(gateway::CallerSink&)> serve = [](gateway::CallerSink& sink) {
@@ -53,6 +54,7 @@
   std::function<void(gateway::CallerConnection&)> on_start =
       [](gateway::CallerConnection& /*connection*/) {};
   core::CallerLimits limits;
+  gateway::CallerMemory* shared_memory = nullptr;
   std::vector<std::string> targets;
   bool stop_requested = false;
   bool ended = false;
@@ -443,3 +445,72 @@
     cr_expect_eq(text.ends_with("id: 1\ndata: x\n\n"), !is_cut);
   }
 }
+
+// Guards against trailers without end behind a chunked body, which ended a process in a trial.
+// Pattern: trailers in many lines, in one line, and a size line of a chunk without its end.
+Test(caller_connection, trailers_and_size_lines_without_end_are_refused, .timeout = 30) {
+  for (const std::string& endless :
+       {std::string("1\r\nx\r\n0\r\nTrailer: t\r\n"), std::string("1\r\nx\r\n0\r\nTrailer: t"),
+        std::string("1;extension=")}) {
+    Host host;
+    host.limits.max_head_bytes = 8 * 1024;
+    const std::string text = RunClient(host, [&](tcp::socket& socket) {
+      std::error_code error;
+      asio::write(socket,
+                  asio::buffer("POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + endless),
+                  error);
+      const std::string line = endless.ends_with("\r\n") ? "Trailer: t\r\n" : "tttttttttttt";
+      for (int i = 0; i < 2'000 && !error; ++i) {
+        asio::write(socket, asio::buffer(line), error);
+      }
+      return ReadToEnd(socket);
+    });
+    cr_assert_neq(text.find("HTTP/1.1 431"), std::string::npos, "%s", text.c_str());
+    cr_assert(host.targets.empty());
+  }
+}
+
+// Guards against an answer that is held without end because its caller does not read it and has
+// asked for the connection to be closed after it.
+Test(caller_connection, unread_answer_with_close_is_given_up, .timeout = 30) {
+  Host host;
+  host.limits.idle_timeout_ms = 100;
+  host.serve = [](gateway::CallerSink& sink) {
+    sink.Answer(200, {}, std::string(32 * 1024 * 1024, 'a'));
+  };
+  RunClient(host, [](tcp::socket& socket) {
+    asio::write(socket, asio::buffer(std::string("GET /a HTTP/1.1\r\nConnection: close\r\n\r\n")));
+    std::this_thread::sleep_for(std::chrono::seconds(5));
+    return std::string();
+  });
+  cr_assert(host.ended);
+}
+
+// Guards against a crowd that takes all memory: callers beyond it wait and are then refused as not
+// run, and one that is within it is served. Pattern: two bodies of which the first one is held.
+Test(caller_connection, request_without_memory_is_refused_as_not_run, .timeout = 30) {
+  asio::io_context memory_context;
+  Metrics metrics;
+  const SuspensionClock clock;
+  gateway::CallerMemory memory(memory_context, clock, metrics, {64 * 1024, 16 * 1024, 8 * 1024},
+                               10);
+  Host host;
+  host.shared_memory = &memory;
+  host.limits.head_timeout_ms = 300;
+  const std::string text = RunClient(host, [](tcp::socket& socket) {
+    asio::write(socket, asio::buffer("POST /a HTTP/1.1\r\nContent-Length: 100000\r\n\r\n" +
+                                     std::string(100'000, 'x')));
+    return ReadToEnd(socket);
+  });
+  cr_assert_neq(text.find("HTTP/1.1 503"), std::string::npos, "%s", text.c_str());
+  cr_assert_neq(text.find("Retry-After"), std::string::npos);
+  cr_assert(host.targets.empty());
+  cr_assert_eq(metrics.value("caller_memory_refusals_total"), 1);
+  const std::string served = RunClient(host, [](tcp::socket& socket) {
+    asio::write(socket, asio::buffer("POST /b HTTP/1.1\r\nContent-Length: 9000\r\n"
+                                     "Connection: close\r\n\r\n" +
+                                     std::string(9'000, 'x')));
+    return ReadToEnd(socket);
+  });
+  cr_assert_neq(served.find("HTTP/1.1 200"), std::string::npos, "%s", served.c_str());
+}
--- a/tests/http/parser_test.cc
+++ b/tests/http/parser_test.cc
@@ -117,3 +117,20 @@
   cr_assert(http::FindField(kept, "host") != nullptr);
   cr_assert(http::FindField(kept, "accept") != nullptr);
 }
+
+// Guards against trailers that become fields of the request: a caller could state another identity,
+// deadline or key behind a body, and trailers without end would take memory.
+Test(http_parser, trailers_are_dropped) {
+  const std::string request =
+      "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n"
+      "Request-Id: other\r\nFiller: f\r\n\r\n";
+  for (const std::size_t size : {std::size_t{1}, std::size_t{7}, request.size()}) {
+    http::RequestParser parser(16'384, 65'536);
+    const Result<std::string> rest = FeedInSegments(parser, request, size);
+    cr_assert(rest && rest.value().empty());
+    cr_assert(parser.is_complete());
+    cr_assert_eq(parser.body(), "x");
+    cr_assert_eq(parser.head().fields.size(), 2);
+    cr_assert_null(http::FindField(parser.head().fields, "Request-Id"));
+  }
+}
