--- a/core/placement.cc
+++ b/core/placement.cc
@@ -22,6 +22,9 @@
 // is rated as if half of its slots were in use.
 constexpr double kFailureWeight = 1.0;
 
+// Time that a request takes at an idle upstream, as a share of that at a full one.
+constexpr double kIdleShare = 0.5;
+
 // Load that is added for a decode upstream outside the failure domain of the prefill upstream.
 // Transfers between domains take twice as long and cost up to three times as much.
 constexpr double kCrossDomainPenalty = 0.08;
@@ -89,6 +92,13 @@
   return static_cast<double>(candidate.load.reserved_tokens + need.memory_tokens) / memory;
 }
 
+/// Rates an upstream by the time that its work, including this request, takes it. The share of the
+/// time that does not depend on the load counts too, so that the slower of two idle upstreams is
+/// second choice.
+double ExpectedWork(double use, const PlacementCandidate& candidate) {
+  return use * candidate.slowness + kIdleShare * (candidate.slowness - 1);
+}
+
 /// Returns the less loaded of two sampled decode upstreams with free capacity, preferring the
 /// failure domain of the prefill upstream.
 std::optional<std::size_t> PlaceDecode(std::span<const PlacementCandidate> candidates,
@@ -109,7 +119,8 @@
     }
     const bool is_other_domain =
         prefill && candidates[*prefill].failure_domain != candidate.failure_domain;
-    sample.Add(i, std::max(memory_use, slot_use) + (is_other_domain ? kCrossDomainPenalty : 0.0) +
+    sample.Add(i, ExpectedWork(std::max(memory_use, slot_use), candidate) +
+                      (is_other_domain ? kCrossDomainPenalty : 0.0) +
                       kFailureWeight * candidate.failure_share);
   }
   return sample.Best();
@@ -218,16 +229,18 @@
     }
     const double slots = static_cast<double>(std::max<std::int64_t>(1, candidate.slots));
     const double load = static_cast<double>(candidate.load.running + 1) / slots;
-    if (load > kMaxPlainLoad) {
+    // Requests beyond the slots wait at the upstream, the longer the slower it is.
+    if (load > 1 + (kMaxPlainLoad - 1) / std::max(1.0, candidate.slowness)) {
       continue;
     }
-    sample.Add(i, load + kFailureWeight * candidate.failure_share);
+    sample.Add(i, ExpectedWork(load, candidate) + kFailureWeight * candidate.failure_share);
   }
   return sample.Best();
 }
 
 std::optional<std::size_t> PlacePrefill(std::span<const PlacementCandidate> candidates,
-                                        std::int64_t prompt_tokens, std::uint64_t seed) {
+                                        std::int64_t prompt_tokens, std::uint64_t seed,
+                                        double tokens_per_ms) {
   std::uint64_t highest_affinity = 0;
   for (const PlacementCandidate& candidate : candidates) {
     if (candidate.stage == UpstreamStage::kPrefill && CanAccept(candidate)) {
@@ -242,7 +255,7 @@
       continue;
     }
     const double queue_ms =
-        static_cast<double>(candidate.load.prefill_tokens) / kPrefillTokensPerMs;
+        candidate.slowness * static_cast<double>(candidate.load.prefill_tokens) / tokens_per_ms;
     if (queue_ms > kMaxPrefillQueueMs) {
       continue;
     }
@@ -251,7 +264,7 @@
         MemoryUse(candidate, {prompt_tokens, prompt_tokens}) > kMaxMemoryUse) {
       continue;
     }
-    const double own_ms = static_cast<double>(prompt_tokens) / kPrefillTokensPerMs;
+    const double own_ms = candidate.slowness * static_cast<double>(prompt_tokens) / tokens_per_ms;
     const double cached_ms = candidate.affinity == highest_affinity ? kCacheAffinityMs : 0.0;
     const double finish_ms = queue_ms - cached_ms + own_ms * (1 + 2 * candidate.failure_share) +
                              own_ms * TieBreak(seed, i);
@@ -265,7 +278,8 @@
 
 std::optional<GenerationPlacement> PlaceGeneration(std::span<const PlacementCandidate> candidates,
                                                    const GenerationNeed& need, std::uint64_t seed) {
-  const std::optional<std::size_t> prefill = PlacePrefill(candidates, need.prompt_tokens, seed);
+  const std::optional<std::size_t> prefill =
+      PlacePrefill(candidates, need.prompt_tokens, seed, need.prefill_tokens_per_ms);
   const std::optional<std::size_t> decode = PlaceDecode(candidates, need, prefill, seed);
   if (!decode) {
     return std::nullopt;
--- a/core/placement.h
+++ b/core/placement.h
@@ -36,16 +36,23 @@
   std::int64_t slots = 0;
   std::int64_t memory_tokens = 0;
   double failure_share = 0;
+  /// Time that work takes here, relative to other upstreams of the service and stage.
+  double slowness = 1;
   /// Hash rank of the upstream for the request's prompt, the same in all processes. If the prompt
   /// was prefilled before, the upstream with the highest rank is the most likely to have it cached.
   std::uint64_t affinity = 0;
   UpstreamLoad load;
 };
 
+/// Prefill speed until it has been measured, in tokens per ms (users' documentation).
+inline constexpr double kPrefillTokensPerMs = 55.0;
+
 struct GenerationNeed {
   std::int64_t prompt_tokens = 0;
   /// Prompt and expected output.
   std::int64_t memory_tokens = 0;
+  /// Speed at which the prefill upstreams read prompts.
+  double prefill_tokens_per_ms = kPrefillTokensPerMs;
 };
 
 /// Size and progress of a generation, in tokens.
@@ -75,10 +82,6 @@
   std::optional<std::size_t> prefill;
 };
 
-/// Prefill speed that engines state, in tokens per ms (users' documentation). Only ratios of times
-/// that are derived from it matter.
-inline constexpr double kPrefillTokensPerMs = 55.0;
-
 /// Additional queue time, in ms, that is accepted to reach the prefill upstream that probably has
 /// the prompt cached. It is about the prefill time of a typical prompt. A prompt is sent again
 /// after its stream broke, and prefilling it again is the most expensive waste in the users' price
@@ -181,6 +184,7 @@
 /// affinity by kCacheAffinityMs. Empty when none is usable, or when all have queues above
 /// kMaxPrefillQueueMs or no memory for the prompt.
 std::optional<std::size_t> PlacePrefill(std::span<const PlacementCandidate> candidates,
-                                        std::int64_t prompt_tokens, std::uint64_t seed);
+                                        std::int64_t prompt_tokens, std::uint64_t seed,
+                                        double tokens_per_ms = kPrefillTokensPerMs);
 
 }  // namespace rattanramp::core
--- a/gateway/fleet.cc
+++ b/gateway/fleet.cc
@@ -164,6 +164,9 @@
                           : info.slots;
     candidate.memory_tokens = rule.engine ? rule.engine->memory_tokens : 0;
     candidate.failure_share = upstream->health.failure_share;
+    if (weighs_speed_) {
+      candidate.slowness = core::Slowness(upstream->speed, upstream->peer_speed, now);
+    }
     if (!prompt_id.empty()) {
       candidate.affinity = Hash64(prompt_id, static_cast<std::uint64_t>(upstream->key));
     }
@@ -251,6 +254,11 @@
   return found == by_key_.end() ? nullptr : found->second.get();
 }
 
+Upstream* Fleet::FindUpstream(std::int64_t key) {
+  const auto found = by_key_.find(key);
+  return found == by_key_.end() ? nullptr : found->second.get();
+}
+
 core::WaitingTokens Fleet::PeerWaitingTokens(const std::string& service) const {
   const auto waiting = peer_waiting_.find(service);
   return waiting == peer_waiting_.end() ? core::WaitingTokens() : waiting->second;
--- a/gateway/fleet.h
+++ b/gateway/fleet.h
@@ -20,6 +20,7 @@
 #include "core/placement.h"
 #include "core/request_facts.h"
 #include "core/routing_table.h"
+#include "core/server_speed.h"
 #include "core/upstream_directory.h"
 #include "core/upstream_health.h"
 #include "http/client_connection.h"
@@ -60,6 +61,9 @@
   core::UpstreamLoad local_load;
   core::UpstreamLoad peer_load;
   core::UpstreamHealth health;
+  /// As measured by this gateway, and by its peers.
+  core::ServerSpeed speed;
+  core::ServerSpeed peer_speed;
   /// Idle connections, the most recently used last.
   std::vector<IdleConnection> idle;
   /// The upstream is no longer in the list, or was replaced by another incarnation.
@@ -112,6 +116,9 @@
                       std::span<const std::int64_t> tried, std::string_view prompt_id,
                       TimePoint now, std::vector<core::PlacementCandidate>& candidates) const;
 
+  /// Whether candidates are rated by the speed that was measured.
+  void SetWeighsSpeed(bool weighs_speed) { weighs_speed_ = weighs_speed; }
+
   /// Replaces the previous report of a peer. The cost depends on the size of both reports, not on
   /// the number of peers or upstreams.
   void SetPeerState(const std::string& peer, PeerState state);
@@ -137,6 +144,7 @@
 
   /// Null when no upstream has the key.
   const Upstream* Find(std::int64_t key) const;
+  Upstream* FindUpstream(std::int64_t key);
 
   /// Load that this gateway causes, for each upstream at which it has running or prefilling
   /// requests.
@@ -175,6 +183,7 @@
     std::int64_t exclusions = 0;
   };
 
+  bool weighs_speed_ = true;
   std::map<std::string, std::shared_ptr<Upstream>, std::less<>> by_id_;
   std::unordered_map<std::int64_t, std::shared_ptr<Upstream>> by_key_;
   std::map<std::string, std::vector<std::shared_ptr<Upstream>>, std::less<>> by_service_;
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -27,6 +27,7 @@
 #include "gateway/request_context.h"
 #include "gateway/return_check.h"
 #include "gateway/settings.h"
+#include "gateway/speed_exchange.h"
 #include "gateway/stage_controller.h"
 #include "gateway/store_watch.h"
 #include "platform/config_format.h"
@@ -93,6 +94,7 @@
   std::map<std::string, core::RetryWindow> retry_windows_;
   GatewayState state_;
   ReturnCheck return_check_;
+  SpeedExchange speed_exchange_;
   core::UpstreamDirectory directory_;
   core::ListView list_view_;
   platform::UpstreamCache upstream_cache_;
--- a/gateway/gateway_state.h
+++ b/gateway/gateway_state.h
@@ -13,6 +13,7 @@
 #include "base/metrics.h"
 #include "core/answer_budget.h"
 #include "core/crash_causes.h"
+#include "core/request_cost.h"
 #include "core/retry_window.h"
 #include "core/routing_table.h"
 #include "core/stage_plan.h"
@@ -54,6 +55,8 @@
   std::map<std::int64_t, RunningSign> running_signs = {};
   /// This gateway tries causes again that are blocked.
   bool tries_blocked_causes = false;
+  /// What requests have cost so far.
+  core::CostModel costs = {};
 };
 
 /// Profile of a service until its first generation has ended. The values are the means of the
--- a/gateway/generation_exchange.cc
+++ b/gateway/generation_exchange.cc
@@ -11,6 +11,7 @@
 #include "base/log.h"
 #include "core/placement.h"
 #include "gateway/crash_guard.h"
+#include "gateway/speed_exchange.h"
 
 namespace rattanramp::gateway {
 namespace {
@@ -147,7 +148,7 @@
 
 std::int64_t GenerationExchange::MemoryTokens() const {
   return core::ExpectedMemoryTokens({request_.facts.prompt_tokens, request_.facts.max_output_tokens,
-                                     request_.facts.expected_output_tokens, generated_tokens()});
+                                     ExpectedOutput(request_, state_), generated_tokens()});
 }
 
 std::int64_t GenerationExchange::generated_tokens() const {
@@ -325,6 +326,10 @@
   core::GenerationNeed need;
   need.prompt_tokens = request_.facts.prompt_tokens;
   need.memory_tokens = MemoryTokens();
+  if (state_.settings.weighs_cost) {
+    need.prefill_tokens_per_ms = core::PrefillTokensPerMs(
+        core::CostOf(state_.costs, request_.service->name), core::kPrefillTokensPerMs);
+  }
   const std::optional<TimePoint> paused_until =
       state_.fleet.PausedUntil(request_.service->name, core::UpstreamStage::kDecode, now);
   if (paused_until && !is_stream_open_ && possible_runs_ == 0 &&
@@ -428,6 +433,7 @@
 
 void GenerationExchange::StartPrefill(const std::shared_ptr<Upstream>& prefill) {
   phase_ = Phase::kPrefill;
+  queued_tokens_ = prefill->local_load.prefill_tokens + prefill->peer_load.prefill_tokens;
   ReservePrefill(prefill);
   request_.tried_ids.push_back(prefill->info.id);
   const TimePoint now = state_.clock.now();
@@ -574,6 +580,7 @@
     first_event_ = state_.clock.now();
     state_.metrics.Observe("first_event_ms", ToMs(*first_event_ - request_.arrived));
   }
+  RecordEvents(splitter_.events - events_before);
   CheckProven(/*is_complete=*/false);
   UpdateReservation();
   sink_.StreamBytes(events);
@@ -642,6 +649,8 @@
   }
   core::RecordAnswer(health, core::AnswerResult::kSuccess, now);
   CheckProven(/*is_complete=*/ending == core::StreamEnding::kWhole);
+  core::RecordOutput(core::CostOf(state_.costs, request_.service->name), generated_tokens(),
+                     request_.facts.expected_output_tokens.value_or(0));
   phase_ = Phase::kDone;
   core::RecordGeneration(
       ProfileOf(state_, request_.service->name),
@@ -658,6 +667,15 @@
   sink_.EndStream();
 }
 
+void GenerationExchange::RecordEvents(std::int64_t events) {
+  const TimePoint now = state_.clock.now();
+  // Several events at once were delayed on the way or by this process.
+  if (attempt_first_event_ && events == 1 && !is_paused_) {
+    RecordEventGap(request_, state_, *decode_, now - last_event_);
+  }
+  last_event_ = now;
+}
+
 void GenerationExchange::ForwardAnswer() {
   phase_ = Phase::kDone;
   ReleaseDecode();
@@ -691,6 +709,7 @@
     return;
   }
   core::RecordAnswer(prefill.health, core::AnswerResult::kSuccess, now);
+  RecordPrefillAnswer(request_, state_, prefill, now - attempt_started_, queued_tokens_);
   kv_source_expiry_ =
       now + Milliseconds(request_.service->engine_limits().prefill_hold_ms) - kKvHoldMargin;
   const std::string source =
--- a/gateway/generation_exchange.h
+++ b/gateway/generation_exchange.h
@@ -87,6 +87,8 @@
   /// Description of an attempt that an upstream has not finished, for the log: which parts the
   /// prompts of lost requests share shows whether one of them crashes engines.
   std::string DescribeLoss(std::string_view cause) const;
+  /// Measures the pace of the stream.
+  void RecordEvents(std::int64_t events);
   /// Called for each event, and at the end of a stream.
   void CheckProven(bool is_complete);
   void RecordLossUnlessProven();
@@ -152,6 +154,9 @@
   TimePoint attempt_started_;
   std::int64_t events_before_attempt_ = 0;
   std::optional<TimePoint> attempt_first_event_;
+  TimePoint last_event_;
+  /// Tokens that the prefill engine had to read before this prompt.
+  std::int64_t queued_tokens_ = 0;
   /// The engine of the current attempt has shown that it can answer the request.
   bool is_proven_ = false;
 };
--- a/gateway/plain_exchange.cc
+++ b/gateway/plain_exchange.cc
@@ -8,6 +8,7 @@
 
 #include "core/placement.h"
 #include "gateway/crash_guard.h"
+#include "gateway/speed_exchange.h"
 
 namespace rattanramp::gateway {
 namespace {
@@ -140,6 +141,7 @@
     request_.started = now;
   }
   attempt_started_ = now;
+  running_before_ = upstream->local_load.running + upstream->peer_load.running;
   AttemptPlan plan;
   platform::UpstreamRequest call;
   call.instance = upstream->info.id;
@@ -307,6 +309,8 @@
   core::RecordAnswer(
       health, status >= 500 ? core::AnswerResult::kErrorAnswer : core::AnswerResult::kSuccess, now);
   if (status < 500) {
+    RecordPlainAnswer(request_, state_, attempt_->upstream(), now - attempt_started_,
+                      running_before_);
     RecordAnsweredStart(request_, state_, attempt_started_);
   }
   if (status >= 500 && Retry(true, "the upstream answered with a server error")) {
--- a/gateway/plain_exchange.h
+++ b/gateway/plain_exchange.h
@@ -64,6 +64,8 @@
   std::string answer_body_;
   core::AnswerAllowance answer_allowance_;
   TimePoint attempt_started_;
+  /// Requests that its upstream had when the current attempt started.
+  std::int64_t running_before_ = 0;
   /// Number of attempts that may have run the request.
   std::int64_t possible_runs_ = 0;
   bool is_done_ = false;
--- a/gateway/settings.cc
+++ b/gateway/settings.cc
@@ -153,6 +153,11 @@
                               limit_slack.value()};
   settings.memory_limit_bytes = static_cast<std::int64_t>(memory.value() * kBytesPerMegabyte);
   settings.max_descriptors = static_cast<std::int64_t>(descriptors.value());
+  const json& weighs_cost = Find(parsed, "/placement/weighs_cost");
+  if (!weighs_cost.is_null() && !weighs_cost.is_boolean()) {
+    return Invalid("/placement/weighs_cost", weighs_cost, "true or false");
+  }
+  settings.weighs_cost = weighs_cost.is_null() || weighs_cost.get<bool>();
   settings.metrics_port = static_cast<std::uint16_t>(metrics.value());
   settings.peer_port = static_cast<std::uint16_t>(peer.value());
   settings.stop_grace = Seconds(grace.value());
--- a/gateway/settings.h
+++ b/gateway/settings.h
@@ -47,6 +47,8 @@
   /// Memory and descriptors of the process that the VM allows; 0: not known.
   std::int64_t memory_limit_bytes = 0;
   std::int64_t max_descriptors = 0;
+  /// Placement considers the speed of upstreams and the cost of requests that were measured.
+  bool weighs_cost = true;
 };
 
 /// Errors: kInvalidArgument names the field, its value and what is allowed.
