--- a/core/server_speed.cc
+++ b/core/server_speed.cc
@@ -6,6 +6,10 @@
 namespace rattanramp::core {
 namespace {
 
+// Logarithm by which the mean of about ten answers differs from its true value by chance, as the work
+// of single requests varies by half of its mean. Only what exceeds it counts as a difference.
+constexpr double kLogNoise = 0.2;
+
 // Samples and difference from which a measurement is reported.
 constexpr double kMinReportedSamples = 3;
 constexpr double kMinReportedSlowness = 1.3;
@@ -53,8 +57,9 @@
 double Slowness(const ServerSpeed& own, const ServerSpeed& peers, TimePoint now) {
   const double own_samples = CurrentSamples(own, now);
   const double peer_samples = CurrentSamples(peers, now);
-  return std::exp((own.log_slowness * own_samples + peers.log_slowness * peer_samples) /
-                  (own_samples + peer_samples + kPriorSamples));
+  const double mean = (own.log_slowness * own_samples + peers.log_slowness * peer_samples) /
+                      (own_samples + peer_samples + kPriorSamples);
+  return std::exp(std::copysign(std::max(0.0, std::abs(mean) - kLogNoise), mean));
 }
 
 bool IsSpeedNews(const ServerSpeed& own, TimePoint now) {
