--- a/core/server_speed.cc
+++ b/core/server_speed.cc
@@ -6,8 +6,8 @@
 namespace rattanramp::core {
 namespace {
 
-// Logarithm by which the mean of about ten answers differs from its true value by chance, as the work
-// of single requests varies by half of its mean. Only what exceeds it counts as a difference.
+// Logarithm by which the mean of about ten answers differs from its true value by chance, as the
+// work of single requests varies by half of its mean. Only what exceeds it counts as a difference.
 constexpr double kLogNoise = 0.2;
 
 // Samples and difference from which a measurement is reported.
--- a/core/server_speed.h
+++ b/core/server_speed.h
@@ -17,8 +17,9 @@
   TimePoint updated;
 };
 
-/// About the last ten answers count, so that a spell of slowness shows within a second of work.
-inline constexpr double kMaxSpeedSamples = 10;
+/// About the last eight answers count, so that ten show a slow upstream although what is chance is
+/// taken off.
+inline constexpr double kMaxSpeedSamples = 8;
 
 /// Time in which a measurement that is not renewed loses two thirds of its weight. An upstream that
 /// gets little work because it was slow is then tried again.
