--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -145,6 +145,8 @@
   }
   gateway->load_exchange_ = std::move(exchange.value());
   gateway->load_exchange_->AddSection(gateway->config_evidence_);
+  gateway->fleet_.SetWeighsSpeed(own.weighs_cost);
+  gateway->load_exchange_->AddSection(gateway->speed_exchange_);
   gateway->state_.crash_causes.started = clock.now();
   gateway->state_.on_reservation_change = [raw = gateway.get()] {
     raw->load_exchange_->ScheduleReport();
@@ -185,6 +187,7 @@
           [this](const std::string& text, std::int64_t row_version) {
             OnConfigRow(text, row_version);
           }),
+      speed_exchange_(fleet_, clock),
       status_host_(std::make_unique<StatusHost>(*this)),
       caller_acceptor_(context),
       readiness_acceptor_(context),
@@ -620,6 +623,7 @@
                          {"own_reserved_tokens", upstream->local_load.reserved_tokens},
                          {"peers_reserved_tokens", upstream->peer_load.reserved_tokens},
                          {"avoided", core::IsBackingOff(upstream->health, now)},
+                         {"slowness", core::Slowness(upstream->speed, upstream->peer_speed, now)},
                          {"poor_share", upstream->health.failure_share}});
   }
   nlohmann::json blocked = nlohmann::json::array();
--- a/gateway/gateway_state.h
+++ b/gateway/gateway_state.h
@@ -14,6 +14,7 @@
 #include "core/answer_budget.h"
 #include "core/config_freshness.h"
 #include "core/crash_causes.h"
+#include "core/request_cost.h"
 #include "core/retry_window.h"
 #include "core/routing_table.h"
 #include "core/stage_plan.h"
@@ -72,6 +73,8 @@
   std::shared_ptr<const core::RoutingTable> table = nullptr;
   core::ConfigFreshness freshness = {};
   CallerCounts callers = {};
+  /// What requests have cost so far.
+  core::CostModel costs = {};
 };
 
 /// Profile of a service until its first generation has ended. The values are the means of the
--- a/gateway/plain_exchange.h
+++ b/gateway/plain_exchange.h
@@ -66,6 +66,8 @@
   /// Reading from the upstream is paused for lack of memory.
   bool is_paused_ = false;
   TimePoint attempt_started_;
+  /// Requests that its upstream had when the current attempt started.
+  std::int64_t running_before_ = 0;
   /// Number of attempts that may have run the request.
   std::int64_t possible_runs_ = 0;
   bool is_done_ = false;
