--- a/core/crash_causes.cc
+++ b/core/crash_causes.cc
@@ -332,6 +332,9 @@
   return suspected[upstream];
 }
 
+// Time between two looks at the streams that go on at an upstream with losses.
+constexpr Milliseconds kContinuedInterval{100};
+
 /// Whether the upstream has been running since the loss.
 bool IsWithdrawn(const StartLoss& loss, const SuspectedUpstream& upstream) {
   return upstream.running_at != TimePoint::min() && loss.at + kRunningMargin <= upstream.running_at;
@@ -411,11 +414,32 @@
   return withdrawn;
 }
 
+std::size_t RecordContinued(CrashCauses& causes, std::int64_t upstream, TimePoint started,
+                            TimePoint at) {
+  const auto suspected = causes.suspected_upstreams.find(upstream);
+  // Further bytes of the same moment say nothing new.
+  if (suspected == causes.suspected_upstreams.end() ||
+      (suspected->second.own_running_at != TimePoint::min() &&
+       at < suspected->second.own_running_at + kContinuedInterval)) {
+    return 0;
+  }
+  bool has_loss = false;
+  for (const StartLoss& loss : causes.losses) {
+    if (loss.upstream != upstream || loss.at + kRunningMargin > at) {
+      continue;
+    }
+    if (started + kRunningMargin > loss.at) {
+      return 0;
+    }
+    has_loss = true;
+  }
+  return has_loss ? RecordRunning(causes, upstream, at, /*is_own=*/true) : 0;
+}
+
 std::map<std::int64_t, TimePoint> UpstreamsSeenRunning(const CrashCauses& causes) {
   std::map<std::int64_t, TimePoint> running;
   for (const auto& [upstream, suspected] : causes.suspected_upstreams) {
-    if (suspected.own_running_at >= suspected.last_loss + kRunningMargin &&
-        suspected.last_loss != TimePoint::min()) {
+    if (suspected.own_running_at != TimePoint::min()) {
       running[upstream] = suspected.own_running_at;
     }
   }
--- a/core/crash_causes.h
+++ b/core/crash_causes.h
@@ -140,6 +140,12 @@
 /// number of losses that are withdrawn.
 std::size_t RecordRunning(CrashCauses& causes, std::int64_t upstream, TimePoint at, bool is_own);
 
+/// Records that bytes arrive at `at` on a connection on which the upstream was sent a request at
+/// `started`. If that was before its losses, the process that lost them runs on; which incarnation
+/// it is needs no confirmation. Returns the number of losses that are withdrawn.
+std::size_t RecordContinued(CrashCauses& causes, std::int64_t upstream, TimePoint started,
+                            TimePoint at);
+
 /// Upstreams with losses that this process has seen running since, with the latest time.
 std::map<std::int64_t, TimePoint> UpstreamsSeenRunning(const CrashCauses& causes);
 
--- a/core/placement.cc
+++ b/core/placement.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <tuple>
 #include <vector>
 
 #include "base/hash.h"
@@ -200,7 +201,8 @@
     }
     std::sort(backing_off.begin(), backing_off.end(),
               [](const PlacementCandidate* a, const PlacementCandidate* b) {
-                return a->back_off_until < b->back_off_until;
+                return std::tie(a->failed_at, a->back_off_until) <
+                       std::tie(b->failed_at, b->back_off_until);
               });
     for (std::size_t i = 0; i + limit < backing_off.size(); ++i) {
       backing_off[i]->is_usable = true;
@@ -282,6 +284,12 @@
   return GenerationPlacement{*decode, prefill};
 }
 
+std::optional<std::size_t> PlaceKeptPrompt(std::span<const PlacementCandidate> candidates,
+                                           const GenerationNeed& need,
+                                           std::optional<std::size_t> prefill, std::uint64_t seed) {
+  return PlaceDecode(candidates, need, prefill, seed);
+}
+
 std::optional<std::size_t> LessLoadedDecode(std::span<const PlacementCandidate> candidates,
                                             std::size_t chosen, const GenerationNeed& need,
                                             std::uint64_t seed) {
--- a/core/placement.h
+++ b/core/placement.h
@@ -28,9 +28,12 @@
   std::uint32_t failure_domain = 0;
   /// The upstream is ready, not draining, not backing off, and this request has not tried it yet.
   bool is_usable = false;
-  /// The upstream is not usable only because it is in a back-off, which ends at back_off_until.
+  /// The upstream is not usable only because it is in a back-off, which ends at back_off_until, or
+  /// because it is suspected to have ended.
   bool is_backing_off = false;
   TimePoint back_off_until;
+  /// Of a suspected upstream: its last failure.
+  TimePoint failed_at;
   /// Only one request at a time may be sent to the upstream.
   bool is_on_probation = false;
   std::int64_t slots = 0;
@@ -154,8 +157,9 @@
 inline constexpr double kMaxBackOffShare = 0.5;
 
 /// Makes candidates that are backing off usable again while they are more than kMaxBackOffShare of
-/// their stage, first those whose back-off ends first. Candidates that are unusable for another
-/// reason do not count.
+/// their stage: first those that are not suspected to have ended, then those that failed longest
+/// ago; of these, those whose back-off ends first. Candidates that are unusable for another reason
+/// do not count.
 void LimitBackOff(std::span<PlacementCandidate> candidates);
 
 /// Returns the less loaded, relative to its slots, of two plain upstreams that are selected by
@@ -170,6 +174,12 @@
 std::optional<GenerationPlacement> PlaceGeneration(std::span<const PlacementCandidate> candidates,
                                                    const GenerationNeed& need, std::uint64_t seed);
 
+/// Chooses the decode upstream for a prompt that the candidate `prefill` has read and keeps; empty:
+/// that is no candidate any more. Empty when no decode upstream has free capacity.
+std::optional<std::size_t> PlaceKeptPrompt(std::span<const PlacementCandidate> candidates,
+                                           const GenerationNeed& need,
+                                           std::optional<std::size_t> prefill, std::uint64_t seed);
+
 /// Returns another decode upstream with free capacity if the chosen one is overcommitted, which
 /// happens when several processes choose it at once. The load of the chosen upstream includes this
 /// request. Empty: the request stays at the chosen upstream.
