Keep prefilled prompts, connect to decode engines early, share signs of failure

Change: GenerationExchange keeps a handle while it holds and offers it to the next engine at once; it connects to the decode engine while the prompt is read and moves to another if that fails; SuspicionExchange reports signs of failure and of life; FillCandidates leaves suspected upstreams out; streams that go on withdraw losses. The plans of the calls moved to engine_calls.

--- a/gateway/attempt.cc
+++ b/gateway/attempt.cc
@@ -84,6 +84,7 @@
 
 void Attempt::PauseReading() {
   is_paused_ = true;
+  was_paused_ = true;
   ++*timer_sequence_;
   timer_.cancel();
   connection()->PauseReading();
@@ -112,6 +113,9 @@
   }
   facts_ = facts;
   RecordOwnStatement(*upstream_, facts, clock_.now());
+  if (!facts.wrong_instance) {
+    RecordLifeSign(*upstream_, clock_.now());
+  }
   TimeSilence(plan_.read_timeout);
   listener_.OnAnswerHead(head, facts);
   return true;
@@ -122,6 +126,9 @@
     // The answer begins after prefill, so the prompt no longer counts as queued prefill.
     upstream_->local_load.prefill_tokens -= std::exchange(plan_.load.prefill_tokens, 0);
   }
+  if (!facts_.wrong_instance && !was_paused_) {
+    RecordLifeSign(*upstream_, clock_.now());
+  }
   const std::weak_ptr<std::uint64_t> lifetime = timer_sequence_;
   const BodyProgress progress = listener_.OnAnswerBody(bytes);
   if (lifetime.expired()) {
@@ -150,6 +157,14 @@
   timer_.cancel();
   ++*timer_sequence_;
   ReleaseLoad();
+  if (failure == http::ExchangeFailure::kNotConnected) {
+    // The attempt may have been given up before it was sent.
+    if (MaySend()) {
+      RecordFailureSign(*upstream_, core::FailureSign::kNotConnected, clock_.now());
+    }
+  } else if (failure != http::ExchangeFailure::kMalformed) {
+    RecordFailureSign(*upstream_, core::FailureSign::kConnectionLost, clock_.now());
+  }
   listener_.OnAttemptFailure(AttemptFailureOf(failure));
 }
 
--- a/gateway/attempt.h
+++ b/gateway/attempt.h
@@ -141,6 +141,8 @@
   core::AnswerFacts facts_;
   bool has_local_load_ = true;
   bool is_paused_ = false;
+  /// Reading was paused, so bytes may be read long after the upstream sent them.
+  bool was_paused_ = false;
 };
 
 }  // namespace rattanramp::gateway
--- a/gateway/crash_guard.cc
+++ b/gateway/crash_guard.cc
@@ -41,6 +41,15 @@
   return Hash64(request.facts.prompt_id, hash);
 }
 
+void LogWithdrawn(GatewayState& state, const Upstream& upstream, std::size_t losses) {
+  if (losses == 0) {
+    return;
+  }
+  Log(LogLevel::kInfo, "lost_upstream_runs", {{"upstream", upstream.info.id}, {"losses", losses}});
+  state.metrics.Count("crash_evidence_withdrawn_total", static_cast<double>(losses));
+  state.on_reservation_change();
+}
+
 }  // namespace
 
 void PrepareCrashGuard(RequestContext& request) {
@@ -86,6 +95,11 @@
   }
 }
 
+void RecordContinuedStream(GatewayState& state, const Upstream& upstream, TimePoint started) {
+  LogWithdrawn(state, upstream,
+               core::RecordContinued(state.crash_causes, upstream.key, started, state.clock.now()));
+}
+
 void ConfirmRunningUpstreams(GatewayState& state) {
   const TimePoint now = state.clock.now();
   std::erase_if(state.running_signs, [&state, now](const auto& entry) {
@@ -98,11 +112,8 @@
         upstream == nullptr
             ? 0
             : core::RecordRunning(state.crash_causes, key, sign.sent, /*is_own=*/true);
-    if (withdrawn > 0) {
-      Log(LogLevel::kInfo, "lost_upstream_runs",
-          {{"upstream", upstream->info.id}, {"losses", withdrawn}});
-      state.metrics.Count("crash_evidence_withdrawn_total", static_cast<double>(withdrawn));
-      state.on_reservation_change();
+    if (upstream != nullptr) {
+      LogWithdrawn(state, *upstream, withdrawn);
     }
     return true;
   });
--- a/gateway/crash_guard.h
+++ b/gateway/crash_guard.h
@@ -36,6 +36,9 @@
 /// answer.
 void RecordRunningUpstream(GatewayState& state, const Upstream& upstream, TimePoint started);
 
+/// Records bytes of a stream that was started at `started`, and that has always been read at once.
+void RecordContinuedStream(GatewayState& state, const Upstream& upstream, TimePoint started);
+
 /// Withdraws the losses of upstreams that have answered since and are still in the list as the same
 /// incarnation, and reports it to the peers. Called at intervals.
 void ConfirmRunningUpstreams(GatewayState& state);
--- a/gateway/fleet.cc
+++ b/gateway/fleet.cc
@@ -69,6 +69,34 @@
   upstream.idle.clear();
 }
 
+bool IsAvoided(const Upstream& upstream, TimePoint now) {
+  return core::IsBackingOff(upstream.health, now) ||
+         (upstream.suspicions &&
+          core::JudgeUpstream(*upstream.suspicions, upstream.key, now).admission ==
+              core::Admission::kNone);
+}
+
+void RecordFailureSign(Upstream& upstream, core::FailureSign sign, TimePoint now) {
+  // The end of one that leaves or was removed is no news.
+  if (!upstream.suspicions || upstream.is_removed || upstream.is_leaving()) {
+    return;
+  }
+  const bool was_avoided = IsAvoided(upstream, now);
+  core::RecordFailure(*upstream.suspicions, upstream.key, sign, now);
+  if (!was_avoided && IsAvoided(upstream, now)) {
+    Log(LogLevel::kInfo, "upstream_suspected",
+        {{"upstream", upstream.info.id},
+         {"by",
+          sign == core::FailureSign::kNotConnected ? "connection failed" : "connection lost"}});
+  }
+}
+
+void RecordLifeSign(Upstream& upstream, TimePoint now) {
+  if (upstream.suspicions && core::RecordLife(*upstream.suspicions, upstream.key, now)) {
+    Log(LogLevel::kInfo, "upstream_lives", {{"upstream", upstream.info.id}});
+  }
+}
+
 void Fleet::Apply(const core::DirectoryChange& change) {
   for (const core::UpstreamInfo& info : change.removed) {
     Remove(info.id);
@@ -155,10 +183,14 @@
     }
     const bool may_be_used = !IsClosed(*upstream, now) &&
                              std::find(tried.begin(), tried.end(), upstream->key) == tried.end();
-    candidate.is_backing_off = may_be_used && core::IsBackingOff(upstream->health, now);
+    const core::UpstreamVerdict verdict = core::JudgeUpstream(*suspicions_, upstream->key, now);
+    candidate.is_backing_off = may_be_used && (core::IsBackingOff(upstream->health, now) ||
+                                               verdict.admission == core::Admission::kNone);
     candidate.back_off_until = upstream->health.back_off_until;
+    candidate.failed_at = verdict.failed_at;
     candidate.is_usable = may_be_used && !candidate.is_backing_off;
-    candidate.is_on_probation = core::IsOnProbation(upstream->health);
+    candidate.is_on_probation =
+        core::IsOnProbation(upstream->health) || verdict.admission != core::Admission::kFree;
     candidate.slots = rule.engine && rule.engine->slots > 0
                           ? std::min(info.slots, rule.engine->slots)
                           : info.slots;
@@ -280,6 +312,7 @@
   upstream->info = info;
   upstream->endpoint = EndpointOf(info);
   upstream->key = KeyOf(info);
+  upstream->suspicions = suspicions_;
   const auto [statement, is_new] = statements_.try_emplace(upstream->key, upstream->statement);
   upstream->statement = statement->second;
   upstream->statement->is_leaving |= info.is_draining;
@@ -378,7 +411,12 @@
       return acquired;
     }
   }
-  return {http::ClientConnection::Create(context, upstream.endpoint, kConnectTimeout), {id_hash}};
+  return {OpenableConnection(upstream, context), {id_hash}};
+}
+
+std::shared_ptr<http::ClientConnection> OpenableConnection(const Upstream& upstream,
+                                                           asio::io_context& context) {
+  return http::ClientConnection::Create(context, upstream.endpoint, kConnectTimeout);
 }
 
 void ReleaseConnection(const std::shared_ptr<Upstream>& upstream,
--- a/gateway/fleet.h
+++ b/gateway/fleet.h
@@ -22,6 +22,7 @@
 #include "core/routing_table.h"
 #include "core/upstream_directory.h"
 #include "core/upstream_health.h"
+#include "core/upstream_suspicion.h"
 #include "http/client_connection.h"
 
 namespace rattanramp::gateway {
@@ -69,6 +70,8 @@
   bool is_excluded = false;
   /// Shared by all objects of the same incarnation, also by those that are removed.
   std::shared_ptr<OwnStatement> statement = std::make_shared<OwnStatement>();
+  /// Of the fleet; null: the upstream belongs to none.
+  std::shared_ptr<core::UpstreamSuspicions> suspicions;
 
   bool is_leaving() const { return statement->is_leaving; }
   TimePoint paused_until() const { return statement->paused_until; }
@@ -81,6 +84,13 @@
 /// one that leaves are closed.
 void RecordOwnStatement(Upstream& upstream, const core::AnswerFacts& facts, TimePoint now);
 
+/// Whether the upstream is left out of placement because it has failed lately.
+bool IsAvoided(const Upstream& upstream, TimePoint now);
+
+/// Records that a connection to the upstream failed or was lost, and bytes of its answers.
+void RecordFailureSign(Upstream& upstream, core::FailureSign sign, TimePoint now);
+void RecordLifeSign(Upstream& upstream, TimePoint now);
+
 /// Upstream::key of an entry of the list.
 std::int64_t KeyOf(const core::UpstreamInfo& info);
 
@@ -151,6 +161,9 @@
     return returned_;
   }
 
+  /// Signs of upstreams that may have ended.
+  core::UpstreamSuspicions& suspicions() { return *suspicions_; }
+
   std::size_t size() const { return by_id_.size(); }
   const std::map<std::string, std::shared_ptr<Upstream>, std::less<>>& upstreams() const {
     return by_id_;
@@ -178,6 +191,8 @@
   std::map<std::string, std::shared_ptr<Upstream>, std::less<>> by_id_;
   std::unordered_map<std::int64_t, std::shared_ptr<Upstream>> by_key_;
   std::map<std::string, std::vector<std::shared_ptr<Upstream>>, std::less<>> by_service_;
+  std::shared_ptr<core::UpstreamSuspicions> suspicions_ =
+      std::make_shared<core::UpstreamSuspicions>();
   std::map<std::string, PeerState> peer_states_;
   /// By key; also of upstreams that this gateway has not read from the list yet.
   std::unordered_map<std::int64_t, PeerSum> peer_sums_;
@@ -198,6 +213,10 @@
 UpstreamConnection AcquireConnection(Upstream& upstream, asio::io_context& context,
                                      std::string_view request_id, TimePoint now);
 
+/// A new connection on which nothing was sent yet.
+std::shared_ptr<http::ClientConnection> OpenableConnection(const Upstream& upstream,
+                                                           asio::io_context& context);
+
 /// Stores a connection as idle for a later request. idle_timeout_ms: the value that the upstream
 /// stated; empty: it stated none.
 void ReleaseConnection(const std::shared_ptr<Upstream>& upstream,
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -130,6 +130,7 @@
     return exchange.error();
   }
   gateway->load_exchange_ = std::move(exchange.value());
+  gateway->load_exchange_->AddSection(gateway->suspicion_exchange_);
   gateway->state_.crash_causes.started = clock.now();
   gateway->state_.on_reservation_change = [raw = gateway.get()] {
     raw->load_exchange_->ScheduleReport();
@@ -160,6 +161,7 @@
       dispatcher_(context, clock),
       state_{context, clock, settings_, fleet_, dispatcher_, metrics_, retry_windows_, {}, {}, 1},
       return_check_(state_),
+      suspicion_exchange_(fleet_.suspicions(), clock, settings_.node),
       status_host_(std::make_unique<StatusHost>(*this)),
       caller_acceptor_(context),
       readiness_acceptor_(context),
@@ -549,7 +551,7 @@
                          {"peers_running", upstream->peer_load.running},
                          {"own_reserved_tokens", upstream->local_load.reserved_tokens},
                          {"peers_reserved_tokens", upstream->peer_load.reserved_tokens},
-                         {"avoided", core::IsBackingOff(upstream->health, now)},
+                         {"avoided", IsAvoided(*upstream, now)},
                          {"poor_share", upstream->health.failure_share}});
   }
   nlohmann::json blocked = nlohmann::json::array();
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -29,6 +29,7 @@
 #include "gateway/settings.h"
 #include "gateway/stage_controller.h"
 #include "gateway/store_watch.h"
+#include "gateway/suspicion_exchange.h"
 #include "platform/config_format.h"
 
 namespace rattanramp::gateway {
@@ -101,6 +102,7 @@
   /// Latest read of the list that a peer has announced, by the store's clock.
   std::int64_t heard_list_clock_ms_ = 0;
   std::shared_ptr<const core::RoutingTable> table_;
+  SuspicionExchange suspicion_exchange_;
   std::unique_ptr<LoadExchange> load_exchange_;
   std::unique_ptr<StoreWatch> watch_;
   std::unique_ptr<StageController> stage_controller_;
--- a/gateway/generation_exchange.cc
+++ b/gateway/generation_exchange.cc
@@ -11,29 +11,11 @@
 #include "base/log.h"
 #include "core/placement.h"
 #include "gateway/crash_guard.h"
+#include "gateway/engine_calls.h"
 
 namespace rattanramp::gateway {
 namespace {
 
-// Time for which a sound engine may be silent beyond its usual delay: about a second (users'
-// documentation), and half of that as a margin.
-constexpr Milliseconds kSoundSilence{1'500};
-
-// Wait for the answer to a prefill after which another engine is tried. A prompt waits at most
-// core::kMaxPrefillQueueMs and takes up to 200 ms itself.
-constexpr Milliseconds kPrefillTimeout = kSoundSilence + Milliseconds(500);
-
-// The same for the first event of a decode whose prompt another engine prefilled. The usual wait is
-// a transfer of a few ms, one step, and the tokens of one event: 50 ms, and up to the target gap of
-// 300 ms at a full engine.
-constexpr Milliseconds kFirstEventTimeout = kSoundSilence + Milliseconds(400);
-
-// The same when the decode engine prefills the prompt itself, interleaved with other decodes.
-constexpr Milliseconds kInPlaceFirstEventTimeout = kSoundSilence + Milliseconds(1'000);
-
-// The same for the gap between events.
-constexpr Milliseconds kReadTimeout = kSoundSilence + Milliseconds(300);
-
 // Time after the caller's own limit at which a silent attempt ends in any case. Callers that have
 // not disconnected by then do not keep that limit.
 constexpr Milliseconds kCallerLimitMargin{500};
@@ -242,7 +224,7 @@
   const TimePoint now = state_.clock.now();
   for (const std::shared_ptr<Upstream>& upstream : state_.fleet.OfService(service)) {
     if (upstream->info.stage == core::UpstreamStage::kDecode && !IsClosed(*upstream, now) &&
-        !core::IsBackingOff(upstream->health, now)) {
+        !IsAvoided(*upstream, now)) {
       queue.capacity_tokens += request_.service->engine_limits().memory_tokens;
     }
   }
@@ -337,8 +319,13 @@
   if (!MayTakeCapacity(candidates, need, now)) {
     return false;
   }
-  const std::optional<core::GenerationPlacement> placement =
-      core::PlaceGeneration(candidates, need, request_.seed);
+  std::optional<core::GenerationPlacement> placement;
+  if (!core::IsHeld(handle_, now)) {
+    placement = core::PlaceGeneration(candidates, need, request_.seed);
+  } else if (const auto decode =
+                 core::PlaceKeptPrompt(candidates, need, IndexOf(prefill_), request_.seed)) {
+    placement = core::GenerationPlacement{*decode, IndexOf(prefill_)};
+  }
   if (!placement) {
     return false;
   }
@@ -352,14 +339,13 @@
   LogRequestStep(request_, "placed", *upstreams[placement->decode],
                  placement->prefill ? upstreams[*placement->prefill]->info.id : "prefill in place");
   ReserveDecode(upstreams[placement->decode]);
-  if (!kv_source_.empty() && now < kv_source_expiry_) {
-    // The engine chosen before did not use the prefilled prompt.
-    StartDecode(std::exchange(kv_source_, {}));
+  if (core::IsHeld(handle_, now)) {
+    StartDecode();
   } else if (placement->prefill &&
              (completed_prefills_ == 0 || TakeExtraArrival(state_, request_.service->name))) {
     StartPrefill(upstreams[*placement->prefill]);
   } else {
-    StartDecode({});
+    StartDecode();
   }
   return true;
 }
@@ -405,6 +391,7 @@
 }
 
 void GenerationExchange::ReleaseDecode() {
+  early_connection_.reset();
   if (std::exchange(has_reservation_, false)) {
     decode_->local_load.running -= 1;
     decode_->local_load.reserved_tokens -= reserved_tokens_;
@@ -431,55 +418,28 @@
   ReservePrefill(prefill);
   request_.tried_ids.push_back(prefill->info.id);
   const TimePoint now = state_.clock.now();
-  platform::UpstreamRequest call;
-  call.call = platform::UpstreamCall::kPrefill;
-  call.instance = prefill->info.id;
-  call.remaining_ms = RemainingMs(request_, now);
-  AttemptPlan plan;
-  plan.head = platform::EncodeUpstreamRequest(request_.head, request_.body->size(), call);
-  plan.body = request_.body;
-  plan.request_id = request_.facts.request_id;
-  plan.first_byte_timeout = kPrefillTimeout;
-  plan.read_timeout = kReadTimeout;
-  plan.silence_result = core::AnswerResult::kNoAnswer;
-  plan.load.running = 1;
-  plan.load.prefill_tokens = request_.facts.prompt_tokens;
   answer_body_.clear();
   answer_allowance_.Release();
-  plan.send_before = request_.deadline;
   attempt_started_ = now;
   events_before_attempt_ = splitter_.events;
   attempt_first_event_.reset();
   is_proven_ = false;
   // When a stream is resumed, it was the answer of an earlier attempt, not of this prefill.
   is_streaming_ = false;
-  attempt_ = Attempt::Start(state_.context, state_.clock, prefill, std::move(plan), *this);
+  attempt_ = Attempt::Start(state_.context, state_.clock, prefill,
+                            PlanPrefill(request_, *prefill, now), *this);
+  ConnectEarly();
 }
 
-void GenerationExchange::StartDecode(const std::string& kv_source) {
+void GenerationExchange::StartDecode() {
   phase_ = Phase::kDecode;
-  sent_kv_source_ = kv_source;
   request_.tried.push_back(decode_->key);
   request_.tried_ids.push_back(decode_->info.id);
   const TimePoint now = state_.clock.now();
-  platform::UpstreamRequest call;
-  call.instance = decode_->info.id;
-  call.remaining_ms = RemainingMs(request_, now);
-  call.kv_source = kv_source;
-  call.resume_after_event = ResumePoint();
-  AttemptPlan plan;
-  plan.head = platform::EncodeUpstreamRequest(request_.head, request_.body->size(), call);
-  plan.body = request_.body;
-  plan.request_id = request_.facts.request_id;
-  plan.send_before = request_.deadline;
-  plan.first_byte_timeout = kv_source.empty() ? kInPlaceFirstEventTimeout : kFirstEventTimeout;
-  plan.read_timeout = kReadTimeout;
-  plan.silence_result = core::AnswerResult::kNoAnswer;
-  if (kv_source.empty()) {
-    plan.load.prefill_tokens = request_.facts.prompt_tokens;
-  }
+  AttemptPlan plan = PlanDecode(request_, *decode_, core::Offer(handle_, now), ResumePoint(), now);
   answer_body_.clear();
   answer_allowance_.Release();
+  early_connection_.reset();
   is_streaming_ = false;
   core::DropPartialEvent(splitter_);
   attempt_started_ = now;
@@ -541,6 +501,7 @@
   if (phase_ != Phase::kDecode || !is_stream) {
     return;
   }
+  core::RecordOffer(handle_, core::OfferResult::kTaken);
   ReleasePrefill();
   is_streaming_ = true;
   if (!is_stream_open_) {
@@ -575,11 +536,15 @@
     state_.metrics.Observe("first_event_ms", ToMs(*first_event_ - request_.arrived));
   }
   CheckProven(/*is_complete=*/false);
+  if (!was_paused_) {
+    RecordContinuedStream(state_, attempt_->upstream(), attempt_started_);
+  }
   UpdateReservation();
   sink_.StreamBytes(events);
   const bool goes_on = progress == BodyProgress::kProgress || progress == BodyProgress::kNone;
   if (goes_on && sink_.unsent_bytes() > kMaxUnsentBytes && attempt_) {
     is_paused_ = true;
+    was_paused_ = true;
     attempt_->PauseReading();
   }
   return progress;
@@ -598,12 +563,13 @@
   const TimePoint now = state_.clock.now();
   if (answer_facts_.wrong_instance) {
     ExcludeMisdirected(state_, *decode_);
-    kv_source_ = sent_kv_source_;
+    core::RecordOffer(handle_, core::OfferResult::kNotReached);
     OnDecodeNotRun("another process answers at the engine's address");
     return;
   }
   if (answer_facts_.not_run) {
     core::RecordAnswer(health, core::AnswerResult::kErrorAnswer, now);
+    core::RecordOffer(handle_, core::OfferResult::kRefused);
     OnDecodeNotRun("the engine refused the request");
     return;
   }
@@ -691,15 +657,12 @@
     return;
   }
   core::RecordAnswer(prefill.health, core::AnswerResult::kSuccess, now);
-  kv_source_expiry_ =
-      now + Milliseconds(request_.service->engine_limits().prefill_hold_ms) - kKvHoldMargin;
-  const std::string source =
-      fmt::format("{}:{}/{}", prefill.info.address, prefill.info.port, handle.value());
+  core::Hold(handle_,
+             fmt::format("{}:{}/{}", prefill.info.address, prefill.info.port, handle.value()),
+             now + Milliseconds(request_.service->engine_limits().prefill_hold_ms) - kKvHoldMargin);
   attempt_.reset();
-  if (IsClosed(*decode_, now)) {
-    kv_source_ = source;
-    OnDecodeNotRun("the decode engine was closed to new requests during prefill");
-    return;
+  if (early_connection_ && early_connection_->IsOverdue(now)) {
+    request_.tried.push_back(decode_->key);
   }
   if (IsTooLateInStop()) {
     EndForStop();
@@ -708,28 +671,57 @@
   if (EndIfItCrashesEngines()) {
     return;
   }
-  MoveIfOverloaded(now);
-  StartDecode(source);
+  if (!ConfirmDecode(now)) {
+    // The call has reached no engine, so the next one is no further arrival.
+    has_retry_ = true;
+    OnDecodeNotRun("the decode engine ended or was closed to new requests during prefill");
+    return;
+  }
+  StartDecode();
+}
+
+void GenerationExchange::ConnectEarly() {
+  early_connection_ = EarlyConnection::Start(state_.context, state_.clock, decode_, [this] {
+    state_.metrics.Count("early_connections_failed_total");
+    request_.tried.push_back(decode_->key);
+    if (ConfirmDecode(state_.clock.now())) {
+      ConnectEarly();
+    }
+  });
 }
 
-void GenerationExchange::MoveIfOverloaded(TimePoint now) {
+std::optional<std::size_t> GenerationExchange::IndexOf(
+    const std::shared_ptr<Upstream>& upstream) const {
+  const std::span<const std::shared_ptr<Upstream>> upstreams =
+      state_.fleet.OfService(request_.service->name);
+  const auto found = std::find(upstreams.begin(), upstreams.end(), upstream);
+  return found == upstreams.end() ? std::nullopt
+                                  : std::optional<std::size_t>(found - upstreams.begin());
+}
+
+bool GenerationExchange::ConfirmDecode(TimePoint now) {
+  const bool is_lost =
+      IsClosed(*decode_, now) ||
+      std::find(request_.tried.begin(), request_.tried.end(), decode_->key) != request_.tried.end();
   std::vector<core::PlacementCandidate> candidates;
   state_.fleet.FillCandidates(request_.service->name, *request_.service, request_.tried,
                               request_.facts.prompt_id, now, candidates);
-  const std::span<const std::shared_ptr<Upstream>> upstreams =
-      state_.fleet.OfService(request_.service->name);
-  const auto chosen = std::find(upstreams.begin(), upstreams.end(), decode_);
-  if (chosen == upstreams.end()) {
-    return;
-  }
-  const std::optional<std::size_t> other =
-      core::LessLoadedDecode(candidates, static_cast<std::size_t>(chosen - upstreams.begin()),
-                             {request_.facts.prompt_tokens, MemoryTokens()}, request_.seed);
-  if (other) {
-    LogRequestStep(request_, "moved", *upstreams[*other], decode_->info.id);
+  const core::GenerationNeed need = {request_.facts.prompt_tokens, MemoryTokens()};
+  const std::optional<std::size_t> chosen = IndexOf(decode_);
+  std::optional<std::size_t> other;
+  if (is_lost || IsAvoided(*decode_, now)) {
+    other = core::PlaceKeptPrompt(candidates, need, IndexOf(prefill_), request_.seed);
+  } else if (chosen) {
+    other = core::LessLoadedDecode(candidates, *chosen, need, request_.seed);
+  }
+  if (other && other != chosen) {
+    const std::shared_ptr<Upstream>& engine =
+        state_.fleet.OfService(request_.service->name)[*other];
+    LogRequestStep(request_, "moved", *engine, decode_->info.id);
     state_.metrics.Count("generations_moved_total");
-    ReserveDecode(upstreams[*other]);
+    ReserveDecode(engine);
   }
+  return other || !is_lost;
 }
 
 std::string GenerationExchange::DescribeLoss(std::string_view cause) const {
@@ -781,7 +773,11 @@
     // The engines that refused may have free capacity again.
     request_.tried.clear();
   }
-  Enqueue();
+  phase_ = Phase::kWaiting;
+  // A prompt that was read is kept for a short time only.
+  if (!core::IsHeld(handle_, state_.clock.now()) || !TryStart()) {
+    Enqueue();
+  }
 }
 
 void GenerationExchange::EndWithFailure(std::string_view why, std::int64_t retry_ms) {
@@ -799,6 +795,7 @@
 
 void GenerationExchange::OnDecodeBroken(AttemptFailure failure) {
   ++possible_runs_;
+  core::RecordOffer(handle_, core::OfferResult::kBroken);
   LogRequestStep(request_, "decode_broke", *decode_, DescribeLoss(FailureName(failure)));
   attempt_.reset();
   ReleaseDecode();
@@ -840,7 +837,7 @@
     return;
   }
   if (failure == AttemptFailure::kNotConnected) {
-    kv_source_ = sent_kv_source_;
+    core::RecordOffer(handle_, core::OfferResult::kNotReached);
     OnDecodeNotRun("connection to the engine failed");
     return;
   }
--- a/gateway/generation_exchange.h
+++ b/gateway/generation_exchange.h
@@ -12,8 +12,10 @@
 
 #include "core/event_splitter.h"
 #include "core/placement.h"
+#include "core/prefill_handle.h"
 #include "gateway/attempt.h"
 #include "gateway/caller_sink.h"
+#include "gateway/early_connection.h"
 #include "gateway/request_context.h"
 
 namespace rattanramp::gateway {
@@ -55,15 +57,22 @@
   bool MayTakeCapacity(std::span<const core::PlacementCandidate> candidates,
                        const core::GenerationNeed& need, TimePoint now);
   void StartPrefill(const std::shared_ptr<Upstream>& prefill);
-  void StartDecode(const std::string& kv_source);
+  /// The decode engine takes the prompt of handle_ if that is held, and reads the prompt itself
+  /// otherwise.
+  void StartDecode();
   void OnDeadline();
   /// Ends a request whose answer is not complete. unknown_status: the status if it may have run and
   /// no part of the answer was sent.
   void EndIncomplete(int unknown_status, std::string_view cause,
                      std::optional<std::int64_t> retry_after_ms);
-  /// After prefill, chooses another decode engine if several gateways have chosen the same one at
-  /// the same time and it is overloaded.
-  void MoveIfOverloaded(TimePoint now);
+  /// Connects to the decode engine while another one prefills the prompt.
+  void ConnectEarly();
+  /// Chooses another decode engine if the chosen one has ended or takes no requests, or if several
+  /// gateways have chosen it at the same time and it is overloaded. Returns false if the prompt has
+  /// no engine to go to.
+  bool ConfirmDecode(TimePoint now);
+  /// Index in the upstreams of the service.
+  std::optional<std::size_t> IndexOf(const std::shared_ptr<Upstream>& upstream) const;
   /// Reserves memory of the decode engine, also while another engine prefills the prompt.
   void ReserveDecode(const std::shared_ptr<Upstream>& decode);
   void ReleaseDecode();
@@ -112,6 +121,7 @@
   std::shared_ptr<bool> lifetime_ = std::make_shared<bool>(true);
   Phase phase_ = Phase::kWaiting;
   std::unique_ptr<Attempt> attempt_;
+  std::unique_ptr<EarlyConnection> early_connection_;
   std::shared_ptr<Upstream> decode_;
   /// The engine that reads or keeps the prompt; null: none.
   std::shared_ptr<Upstream> prefill_;
@@ -134,11 +144,9 @@
   /// The current attempt's answer is a stream of events.
   bool is_streaming_ = false;
   bool is_paused_ = false;
-  /// Prefilled prompt that no decode engine has used, and the time until which it is kept.
-  std::string kv_source_;
-  TimePoint kv_source_expiry_;
-  /// The kv_source_ that the current attempt sent.
-  std::string sent_kv_source_;
+  bool was_paused_ = false;
+  /// The prompt that a prefill engine has read.
+  core::PrefillHandle handle_;
   /// Number of decode attempts that may have run the request.
   std::int64_t possible_runs_ = 0;
   /// Number of prefills that an engine has completed.
--- a/http/client_connection.cc
+++ b/http/client_connection.cc
@@ -57,6 +57,11 @@
   }
 }
 
+void ClientConnection::Open(std::function<void(bool is_open)> on_end) {
+  on_open_end_ = std::move(on_end);
+  Connect();
+}
+
 void ClientConnection::Close() {
   if (is_closed_) {
     return;
@@ -64,6 +69,7 @@
   is_closed_ = true;
   listener_ = nullptr;
   on_idle_end_ = nullptr;
+  on_open_end_ = nullptr;
   connect_timer_.cancel();
   // An error of close is ignored: the descriptor is released in any case.
   std::error_code ignored;
@@ -97,7 +103,11 @@
     self->is_connected_ = true;
     self->ConfigureSocket();
     self->Read();
-    self->Write();
+    if (self->on_open_end_) {
+      std::exchange(self->on_open_end_, nullptr)(true);
+    } else {
+      self->Write();
+    }
   });
 }
 
@@ -283,10 +293,14 @@
 
 void ClientConnection::Fail(ExchangeFailure failure) {
   ResponseListener* listener = std::exchange(listener_, nullptr);
+  const std::function<void(bool)> on_open_end = std::exchange(on_open_end_, nullptr);
   Close();
   if (listener != nullptr) {
     listener->OnFailure(failure);
   }
+  if (on_open_end) {
+    on_open_end(false);
+  }
 }
 
 }  // namespace rattanramp::http
--- a/http/client_connection.h
+++ b/http/client_connection.h
@@ -61,6 +61,11 @@
   void Send(std::string head, std::shared_ptr<const std::string> body, bool is_head_request,
             ResponseListener& listener);
 
+  /// Connects without sending a request. on_end: called once with whether the connection is open,
+  /// unless Close is called before. Called at most once, before the first Send, which must wait for
+  /// on_end.
+  void Open(std::function<void(bool is_open)> on_end);
+
   /// Resets the connection and aborts the exchange without further calls to the listener.
   void Close();
 
@@ -116,6 +121,7 @@
   std::optional<ResponseParser> parser_;
   ResponseListener* listener_ = nullptr;
   std::function<void()> on_idle_end_;
+  std::function<void(bool is_open)> on_open_end_;
   std::int64_t requests_sent_ = 0;
   bool is_head_request_ = false;
   bool is_connected_ = false;
