--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -34,6 +34,7 @@
 #include "gateway/speed_exchange.h"
 #include "gateway/stage_controller.h"
 #include "gateway/store_watch.h"
+#include "gateway/suspicion_exchange.h"
 #include "platform/config_format.h"
 
 namespace rattanramp::gateway {
@@ -104,7 +105,6 @@
   std::map<std::string, core::RetryWindow> retry_windows_;
   GatewayState state_;
   ReturnCheck return_check_;
-  SpeedExchange speed_exchange_;
   core::UpstreamDirectory directory_;
   core::ListView list_view_;
   platform::UpstreamCache upstream_cache_;
@@ -114,6 +114,8 @@
   std::int64_t heard_list_clock_ms_ = 0;
   std::shared_ptr<const core::RoutingTable> table_;
   ConfigEvidenceSection config_evidence_;
+  SpeedExchange speed_exchange_;
+  SuspicionExchange suspicion_exchange_;
   std::unique_ptr<LoadExchange> load_exchange_;
   std::unique_ptr<StoreWatch> watch_;
   std::unique_ptr<StageController> stage_controller_;
