Start requests by slack, and refuse late ones while there is no room for them

Change: core/service_time learns what requests take from their start; core/start_order (before: deadline_queue) orders by priority, on time before late, fair shares between workspaces, and slack; core/queue_prospect says which late requests are worth keeping and when refused callers should come back. Late requests without prospects are refused when they become late. Metrics of goodput, late starts and refusals by cause; queues in the state page. Workspaces take effect when QueuedRequest::workspace is set.

--- a/gateway/dispatcher.cc
+++ b/gateway/dispatcher.cc
@@ -1,5 +1,6 @@
 #include "gateway/dispatcher.h"
 
+#include <algorithm>
 #include <asio/post.hpp>
 #include <utility>
 #include <vector>
@@ -19,8 +20,11 @@
 std::uint64_t Dispatcher::Add(const std::string& service, core::QueuedRequest request,
                               std::int64_t tokens, TryStart try_start) {
   request.id = next_id_++;
+  request.queued = clock_.now();
+  request.cost = static_cast<double>(std::max<std::int64_t>(1, tokens));
   ServiceQueue& queue = queues_[service];
   queue.start_order.Push(request);
+  core::RecordArrival(queue.flow, request.queued);
   queue.entries[request.id] = {std::move(try_start), tokens, request.due};
   Wake(service);
   return request.id;
@@ -47,11 +51,26 @@
   }
 }
 
+std::optional<Duration> Dispatcher::ExpectedLateWait(const std::string& service) const {
+  const auto found = queues_.find(service);
+  if (found == queues_.end() || found->second.entries.empty()) {
+    return Duration(0);
+  }
+  const core::StartOrder& order = found->second.start_order;
+  const core::QueueAhead ahead{order.on_time(), order.size() - order.on_time() - 1};
+  return core::ExpectedLateWait(found->second.flow, ahead, clock_.now());
+}
+
 std::size_t Dispatcher::waiting(const std::string& service) const {
   const auto queue = queues_.find(service);
   return queue == queues_.end() ? 0 : queue->second.entries.size();
 }
 
+std::size_t Dispatcher::waiting_on_time(const std::string& service) const {
+  const auto queue = queues_.find(service);
+  return queue == queues_.end() ? 0 : queue->second.start_order.on_time();
+}
+
 std::size_t Dispatcher::waiting() const {
   std::size_t count = 0;
   for (const auto& [service, queue] : queues_) {
@@ -100,7 +119,9 @@
       }
       const TryStart try_start = entry->second.try_start;
       if (try_start()) {
-        Remove(service, id);
+        queue.start_order.Start(id);
+        core::RecordStart(queue.flow, clock_.now());
+        queue.entries.erase(id);
         has_started = true;
         break;
       }
--- a/gateway/dispatcher.h
+++ b/gateway/dispatcher.h
@@ -5,12 +5,14 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
 #include "base/clock.h"
-#include "core/deadline_queue.h"
 #include "core/placement.h"
+#include "core/queue_prospect.h"
+#include "core/start_order.h"
 
 namespace rattanramp::gateway {
 
@@ -34,7 +36,13 @@
   void Wake(const std::string& service);
   void WakeAll();
 
+  /// How long a request of the service that is late now waits for its start, after the others; see
+  /// core::ExpectedLateWait.
+  std::optional<Duration> ExpectedLateWait(const std::string& service) const;
+
   std::size_t waiting(const std::string& service) const;
+  /// Those that could be on time when the queue was last tried.
+  std::size_t waiting_on_time(const std::string& service) const;
   /// Queued requests of all services.
   std::size_t waiting() const;
   /// Engine memory that the queued requests of a service are expected to take.
@@ -49,8 +57,9 @@
     TimePoint due;
   };
   struct ServiceQueue {
-    core::DeadlineQueue start_order;
+    core::StartOrder start_order;
     std::unordered_map<std::uint64_t, Entry> entries;
+    core::QueueFlow flow;
     bool is_run_scheduled = false;
   };
 
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -561,7 +561,18 @@
                        {"blocked_ms", ToMs(now - block.since)},
                        {"next_trial_ms", ToMs(block.next_trial - now)}});
   }
+  nlohmann::json queues = nlohmann::json::array();
+  for (const auto& [service, time] : state_.service_times) {
+    const std::optional<Duration> late_wait = dispatcher_.ExpectedLateWait(service);
+    queues.push_back({{"service", service},
+                      {"waiting", dispatcher_.waiting(service)},
+                      {"waiting_on_time", dispatcher_.waiting_on_time(service)},
+                      {"mean_service_ms", time.mean_ms},
+                      {"service_deviation_ms", time.deviation_ms},
+                      {"late_wait_ms", late_wait ? nlohmann::json(ToMs(*late_wait)) : nullptr}});
+  }
   const nlohmann::json dump = {
+      {"queues", queues},
       {"blocked_causes", blocked},
       {"start_losses", state_.crash_causes.losses.size()},
       {"node", settings_.node},
--- a/gateway/gateway_state.h
+++ b/gateway/gateway_state.h
@@ -13,8 +13,10 @@
 #include "base/metrics.h"
 #include "core/answer_budget.h"
 #include "core/crash_causes.h"
+#include "core/queue_prospect.h"
 #include "core/retry_window.h"
 #include "core/routing_table.h"
+#include "core/service_time.h"
 #include "core/stage_plan.h"
 #include "core/stop_plan.h"
 #include "gateway/dispatcher.h"
@@ -54,6 +56,10 @@
   std::map<std::int64_t, RunningSign> running_signs = {};
   /// This gateway tries causes again that are blocked.
   bool tries_blocked_causes = false;
+  /// Time that requests now take from their start, by service.
+  std::map<std::string, core::ServiceTime> service_times = {};
+  /// By route.
+  std::map<std::string, core::StatedPatience> patience = {};
 };
 
 /// Profile of a service until its first generation has ended. The values are the means of the
--- a/gateway/generation_exchange.cc
+++ b/gateway/generation_exchange.cc
@@ -11,6 +11,7 @@
 #include "base/log.h"
 #include "core/placement.h"
 #include "gateway/crash_guard.h"
+#include "gateway/generation_queue.h"
 
 namespace rattanramp::gateway {
 namespace {
@@ -42,17 +43,6 @@
 // free capacity takes 100 to 200 ms.
 constexpr Milliseconds kMinServiceTime{250};
 
-// Minimum Retry-After of callers refused because of a long queue, and the range over which their
-// retries are spread. Bursts last 4 to 5 s; callers wait at most a third of their remaining time,
-// which is 14 s at first.
-constexpr std::int64_t kMinRetryMs = 2'200;
-constexpr std::int64_t kRetrySpreadMs = 2'200;
-
-// Smallest deadline of a first attempt, as a share of the route's timeout. The users' callers state
-// 85% of the timeout or more at first; a smaller deadline means that earlier attempts used the
-// rest.
-constexpr double kFirstAttemptShare = 0.85;
-
 // Subtracted from the time for which an engine keeps a prefilled prompt: a round trip and the start
 // of the KV transfer.
 constexpr Milliseconds kKvHoldMargin{80};
@@ -90,19 +80,12 @@
           raw->OnDeadline();
         }
       });
+  MarkSentAgain(exchange->request_, state);
   PrepareCrashGuard(exchange->request_);
   if (exchange->EndIfItCrashesEngines() || exchange->RefuseIfQueueIsLong()) {
     return exchange;
   }
-  exchange->caller_timeout_timer_.expires_after(exchange->CallerTimeoutAt() - kMinServiceTime -
-                                                now);
-  exchange->caller_timeout_timer_.async_wait(
-      [raw = exchange.get(),
-       lifetime = std::weak_ptr<bool>(exchange->lifetime_)](const std::error_code& error) {
-        if (!error && lifetime.lock()) {
-          raw->OnCallerTimeout();
-        }
-      });
+  exchange->WaitUntil(std::max(now, LatestStart(exchange->request_, state)));
   exchange->Enqueue();
   return exchange;
 }
@@ -216,78 +199,72 @@
   return has_retry_;
 }
 
-bool GenerationExchange::IsRetriedByCaller() const {
-  const double stated_ms = static_cast<double>(request_.facts.deadline_ms.value_or(0));
-  return stated_ms > 0 &&
-         stated_ms < kFirstAttemptShare * static_cast<double>(request_.route->timeout_ms);
-}
-
 TimePoint GenerationExchange::CallerTimeoutAt() const {
   return request_.arrived +
          core::FirstEventTimeout(request_.route->target_latency_ms, request_.route->target_gap_ms);
 }
 
 bool GenerationExchange::RefuseIfQueueIsLong() {
-  const std::string& service = request_.service->name;
-  core::QueueState queue;
-  const core::WaitingTokens local = state_.dispatcher.waiting_tokens(service);
-  const core::WaitingTokens peers = state_.fleet.PeerWaitingTokens(service);
-  queue.waiting_tokens = local.on_time + peers.on_time;
-  if (IsRetriedByCaller()) {
-    queue.waiting_tokens += local.late + peers.late;
-  }
-  if (queue.waiting_tokens == 0) {
+  const core::WaitingTokens waiting = AllWaitingTokens(request_, state_);
+  const std::int64_t ahead = waiting.on_time + (request_.is_sent_again ? waiting.late : 0);
+  if (ahead == 0) {
     return false;
   }
-  const TimePoint now = state_.clock.now();
-  for (const std::shared_ptr<Upstream>& upstream : state_.fleet.OfService(service)) {
-    if (upstream->info.stage == core::UpstreamStage::kDecode && !IsClosed(*upstream, now) &&
-        !core::IsBackingOff(upstream->health, now)) {
-      queue.capacity_tokens += request_.service->engine_limits().memory_tokens;
-    }
-  }
-  queue.mean_hold_ms = ProfileOf(state_, service).hold_ms;
-  const double wait_ms = core::ExpectedWaitMs(queue);
-  const TimePoint latest_first_event = IsRetriedByCaller() ? CallerTimeoutAt() : request_.target;
-  if (wait_ms <= ToMs(latest_first_event - now) - ToMs(kMinServiceTime)) {
+  const double wait_ms = ExpectedWaitMs(request_, state_, ahead);
+  const TimePoint latest_first_event = request_.is_sent_again ? CallerTimeoutAt() : request_.target;
+  if (wait_ms <=
+      ToMs(latest_first_event - state_.clock.now() - PlannedServiceTime(request_, state_))) {
     return false;
   }
-  phase_ = Phase::kDone;
-  // The answer will be late in any case, and the burst lasts some seconds. The random part of the
-  // delay keeps the refused callers from retrying all at once.
-  const std::int64_t retry_ms =
-      kMinRetryMs +
-      static_cast<std::int64_t>(request_.seed % static_cast<std::uint64_t>(kRetrySpreadMs));
-  AnswerNotRun(request_, state_, sink_,
-               fmt::format("queue of {} tokens has an expected wait of {:.0f} ms",
-                           queue.waiting_tokens, wait_ms),
-               retry_ms);
+  Refuse("long_queue",
+         fmt::format("queue of {} tokens has an expected wait of {:.0f} ms", ahead, wait_ms));
   return true;
 }
 
-void GenerationExchange::OnCallerTimeout() {
-  if (phase_ != Phase::kWaiting || is_stream_open_ || possible_runs_ > 0) {
+void GenerationExchange::Refuse(std::string_view cause, std::string_view reason) {
+  phase_ = Phase::kDone;
+  CountRefusal(request_, state_, cause);
+  AnswerNotRun(request_, state_, sink_, reason, RetryAfterBurstMs(request_, state_));
+}
+
+void GenerationExchange::WaitUntil(TimePoint time) {
+  caller_timeout_timer_.expires_after(std::max(Duration(0), time - state_.clock.now()));
+  caller_timeout_timer_.async_wait(
+      [this, lifetime = std::weak_ptr<bool>(lifetime_)](const std::error_code& error) {
+        if (!error && lifetime.lock()) {
+          OnWaited();
+        }
+      });
+}
+
+void GenerationExchange::OnWaited() {
+  const TimePoint latest_start = CallerTimeoutAt() - PlannedServiceTime(request_, state_);
+  if (state_.clock.now() < latest_start) {
+    const core::WaitingTokens waiting = AllWaitingTokens(request_, state_);
+    if (phase_ != Phase::kWaiting || is_stream_open_ || possible_runs_ > 0 ||
+        request_.is_sent_again ||
+        !core::IsLateGenerationHopeless(
+            waiting, ExpectedWaitMs(request_, state_, waiting.on_time + waiting.late),
+            PlannedServiceTime(request_, state_))) {
+      WaitUntil(latest_start);
+      return;
+    }
+  } else if (phase_ != Phase::kWaiting || is_stream_open_ || possible_runs_ > 0) {
     return;
   }
-  phase_ = Phase::kDone;
-  AnswerNotRun(request_, state_, sink_, "no engine capacity before the caller's timeout",
-               kNoCapacityRetryMs);
+  Refuse("late_queue", "no engine capacity before the first event would be late");
 }
 
 void GenerationExchange::Enqueue() {
   phase_ = Phase::kWaiting;
   core::QueuedRequest waiting;
   waiting.priority = request_.route->priority;
-  waiting.due = request_.target;
+  waiting.due = LatestStart(request_, state_);
   if (is_stream_open_) {
     // The caller has already received part of this stream, so it precedes all requests that have
     // not started.
     waiting.priority -= 1;
     waiting.due = request_.deadline;
-  } else if (IsRetriedByCaller()) {
-    // A retried request is already late. It waits behind those that can be on time, but is not
-    // refused again.
-    waiting.due = request_.arrived - Milliseconds(1);
   }
   waiting.deadline = request_.deadline;
   queue_id_ = state_.dispatcher.Add(request_.service->name, waiting, MemoryTokens(),
@@ -343,9 +320,7 @@
     return false;
   }
   queue_id_ = 0;
-  if (!request_.started) {
-    request_.started = now;
-  }
+  RecordFirstStart(request_, state_);
   const std::span<const std::shared_ptr<Upstream>> upstreams =
       state_.fleet.OfService(request_.service->name);
   // Logs the load on which the placement was based, before this request is added to it.
@@ -381,7 +356,7 @@
     return true;
   }
   next_capacity_try_ = now + kContendedInterval;
-  contended.is_late = IsRetriedByCaller() || now > request_.target;
+  contended.is_late = now > LatestStart(request_, state_);
   contended.local = state_.dispatcher.waiting_tokens(service);
   contended.fits = core::CountFits(candidates, need);
   ++capacity_tries_;
@@ -573,6 +548,10 @@
   if (!first_event_) {
     first_event_ = state_.clock.now();
     state_.metrics.Observe("first_event_ms", ToMs(*first_event_ - request_.arrived));
+    if (possible_runs_ == 0 && failures_without_run_ == 0) {
+      core::RecordServiceTime(state_.service_times[request_.service->name],
+                              *first_event_ - *request_.started, *first_event_);
+    }
   }
   CheckProven(/*is_complete=*/false);
   UpdateReservation();
@@ -651,6 +630,7 @@
        ToMs(now - reserved_at_), static_cast<double>(generated_tokens())});
   ReleaseDecode();
   sink_.StreamBytes(splitter_.partial);
+  CountIfOnTime(request_, state_, first_event_.value_or(now));
   LogRequestEnd(request_, state_, 200, "answered",
                 fmt::format("{} events, first after {:.0f} ms, framing {}", splitter_.events,
                             ToMs(first_event_.value_or(now) - request_.arrived),
--- a/gateway/generation_exchange.h
+++ b/gateway/generation_exchange.h
@@ -35,9 +35,6 @@
   GenerationExchange(RequestContext request, GatewayState& state, CallerSink& sink);
 
   void Enqueue();
-  /// Whether the caller has sent this request before. Estimated from the stated deadline, of which
-  /// earlier attempts have used a part.
-  bool IsRetriedByCaller() const;
   /// Time at which the caller disconnects if it has received no event.
   TimePoint CallerTimeoutAt() const;
   /// Refuses the request on arrival when the queue is so long that its first event would be late
@@ -46,7 +43,11 @@
   bool TryStart();
   /// Ends the request if something that it has in common with others crashes engines.
   bool EndIfItCrashesEngines();
-  void OnCallerTimeout();
+  /// Refuses a waiting request whose first event can't be on time while the queue has no room for
+  /// late ones, and any that can't have it before its caller's own limit.
+  void OnWaited();
+  void WaitUntil(TimePoint time);
+  void Refuse(std::string_view cause, std::string_view reason);
   /// Whether the process stops before the request could end, if it were started now. An open stream
   /// is continued as long as possible.
   bool IsTooLateInStop() const;
--- a/gateway/plain_exchange.cc
+++ b/gateway/plain_exchange.cc
@@ -36,14 +36,9 @@
 std::unique_ptr<PlainExchange> PlainExchange::Start(RequestContext request, GatewayState& state,
                                                     CallerSink& sink) {
   std::unique_ptr<PlainExchange> exchange(new PlainExchange(std::move(request), state, sink));
-  exchange->deadline_timer_.expires_after(exchange->request_.deadline - state.clock.now());
-  exchange->deadline_timer_.async_wait(
-      [raw = exchange.get(),
-       lifetime = std::weak_ptr<bool>(exchange->lifetime_)](const std::error_code& error) {
-        if (!error && lifetime.lock()) {
-          raw->OnDeadline();
-        }
-      });
+  MarkSentAgain(exchange->request_, state);
+  exchange->WaitUntil(
+      std::min(LatestStart(exchange->request_, state), exchange->request_.deadline));
   PrepareCrashGuard(exchange->request_);
   if (!exchange->EndIfItCrashesUpstreams()) {
     exchange->Enqueue();
@@ -66,6 +61,38 @@
   state_.dispatcher.Wake(request_.service->name);
 }
 
+void PlainExchange::WaitUntil(TimePoint time) {
+  deadline_timer_.expires_after(std::max(Duration(0), time - state_.clock.now()));
+  deadline_timer_.async_wait(
+      [this, lifetime = std::weak_ptr<bool>(lifetime_)](const std::error_code& error) {
+        if (!error && lifetime.lock()) {
+          OnTimer();
+        }
+      });
+}
+
+void PlainExchange::OnTimer() {
+  if (state_.clock.now() >= request_.deadline) {
+    OnDeadline();
+  } else if (!RefuseIfHopeless()) {
+    WaitUntil(request_.deadline);
+  }
+}
+
+bool PlainExchange::RefuseIfHopeless() {
+  if (queue_id_ == 0 || attempt_ || possible_runs_ > 0 || is_done_) {
+    return false;
+  }
+  const std::optional<Duration> wait = state_.dispatcher.ExpectedLateWait(request_.service->name);
+  const TimePoint now = state_.clock.now();
+  if (wait && now + *wait + PlannedServiceTime(request_, state_) <= request_.deadline) {
+    return false;
+  }
+  CountRefusal(request_, state_, "late_queue");
+  EndUnanswered(503, "no capacity before the deadline", RetryAfterBurstMs(request_, state_));
+  return true;
+}
+
 void PlainExchange::OnCallerDisconnected() {
   if (std::exchange(is_done_, true)) {
     return;
@@ -78,7 +105,7 @@
 void PlainExchange::Enqueue() {
   core::QueuedRequest waiting;
   waiting.priority = request_.route->priority;
-  waiting.due = request_.target;
+  waiting.due = LatestStart(request_, state_);
   waiting.deadline = request_.deadline;
   queue_id_ =
       state_.dispatcher.Add(request_.service->name, waiting, 0, [this] { return TryStart(); });
@@ -136,9 +163,7 @@
       state_.fleet.OfService(request_.service->name)[*placement];
   request_.tried.push_back(upstream->key);
   request_.tried_ids.push_back(upstream->info.id);
-  if (!request_.started) {
-    request_.started = now;
-  }
+  RecordFirstStart(request_, state_);
   attempt_started_ = now;
   AttemptPlan plan;
   platform::UpstreamRequest call;
@@ -308,6 +333,8 @@
       health, status >= 500 ? core::AnswerResult::kErrorAnswer : core::AnswerResult::kSuccess, now);
   if (status < 500) {
     RecordAnsweredStart(request_, state_, attempt_started_);
+    core::RecordServiceTime(state_.service_times[request_.service->name], now - attempt_started_,
+                            now);
   }
   if (status >= 500 && Retry(true, "the upstream answered with a server error")) {
     return;
@@ -317,6 +344,9 @@
 
 void PlainExchange::ForwardAnswer() {
   is_done_ = true;
+  if (answer_head_.status < 500) {
+    CountIfOnTime(request_, state_, state_.clock.now());
+  }
   LogRequestEnd(request_, state_, answer_head_.status, "answered",
                 fmt::format("framing {}", http::FramingName(answer_head_.framing)));
   ForwardWholeAnswer(sink_, answer_head_, std::move(answer_body_));
--- a/gateway/plain_exchange.h
+++ b/gateway/plain_exchange.h
@@ -30,6 +30,11 @@
   bool TryStart();
   /// Ends the request if it crashes upstreams whenever it is sent.
   bool EndIfItCrashesUpstreams();
+  /// Sets the timer of the exchange.
+  void WaitUntil(TimePoint time);
+  void OnTimer();
+  /// Refuses a request that is late and that the queue will not start before its deadline.
+  bool RefuseIfHopeless();
   void OnDeadline();
   /// Whether the process stops before the request could end, if it were started now.
   bool IsTooLateInStop() const;
--- a/gateway/request_context.cc
+++ b/gateway/request_context.cc
@@ -8,7 +8,6 @@
 #include "core/placement.h"
 
 namespace rattanramp::gateway {
-
 std::int64_t RemainingMs(const RequestContext& request, TimePoint now) {
   const std::int64_t left =
       std::chrono::duration_cast<Milliseconds>(request.deadline - now).count();
@@ -26,6 +25,63 @@
                                   facts.expected_output_tokens, /*generated=*/0}));
 }
 
+Duration PlannedServiceTime(const RequestContext& request, GatewayState& state) {
+  return core::PlannedServiceTime(state.service_times[request.service->name],
+                                  Milliseconds(request.route->target_latency_ms),
+                                  state.clock.now());
+}
+
+void MarkSentAgain(RequestContext& request, GatewayState& state) {
+  if (!request.facts.deadline_ms) {
+    return;
+  }
+  const double stated_ms = static_cast<double>(*request.facts.deadline_ms);
+  core::StatedPatience& patience = state.patience[request.route->name];
+  if (request.route->kind == core::RequestKind::kStream) {
+    patience.longest_ms = static_cast<double>(request.route->timeout_ms);
+  }
+  request.is_sent_again = core::RecordPatience(patience, stated_ms);
+}
+
+std::int64_t RetryAfterBurstMs(const RequestContext& request, GatewayState& state) {
+  constexpr std::uint64_t kSteps = 1'024;
+  const TimePoint gives_up = request.facts.deadline_ms
+                                 ? request.arrived + Milliseconds(*request.facts.deadline_ms)
+                                 : request.deadline;
+  return core::RetryAfterBurst(gives_up - state.clock.now(),
+                               static_cast<double>(request.seed % kSteps) / kSteps)
+      .count();
+}
+
+void RecordFirstStart(RequestContext& request, GatewayState& state) {
+  if (request.started) {
+    return;
+  }
+  request.started = state.clock.now();
+  if (*request.started > LatestStart(request, state)) {
+    state.metrics.Count(
+        fmt::format("requests_started_late_total{{service=\"{}\"}}", request.service->name));
+  }
+}
+
+void CountIfOnTime(const RequestContext& request, GatewayState& state, TimePoint answered) {
+  if (answered <= request.target && !request.is_sent_again) {
+    state.metrics.Count(fmt::format("targets_met_total{{service=\"{}\"}}", request.service->name));
+  }
+}
+
+void CountRefusal(const RequestContext& request, GatewayState& state, std::string_view cause) {
+  state.metrics.Count(fmt::format("requests_refused_total{{service=\"{}\",cause=\"{}\"}}",
+                                  request.service->name, cause));
+}
+
+TimePoint LatestStart(const RequestContext& request, GatewayState& state) {
+  if (request.is_sent_again) {
+    return request.arrived - Milliseconds(1);
+  }
+  return request.target - PlannedServiceTime(request, state);
+}
+
 void AnswerNotRun(RequestContext& request, GatewayState& state, CallerSink& sink,
                   std::string_view reason, std::optional<std::int64_t> retry_after_ms) {
   LogRequestEnd(request, state, 503, "not_run", reason);
--- a/gateway/request_context.h
+++ b/gateway/request_context.h
@@ -31,6 +31,8 @@
   TimePoint deadline;
   /// Latest time at which the answer (of a stream: the first event) is on time.
   TimePoint target;
+  /// The caller has probably sent the request before.
+  bool is_sent_again = false;
   /// Hash of the request id; breaks ties in placement differently for each request.
   std::uint64_t seed = 0;
   /// Keys of the upstreams that were tried; cleared when all of them may be tried again.
@@ -50,6 +52,30 @@
 /// Usual duration of a request like this one, from its first attempt to its end.
 Duration ExpectedDuration(const RequestContext& request, GatewayState& state);
 
+/// Time from its start within which a request like this one is planned to be answered.
+Duration PlannedServiceTime(const RequestContext& request, GatewayState& state);
+
+/// Sets is_sent_again. Estimated from the stated deadline, of which earlier attempts have used a
+/// part. Called once for each request.
+void MarkSentAgain(RequestContext& request, GatewayState& state);
+
+/// Retry-After of a request that is refused because its service has no room.
+std::int64_t RetryAfterBurstMs(const RequestContext& request, GatewayState& state);
+
+/// Sets `started` at the first attempt, and counts requests that start too late to be on time.
+void RecordFirstStart(RequestContext& request, GatewayState& state);
+
+/// Counts a request whose answer is complete, if it was on time. answered: when the answer was
+/// complete; of a stream: when its first event came.
+void CountIfOnTime(const RequestContext& request, GatewayState& state, TimePoint answered);
+
+/// Counts a refusal. cause: for the label of the metric.
+void CountRefusal(const RequestContext& request, GatewayState& state, std::string_view cause);
+
+/// Latest start at which the request is still on time. One that its caller has sent again is late:
+/// its target counts from the first time.
+TimePoint LatestStart(const RequestContext& request, GatewayState& state);
+
 /// Answers 503 to a request that has not run and will not be run. Logs `reason`.
 void AnswerNotRun(RequestContext& request, GatewayState& state, CallerSink& sink,
                   std::string_view reason, std::optional<std::int64_t> retry_after_ms);
--- a/tests/core/placement_test.cc
+++ b/tests/core/placement_test.cc
@@ -5,7 +5,7 @@
 #include <random>
 #include <vector>
 
-#include "core/deadline_queue.h"
+#include "core/start_order.h"
 #include "core/upstream_health.h"
 
 using namespace rattanramp;
@@ -323,8 +323,8 @@
 
 // Load pattern: a burst that makes some requests late. Guards against starting late requests first,
 // which makes every following request late as well.
-Test(deadline_queue, on_time_requests_start_before_late_ones) {
-  core::DeadlineQueue queue;
+Test(start_order, on_time_requests_start_before_late_ones) {
+  core::StartOrder queue;
   TimePoint now{};
   queue.Push({1, 0, now + Milliseconds(100), now + Milliseconds(5'000)});
   queue.Push({2, 0, now + Milliseconds(900), now + Milliseconds(4'000)});
@@ -342,8 +342,8 @@
 
 // Load pattern: an engine crashes during a burst. Guards against its interrupted streams waiting
 // behind requests that have not started: their callers would notice the gap between events.
-Test(deadline_queue, interrupted_streams_start_first) {
-  core::DeadlineQueue queue;
+Test(start_order, interrupted_streams_start_first) {
+  core::StartOrder queue;
   TimePoint now{};
   queue.Push({1, 1, now + Milliseconds(100), now + Milliseconds(5'000)});
   queue.Push({2, 0, now + Milliseconds(9'000), now + Milliseconds(9'000)});
