--- a/gateway/gateway_state.h
+++ b/gateway/gateway_state.h
@@ -14,9 +14,11 @@
 #include "core/answer_budget.h"
 #include "core/config_freshness.h"
 #include "core/crash_causes.h"
+#include "core/queue_prospect.h"
 #include "core/request_cost.h"
 #include "core/retry_window.h"
 #include "core/routing_table.h"
+#include "core/service_time.h"
 #include "core/stage_plan.h"
 #include "core/stop_plan.h"
 #include "gateway/dispatcher.h"
@@ -75,6 +77,10 @@
   CallerCounts callers = {};
   /// What requests have cost so far.
   core::CostModel costs = {};
+  /// Time that requests now take from their start, by service.
+  std::map<std::string, core::ServiceTime> service_times = {};
+  /// By route.
+  std::map<std::string, core::StatedPatience> patience = {};
 };
 
 /// Profile of a service until its first generation has ended. The values are the means of the
