Apply the limits of workspaces to the requests of a gateway

Change: gateway/workspace_limiter answers 429 with a spread Retry-After, gives units back when a request has not run, fills and reads its section of the reports, and shows its state; each request asks it once, so that a second send of ours takes nothing.

--- a/core/workspace_limits.cc
+++ b/core/workspace_limits.cc
@@ -501,16 +501,18 @@
 
 std::vector<LimitEvent> WorkspaceLimits::TakeEvents() { return std::exchange(events_, {}); }
 
-std::vector<LimitState> WorkspaceLimits::States(std::size_t max_entries, TimePoint now) {
+std::vector<LimitState> WorkspaceLimits::States(std::size_t max_entries, TimePoint now) const {
   std::vector<LimitState> states;
-  for (auto& [key, bucket] : buckets_) {
+  for (const auto& [key, bucket] : buckets_) {
     if (states.size() >= max_entries) {
       break;
     }
     if (bucket.is_limited && (bucket.is_active || bucket.is_refusing)) {
-      Advance(bucket, now);
+      const double level =
+          std::min(Capacity(bucket), bucket.level + std::max(0.0, Seconds(now - bucket.at)) *
+                                                        bucket.part * bucket.plan.rate);
       states.push_back({bucket.name, bucket.rate_per_s, bucket.burst, bucket.used, bucket.refused,
-                        bucket.level, bucket.own_part});
+                        level, bucket.own_part});
     }
   }
   return states;
--- a/core/workspace_limits.h
+++ b/core/workspace_limits.h
@@ -113,7 +113,8 @@
   bool has_limits() const { return !buckets_.empty(); }
 
   std::vector<LimitEvent> TakeEvents();
-  std::vector<LimitState> States(std::size_t max_entries, TimePoint now);
+  /// Workspaces that are in use.
+  std::vector<LimitState> States(std::size_t max_entries, TimePoint now) const;
   /// Age of the oldest of the last reports of the members that are not silent.
   Duration OldestKnowledge(TimePoint now) const;
   std::int64_t silent_members() const { return static_cast<std::int64_t>(silent_); }
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -130,6 +130,8 @@
     return exchange.error();
   }
   gateway->load_exchange_ = std::move(exchange.value());
+  gateway->load_exchange_->AddSection(gateway->limiter_);
+  gateway->state_.limiter = &gateway->limiter_;
   gateway->state_.crash_causes.started = clock.now();
   gateway->state_.on_reservation_change = [raw = gateway.get()] {
     raw->load_exchange_->ScheduleReport();
@@ -159,6 +161,7 @@
       settings_(std::move(settings)),
       dispatcher_(context, clock),
       state_{context, clock, settings_, fleet_, dispatcher_, metrics_, retry_windows_, {}, {}, 1},
+      limiter_(settings_.limit_tolerance, clock),
       return_check_(state_),
       status_host_(std::make_unique<StatusHost>(*this)),
       caller_acceptor_(context),
@@ -284,6 +287,9 @@
     AnswerNotRun(request, state_, sink, "the process is stopping", core::kStopRetryAfter.count());
     return nullptr;
   }
+  if (!limiter_.Admit(request, state_, sink)) {
+    return nullptr;
+  }
   core::CountRequest(retry_windows_[service_name], settings_.retry_bound, now);
   if (route->kind == core::RequestKind::kStream) {
     return GenerationExchange::Start(std::move(request), state_, sink);
@@ -310,6 +316,7 @@
     return;
   }
   table_ = std::move(table.value());
+  limiter_.SetRules(table_->workspaces(), clock_.now());
   Log(LogLevel::kInfo, "configuration_in_force",
       {{"version", table_->version()},
        {"row_version", row_version},
@@ -409,6 +416,11 @@
     peers[name] = *peer;
   }
   state_.gateways = static_cast<std::int64_t>(peers.size()) + 1;
+  std::vector<std::string> names;
+  for (const auto& [name, endpoint] : peers) {
+    names.push_back(name);
+  }
+  limiter_.SetPeers(names, clock_.now());
   load_exchange_->SetPeers(std::move(peers));
 }
 
@@ -427,6 +439,7 @@
   }
   fleet_.ConfirmReturned(clock_.now());
   UpdateBlockedCauses();
+  limiter_.Tick(metrics_, clock_.now());
   dispatcher_.WakeAll();
   tick_timer_.expires_after(kTickInterval);
   tick_timer_.async_wait([this](const std::error_code& error) {
@@ -571,6 +584,7 @@
       {"upstream_list_age_ms", directory_.has_read ? ToMs(now - directory_.last_read) : -1.0},
       {"gateways", state_.gateways},
       {"live_peers", load_exchange_->live_peers()},
+      {"limits", limiter_.State(now)},
       {"connections", connections_.size()},
       {"upstreams", upstreams}};
   return dump.dump(1) + "\n";
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -29,6 +29,7 @@
 #include "gateway/settings.h"
 #include "gateway/stage_controller.h"
 #include "gateway/store_watch.h"
+#include "gateway/workspace_limiter.h"
 #include "platform/config_format.h"
 
 namespace rattanramp::gateway {
@@ -92,6 +93,7 @@
   Dispatcher dispatcher_;
   std::map<std::string, core::RetryWindow> retry_windows_;
   GatewayState state_;
+  WorkspaceLimiter limiter_;
   ReturnCheck return_check_;
   core::UpstreamDirectory directory_;
   core::ListView list_view_;
--- a/gateway/gateway_state.h
+++ b/gateway/gateway_state.h
@@ -23,6 +23,8 @@
 
 namespace rattanramp::gateway {
 
+class WorkspaceLimiter;
+
 /// An answer that shows that an upstream has not ended.
 struct RunningSign {
   /// When the request was sent.
@@ -54,6 +56,8 @@
   std::map<std::int64_t, RunningSign> running_signs = {};
   /// This gateway tries causes again that are blocked.
   bool tries_blocked_causes = false;
+  /// Null: no limits are applied.
+  WorkspaceLimiter* limiter = nullptr;
 };
 
 /// Profile of a service until its first generation has ended. The values are the means of the
--- a/gateway/request_context.cc
+++ b/gateway/request_context.cc
@@ -6,6 +6,7 @@
 
 #include "base/log.h"
 #include "core/placement.h"
+#include "gateway/workspace_limiter.h"
 
 namespace rattanramp::gateway {
 
@@ -60,6 +61,9 @@
                    std::string_view outcome, std::string_view reason) {
   const TimePoint now = state.clock.now();
   const double total_ms = ToMs(now - request.arrived);
+  if (state.limiter != nullptr && (outcome == "not_run" || !request.started)) {
+    state.limiter->GiveBack(request, now);
+  }
   state.metrics.Count(
       fmt::format("requests_total{{route=\"{}\",outcome=\"{}\"}}", request.route->name, outcome));
   state.metrics.Observe(fmt::format("request_ms{{route=\"{}\"}}", request.route->name), total_ms);
--- a/gateway/request_context.h
+++ b/gateway/request_context.h
@@ -26,6 +26,8 @@
   std::shared_ptr<const core::RoutingTable> table;
   const core::RouteRule* route = nullptr;
   const core::ServiceRule* service = nullptr;
+  /// Whose the request is; owned by `table`. Null: the request needs no key.
+  const core::WorkspaceRule* workspace = nullptr;
   TimePoint arrived;
   /// The earlier of the caller's deadline and the route's timeout.
   TimePoint deadline;
@@ -42,6 +44,8 @@
   core::RequestCauses causes;
   /// The request is sent although something that it has in common with others is blocked.
   bool is_trial = false;
+  /// Units of the workspace's limit that the request has taken.
+  std::int64_t limit_units = 0;
 };
 
 /// Time left until the deadline in whole ms, at least 1.
--- a/gateway/settings.h
+++ b/gateway/settings.h
@@ -9,17 +9,10 @@
 
 #include "base/result.h"
 #include "core/retry_window.h"
+#include "core/workspace_limits.h"
 
 namespace rattanramp::gateway {
 
-/// In each window, a workspace may use (rate * window + burst) * (1 + overshoot) + slack.
-struct LimitTolerance {
-  Duration window = Milliseconds(8'000);
-  double overshoot = 0.1;
-  /// In units of the limit.
-  double slack = 0;
-};
-
 struct Settings {
   std::string node;
   std::string failure_domain;
@@ -43,7 +36,7 @@
   /// while the platform's store is away; empty: no such bound.
   std::optional<Duration> key_removal_limit;
   /// Tolerance of the limits of workspaces.
-  LimitTolerance limit_tolerance;
+  core::LimitTolerance limit_tolerance;
   /// Memory and descriptors of the process that the VM allows; 0: not known.
   std::int64_t memory_limit_bytes = 0;
   std::int64_t max_descriptors = 0;
