--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -148,6 +148,8 @@
   gateway->fleet_.SetWeighsSpeed(own.weighs_cost);
   gateway->load_exchange_->AddSection(gateway->speed_exchange_);
   gateway->load_exchange_->AddSection(gateway->suspicion_exchange_);
+  gateway->load_exchange_->AddSection(gateway->limiter_);
+  gateway->state_.limiter = &gateway->limiter_;
   gateway->state_.crash_causes.started = clock.now();
   gateway->state_.on_reservation_change = [raw = gateway.get()] {
     raw->load_exchange_->ScheduleReport();
@@ -181,6 +183,7 @@
       settings_(std::move(settings)),
       dispatcher_(context, clock),
       state_{context, clock, settings_, fleet_, dispatcher_, metrics_, retry_windows_, {}, {}, 1},
+      limiter_(settings_.limit_tolerance, clock),
       return_check_(state_),
       config_evidence_(
           state_,
@@ -343,6 +346,9 @@
     AnswerNotRun(request, state_, sink, "the process is stopping", core::kStopRetryAfter.count());
     return nullptr;
   }
+  if (!limiter_.Admit(request, state_, sink)) {
+    return nullptr;
+  }
   core::CountRequest(retry_windows_[service_name], settings_.retry_bound, now);
   if (route->kind == core::RequestKind::kStream) {
     return GenerationExchange::Start(std::move(request), state_, sink);
@@ -377,6 +383,7 @@
   state_.table = table_;
   core::RecordVersionInForce(state_.freshness, row_version, clock_.now());
   LogKeyFaults(*table_);
+  limiter_.SetRules(table_->workspaces(), clock_.now());
   Log(LogLevel::kInfo, "configuration_in_force",
       {{"version", table_->version()},
        {"row_version", row_version},
@@ -481,6 +488,11 @@
     peers[name] = *peer;
   }
   state_.gateways = static_cast<std::int64_t>(peers.size()) + 1;
+  std::vector<std::string> names;
+  for (const auto& [name, endpoint] : peers) {
+    names.push_back(name);
+  }
+  limiter_.SetPeers(names, clock_.now());
   load_exchange_->SetPeers(std::move(peers));
 }
 
@@ -502,6 +514,7 @@
   caller_memory_.Tick();
   status_memory_.Tick();
   ResumeAccepting();
+  limiter_.Tick(metrics_, clock_.now());
   dispatcher_.WakeAll();
   tick_timer_.expires_after(kTickInterval);
   tick_timer_.async_wait([this](const std::error_code& error) {
@@ -659,6 +672,7 @@
       {"gateways", state_.gateways},
       {"live_peers", load_exchange_->live_peers()},
       {"callers", CallerState(state_)},
+      {"limits", limiter_.State(now)},
       {"connections", connections_.size()},
       {"caller_memory", caller_memory_.StateDump()},
       {"upstreams", upstreams}};
--- a/gateway/gateway_state.h
+++ b/gateway/gateway_state.h
@@ -27,6 +27,8 @@
 
 namespace rattanramp::gateway {
 
+class WorkspaceLimiter;
+
 /// An answer that shows that an upstream has not ended.
 struct RunningSign {
   /// When the request was sent.
@@ -81,6 +83,8 @@
   std::map<std::string, core::ServiceTime> service_times = {};
   /// By route.
   std::map<std::string, core::StatedPatience> patience = {};
+  /// Null: no limits are applied.
+  WorkspaceLimiter* limiter = nullptr;
 };
 
 /// Profile of a service until its first generation has ended. The values are the means of the
--- a/gateway/request_context.cc
+++ b/gateway/request_context.cc
@@ -6,6 +6,7 @@
 
 #include "base/log.h"
 #include "core/placement.h"
+#include "gateway/workspace_limiter.h"
 
 namespace rattanramp::gateway {
 std::int64_t RemainingMs(const RequestContext& request, TimePoint now) {
@@ -121,6 +122,9 @@
     state.metrics.Count(fmt::format("workspace_requests_total{{workspace=\"{}\",outcome=\"{}\"}}",
                                     request.workspace->name, outcome));
   }
+  if (state.limiter != nullptr && (outcome == "not_run" || !request.started)) {
+    state.limiter->GiveBack(request, now);
+  }
   state.metrics.Count(
       fmt::format("requests_total{{route=\"{}\",outcome=\"{}\"}}", request.route->name, outcome));
   state.metrics.Observe(fmt::format("request_ms{{route=\"{}\"}}", request.route->name), total_ms);
--- a/gateway/request_context.h
+++ b/gateway/request_context.h
@@ -48,6 +48,8 @@
   core::RequestCauses causes;
   /// The request is sent although something that it has in common with others is blocked.
   bool is_trial = false;
+  /// Units of the workspace's limit that the request has taken.
+  std::int64_t limit_units = 0;
 
   /// Requests of priority 0 start first.
   std::int64_t priority() const {
