End connections with endless heads and size lines at the HTTP server

Cause: cpp-httplib reads a line to its end before it checks its length, and any number of lines, so that a caller of an entry can make it hold a head, or a size line of a chunk, of any size. Change: the server's stream counts the bytes of a head, and of each line between chunks, and ends the connection above 64 KB.

--- a/base/http_server.cc
+++ b/base/http_server.cc
@@ -19,6 +19,10 @@
 constexpr std::size_t kReadBufferBytes = 16 * 1024;
 constexpr int kPollIntervalMs = 200;
 
+// Largest head of a request, and longest line between the chunks of its body. The library bounds
+// neither the number of lines nor, before it has read them, their length.
+constexpr std::size_t kMaxLineBytes = 64 * 1024;
+
 thread_local int current_socket = -1;
 thread_local bool close_after_response = false;
 
@@ -47,7 +51,17 @@
            WaitForEvent(socket_, POLLOUT, write_timeout_ms_);
   }
 
+  /// The bytes that follow are the head of a request.
+  void BeginRequest() {
+    is_in_head_ = true;
+    line_bytes_ = 0;
+    ended_lines_ = 0;
+  }
+
   ssize_t read(char* data, size_t size) override {
+    if (line_bytes_ > kMaxLineBytes) {
+      return -1;
+    }
     if (read_position_ == buffered_bytes_) {
       if (!WaitForEvent(socket_, POLLIN, read_timeout_ms_)) {
         return -1;
@@ -62,6 +76,7 @@
     const std::size_t count = std::min(size, buffered_bytes_ - read_position_);
     std::copy_n(buffer_.data() + read_position_, count, data);
     read_position_ += count;
+    CountLineBytes(data, count);
     return static_cast<ssize_t>(count);
   }
 
@@ -89,6 +104,25 @@
   socket_t socket() const override { return socket_; }
 
  private:
+  // The library reads lines byte by byte, and bodies in larger pieces.
+  void CountLineBytes(const char* data, std::size_t count) {
+    const bool is_line_end = count == 1 && data[0] == '\n';
+    if (!is_in_head_) {
+      line_bytes_ = count > 1 || is_line_end ? 0 : line_bytes_ + 1;
+      return;
+    }
+    line_bytes_ += count;
+    if (is_line_end) {
+      ++ended_lines_;
+    } else if (count > 1 || data[0] != '\r') {
+      ended_lines_ = 0;
+    }
+    if (ended_lines_ == 2) {
+      is_in_head_ = false;
+      line_bytes_ = 0;
+    }
+  }
+
   ssize_t Receive(char* data, std::size_t size) const {
     ssize_t received = 0;
     do {
@@ -103,6 +137,11 @@
   std::array<char, kReadBufferBytes> buffer_{};
   std::size_t read_position_ = 0;
   std::size_t buffered_bytes_ = 0;
+  bool is_in_head_ = false;
+  /// Bytes of the head, or of the line that has begun.
+  std::size_t line_bytes_ = 0;
+  /// Ends of lines without other bytes between them.
+  int ended_lines_ = 0;
 };
 
 }  // namespace
@@ -159,6 +198,7 @@
       if (!WaitForRequest(stream)) {
         break;
       }
+      stream.BeginRequest();
       ok = process_request(stream, remaining == 1 || stopping.load(), connection_closed, nullptr);
       if (!ok || connection_closed || close_after_response) {
         break;
--- a/tests/base/http_server_test.cc
+++ b/tests/base/http_server_test.cc
@@ -2,8 +2,13 @@
 
 #include <criterion/criterion.h>
 
+#include <asio/buffer.hpp>
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/write.hpp>
 #include <atomic>
 #include <chrono>
+#include <string>
 #include <thread>
 
 using rattanramp::HttpServer;
@@ -83,3 +88,28 @@
   }
   cr_assert_eq(server->open_connections(), 0);
 }
+
+// Guards against heads without end, in one line or in many, and against size lines of chunks
+// without end: the library keeps them until they end. A hostile caller could end an entry with
+// them.
+Test(http_server, endless_lines_end_the_connection, .timeout = 60) {
+  constexpr std::size_t kEndlessBytes = 64 * 1024 * 1024;
+  const std::string filler(4'096, 'x');
+  const std::string head = "POST /echo HTTP/1.1\r\nHost: h\r\n";
+  for (const auto& [start, piece] : {std::pair{head + "X-Long: ", filler},
+                                     {head, "X-More: " + filler.substr(0, 100) + "\r\n"},
+                                     {head + "Transfer-Encoding: chunked\r\n\r\n1;", filler}}) {
+    const std::unique_ptr<HttpServer> server = MakeServer();
+    server->routes().Post("/echo", [](const httplib::Request&, httplib::Response&) {});
+    server->Start();
+    asio::io_context context;
+    asio::ip::tcp::socket socket(context);
+    socket.connect({asio::ip::address_v4::loopback(), static_cast<std::uint16_t>(server->port())});
+    std::error_code error;
+    std::size_t sent = asio::write(socket, asio::buffer(start), error);
+    while (!error && sent < kEndlessBytes) {
+      sent += asio::write(socket, asio::buffer(piece), error);
+    }
+    cr_expect(error, "read to the end: %s", start.c_str());
+  }
+}
