Take no evidence from a store's reply that is behind an earlier one; compare keys by words

A read that lags shows an old state beside the clock; comparing keys by bytes took a part of the microsecond that a lookup may take. Change: a reply whose version is lower than that of an earlier reply about the configuration is no evidence.

--- a/core/caller_keys.cc
+++ b/core/caller_keys.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <bit>
+#include <cstring>
 
 #include "base/hash.h"
 #include "core/routing_table.h"
@@ -14,11 +15,21 @@
   if (a.size() != b.size()) {
     return false;
   }
-  volatile unsigned char difference = 0;
-  for (std::size_t i = 0; i < a.size(); ++i) {
-    difference = static_cast<unsigned char>(
-        difference | (static_cast<unsigned char>(a[i]) ^ static_cast<unsigned char>(b[i])));
+  std::uint64_t difference = 0;
+  std::size_t i = 0;
+  for (; i + sizeof(std::uint64_t) <= a.size(); i += sizeof(std::uint64_t)) {
+    std::uint64_t x = 0;
+    std::uint64_t y = 0;
+    std::memcpy(&x, a.data() + i, sizeof(x));
+    std::memcpy(&y, b.data() + i, sizeof(y));
+    difference |= x ^ y;
   }
+  for (; i < a.size(); ++i) {
+    difference |= static_cast<std::uint64_t>(static_cast<unsigned char>(a[i])) ^
+                  static_cast<std::uint64_t>(static_cast<unsigned char>(b[i]));
+  }
+  // Keeps the compiler from leaving the loops once the result is known.
+  asm volatile("" : "+r"(difference));  // NOLINT(hicpp-no-assembler)
   return difference == 0;
 }
 
--- a/gateway/store_watch.cc
+++ b/gateway/store_watch.cc
@@ -148,6 +148,8 @@
 
 void StoreWatch::OnConfig(const store::TableRows& rows) {
   core::ObserveStoreClock(store_clock_, rows.clock_ms, clock_.now());
+  // A reply that is behind an earlier one shows an old state.
+  const bool is_current = rows.version >= config_table_version_;
   config_table_version_ = std::max(config_table_version_, rows.version);
   for (const store::TableRow& row : rows.rows) {
     if (row.key == source_.config_key && row.version > config_row_version_) {
@@ -158,7 +160,7 @@
       }
     }
   }
-  if (config_row_version_ > 0 && rows.clock_ms > 0) {
+  if (config_row_version_ > 0 && rows.clock_ms > 0 && is_current) {
     listener_.OnConfigEvidence({config_row_version_, rows.clock_ms}, config_call_sent_);
   }
 }
--- a/tests/core/caller_keys_test.cc
+++ b/tests/core/caller_keys_test.cc
@@ -72,6 +72,17 @@
   const core::CallerKeys index(longest);
   cr_assert_eq(index.Find(longest[0].keys[0]), longest.data());
   cr_assert_null(index.Find(longest[0].keys[1]));
+  // A difference at any place, in keys of any length.
+  for (std::size_t size = 1; size < 20; ++size) {
+    const std::vector<core::WorkspaceRule> one = {Workspace("w", {std::string(size, 'k')})};
+    const core::CallerKeys short_index(one);
+    cr_assert_not_null(short_index.Find(std::string(size, 'k')));
+    for (std::size_t i = 0; i < size; ++i) {
+      std::string other(size, 'k');
+      other[i] = 'x';
+      cr_assert_null(short_index.Find(other));
+    }
+  }
   cr_assert_eq(index.unusable(), 2);
 }
 
