Leave plain servers open whose requests run on

Cause: A full plain server resets connections above its limit, at many gateways; that looked like its end. Change: Signs of failure close a plain server only while no gateway has a request running there.

--- a/gateway/fleet.cc
+++ b/gateway/fleet.cc
@@ -38,6 +38,16 @@
   return {asio::ip::make_address_v4(info.address), info.port};
 }
 
+/// A plain server with too many connections resets further ones, but has requests running; one that
+/// has ended has none. Generations run for seconds at an engine that has gone silent.
+core::UpstreamVerdict Judge(const Upstream& upstream, TimePoint now) {
+  const bool runs = upstream.info.stage == core::UpstreamStage::kPlain &&
+                    upstream.local_load.running + upstream.peer_load.running > 0;
+  return runs || !upstream.suspicions
+             ? core::UpstreamVerdict()
+             : core::JudgeUpstream(*upstream.suspicions, upstream.key, now);
+}
+
 }  // namespace
 
 std::int64_t KeyOf(const core::UpstreamInfo& info) {
@@ -71,9 +81,7 @@
 
 bool IsAvoided(const Upstream& upstream, TimePoint now) {
   return core::IsBackingOff(upstream.health, now) ||
-         (upstream.suspicions &&
-          core::JudgeUpstream(*upstream.suspicions, upstream.key, now).admission ==
-              core::Admission::kNone);
+         Judge(upstream, now).admission == core::Admission::kNone;
 }
 
 void RecordFailureSign(Upstream& upstream, core::FailureSign sign, TimePoint now) {
@@ -183,7 +191,7 @@
     }
     const bool may_be_used = !IsClosed(*upstream, now) &&
                              std::find(tried.begin(), tried.end(), upstream->key) == tried.end();
-    const core::UpstreamVerdict verdict = core::JudgeUpstream(*suspicions_, upstream->key, now);
+    const core::UpstreamVerdict verdict = Judge(*upstream, now);
     candidate.is_backing_off = may_be_used && (core::IsBackingOff(upstream->health, now) ||
                                                verdict.admission == core::Admission::kNone);
     candidate.back_off_until = upstream->health.back_off_until;
--- a/tests/gateway/suspicion_exchange_test.cc
+++ b/tests/gateway/suspicion_exchange_test.cc
@@ -68,3 +68,28 @@
     cr_assert_eq(gateways.Judge(i, 7), Admission::kFree);
   }
 }
+
+// Load: a burst fills the plain servers, which reset connections above their limit at many gateways
+// (mpira-ramp-grown trouble-1: refusals for lack of capacity rose from 534 to 1,367 when these
+// closed). A server whose requests run on stays open; one that has lost them too is closed.
+Test(suspicion_exchange, full_plain_server_stays_open) {
+  gateway::Fleet fleet;
+  core::UpstreamInfo info;
+  info.id = "full";
+  info.service = "s";
+  info.address = "127.0.0.1";
+  info.slots = 4;
+  core::DirectoryChange change;
+  change.added = {info};
+  fleet.Apply(change);
+  const TimePoint now = DefaultClock().now();
+  for (const char* peer : {"a", "b", "c"}) {
+    core::RecordPeerFailure(fleet.suspicions(), gateway::KeyOf(info), peer, now);
+  }
+  gateway::PeerState state;
+  state.loads = {{gateway::KeyOf(info), {3, 0, 0}}};
+  fleet.SetPeerState("a", state);
+  cr_assert(!gateway::IsAvoided(*fleet.upstreams().at("full"), now));
+  fleet.SetPeerState("a", {});
+  cr_assert(gateway::IsAvoided(*fleet.upstreams().at("full"), now));
+}
