--- a/tests/gateway/plain_exchange_test.cc
+++ b/tests/gateway/plain_exchange_test.cc
@@ -317,3 +317,28 @@
   }
   cr_expect_eq(server.heads().size(), 2);
 }
+
+// Load pattern: a burst above the capacity, in which requests that can be on time take all the
+// room. Guards against holding a request to its deadline that will not start before it, and against
+// a refusal that does not say when to come back.
+Test(plain_exchange, late_request_without_prospects_is_refused_at_once, .timeout = 30) {
+  FakeEngine server([](const std::string& /*head*/, int /*number*/) {
+    return CompleteAnswer(200, "Response-Seal: s\r\n", "done");
+  });
+  ExchangeFixture fixture;
+  fixture.Add("a", UpstreamStage::kPlain, server.port(), 1);
+  fixture.fleet.upstreams().at("a")->local_load.running = 5;
+  const TimePoint now = DefaultClock().now();
+  for (int i = 0; i < 200; ++i) {
+    core::QueuedRequest other;
+    const bool starts = i < 40;
+    other.due = now + Milliseconds(starts ? 1'000 : 3'000);
+    other.deadline = now + Milliseconds(4'000);
+    fixture.dispatcher.Add("s", other, 0, [starts] { return starts; });
+  }
+  fixture.Run(RequestKind::kRepeatable, false);
+  cr_assert_eq(fixture.sink.status, 503);
+  cr_assert_not_null(http::FindField(fixture.sink.fields, "Retry-After"));
+  cr_assert_lt(ToMs(DefaultClock().now() - now), 900);
+  cr_assert_eq(server.heads().size(), 0);
+}
