--- a/gateway/request_context.h
+++ b/gateway/request_context.h
@@ -28,6 +28,8 @@
   const core::ServiceRule* service = nullptr;
   /// Whose the request is; owned by `table`. Null: the request needs no key.
   const core::WorkspaceRule* workspace = nullptr;
+  /// A secret, never logged nor passed on.
+  std::string caller_key;
   TimePoint arrived;
   /// The earlier of the caller's deadline and the route's timeout.
   TimePoint deadline;
@@ -46,6 +48,14 @@
   bool is_trial = false;
   /// Units of the workspace's limit that the request has taken.
   std::int64_t limit_units = 0;
+
+  /// Requests of priority 0 start first.
+  std::int64_t priority() const {
+    return workspace == nullptr ? route->priority : workspace->priority.value_or(route->priority);
+  }
+  std::string_view workspace_name() const {
+    return workspace == nullptr ? std::string_view() : workspace->name;
+  }
 };
 
 /// Time left until the deadline in whole ms, at least 1.
