--- a/tests/gateway/workspace_limiter_test.cc
+++ b/tests/gateway/workspace_limiter_test.cc
@@ -50,7 +50,8 @@
     return request;
   };
   const auto taken_of = [&](const core::WorkspaceRule& rule) {
-    for (const auto& entry : limiter.State(fixture.state.clock.now())["workspaces"]) {
+    const nlohmann::json state = limiter.State(fixture.state.clock.now());
+    for (const auto& entry : state["workspaces"]) {
       if (entry["workspace"] == rule.name) {
         return std::pair(entry["used"].get<std::int64_t>(), entry["level"].get<double>());
       }
@@ -80,7 +81,8 @@
   gateway::RequestContext refused = std::move(last);
   refused.limit_units = 100;
   gateway::AnswerNotRun(refused, fixture.state, fixture.sink, "test", std::nullopt);
-  cr_assert_geq(taken_of(rules[0]).second, before + 100);
+  const double after = taken_of(rules[0]).second;
+  cr_assert_geq(after, before + 100, "%f after %f", after, before);
 }
 
 // Guards against reports that do not fit into a datagram, and a peer's use that is not counted.
