--- a/tests/core/lost_answers_test.cc
+++ b/tests/core/lost_answers_test.cc
@@ -42,7 +42,7 @@
 }  // namespace
 
 // Load: answers are lost by reset on many engines while callers repeat the same content
-// (mpira-ramp-grown trouble-1: 155 blocks where no content crashes engines). Sound requests must
+// (155 blocks in one measured day, on which no content crashed engines). Sound requests must
 // not be refused while other streams of the same engines go on; real crashes end these, and stay
 // blocked.
 Test(lost_answers, content_is_not_blamed_for_resets_of_engines_that_run_on) {
