--- a/tests/core/upstream_suspicion_test.cc
+++ b/tests/core/upstream_suspicion_test.cc
@@ -130,8 +130,8 @@
 
 }  // namespace
 
-// Load: 8 of 44 engines end at once while 31 gateways place 200 requests a second (mpira-ramp-grown
-// trouble-1). Each gateway found each dead engine by itself: 245 failures of 248 possible ones.
+// Load: 8 of 44 engines end at once while 31 gateways place 200 requests a second. Each
+// gateway found each dead engine by itself: 245 failures of 248 possible ones.
 Test(upstream_suspicion, dead_engines_draw_few_requests) {
   cr_assert_leq(Play({}, 3'000).most_failures, 4);
   Crash late;
--- a/tests/gateway/kept_prefill_test.cc
+++ b/tests/gateway/kept_prefill_test.cc
@@ -94,8 +94,8 @@
   cr_assert_eq(Sum(first, second), 3);
 }
 
-// Load: several engines have just died, and draw requests because they have no load (mpira-ramp-
-// grown trouble-1: 430 connections to them in 4 s, each with a prompt that was read). Guards
+// Load: several engines have just died, and draw requests because they have no load (on one
+// measured day 430 connections to them in 4 s, each with a prompt that was read). Guards
 // against finding out only when the prompt is there, and against trying an engine that one more
 // request of this gateway has found dead.
 Test(kept_prefill, dead_engine_is_found_while_the_prompt_is_read, .timeout = 30) {
--- a/tests/gateway/suspicion_exchange_test.cc
+++ b/tests/gateway/suspicion_exchange_test.cc
@@ -70,8 +70,8 @@
 }
 
 // Load: a burst fills the plain servers, which reset connections above their limit at many gateways
-// (mpira-ramp-grown trouble-1: refusals for lack of capacity rose from 534 to 1,367 when these
-// closed). A server whose requests run on stays open; one that has lost them too is closed.
+// (on one measured day, refusals for lack of capacity rose from 534 to 1,367 when these closed). A
+// server whose requests run on stays open; one that has lost them too is closed.
 Test(suspicion_exchange, full_plain_server_stays_open) {
   gateway::Fleet fleet;
   core::UpstreamInfo info;
