--- a/core/config_freshness.cc
+++ b/core/config_freshness.cc
@@ -13,6 +13,9 @@
 // The store's clock is cut to whole ms.
 constexpr Milliseconds kClockStep{1};
 
+// Largest clock of the store that is used: 30 years. Differences of clocks stay within a Duration.
+constexpr std::int64_t kMaxClockMs = 1'000'000'000'000;
+
 // Share of the limit from which on a key that is not known is not refused for good.
 constexpr std::int64_t kUncertainDivisor = 2;
 
@@ -70,7 +73,8 @@
 
 void RecordPeerEvidence(ConfigFreshness& freshness, const ConfigEvidence& evidence, TimePoint now) {
   const std::optional<TimePoint> shown = EarliestOwnTimeOf(freshness.clock, evidence.clock_ms);
-  if (evidence.row_version <= 0 || evidence.clock_ms <= 0 || (shown && *shown > now)) {
+  if (evidence.row_version <= 0 || evidence.clock_ms <= 0 || evidence.clock_ms > kMaxClockMs ||
+      (shown && *shown > now)) {
     return;
   }
   KeepNewest(freshness, evidence);
--- a/core/placement.cc
+++ b/core/placement.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <tuple>
 #include <vector>
 
@@ -232,7 +233,11 @@
     const double slots = static_cast<double>(std::max<std::int64_t>(1, candidate.slots));
     const double load = static_cast<double>(candidate.load.running + 1) / slots;
     // Requests beyond the slots wait at the upstream, the longer the slower it is.
-    if (load > 1 + (kMaxPlainLoad - 1) / std::max(1.0, candidate.slowness)) {
+    const double waiting_places = (kMaxPlainLoad - 1) * slots;
+    const double places =
+        slots + std::min(std::floor(waiting_places),
+                         std::round(waiting_places / std::max(1.0, candidate.slowness)));
+    if (static_cast<double>(candidate.load.running + 1) > places) {
       continue;
     }
     sample.Add(i, ExpectedWork(load, candidate) + kFailureWeight * candidate.failure_share);
--- a/core/server_speed.cc
+++ b/core/server_speed.cc
@@ -14,9 +14,9 @@
 constexpr double kMinReportedSamples = 3;
 constexpr double kMinReportedSlowness = 1.3;
 
-// Largest number of samples that all peers together count as. Several gateways see more answers of
-// an upstream than one.
-constexpr double kMaxPeerSamples = 3 * kMaxSpeedSamples;
+// Largest number of samples that all peers together count as: no more than the own ones, since a
+// peer that is slow itself measures its own delay.
+constexpr double kMaxPeerSamples = kMaxSpeedSamples;
 
 void Merge(ServerSpeed& speed, double log_slowness, double samples, double max_samples,
            TimePoint now) {
--- a/core/workspace_limits.cc
+++ b/core/workspace_limits.cc
@@ -14,7 +14,7 @@
 constexpr double kMemorySeconds = 1.0;
 
 // Part of the overshoot that the rate uses.
-constexpr double kRatePart = 0.1;
+constexpr double kRatePart = 0.05;
 
 // Parts of what the tolerance adds to a window that the capacity uses. The rest is for requests
 // that are taken before peers know of each other's: groups that have just lost each other may each
@@ -25,7 +25,7 @@
 constexpr double kBurstLost = 0.8;
 
 // Time for which peers may go on taking units before their reports arrive.
-constexpr double kReserveSeconds = 0.2;
+constexpr double kReserveSeconds = 0.35;
 
 // A request that is larger than the bucket is taken when the bucket is as full as this.
 constexpr double kFullShare = 0.9;
@@ -34,7 +34,7 @@
 constexpr double kNewsShare = 0.02;
 
 // Own use in a second, against the own part of the rate, above which a gateway waits for its peers.
-constexpr double kPaceFactor = 1.25;
+constexpr double kPaceFactor = 1.1;
 
 // Reports repeat a workspace until it has not been asked for during this time.
 constexpr Milliseconds kActiveTime{4'000};
@@ -56,6 +56,9 @@
 // Largest rate or burst; sums of them stay exact.
 constexpr double kMaxLimit = 1e12;
 
+// Largest count or demand of a peer that is used; larger ones come from a faulty peer.
+constexpr std::int64_t kMaxCount = std::int64_t{1} << 53;
+
 // Rate that takes the place of one that is negative or no number.
 constexpr double kSmallestRate = 1;
 
@@ -153,14 +156,21 @@
     if (is_new) {
       bucket.name = rule.name;
       bucket.at = now;
+      const auto count = ended_counts_.find(place->first);
+      bucket.used = count == ended_counts_.end() ? 0 : count->second;
       SetPart(bucket);
       bucket.level = has_rules_ ? Capacity(bucket) : 0;
     }
     bucket.level = std::min(bucket.level, Capacity(bucket));
   }
   has_rules_ = true;
-  std::erase_if(buckets_, [now](const auto& entry) {
-    return !entry.second.is_limited && now - entry.second.last_ask > 2 * kActiveTime;
+  std::erase_if(buckets_, [this, now](const auto& entry) {
+    const auto& [key, bucket] = entry;
+    const bool has_ended = !bucket.is_limited && now - bucket.last_ask > 2 * kActiveTime;
+    if (has_ended) {
+      ended_counts_[key] = bucket.used;
+    }
+    return has_ended;
   });
   const auto is_unknown = [this](std::int64_t key) { return !buckets_.contains(key); };
   std::erase_if(active_, is_unknown);
@@ -195,6 +205,8 @@
       std::min(Capacity(bucket), bucket.level + seconds * bucket.part * bucket.plan.rate);
   const double fade = std::exp(-seconds / kMemorySeconds);
   bucket.own_taken *= fade;
+  // Peers have had the units that came back long ago on their accounts for too long.
+  bucket.credit = static_cast<std::int64_t>(static_cast<double>(bucket.credit) * fade);
   bucket.own_demand *= fade;
   bucket.peer_demand *= fade;
 }
@@ -418,7 +430,8 @@
 
 void WorkspaceLimits::RecordUse(const HeardMember& heard, const WorkspaceUse& use, TimePoint now) {
   const auto found = buckets_.find(use.workspace);
-  if (found == buckets_.end() || use.used < 0) {
+  if (found == buckets_.end() || use.used < 0 || use.used > kMaxCount ||
+      use.demand_per_s > kMaxCount) {
     return;
   }
   Bucket& bucket = found->second;
--- a/core/workspace_limits.h
+++ b/core/workspace_limits.h
@@ -186,6 +186,8 @@
   SharedBound bound_;
   double silent_ = 0;
   std::unordered_map<std::int64_t, Bucket> buckets_;
+  /// Units taken by workspaces whose limits have ended. The counts of a process only grow.
+  std::unordered_map<std::int64_t, std::int64_t> ended_counts_;
   /// Workspaces that were asked for lately, and where the last complete report has ended.
   std::vector<std::int64_t> active_;
   std::size_t next_active_ = 0;
--- a/gateway/config_evidence.cc
+++ b/gateway/config_evidence.cc
@@ -14,6 +14,9 @@
 // Time between two requests for a row; an answer takes one round trip between gateways.
 constexpr Milliseconds kRequestInterval{100};
 
+// Time within which the answer to such a request is taken.
+constexpr Milliseconds kAnswerTime{2'000};
+
 // Bytes per second of rows that are sent to peers, out of the link of the smallest VM (10 Mbit/s).
 // Peers that get none ask another gateway or again.
 constexpr std::int64_t kMaxRowBytesPerSecond = 250'000;
@@ -43,19 +46,22 @@
   if (!is_active()) {
     return;
   }
-  if (report.__isset.config_row && report.config_row.row_version > row_version_) {
+  // The row's evidence is in the same report.
+  if (report.__isset.config_evidence) {
+    core::RecordPeerEvidence(state_.freshness,
+                             {report.config_evidence.row_version, report.config_evidence.clock_ms},
+                             state_.clock.now());
+  }
+  const bool is_asked = report.gateway == asked_peer_ && state_.clock.now() < asked_until_;
+  if (is_asked && report.__isset.config_row && report.config_row.row_version > row_version_ &&
+      report.config_row.row_version <= state_.freshness.newest.row_version) {
     state_.metrics.Count("config_rows_from_peers_total");
     Log(LogLevel::kInfo, "configuration_from_peer",
         {{"peer", report.gateway}, {"row_version", report.config_row.row_version}});
     on_row_(report.config_row.text, report.config_row.row_version);
   }
-  if (report.__isset.config_evidence) {
-    const wire::GatewayConfigEvidence& evidence = report.config_evidence;
-    core::RecordPeerEvidence(state_.freshness, {evidence.row_version, evidence.clock_ms},
-                             state_.clock.now());
-    if (evidence.row_version > row_version_) {
-      RequestRow(report.gateway);
-    }
+  if (report.__isset.config_evidence && report.config_evidence.row_version > row_version_) {
+    RequestRow(report.gateway);
   }
   if (report.__isset.wanted_config && row_version_ >= report.wanted_config) {
     SendRow(report.gateway);
@@ -68,6 +74,8 @@
     return;
   }
   next_request_ = now + kRequestInterval;
+  asked_peer_ = peer;
+  asked_until_ = now + kAnswerTime;
   state_.metrics.Count("config_rows_requested_total");
   send_(peer, [this](wire::GatewayLoad& report) {
     report.__set_wanted_config(state_.freshness.newest.row_version);
--- a/gateway/config_evidence.h
+++ b/gateway/config_evidence.h
@@ -43,6 +43,9 @@
   std::int64_t row_version_ = 0;
   /// Not before this time, so that many reports do not make as many requests.
   std::optional<TimePoint> next_request_;
+  /// The peer that was asked last for the row, and until when its answer is taken.
+  std::string asked_peer_;
+  TimePoint asked_until_;
   /// The row that is sent to peers takes at most kMaxRowBytesPerSecond of the link.
   std::optional<TimePoint> next_row_;
 };
--- a/gateway/generation_exchange.cc
+++ b/gateway/generation_exchange.cc
@@ -659,7 +659,8 @@
              fmt::format("{}:{}/{}", prefill.info.address, prefill.info.port, handle.value()),
              now + Milliseconds(request_.service->engine_limits().prefill_hold_ms) - kKvHoldMargin);
   attempt_.reset();
-  if (early_connection_ && early_connection_->IsOverdue(now)) {
+  const bool is_overdue = early_connection_ && early_connection_->IsOverdue(now);
+  if (is_overdue) {
     request_.tried.push_back(decode_->key);
   }
   if (IsTooLateInStop()) {
@@ -669,7 +670,13 @@
   if (EndIfItMayNotRun()) {
     return;
   }
-  if (!ConfirmDecode(now)) {
+  bool is_confirmed = ConfirmDecode(now);
+  if (!is_confirmed && is_overdue && !IsClosed(*decode_, now)) {
+    // No other engine has room, and the connection may still be made.
+    request_.tried.pop_back();
+    is_confirmed = true;
+  }
+  if (!is_confirmed) {
     // The call has reached no engine, so the next one is no further arrival.
     has_retry_ = true;
     OnDecodeNotRun("the decode engine ended or was closed to new requests during prefill");
--- a/gateway/request_context.cc
+++ b/gateway/request_context.cc
@@ -36,7 +36,9 @@
   if (!request.facts.deadline_ms) {
     return;
   }
-  const double stated_ms = static_cast<double>(*request.facts.deadline_ms);
+  // A single caller that states a very long time must not make the others look impatient.
+  const double stated_ms = static_cast<double>(
+      std::min<std::int64_t>(*request.facts.deadline_ms, request.route->timeout_ms));
   core::StatedPatience& patience = state.patience[request.route->name];
   if (request.route->kind == core::RequestKind::kStream) {
     patience.longest_ms = static_cast<double>(request.route->timeout_ms);
@@ -46,9 +48,12 @@
 
 std::int64_t RetryAfterBurstMs(const RequestContext& request, GatewayState& state) {
   constexpr std::uint64_t kSteps = 1'024;
-  const TimePoint gives_up = request.facts.deadline_ms
-                                 ? request.arrived + Milliseconds(*request.facts.deadline_ms)
-                                 : request.deadline;
+  // Longer times that callers state are not reckoned with.
+  constexpr std::int64_t kMaxStatedMs = 3'600'000;
+  const TimePoint gives_up =
+      request.facts.deadline_ms
+          ? request.arrived + Milliseconds(std::min(*request.facts.deadline_ms, kMaxStatedMs))
+          : request.deadline;
   return core::RetryAfterBurst(gives_up - state.clock.now(),
                                static_cast<double>(request.seed % kSteps) / kSteps)
       .count();
--- a/gateway/speed_exchange.cc
+++ b/gateway/speed_exchange.cc
@@ -9,6 +9,9 @@
 // Upstreams that one report lists at most; an entry takes about 20 bytes.
 constexpr std::size_t kMaxReportedSpeeds = 32;
 
+// Age up to which a measurement of a peer is used.
+constexpr Milliseconds kMaxSpeedAge{60'000};
+
 constexpr double kPermille = 1'000;
 
 /// Records an answer whose work has a known usual time, and how far off that was.
@@ -29,14 +32,22 @@
     return;
   }
   const TimePoint now = clock_.now();
+  std::erase_if(reported_,
+                [this](const auto& entry) { return fleet_.FindUpstream(entry.first) == nullptr; });
   std::vector<wire::GatewayUpstreamSpeed> speeds;
   for (const auto& [id, upstream] : fleet_.upstreams()) {
     if (speeds.size() >= kMaxReportedSpeeds) {
       break;
     }
     if (!core::IsSpeedNews(upstream->speed, now)) {
+      reported_.erase(upstream->key);
+      continue;
+    }
+    TimePoint& reported = reported_[upstream->key];
+    if (upstream->speed.updated <= reported) {
       continue;
     }
+    reported = upstream->speed.updated;
     wire::GatewayUpstreamSpeed& entry = speeds.emplace_back();
     entry.upstream_key = upstream->key;
     entry.slowness_permille =
@@ -53,7 +64,7 @@
   const TimePoint now = clock_.now();
   for (const wire::GatewayUpstreamSpeed& entry : report.upstream_speeds) {
     Upstream* upstream = fleet_.FindUpstream(entry.upstream_key);
-    if (upstream != nullptr) {
+    if (upstream != nullptr && entry.age_ms >= 0 && entry.age_ms <= kMaxSpeedAge.count()) {
       core::RecordPeerSpeed(upstream->peer_speed,
                             {static_cast<double>(entry.slowness_permille) / kPermille,
                              static_cast<double>(entry.samples), Milliseconds(entry.age_ms)},
--- a/gateway/speed_exchange.h
+++ b/gateway/speed_exchange.h
@@ -1,6 +1,9 @@
 // Measures the speed of upstreams by their answers, and exchanges it with the peers.
 #pragma once
 
+#include <cstdint>
+#include <unordered_map>
+
 #include "gateway/attempt.h"
 #include "gateway/gateway_state.h"
 #include "gateway/load_exchange.h"
@@ -18,6 +21,9 @@
  private:
   Fleet& fleet_;
   const Clock& clock_;
+  /// By upstream: the newest answer that was reported, so that measurements without new ones are
+  /// not repeated.
+  std::unordered_map<std::int64_t, TimePoint> reported_;
 };
 
 /// Records the time of a plain request. running_before: requests that the upstream had from all
--- a/gateway/workspace_limiter.cc
+++ b/gateway/workspace_limiter.cc
@@ -121,6 +121,10 @@
 }
 
 void WorkspaceLimiter::Record(const wire::GatewayLoad& report) {
+  // Reports to one peer only, and those of gateways without limits, do not state the process.
+  if (report.gateway.empty() || !report.__isset.started_unix_ms) {
+    return;
+  }
   std::vector<core::WorkspaceUse> uses;
   uses.reserve(report.workspace_use.size());
   for (const wire::GatewayWorkspaceUse& entry : report.workspace_use) {
--- a/tests/gateway/kept_prefill_test.cc
+++ b/tests/gateway/kept_prefill_test.cc
@@ -58,7 +58,7 @@
 
 }  // namespace
 
-// Load: engines are full for a moment (kivu-tartan-grown trouble-1, 34 refusals). Guards against
+// Load: engines are full for a moment. Guards against
 // reading a prompt again whose handle no engine has taken.
 Test(kept_prefill, prompt_refused_by_a_full_engine_is_taken_by_the_next_one, .timeout = 30) {
   FakeEngine prefill(Prefill);
--- a/tests/support/free_port.cc
+++ b/tests/support/free_port.cc
@@ -22,9 +22,13 @@
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     address.sin_port = htons(static_cast<std::uint16_t>(port));
+    // Gateways use their peer port for UDP.
+    const int datagram_fd = socket(AF_INET, SOCK_DGRAM, 0);
     const bool is_free =
-        bind(socket_fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
+        bind(socket_fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0 &&
+        bind(datagram_fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
     close(socket_fd);
+    close(datagram_fd);
     if (is_free) {
       return port;
     }
