--- a/core/shared_bound.cc
+++ b/core/shared_bound.cc
@@ -29,7 +29,7 @@
   BoundMember& member = bound.members[index];
   member = {};
   member.name = std::string(name);
-  member.heard = now;
+  member.last_report = now;
   bound.by_name.emplace(member.name, index);
   return index;
 }
@@ -40,25 +40,25 @@
   return kMissedReports * timing.report_interval + kReportMargin;
 }
 
-Duration AloneAfter(const SharedBoundTiming& timing, std::int64_t heard) {
+Duration AloneAfter(const SharedBoundTiming& timing, std::int64_t live) {
   const Duration longest = timing.report_interval + kAloneMargin;
-  return heard <= 0 ? longest
-                    : std::clamp<Duration>(kMissedOfAll * timing.report_interval / heard,
-                                           std::min<Duration>(kMinAloneTime, longest), longest);
+  return live <= 0 ? longest
+                   : std::clamp<Duration>(kMissedOfAll * timing.report_interval / live,
+                                          std::min<Duration>(kMinAloneTime, longest), longest);
 }
 
-HeardMember HearMember(SharedBound& bound, std::string_view name, std::int64_t process,
-                       TimePoint now) {
-  HeardMember heard;
-  heard.index = PlaceOf(bound, name, now);
-  BoundMember& member = bound.members[heard.index];
-  heard.is_first = !member.process;
-  heard.is_restarted = member.process && *member.process != process;
-  heard.was_silent = std::exchange(member.is_silent, false);
+ReportingMember RecordMemberReport(SharedBound& bound, std::string_view name, std::int64_t process,
+                                   TimePoint now) {
+  ReportingMember sender;
+  sender.index = PlaceOf(bound, name, now);
+  BoundMember& member = bound.members[sender.index];
+  sender.is_first = !member.process;
+  sender.is_restarted = member.process && *member.process != process;
+  sender.was_silent = std::exchange(member.is_silent, false);
   member.process = process;
-  member.heard = now;
-  bound.last_heard = now;
-  return heard;
+  member.last_report = now;
+  bound.last_report = now;
+  return sender;
 }
 
 void ListMembers(SharedBound& bound, std::span<const std::string> names, TimePoint now) {
@@ -76,18 +76,18 @@
 std::vector<SilentMember> FindSilent(SharedBound& bound, const SharedBoundTiming& timing,
                                      TimePoint now) {
   std::vector<SilentMember> silent;
-  const auto heard =
+  const auto live =
       std::count_if(bound.members.begin(), bound.members.end(),
                     [](const BoundMember& m) { return !m.name.empty() && !m.is_silent; });
   const std::optional<TimePoint> alone_at =
-      bound.last_heard ? std::optional(*bound.last_heard + AloneAfter(timing, heard))
-                       : std::nullopt;
+      bound.last_report ? std::optional(*bound.last_report + AloneAfter(timing, live))
+                        : std::nullopt;
   for (std::size_t i = 0; i < bound.members.size(); ++i) {
     BoundMember& member = bound.members[i];
     if (member.name.empty() || member.is_silent) {
       continue;
     }
-    TimePoint since = member.heard + SilentAfter(timing);
+    TimePoint since = member.last_report + SilentAfter(timing);
     if (alone_at) {
       since = std::min(since, *alone_at);
     }
@@ -107,7 +107,7 @@
   for (std::size_t i = 0; i < bound.members.size(); ++i) {
     BoundMember& member = bound.members[i];
     if (!member.name.empty() && !member.is_listed && member.is_silent &&
-        now - member.heard > timing.forget_after) {
+        now - member.last_report > timing.forget_after) {
       bound.by_name.erase(member.name);
       member = {};
       gone.push_back(i);
@@ -126,7 +126,7 @@
       [](const BoundMember& member) { return !member.name.empty() && member.is_silent; }));
 }
 
-double HeardPart(double aside, double members) {
+double LivePart(double aside, double members) {
   return std::clamp(1 - aside, 1 / std::max(1.0, members), 1.0);
 }
 
--- a/core/shared_bound.h
+++ b/core/shared_bound.h
@@ -1,4 +1,4 @@
-// Parts of a bound that several processes share without a common counter: which of them are heard,
+// Parts of a bound that several processes share without a common counter: which of them are live,
 // and which part stays set aside for those that are not.
 #pragma once
 
@@ -24,37 +24,37 @@
 
 /// A member without a report for this long is silent.
 Duration SilentAfter(const SharedBoundTiming& timing);
-/// All members are silent when none of `heard` has been heard for this long. The more there are,
-/// the sooner.
-Duration AloneAfter(const SharedBoundTiming& timing, std::int64_t heard);
+/// All members are silent when none of `live` members has reported for this long. The more there
+/// are, the sooner.
+Duration AloneAfter(const SharedBoundTiming& timing, std::int64_t live);
 
 /// A process other than this one that may use the bound.
 struct BoundMember {
   /// Empty: the place is free.
   std::string name;
-  /// Tells a restarted process from its predecessor; empty until it is first heard.
+  /// Tells a restarted process from its predecessor; empty until its first report.
   std::optional<std::int64_t> process;
   bool is_listed = false;
   bool is_silent = true;
   /// Last report; the time of its listing until the first one.
-  TimePoint heard;
+  TimePoint last_report;
 };
 
 struct SharedBound {
   /// Indexes stay valid until the member is forgotten.
   std::vector<BoundMember> members;
   std::map<std::string, std::size_t, std::less<>> by_name;
-  std::optional<TimePoint> last_heard;
+  std::optional<TimePoint> last_report;
   /// The list of members has been read; without it no part is known to be safe.
   bool is_listed = false;
 };
 
-struct HeardMember {
+struct ReportingMember {
   std::size_t index = 0;
   bool was_silent = false;
-  /// This process has not heard it before.
+  /// It has not reported to this process before.
   bool is_first = false;
-  /// Another process than the one heard before; its counts start anew.
+  /// Another process than the one of the report before; its counts start anew.
   bool is_restarted = false;
 };
 
@@ -64,10 +64,10 @@
 };
 
 /// Records a report. A sender that is not listed becomes a member.
-HeardMember HearMember(SharedBound& bound, std::string_view name, std::int64_t process,
-                       TimePoint now);
+ReportingMember RecordMemberReport(SharedBound& bound, std::string_view name, std::int64_t process,
+                                   TimePoint now);
 
-/// Replaces the list of the members, without this process. New ones are silent until heard.
+/// Replaces the list of the members, without this process. New ones are silent until they report.
 void ListMembers(SharedBound& bound, std::span<const std::string> names, TimePoint now);
 
 /// Members that have become silent since the last call, by time.
@@ -82,8 +82,8 @@
 double CountMembers(const SharedBound& bound);
 double CountSilent(const SharedBound& bound);
 
-/// Part that the heard members may use together when `aside` (the sum of the silent members' parts)
+/// Part that the live members may use together when `aside` (the sum of the silent members' parts)
 /// is not theirs: at least one in `members`, because each silent member sets as much aside.
-double HeardPart(double aside, double members);
+double LivePart(double aside, double members);
 
 }  // namespace rattanramp::core
--- a/core/workspace_limits.cc
+++ b/core/workspace_limits.cc
@@ -229,7 +229,7 @@
     return;
   }
   const double members = CountMembers(bound_);
-  const double part = HeardPart(silent_ / members + std::max(0.0, bucket.excess), members);
+  const double part = LivePart(silent_ / members + std::max(0.0, bucket.excess), members);
   if (part < bucket.part && bucket.level > 0) {
     // More than the part itself: before the silence is noticed, either side may take what the other
     // side keeps.
@@ -247,8 +247,8 @@
     if (use != nullptr && !use->is_silent) {
       const double faded = Faded(use->demand, use->at, bucket.at);
       bucket.peer_demand = std::max(0.0, bucket.peer_demand - faded);
-      // Its demand when it was last heard; the others' is newer.
-      const double last = Faded(use->demand, use->at, bound_.members[member].heard);
+      // Its demand when it last reported; the others' is newer.
+      const double last = Faded(use->demand, use->at, bound_.members[member].last_report);
       const double all = bucket.own_demand + bucket.peer_demand + last;
       use->part = all > 0 ? bucket.part * last / all : 0;
       use->is_silent = true;
@@ -316,7 +316,7 @@
 }
 
 LimitDecision WorkspaceLimits::Take(std::int64_t workspace, std::int64_t units, TimePoint now) {
-  // After a freeze the members are unheard, whatever the timers have missed.
+  // After a freeze the members count as silent, whatever the timers have missed.
   if (now - refreshed_ > kRefreshInterval) {
     Refresh(now);
   }
@@ -398,29 +398,29 @@
     Refresh(now);
   }
   const bool was_member = bound_.by_name.contains(peer);
-  const HeardMember heard = HearMember(bound_, peer, process, now);
-  if (heard.was_silent) {
+  const ReportingMember sender = RecordMemberReport(bound_, peer, process, now);
+  if (sender.was_silent) {
     silent_ = CountSilent(bound_);
-    OnReturn(heard.index, now);
+    OnReturn(sender.index, now);
   } else if (!was_member) {
     for (auto& [key, bucket] : buckets_) {
       Advance(bucket, now);
       SetPart(bucket);
     }
   }
-  if (heard.is_restarted) {
+  if (sender.is_restarted) {
     for (auto& [key, bucket] : buckets_) {
-      if (MemberUse* use = Find(bucket, heard.index)) {
+      if (MemberUse* use = Find(bucket, sender.index)) {
         use->used = 0;
       }
     }
   }
   for (const WorkspaceUse& use : uses) {
-    RecordUse(heard, use, now);
+    RecordUse(sender, use, now);
   }
-  if (heard.was_silent) {
+  if (sender.was_silent) {
     for (auto& [key, bucket] : buckets_) {
-      if (MemberUse* use = Find(bucket, heard.index)) {
+      if (MemberUse* use = Find(bucket, sender.index)) {
         bucket.level =
             std::min(Capacity(bucket), bucket.level + std::exchange(use->set_aside, 0.0));
       }
@@ -428,7 +428,8 @@
   }
 }
 
-void WorkspaceLimits::RecordUse(const HeardMember& heard, const WorkspaceUse& use, TimePoint now) {
+void WorkspaceLimits::RecordUse(const ReportingMember& sender, const WorkspaceUse& use,
+                                TimePoint now) {
   const auto found = buckets_.find(use.workspace);
   if (found == buckets_.end() || use.used < 0 || use.used > kMaxCount ||
       use.demand_per_s > kMaxCount) {
@@ -436,20 +437,20 @@
   }
   Bucket& bucket = found->second;
   Advance(bucket, now);
-  MemberUse* known = Find(bucket, heard.index);
+  MemberUse* known = Find(bucket, sender.index);
   if (known == nullptr) {
     const auto place = std::lower_bound(
-        bucket.members.begin(), bucket.members.end(), heard.index,
+        bucket.members.begin(), bucket.members.end(), sender.index,
         [](const MemberUse& entry, std::size_t index) { return entry.member < index; });
     known = &*bucket.members.insert(place, MemberUse{});
-    known->member = heard.index;
+    known->member = sender.index;
     known->at = now;
     // How much of the count is new is not known.
-    const bool is_settling = heard.is_first && now - started_ < kSettleTime;
+    const bool is_settling = sender.is_first && now - started_ < kSettleTime;
     const double unknown =
         is_settling ? 0 : kUnknownUseSeconds * static_cast<double>(use.demand_per_s);
     known->used =
-        heard.is_restarted
+        sender.is_restarted
             ? 0
             : use.used - std::min(use.used, static_cast<std::int64_t>(std::max(0.0, unknown)));
   }
@@ -535,7 +536,7 @@
   Duration oldest{};
   for (const BoundMember& member : bound_.members) {
     if (!member.name.empty() && !member.is_silent) {
-      oldest = std::max(oldest, now - member.heard);
+      oldest = std::max(oldest, now - member.last_report);
     }
   }
   return oldest;
--- a/core/workspace_limits.h
+++ b/core/workspace_limits.h
@@ -28,7 +28,7 @@
 /// How a limit is kept; all in units and units per second.
 struct LimitPlan {
   double rate = 0;
-  /// Of the bucket while all members are heard.
+  /// Of the bucket while all members are live.
   double capacity = 0;
   /// What the buckets of members that do not hear each other may hold together.
   double split_capacity = 0;
@@ -147,7 +147,7 @@
     double excess = 0;
     /// Units that were set aside for silent members that have reported no use.
     double set_aside = 0;
-    /// Means over kMemory, in units per second: taken here, asked here, asked at heard members.
+    /// Means over kMemory, in units per second: taken here, asked here, asked at live members.
     double own_taken = 0;
     double own_demand = 0;
     double peer_demand = 0;
@@ -175,7 +175,7 @@
   void SetPart(Bucket& bucket) const;
   void OnSilence(std::size_t member, TimePoint since);
   void OnReturn(std::size_t member, TimePoint now);
-  void RecordUse(const HeardMember& heard, const WorkspaceUse& use, TimePoint now);
+  void RecordUse(const ReportingMember& sender, const WorkspaceUse& use, TimePoint now);
 
   LimitTolerance tolerance_;
   SharedBoundTiming timing_;
