Mend what clang-tidy reports in the joined parts

Cause: the lint of the whole tree had not run since the parts were joined; a constant was unused, two branches were alike, and a vector grew in a loop. Change: these three places, no behaviour.

--- a/core/workspace_limits.cc
+++ b/core/workspace_limits.cc
@@ -33,9 +33,6 @@
 // Part of the bucket that is reported without delay.
 constexpr double kNewsShare = 0.02;
 
-// Own use in a second, against the own part of the rate, above which a gateway waits for its peers.
-constexpr double kPaceFactor = 1.1;
-
 // Reports repeat a workspace until it has not been asked for during this time.
 constexpr Milliseconds kActiveTime{4'000};
 
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -489,6 +489,7 @@
   }
   state_.gateways = static_cast<std::int64_t>(peers.size()) + 1;
   std::vector<std::string> names;
+  names.reserve(peers.size());
   for (const auto& [name, endpoint] : peers) {
     names.push_back(name);
   }
--- a/gateway/generation_exchange.cc
+++ b/gateway/generation_exchange.cc
@@ -318,10 +318,9 @@
   LogRequestStep(request_, "placed", *upstreams[placement->decode],
                  placement->prefill ? upstreams[*placement->prefill]->info.id : "prefill in place");
   ReserveDecode(upstreams[placement->decode]);
-  if (core::IsHeld(handle_, now)) {
-    StartDecode();
-  } else if (placement->prefill &&
-             (completed_prefills_ == 0 || TakeExtraArrival(state_, request_.service->name))) {
+  const bool needs_prefill = !core::IsHeld(handle_, now) && placement->prefill;
+  if (needs_prefill &&
+      (completed_prefills_ == 0 || TakeExtraArrival(state_, request_.service->name))) {
     StartPrefill(upstreams[*placement->prefill]);
   } else {
     StartDecode();
