--- a/gateway/load_exchange.h
+++ b/gateway/load_exchange.h
@@ -55,7 +55,7 @@
  public:
   virtual ~ReportSection() = default;
   /// Adds the module's fields to a report. is_complete: one of the reports at intervals, which
-  /// repeat what earlier ones have told; the others are sent when something has changed.
+  /// repeat what earlier ones contain; the others are sent when something has changed.
   virtual void AddTo(wire::GatewayLoad& report, bool is_complete) = 0;
   virtual void Record(const wire::GatewayLoad& report) = 0;
   /// Whether there is something that peers must know before the next complete report.
--- a/tests/core/upstream_suspicion_test.cc
+++ b/tests/core/upstream_suspicion_test.cc
@@ -170,7 +170,7 @@
   cr_assert(holds);
 }
 
-// Load: reports arrive late, so that a failure is heard of after the answer that followed it.
+// Load: reports arrive late, so that a failure is reported after the answer that followed it.
 Test(upstream_suspicion, late_reports_do_not_close_an_engine_that_has_answered) {
   UpstreamSuspicions suspicions;
   core::RecordFailure(suspicions, 1, FailureSign::kNotConnected, At(100));
--- a/tests/gateway/callers_test.cc
+++ b/tests/gateway/callers_test.cc
@@ -299,7 +299,7 @@
 
 // Guards against a gateway that stops serving because the store turns it away and no other, against
 // evidence of a peer that is itself stale or is repeated late, and against a key that is used on
-// after a peer has told of its removal.
+// after a peer has reported its removal.
 Test(callers, gateway_that_is_turned_away_serves_on_through_a_peer, .timeout = 60) {
   CallersFixture fixture(R"(["key-of-w1","key-2-of-w1"])");
   fixture.StartReady();
