Reject answers whose status HTTP doesn't have

Callers saw: the body of an answer with status 600 or 999 under that status. After status 000 to 099 a request waited for another answer until its deadline.

Cause: Beast's parser accepts any three digits. ResponseParser passed them on, and ClientConnection took all below 200 for an informational response.

Change: ResponseParser accepts 100 to 599 (RFC 9110, section 15). Everything else is malformed, as a broken status line is: another upstream is asked where the route allows one, otherwise the caller gets 502 at once. Plain servers, both engine stages, health checks and the store read through this parser.

--- a/http/message.cc
+++ b/http/message.cc
@@ -93,6 +93,12 @@
   }
 }
 
+bool IsValidStatus(int code) {
+  constexpr int kFirstStatus = 100;
+  constexpr int kLastStatus = 599;
+  return code >= kFirstStatus && code <= kLastStatus;
+}
+
 std::string_view ReasonPhrase(int status) {
   const boost::beast::string_view phrase =
       boost::beast::http::obsolete_reason(boost::beast::http::int_to_status(status));
--- a/http/message.h
+++ b/http/message.h
@@ -69,6 +69,9 @@
 /// characters, at least one.
 bool IsFieldText(std::string_view text);
 
+/// Whether HTTP defines a class for the status code: 100 to 599 (RFC 9110, section 15).
+bool IsValidStatus(int code);
+
 /// Standard reason phrase of a status code; "Status" for unknown codes.
 std::string_view ReasonPhrase(int status);
 
--- a/http/parser.cc
+++ b/http/parser.cc
@@ -162,7 +162,8 @@
   }
   void on_response_impl(int status, beast::string_view /*reason*/, int /*version*/,
                         ErrorCode& ec) override {
-    ec = {};
+    // Beast accepts any three digits.
+    ec = IsValidStatus(status) ? ErrorCode() : make_error_code(beast::http::error::bad_status);
     head.status = status;
   }
   void on_field_impl(field /*name*/, beast::string_view name, beast::string_view value,
--- a/tests/http/parser_test.cc
+++ b/tests/http/parser_test.cc
@@ -134,3 +134,18 @@
     cr_assert_null(http::FindField(parser.head().fields, "Request-Id"));
   }
 }
+
+// Guards against a status that HTTP doesn't have, such as 000, being passed on as an answer, or
+// taken for an informational one.
+Test(http_parser, status_out_of_range_is_rejected) {
+  for (int status = 0; status < 1'000; ++status) {
+    const std::string digits = std::to_string(1'000 + status).substr(1);
+    std::string head = "HTTP/1.1 ";
+    head.append(digits).append(" Text\r\nContent-Length: 0\r\n\r\n");
+    for (const std::size_t segment_size : {std::size_t{1}, head.size()}) {
+      http::ResponseParser parser(false);
+      const bool is_accepted = FeedInSegments(parser, head, segment_size).has_value();
+      cr_expect_eq(is_accepted, status >= 100 && status < 600, "status %s", digits.c_str());
+    }
+  }
+}
--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -5,9 +5,11 @@
 #include <asio/io_context.hpp>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "tests/gateway/fake_engine.h"
 #include "tests/gateway/run_until.h"
+#include "tests/support/broken_heads.h"
 
 using namespace rattanramp;
 
@@ -94,3 +96,28 @@
     cr_expect_eq(rows->has_value(), size == body.size(), "%zu bytes", size);
   }
 }
+
+namespace {
+
+void ExpectNoRows(const std::vector<std::string>& heads) {
+  const std::string body = R"({"ver":5,"rows":[{"key":"a","ver":1}]})";
+  for (const std::string& head : heads) {
+    for (const bool is_closed : {false, true}) {
+      tests::FakeAnswer answer{tests::WithLength(head, body)};
+      answer.close = is_closed;
+      const std::optional<Result<store::TableRows>> rows = ReadAnswer(answer);
+      cr_assert(rows);
+      cr_expect(!rows->has_value(), "rows after '%s'", head.c_str());
+      cr_expect(rows->has_value() || rows->error().message.find("in time") == std::string::npos,
+                "timeout after '%s'", head.c_str());
+    }
+  }
+}
+
+}  // namespace
+
+// Guards against rows from an answer with a status that HTTP does not have, and against a call that
+// waits for another answer.
+Test(store_client, status_out_of_range_is_an_error, .timeout = 60) {
+  ExpectNoRows(tests::HeadsWithBadStatus());
+}
