Reject answers with folded lines in their heads

Callers saw: an answer in whose head the name of a field began with a blank, with that line as part of the value before it; after " Transfer-Encoding: chunked" the framing was not the one that the line states.

Cause: Beast reads a line that begins with a blank as the continuation of the value before it. HTTP/1.1 has deprecated this, and lets a gateway reject such an answer (RFC 9112, section 5.2). Another reader of the same head finds a field there.

Change: ResponseParser rejects heads with such lines. Requests are read as before.

--- a/http/parser.cc
+++ b/http/parser.cc
@@ -28,6 +28,13 @@
   }
 }
 
+// A line that begins with a blank continues the value of the line before it (RFC 9112,
+// section 5.2). Read as a field of its own, it can change the framing.
+bool HasFoldedLine(std::string_view head) {
+  return head.find("\r\n ") != std::string_view::npos ||
+         head.find("\r\n\t") != std::string_view::npos;
+}
+
 Error MalformedError(const char* message, const ErrorCode& code) {
   return Error{ErrorKind::kProtocol, std::string(message) + ": " + code.message(),
                "send well-formed HTTP/1.1"};
@@ -228,6 +235,9 @@
     ErrorCode ec;
     const std::size_t parsed =
         impl_->put(boost::asio::const_buffer(bytes.data() + consumed, bytes.size() - consumed), ec);
+    if (!had_head && HasFoldedLine(bytes.substr(consumed, parsed))) {
+      ec = beast::http::error::bad_obs_fold;
+    }
     consumed += parsed;
     if (ec && ec != beast::http::error::need_more) {
       return MalformedError("malformed response", ec);
--- a/tests/gateway/broken_answer_test.cc
+++ b/tests/gateway/broken_answer_test.cc
@@ -128,6 +128,12 @@
   ExpectNoAnswer(tests::HeadsWithBadStatus(kFields));
 }
 
+// Guards against an answer with a field whose name holds a blank or a control byte: the line would
+// be passed on, or the body end where the server did not end it.
+Test(broken_answer, field_name_that_is_no_token_is_no_answer, .timeout = 300) {
+  ExpectNoAnswer(tests::HeadsWithBadName(kFields));
+}
+
 // Guards against a health check that no answer confirms, so that the tests above show nothing.
 Test(broken_answer, sound_health_check_confirms, .timeout = 30) {
   cr_expect(IsConfirmedBy({"HTTP/1.1 200 OK\r\nInstance-Id: a\r\nContent-Length: 0\r\n\r\n"}));
--- a/tests/http/parser_test.cc
+++ b/tests/http/parser_test.cc
@@ -149,3 +149,43 @@
     }
   }
 }
+
+// Guards against a field whose name holds a blank, a control byte or another delimiter: it would be
+// passed on, or hide the framing of the body, as "Content-Length : 5" does.
+Test(http_parser, field_name_that_is_no_token_is_rejected) {
+  const std::string token_characters =
+      "!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ";
+  for (int value = 0; value < 256; ++value) {
+    const char byte = static_cast<char>(value);
+    for (const std::string& name :
+         {byte + std::string("Name"), "Na" + std::string(1, byte) + "me",
+          "A-long-name-of-more-than-sixteen-bytes" + std::string(1, byte)}) {
+      // A colon within a name ends it.
+      const bool is_valid =
+          token_characters.find(byte) != std::string::npos || (byte == ':' && name[0] != ':');
+      for (const std::string& before : {std::string(), std::string("Id: a\r\n")}) {
+        std::string head = "HTTP/1.1 200 OK\r\n";
+        head.append(before).append(name).append(": x\r\nContent-Length: 0\r\n\r\n");
+        for (const std::size_t segment_size : {std::size_t{1}, head.size()}) {
+          http::ResponseParser parser(false);
+          const bool is_accepted = FeedInSegments(parser, head, segment_size).has_value();
+          cr_expect_eq(is_accepted, is_valid, "byte %d in '%s' after '%s'", value, name.c_str(),
+                       before.c_str());
+        }
+      }
+    }
+  }
+}
+
+// Guards against a control byte that is passed on in the value of a field. Tabs are allowed.
+Test(http_parser, control_byte_in_a_field_value_is_rejected) {
+  for (int value = 0; value < 256; ++value) {
+    std::string head = "HTTP/1.1 200 OK\r\nId: a";
+    head.append(1, static_cast<char>(value)).append("b\r\nContent-Length: 0\r\n\r\n");
+    for (const std::size_t segment_size : {std::size_t{1}, head.size()}) {
+      http::ResponseParser parser(false);
+      const bool is_accepted = FeedInSegments(parser, head, segment_size).has_value();
+      cr_expect_eq(is_accepted, value == '\t' || (value >= 32 && value != 127), "byte %d", value);
+    }
+  }
+}
--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -121,3 +121,8 @@
 Test(store_client, status_out_of_range_is_an_error, .timeout = 60) {
   ExpectNoRows(tests::HeadsWithBadStatus());
 }
+
+// Guards against rows from an answer with a field whose name holds a blank or a control byte.
+Test(store_client, field_name_that_is_no_token_is_an_error, .timeout = 60) {
+  ExpectNoRows(tests::HeadsWithBadName());
+}
