Fail an unframed answer that is reset while its request is sent

Callers saw: a part of an answer as a complete one. The server had answered at once with a 200 that had no length, sent a part of the body and reset the connection while the upload was still being written.

Cause: a socket reports an error only once. When the reset fails a pending write, that write takes ECONNRESET, and the read that follows sees an end of file. ClientConnection left the report of a failed write to the read, which took the end of file for an orderly close, the end of an answer without a length.

Change: the error of a failed write is kept; an end of file after it is a reset. Broken_pipe is the exception: the server had ended its side before the reset, so the answer is whole. If the end of file is read before the write's handler has run, TCP_INFO tells whether the connection is only half closed; if it is down, the write ends soon, and its error decides. A connection on which a write failed isn't used again.

Why this works: the error is lost to the read only if the write took it, and then the write's handler has it. Which handler runs first doesn't matter any more.

Orderly ends during and after the upload stay complete, and a reset after the upload was a failure before; their tests are kept.

--- a/http/client_connection.cc
+++ b/http/client_connection.cc
@@ -154,22 +154,32 @@
   asio::async_write(
       socket_, buffers,
       [self, body = request_body_](const std::error_code& error, std::size_t /*size*/) {
-        self->is_writing_ = false;
-        // An idle connection must not hold the request that it carried last.
-        if (!error) {
-          self->request_body_.reset();
-          self->request_head_ = {};
-        }
-        // While a read is pending, it fails too and reports the failure, so that the listener
-        // is called once.
-        if (error && !self->is_closed_ && !self->is_reading_) {
-          self->Fail(ExchangeFailure::kConnectionReset);
-        }
+        self->OnWriteEnd(error);
       });
 }
 
+void ClientConnection::OnWriteEnd(const std::error_code& error) {
+  is_writing_ = false;
+  write_error_ = error;
+  if (!error) {
+    // An idle connection must not hold the request that it carried last.
+    request_body_.reset();
+    request_head_ = {};
+  }
+  if (is_closed_) {
+    return;
+  }
+  if (is_end_pending_) {
+    OnEndOfInput(IsOrderlyEnd());
+  } else if (error && !is_reading_) {
+    // While a read is pending, it ends too and reports the failure, so that the listener is called
+    // once.
+    Fail(ExchangeFailure::kConnectionReset);
+  }
+}
+
 void ClientConnection::Read() {
-  if (is_reading_ || is_closed_ || is_paused_) {
+  if (is_reading_ || is_closed_ || is_paused_ || is_end_pending_) {
     return;
   }
   is_reading_ = true;
@@ -185,8 +195,13 @@
   if (is_closed_) {
     return;
   }
+  if (error == asio::error::eof && is_writing_ && !IsHalfClosed()) {
+    // The connection is down, so the write ends soon and shows whether it was reset.
+    is_end_pending_ = true;
+    return;
+  }
   if (error) {
-    OnEndOfInput(error == asio::error::eof);
+    OnEndOfInput(error == asio::error::eof && IsOrderlyEnd());
     return;
   }
   unparsed_.append(read_buffer_.data(), size);
@@ -201,6 +216,17 @@
   Read();
 }
 
+bool ClientConnection::IsHalfClosed() {
+  tcp_info info = {};
+  socklen_t size = sizeof(info);
+  return getsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) == 0 &&
+         info.tcpi_state == TCP_CLOSE_WAIT;
+}
+
+bool ClientConnection::IsOrderlyEnd() const {
+  return !write_error_ || write_error_ == asio::error::broken_pipe;
+}
+
 bool ClientConnection::IsDiscardLimitExceeded() const {
   return discarded_responses_ > kMaxDiscardedResponses || discarded_bytes_ > kMaxDiscardedBytes;
 }
@@ -267,8 +293,9 @@
     return true;
   }
   // A server may respond before it has read the whole request body. It would then parse the rest
-  // of that body as the next request, so the connection is reusable only after the write has ended.
-  const bool is_reusable = keep_alive && !is_writing_ && unparsed_.empty();
+  // of that body as the next request, so the connection is reusable only after the whole
+  // request was written.
+  const bool is_reusable = keep_alive && !is_writing_ && !write_error_ && unparsed_.empty();
   ResponseListener* listener = std::exchange(listener_, nullptr);
   parser_.reset();
   if (!is_reusable) {
--- a/http/client_connection.h
+++ b/http/client_connection.h
@@ -96,6 +96,7 @@
   void Connect();
   void ConfigureSocket();
   void Write();
+  void OnWriteEnd(const std::error_code& error);
   void Read();
   void OnRead(const std::error_code& error, std::size_t size);
   /// Parses the bytes that were read. Returns false when the connection was closed meanwhile.
@@ -104,6 +105,12 @@
   bool IsDiscardLimitExceeded() const;
   bool FinishResponse();
   void OnEndOfInput(bool is_orderly);
+  /// Whether the server has ended its side of the connection, which is still open.
+  bool IsHalfClosed();
+  /// Whether an end of input that was read is the server's own. The socket reports an error only
+  /// once: if a reset fails the write, the read that follows sees an end of input. A write fails
+  /// with broken_pipe if the server had ended its side before the reset.
+  bool IsOrderlyEnd() const;
   void Fail(ExchangeFailure failure);
 
   asio::ip::tcp::endpoint server_;
@@ -129,6 +136,10 @@
   bool is_reading_ = false;
   bool is_writing_ = false;
   bool is_paused_ = false;
+  /// The end of the input was read while the write had not ended.
+  bool is_end_pending_ = false;
+  /// Error of the last write, which has ended.
+  std::error_code write_error_;
   bool is_head_reported_ = false;
   bool is_discarding_ = false;
   /// Responses that were discarded since the request was sent, and the bytes of their bodies.
--- a/tests/gateway/broken_answer_test.cc
+++ b/tests/gateway/broken_answer_test.cc
@@ -1,4 +1,5 @@
-// What a caller sees of an answer that is no valid HTTP message.
+// What a caller sees of an answer that is no valid HTTP message, or that was cut off while its
+// request was still being sent.
 #include <criterion/criterion.h>
 
 #include <string>
@@ -19,6 +20,9 @@
 
 namespace {
 
+// More than the socket buffers of both sides hold.
+constexpr std::size_t kUploadBytes = 32 * 1024 * 1024;
+
 const std::string kKvHandle = R"({"kv_handle":"h","tokens":5000})";
 const std::string kEvents = "id: 1\ndata: x\n\nid: 2\ndata: x\n\n";
 
@@ -138,3 +142,29 @@
 Test(broken_answer, sound_health_check_confirms, .timeout = 30) {
   cr_expect(IsConfirmedBy({"HTTP/1.1 200 OK\r\nInstance-Id: a\r\nContent-Length: 0\r\n\r\n"}));
 }
+
+// Guards against a part of an answer that reaches the caller as a whole one: the server answered at
+// once, without a length, and reset the connection while the request was still being sent.
+Test(broken_answer, answer_reset_during_the_upload_is_broken, .timeout = 300) {
+  const std::string head = "HTTP/1.1 200 OK\r\n" + kFields;
+  for (int round = 0; round < 20; ++round) {
+    for (const RequestKind kind : {RequestKind::kOnce, RequestKind::kRepeatable}) {
+      ExchangeFixture fixture;
+      fixture.request_body = std::string(kUploadBytes, 'u');
+      RunPlain(fixture, {head + "\r\npart", true}, kind);
+      cr_expect_eq(fixture.sink.status, 502, "plain: status %d, '%s'", fixture.sink.status,
+                   fixture.sink.body.c_str());
+    }
+    ExchangeFixture prefill;
+    prefill.request_body = std::string(kUploadBytes, 'u');
+    RunStream(prefill, Always({head + "\r\n" + kKvHandle, true}),
+              Always({WithLength(head + "Content-Type: text/event-stream\r\n", kEvents)}));
+    cr_expect(prefill.sink.status >= 500, "prefill: status %d", prefill.sink.status);
+    ExchangeFixture decode;
+    decode.request_body = std::string(kUploadBytes, 'u');
+    RunStream(decode, PrefillAnswer,
+              Always({head + "Content-Type: text/event-stream\r\n\r\n" + kEvents, true}));
+    cr_expect(!decode.sink.is_complete || decode.sink.status == 502, "decode: status %d, '%s'",
+              decode.sink.status, decode.sink.body.c_str());
+  }
+}
--- a/tests/gateway/exchange_fixture.cc
+++ b/tests/gateway/exchange_fixture.cc
@@ -86,7 +86,7 @@
   request.head.fields = {{"Host", "h"},
                          {"Request-Id", request_id},
                          {"Token-Count", "5000," + std::to_string(max_output_tokens)}};
-  request.body = std::make_shared<const std::string>();
+  request.body = std::make_shared<const std::string>(request_body);
   request.facts.request_id = request_id;
   request.facts.prompt_tokens = 5'000;
   request.facts.max_output_tokens = max_output_tokens;
--- a/tests/gateway/exchange_fixture.h
+++ b/tests/gateway/exchange_fixture.h
@@ -48,6 +48,7 @@
 
   asio::io_context context;
   std::string request_id = "r1";
+  std::string request_body;
   std::int64_t max_output_tokens = 100;
   /// Called with the exchange after it has started.
   std::function<void(gateway::Exchange&)> on_started = [](gateway::Exchange& /*exchange*/) {};
--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -126,3 +126,21 @@
 Test(store_client, field_name_that_is_no_token_is_an_error, .timeout = 60) {
   ExpectNoRows(tests::HeadsWithBadName());
 }
+
+// Guards against a write that counts as done although the service reset the connection while the
+// request was still being sent.
+Test(store_client, answer_reset_during_the_upload_is_an_error, .timeout = 120) {
+  const std::string value(24 * 1024 * 1024, 'u');
+  for (int round = 0; round < 10; ++round) {
+    tests::FakeEngine service([](const std::string& /*head*/, int /*number*/) -> tests::FakeAnswer {
+      return {"HTTP/1.1 200 OK\r\n\r\n{}", true};
+    });
+    asio::io_context context;
+    const std::unique_ptr<platform::StoreClient> client =
+        platform::StoreClient::Create(context, {asio::ip::address_v4::loopback(), service.port()});
+    std::optional<Result<void>> written;
+    client->Write("t", "k", value, [&](Result<void> result) { written = std::move(result); });
+    tests::RunUntil(context, [&] { return written.has_value(); });
+    cr_expect(written && !written->has_value());
+  }
+}
