Move the socket stream out of the HTTP server

Change: SocketStream gets files of its own in base/; what concerns callers only stays in the server as CallerStream. No change in behaviour. Measured: test_base, test_entry, test_standins and test_control pass.

--- a/base/http_server.cc
+++ b/base/http_server.cc
@@ -6,142 +6,28 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include <array>
-#include <cerrno>
 #include <charconv>
 #include <functional>
 #include <utility>
 
+#include "base/socket_stream.h"
+
 namespace rattanramp {
 namespace {
 
 constexpr int kListenBacklog = 1024;
-constexpr std::size_t kReadBufferBytes = 16 * 1024;
 constexpr int kPollIntervalMs = 200;
 
-// Largest head of a request, and longest line between the chunks of its body. The library bounds
-// neither the number of lines nor, before it has read them, their length.
-constexpr std::size_t kMaxLineBytes = 64 * 1024;
-
 thread_local int current_socket = -1;
 thread_local bool close_after_response = false;
 
-bool WaitForEvent(int socket, std::int16_t events, int timeout_ms) {
-  pollfd entry{socket, events, 0};
-  int result = 0;
-  do {
-    result = poll(&entry, 1, timeout_ms);
-  } while (result < 0 && errno == EINTR);
-  return result > 0 && (entry.revents & events) != 0;
-}
-
-/// Stream over an accepted socket. Replaces the socket stream of httplib, which is not part of its
-/// public interface.
-class SocketStream : public httplib::Stream {
+/// Not writable once the caller has closed its connection.
+class CallerStream final : public SocketStream {
  public:
-  SocketStream(int socket, int read_timeout_ms, int write_timeout_ms)
-      : socket_(socket), read_timeout_ms_(read_timeout_ms), write_timeout_ms_(write_timeout_ms) {}
-
-  bool is_readable() const override {
-    return read_position_ < buffered_bytes_ || WaitForEvent(socket_, POLLIN, read_timeout_ms_);
-  }
-
+  using SocketStream::SocketStream;
   bool is_writable() const override {
-    return !HttpServer::CallerHasDisconnected() &&
-           WaitForEvent(socket_, POLLOUT, write_timeout_ms_);
-  }
-
-  /// The bytes that follow are the head of a request.
-  void BeginRequest() {
-    is_in_head_ = true;
-    line_bytes_ = 0;
-    ended_lines_ = 0;
-  }
-
-  ssize_t read(char* data, size_t size) override {
-    if (line_bytes_ > kMaxLineBytes) {
-      return -1;
-    }
-    if (read_position_ == buffered_bytes_) {
-      if (!WaitForEvent(socket_, POLLIN, read_timeout_ms_)) {
-        return -1;
-      }
-      const ssize_t received = Receive(buffer_.data(), buffer_.size());
-      if (received <= 0) {
-        return received;
-      }
-      read_position_ = 0;
-      buffered_bytes_ = static_cast<std::size_t>(received);
-    }
-    const std::size_t count = std::min(size, buffered_bytes_ - read_position_);
-    std::copy_n(buffer_.data() + read_position_, count, data);
-    read_position_ += count;
-    CountLineBytes(data, count);
-    return static_cast<ssize_t>(count);
-  }
-
-  ssize_t write(const char* data, size_t size) override {
-    if (!WaitForEvent(socket_, POLLOUT, write_timeout_ms_)) {
-      return -1;
-    }
-    ssize_t sent = 0;
-    do {
-      sent = send(socket_, data, size, MSG_NOSIGNAL);
-    } while (sent < 0 && errno == EINTR);
-    return sent;
-  }
-
-  void get_remote_ip_and_port(std::string& ip, int& port) const override {
-    ip = "unknown";
-    port = 0;
-  }
-
-  void get_local_ip_and_port(std::string& ip, int& port) const override {
-    ip = "unknown";
-    port = 0;
+    return !HttpServer::CallerHasDisconnected() && SocketStream::is_writable();
   }
-
-  socket_t socket() const override { return socket_; }
-
- private:
-  // The library reads lines byte by byte, and bodies in larger pieces.
-  void CountLineBytes(const char* data, std::size_t count) {
-    const bool is_line_end = count == 1 && data[0] == '\n';
-    if (!is_in_head_) {
-      line_bytes_ = count > 1 || is_line_end ? 0 : line_bytes_ + 1;
-      return;
-    }
-    line_bytes_ += count;
-    if (is_line_end) {
-      ++ended_lines_;
-    } else if (count > 1 || data[0] != '\r') {
-      ended_lines_ = 0;
-    }
-    if (ended_lines_ == 2) {
-      is_in_head_ = false;
-      line_bytes_ = 0;
-    }
-  }
-
-  ssize_t Receive(char* data, std::size_t size) const {
-    ssize_t received = 0;
-    do {
-      received = recv(socket_, data, size, 0);
-    } while (received < 0 && errno == EINTR);
-    return received;
-  }
-
-  int socket_;
-  int read_timeout_ms_;
-  int write_timeout_ms_;
-  std::array<char, kReadBufferBytes> buffer_{};
-  std::size_t read_position_ = 0;
-  std::size_t buffered_bytes_ = 0;
-  bool is_in_head_ = false;
-  /// Bytes of the head, or of the line that has begun.
-  std::size_t line_bytes_ = 0;
-  /// Ends of lines without other bytes between them.
-  int ended_lines_ = 0;
 };
 
 }  // namespace
@@ -180,7 +66,7 @@
   std::condition_variable connection_ended_;
 };
 
-/// Serves each accepted socket through SocketStream and records the socket of the current thread,
+/// Serves each accepted socket through CallerStream and records the socket of the current thread,
 /// so that handlers can check whether the caller has closed the connection.
 class HttpServer::SocketServer : public httplib::Server {
  public:
@@ -190,15 +76,15 @@
   bool process_and_close_socket(socket_t socket) override {
     current_socket = socket;
     close_after_response = false;
-    SocketStream stream(socket, ToMilliseconds(read_timeout_sec_, read_timeout_usec_),
-                        ToMilliseconds(write_timeout_sec_, write_timeout_usec_));
+    CallerStream stream(socket, TimeoutMs(read_timeout_sec_, read_timeout_usec_),
+                        TimeoutMs(write_timeout_sec_, write_timeout_usec_));
     bool ok = true;
     bool connection_closed = false;
     for (std::size_t remaining = keep_alive_max_count_; remaining > 0; --remaining) {
       if (!WaitForRequest(stream)) {
         break;
       }
-      stream.BeginRequest();
+      stream.BeginHead();
       ok = process_request(stream, remaining == 1 || stopping.load(), connection_closed, nullptr);
       if (!ok || connection_closed || close_after_response) {
         break;
@@ -222,10 +108,6 @@
     }
     return false;
   }
-
-  static int ToMilliseconds(time_t seconds, time_t microseconds) {
-    return static_cast<int>(seconds * 1000 + microseconds / 1000);
-  }
 };
 
 HttpServer::HttpServer() : open_connections_(std::make_shared<std::atomic<std::size_t>>(0)) {}
