Check the heads of answers in the programs that use cpp-httplib

Callers saw: calls through rattanramp-agent answered with status 000, 001, 099, 600 or 999; answers in whose head the name of a field held a blank or a control byte, with the body cut or with the framing of its chunks in it, as after "Transfer-Encoding : chunked". rattanramp-ctl and rattanramp-load reported such answers as sound, and the client of the stand-in platform used rows from them and took commits for done.

Cause: cpp-httplib accepts any three digits as status, takes any text before a colon for a name and leaves out lines that it can't parse. Nothing behind it looked at the head.

Change: http::StrictClient reads the head of each response through ResponseParser, the parser of the event loop's connections, before the library sees a byte of it, so the same heads are accepted everywhere. A malformed head fails the request like a lost connection. Informational responses are skipped, as ClientConnection does, and transfer codings that the library doesn't remove are an error. agent/, ctl/, load/ and store/ use it. control/ reads no HTTP answers. The stand-in engine's import from another stand-in keeps the library's client.

--- a/agent/http_client.cc
+++ b/agent/http_client.cc
@@ -22,8 +22,8 @@
 
 }  // namespace
 
-std::unique_ptr<httplib::Client> MakeClient(const std::string& url, Milliseconds read_timeout) {
-  std::unique_ptr<httplib::Client> client = std::make_unique<httplib::Client>(url);
+std::unique_ptr<http::StrictClient> MakeClient(const std::string& url, Milliseconds read_timeout) {
+  std::unique_ptr<http::StrictClient> client = http::StrictClient::Create(url);
   client->set_connection_timeout(kConnectTimeout);
   client->set_read_timeout(read_timeout);
   client->set_write_timeout(kWriteTimeout);
@@ -33,7 +33,7 @@
   return client;
 }
 
-HttpReply SendRequest(httplib::Client& client, httplib::Request request, RunControl& control) {
+HttpReply SendRequest(http::StrictClient& client, httplib::Request request, RunControl& control) {
   HttpReply reply;
   if (control.stopped()) {
     reply.status = RunStatus::kStopped;
--- a/agent/http_client.h
+++ b/agent/http_client.h
@@ -1,17 +1,16 @@
-// Helpers for the HTTP client of the upstream adapters, based on cpp-httplib.
+// Helpers for the HTTP client of the upstream adapters, based on StrictClient.
 #pragma once
 
-#include <httplib.h>
-
 #include <memory>
 #include <string>
 
 #include "agent/upstream_port.h"
+#include "http/strict_client.h"
 
 namespace rattanramp::agent {
 
 /// Creates a client for one request. read_timeout is the longest time without received data.
-std::unique_ptr<httplib::Client> MakeClient(const std::string& url, Milliseconds read_timeout);
+std::unique_ptr<http::StrictClient> MakeClient(const std::string& url, Milliseconds read_timeout);
 
 /// Result of SendRequest.
 struct HttpReply {
@@ -22,6 +21,6 @@
 };
 
 /// Sends a request that control can interrupt.
-HttpReply SendRequest(httplib::Client& client, httplib::Request request, RunControl& control);
+HttpReply SendRequest(http::StrictClient& client, httplib::Request request, RunControl& control);
 
 }  // namespace rattanramp::agent
--- a/agent/http_engine.cc
+++ b/agent/http_engine.cc
@@ -97,7 +97,7 @@
       return false;
     }
   };
-  const std::unique_ptr<httplib::Client> client = MakeClient(url, kRunReadTimeout);
+  const std::unique_ptr<http::StrictClient> client = MakeClient(url, kRunReadTimeout);
   const HttpReply reply = SendRequest(*client, std::move(request), control);
   if (done) {
     result.status = RunStatus::kDone;
@@ -128,7 +128,7 @@
 /// Sends a control request with a timeout of 1 s. Any status other than 200 is an error.
 Result<std::string> SendControlRequest(const std::string& url, httplib::Request request,
                                        const std::string& action) {
-  const std::unique_ptr<httplib::Client> client = MakeClient(url, kControlReadTimeout);
+  const std::unique_ptr<http::StrictClient> client = MakeClient(url, kControlReadTimeout);
   RunControl control;
   const HttpReply reply = SendRequest(*client, std::move(request), control);
   if (reply.status != RunStatus::kDone) {
@@ -213,7 +213,7 @@
                      {"prompt", request.prompt},
                      {"priority", request.priority},
                      {"fence", fence_.load()}};
-  const std::unique_ptr<httplib::Client> client = MakeClient(url_, kRunReadTimeout);
+  const std::unique_ptr<http::StrictClient> client = MakeClient(url_, kRunReadTimeout);
   const HttpReply reply = SendRequest(*client, MakePostRequest("/v1/prefill", body), control);
   PrefillResult result;
   result.run.status = reply.status;
--- a/agent/http_service.cc
+++ b/agent/http_service.cc
@@ -72,7 +72,7 @@
     http_request.set_header("Idempotency-Key", request.idempotency_key);
   }
   http_request.set_header("X-Request-Id", request.request_id);
-  const std::unique_ptr<httplib::Client> client = MakeClient(url_, request.timeout);
+  const std::unique_ptr<http::StrictClient> client = MakeClient(url_, request.timeout);
   HttpReply reply = SendRequest(*client, std::move(http_request), control);
   CallReply result;
   result.status = reply.status;
--- a/ctl/operator_client.cc
+++ b/ctl/operator_client.cc
@@ -1,11 +1,11 @@
 #include "ctl/operator_client.h"
 
-#include <httplib.h>
-
+#include <memory>
 #include <utility>
 
 #include "base/bounded_json.h"
 #include "base/http_server.h"
+#include "http/strict_client.h"
 
 namespace rattanramp::ctl {
 namespace {
@@ -19,11 +19,11 @@
          error != httplib::Error::BindIPAddress;
 }
 
-httplib::Client MakeClient(const std::string& address, Milliseconds timeout) {
-  httplib::Client client("http://" + address);
-  client.set_connection_timeout(timeout);
-  client.set_read_timeout(timeout);
-  client.set_write_timeout(timeout);
+std::unique_ptr<http::StrictClient> MakeClient(const std::string& address, Milliseconds timeout) {
+  std::unique_ptr<http::StrictClient> client = http::StrictClient::Create("http://" + address);
+  client->set_connection_timeout(timeout);
+  client->set_read_timeout(timeout);
+  client->set_write_timeout(timeout);
   return client;
 }
 
@@ -74,8 +74,8 @@
     const std::string& path, const std::multimap<std::string, std::string>& parameters) const {
   Error error;
   for (const std::string& address : addresses_) {
-    httplib::Client client = MakeClient(address, timeout_);
-    const httplib::Result result = client.Get(path, parameters, httplib::Headers());
+    const std::unique_ptr<http::StrictClient> client = MakeClient(address, timeout_);
+    const httplib::Result result = client->Get(path, parameters, httplib::Headers());
     if (result) {
       return ToOperatorResponse(*result);
     }
@@ -89,8 +89,8 @@
 Result<OperatorResponse> OperatorClient::Post(std::size_t index, const std::string& path,
                                               const std::string& body) const {
   const std::string& address = addresses_[index % addresses_.size()];
-  httplib::Client client = MakeClient(address, timeout_);
-  const httplib::Result result = client.Post(path, body, "application/json");
+  const std::unique_ptr<http::StrictClient> client = MakeClient(address, timeout_);
+  const httplib::Result result = client->Post(path, body, "application/json");
   if (result) {
     return ToOperatorResponse(*result);
   }
--- a/load/report.cc
+++ b/load/report.cc
@@ -1,9 +1,11 @@
 #include "load/report.h"
 
-#include <httplib.h>
 #include <spdlog/fmt/fmt.h>
 
 #include <algorithm>
+#include <memory>
+
+#include "http/strict_client.h"
 
 namespace rattanramp::load {
 namespace {
@@ -150,8 +152,8 @@
 PrefillTotals ReadPrefillTotals(const std::vector<std::string>& engine_urls) {
   PrefillTotals totals;
   for (const std::string& url : engine_urls) {
-    httplib::Client client(url);
-    const httplib::Result result = client.Get("/v1/truth");
+    const std::unique_ptr<http::StrictClient> client = http::StrictClient::Create(url);
+    const httplib::Result result = client->Get("/v1/truth");
     const json body = result ? json::parse(result->body, nullptr, false) : json();
     if (body.is_object()) {
       totals.spent += body.value("prefill_tokens_spent", std::int64_t{0});
@@ -164,8 +166,8 @@
 std::map<std::string, std::int64_t> ReadRunsByKey(const std::vector<std::string>& service_urls) {
   std::map<std::string, std::int64_t> runs;
   for (const std::string& url : service_urls) {
-    httplib::Client client(url);
-    const httplib::Result result = client.Get("/counts");
+    const std::unique_ptr<http::StrictClient> client = http::StrictClient::Create(url);
+    const httplib::Result result = client->Get("/counts");
     const json body = result ? json::parse(result->body, nullptr, false) : json();
     if (!body.is_object() || !body.contains("runs")) {
       continue;
--- a/load/runner.cc
+++ b/load/runner.cc
@@ -1,14 +1,14 @@
 #include "load/runner.h"
 
-#include <httplib.h>
-
 #include <algorithm>
+#include <memory>
 #include <mutex>
 #include <nlohmann/json.hpp>
 #include <thread>
 #include <utility>
 
 #include "base/ids.h"
+#include "http/strict_client.h"
 
 namespace rattanramp::load {
 namespace {
@@ -18,12 +18,12 @@
 constexpr int kOk = 200;
 constexpr int kCreated = 201;
 
-httplib::Client MakeClient(const std::string& entry, Milliseconds timeout) {
-  httplib::Client client("http://" + entry);
-  client.set_connection_timeout(Milliseconds(5000));
-  client.set_read_timeout(timeout);
-  client.set_write_timeout(timeout);
-  client.set_tcp_nodelay(true);
+std::unique_ptr<http::StrictClient> MakeClient(const std::string& entry, Milliseconds timeout) {
+  std::unique_ptr<http::StrictClient> client = http::StrictClient::Create("http://" + entry);
+  client->set_connection_timeout(Milliseconds(5000));
+  client->set_read_timeout(timeout);
+  client->set_write_timeout(timeout);
+  client->set_tcp_nodelay(true);
   return client;
 }
 
@@ -121,7 +121,7 @@
                              const std::string& entry, const RunnerOptions& options) {
   RequestRecord record;
   record.service = request.service;
-  httplib::Client client = MakeClient(entry, options.timeout);
+  const std::unique_ptr<http::StrictClient> client = MakeClient(entry, options.timeout);
   const TimePoint sent = DefaultClock().now();
   const std::int64_t cancel_after =
       request.cancel ? std::max<std::int64_t>(1, request.output_tokens / 2) : 0;
@@ -145,7 +145,7 @@
     response_body.append(data, size);
     return true;
   };
-  const httplib::Result result = client.send(http_request);
+  const httplib::Result result = client->send(http_request);
   record.total_ms = ToMs(DefaultClock().now() - sent);
   if (request.cancel && record.output_tokens >= cancel_after) {
     record.cancelled = true;
@@ -196,12 +196,12 @@
                          const std::string& entry, const RunnerOptions& options) {
   RequestRecord record;
   record.service = request.service;
-  httplib::Client client = MakeClient(entry, options.timeout);
+  const std::unique_ptr<http::StrictClient> client = MakeClient(entry, options.timeout);
   const TimePoint sent = DefaultClock().now();
   constexpr std::uint64_t kLookupItems = 10'000;
   const std::string path =
       "/services/" + load.service + load.path + "/" + std::to_string(request.number % kLookupItems);
-  ReadCallResult(client.Get(path), sent, record);
+  ReadCallResult(client->Get(path), sent, record);
   return record;
 }
 
@@ -211,12 +211,12 @@
   RequestRecord record;
   record.service = request.service;
   record.key = key;
-  httplib::Client client = MakeClient(entry, options.timeout);
+  const std::unique_ptr<http::StrictClient> client = MakeClient(entry, options.timeout);
   const TimePoint sent = DefaultClock().now();
   const json body = {{"claim", request.number}};
   const httplib::Headers headers = {{"Idempotency-Key", key}};
-  ReadCallResult(client.Post("/services/" + load.service + load.path, headers, body.dump(),
-                             "application/json"),
+  ReadCallResult(client->Post("/services/" + load.service + load.path, headers, body.dump(),
+                              "application/json"),
                  sent, record);
   return record;
 }
@@ -226,9 +226,9 @@
   if (load.key_kind == KeyKind::kOwn) {
     return NewId("key-" + std::to_string(request.number));
   }
-  httplib::Client client = MakeClient(entry, options.timeout);
+  const std::unique_ptr<http::StrictClient> client = MakeClient(entry, options.timeout);
   const httplib::Result result =
-      client.Post("/services/" + load.service + "/keys", "", "text/plain");
+      client->Post("/services/" + load.service + "/keys", "", "text/plain");
   if (!result || result->status != kCreated) {
     return "";
   }
--- a/store/http_platform.cc
+++ b/store/http_platform.cc
@@ -1,10 +1,11 @@
 #include "store/http_platform.h"
 
-#include <httplib.h>
-
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "http/strict_client.h"
+
 namespace rattanramp::store {
 namespace {
 
@@ -83,19 +84,19 @@
 
 namespace {
 
-httplib::Client MakeClient(const std::string& url, Milliseconds timeout) {
-  httplib::Client client(url);
-  client.set_connection_timeout(timeout);
-  client.set_read_timeout(timeout);
-  client.set_write_timeout(timeout);
-  client.set_tcp_nodelay(true);
+std::unique_ptr<http::StrictClient> MakeClient(const std::string& url, Milliseconds timeout) {
+  std::unique_ptr<http::StrictClient> client = http::StrictClient::Create(url);
+  client->set_connection_timeout(timeout);
+  client->set_read_timeout(timeout);
+  client->set_write_timeout(timeout);
+  client->set_tcp_nodelay(true);
   return client;
 }
 
 Result<std::optional<std::string>> GetBody(const std::string& url, Milliseconds timeout,
                                            const std::string& path) {
-  httplib::Client client = MakeClient(url, timeout);
-  const httplib::Result result = client.Get(path);
+  const std::unique_ptr<http::StrictClient> client = MakeClient(url, timeout);
+  const httplib::Result result = client->Get(path);
   if (!result) {
     return Unavailable(httplib::to_string(result.error()));
   }
@@ -142,9 +143,9 @@
     writes.push_back({{"key", write.key}, {"value", write.value ? json(*write.value) : json()}});
   }
   const json body = {{"conditions", conditions}, {"writes", writes}};
-  httplib::Client client = MakeClient(url_, timeout_);
+  const std::unique_ptr<http::StrictClient> client = MakeClient(url_, timeout_);
   const httplib::Result result =
-      client.Post("/table/transactions", body.dump(), "application/json");
+      client->Post("/table/transactions", body.dump(), "application/json");
   if (!result) {
     if (MayHaveTakenEffect(result.error())) {
       return Error{ErrorKind::kReplyLost,
@@ -173,9 +174,9 @@
 }
 
 Result<void> HttpPlatform::WriteObject(const std::string& name, const std::string& content) {
-  httplib::Client client = MakeClient(url_, timeout_);
+  const std::unique_ptr<http::StrictClient> client = MakeClient(url_, timeout_);
   const httplib::Result result =
-      client.Put("/objects/" + name, content, "application/octet-stream");
+      client->Put("/objects/" + name, content, "application/octet-stream");
   if (!result) {
     if (MayHaveTakenEffect(result.error())) {
       return Error{ErrorKind::kReplyLost, "no response to an object write",
--- a/tests/store/http_platform_test.cc
+++ b/tests/store/http_platform_test.cc
@@ -4,14 +4,22 @@
 
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "base/http_server.h"
+#include "tests/gateway/fake_engine.h"
+#include "tests/support/broken_heads.h"
 
 using rattanramp::ErrorKind;
 using rattanramp::HttpServer;
 using rattanramp::HttpServerOptions;
 using rattanramp::Milliseconds;
 using rattanramp::Result;
+using rattanramp::tests::FakeAnswer;
+using rattanramp::tests::FakeEngine;
+using rattanramp::tests::HeadsWithBadName;
+using rattanramp::tests::HeadsWithBadStatus;
+using rattanramp::tests::WithLength;
 namespace store = rattanramp::store;
 
 namespace {
@@ -62,3 +70,58 @@
   cr_assert(platform.store->Scan("k").has_value());
   cr_assert(platform.store->ListVms().has_value());
 }
+
+namespace {
+
+/// Runs `use` with a client of a platform that sends `answer`.
+template <typename Use>
+auto WithPlatform(const FakeAnswer& answer, Use use) {
+  FakeEngine server([&](const std::string& /*head*/, int /*number*/) { return answer; });
+  return use(*store::HttpPlatform::Create("http://127.0.0.1:" + std::to_string(server.port()),
+                                          Milliseconds(1000))
+                  .value());
+}
+
+void ExpectNoAnswer(const std::vector<std::string>& heads) {
+  for (const std::string& head : heads) {
+    for (const bool is_closed : {false, true}) {
+      FakeAnswer answer{WithLength(head, R"({"key":"k","rows":[],"vms":[]})")};
+      answer.close = is_closed;
+      WithPlatform(answer, [&](store::HttpPlatform& platform) {
+        cr_expect(!platform.Read("k").has_value(), "read: '%s'", head.c_str());
+        cr_expect(!platform.Scan("k").has_value(), "scan: '%s'", head.c_str());
+        cr_expect(!platform.ListVms().has_value(), "VM list: '%s'", head.c_str());
+        cr_expect(!platform.ReadObject("o").has_value(), "object: '%s'", head.c_str());
+        const Result<store::CommitResult> commit = platform.Commit({});
+        cr_expect(!commit.has_value() && commit.error().kind == ErrorKind::kReplyLost,
+                  "commit: '%s'", head.c_str());
+      });
+    }
+  }
+}
+
+}  // namespace
+
+// Guards against an answer with a status that HTTP does not have, which does not show whether a
+// write took effect.
+Test(http_platform, status_out_of_range_is_no_answer, .timeout = 120) {
+  ExpectNoAnswer(HeadsWithBadStatus());
+}
+
+// Guards against rows from an answer with a field whose name holds a blank or a control byte.
+Test(http_platform, field_name_that_is_no_token_is_no_answer, .timeout = 120) {
+  ExpectNoAnswer(HeadsWithBadName());
+}
+
+// Guards against a write that counts as done although the platform reset the connection while the
+// request was still being sent.
+Test(http_platform, answer_reset_during_the_upload_is_broken, .timeout = 120) {
+  constexpr std::size_t kUploadBytes = 32 * 1024 * 1024;
+  for (int round = 0; round < 20; ++round) {
+    const Result<void> written =
+        WithPlatform({"HTTP/1.1 200 OK\r\n\r\n{}", true}, [&](store::HttpPlatform& platform) {
+          return platform.WriteObject("o", std::string(kUploadBytes, 'u'));
+        });
+    cr_expect(!written.has_value() && written.error().kind == ErrorKind::kReplyLost);
+  }
+}
