--- a/tests/gateway/broken_answer_test.cc
+++ b/tests/gateway/broken_answer_test.cc
@@ -71,12 +71,7 @@
   rules.services = {service};
   const auto table = core::RoutingTable::Create(rules).value();
   gateway::ReturnCheck check(fixture.state);
-  core::DirectoryChange change;
-  change.removed = {fixture.fleet.upstreams().at("a")->info};
-  fixture.fleet.Apply(change);
-  change.added = std::exchange(change.removed, {});
-  fixture.fleet.Apply(change);
-  const std::shared_ptr<gateway::Upstream> upstream = fixture.fleet.upstreams().at("a");
+  const std::shared_ptr<gateway::Upstream> upstream = fixture.RemoveAndReturn("a");
   const TimePoint returned = DefaultClock().now();
   while (server.heads().empty() && DefaultClock().now() - returned < Milliseconds(5'000)) {
     check.Tick(*table);
--- a/tests/gateway/exchange_fixture.cc
+++ b/tests/gateway/exchange_fixture.cc
@@ -55,6 +55,15 @@
   fleet.Apply(change);
 }
 
+std::shared_ptr<gateway::Upstream> ExchangeFixture::RemoveAndReturn(const std::string& id) {
+  core::DirectoryChange change;
+  change.removed = {fleet.upstreams().at(id)->info};
+  fleet.Apply(change);
+  change.added = std::exchange(change.removed, {});
+  fleet.Apply(change);
+  return fleet.upstreams().at(id);
+}
+
 gateway::RequestContext ExchangeFixture::MakeRequest(core::RequestKind kind, bool is_resumable,
                                                      std::int64_t max_upstreams,
                                                      std::int64_t timeout_ms) const {
--- a/tests/gateway/exchange_fixture.h
+++ b/tests/gateway/exchange_fixture.h
@@ -39,6 +39,8 @@
 
   void Add(const std::string& id, core::UpstreamStage stage, std::uint16_t port,
            std::int64_t slots = 4);
+  /// Removes the entry of an upstream and adds it again.
+  std::shared_ptr<gateway::Upstream> RemoveAndReturn(const std::string& id);
   /// Returns a request that has just arrived.
   gateway::RequestContext MakeRequest(core::RequestKind kind, bool is_resumable,
                                       std::int64_t max_upstreams, std::int64_t timeout_ms) const;
--- a/tests/gateway/return_check_test.cc
+++ b/tests/gateway/return_check_test.cc
@@ -56,12 +56,7 @@
   fixture.Add("a", core::UpstreamStage::kPlain, server.port());
   const std::shared_ptr<const core::RoutingTable> table = MakeTable(health_path);
   gateway::ReturnCheck check(fixture.state);
-  core::DirectoryChange change;
-  change.removed = {fixture.fleet.upstreams().at("a")->info};
-  fixture.fleet.Apply(change);
-  change.added = std::exchange(change.removed, {});
-  fixture.fleet.Apply(change);
-  const std::shared_ptr<gateway::Upstream> upstream = fixture.fleet.upstreams().at("a");
+  const std::shared_ptr<gateway::Upstream> upstream = fixture.RemoveAndReturn("a");
   if (is_excluded) {
     gateway::PeerState peer;
     peer.excluded = {upstream->key};
--- a/tests/hostile/broken_answers.py
+++ b/tests/hostile/broken_answers.py
@@ -23,7 +23,7 @@
 import types
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "soak"))
-from hostile import HOST, PORTS, ask_ordinary  # noqa: E402
+from hostile import HOST, PORTS, wait_until_served  # noqa: E402
 from record import Record  # noqa: E402
 from site_model import ONCE_PREFIX, READ_PREFIX, STREAM_PREFIX, Site  # noqa: E402
 from stand_ins import Upstream  # noqa: E402
@@ -177,11 +177,7 @@
     await site.start()
     gateway = site.gateways[0]
     address = (gateway.address, PORTS["callers"])
-    for _ in range(20):
-        await asyncio.sleep(0.2)
-        with contextlib.suppress(OSError, TimeoutError):
-            if (await ask_ordinary(address))[0]:
-                break
+    await wait_until_served(address)
     faults, answered = [], [0, 0]
     until = asyncio.get_running_loop().time() + seconds
 
--- a/tests/hostile/hostile.py
+++ b/tests/hostile/hostile.py
@@ -319,17 +319,21 @@
     return False, status
 
 
+async def wait_until_served(address):
+    for _ in range(20):
+        await asyncio.sleep(0.2)
+        with contextlib.suppress(OSError, TimeoutError):
+            if (await ask_ordinary(address))[0]:
+                break
+
+
 async def run(program, name, folder):
     play, memory_mb, max_descriptors, max_body_bytes = CASES[name]
     site = make_site(program, folder, memory_mb, max_descriptors, max_body_bytes)
     await site.start()
     gateway = site.gateways[0]
     address = (gateway.address, PORTS["callers"])
-    for _ in range(20):
-        await asyncio.sleep(0.2)
-        with contextlib.suppress(OSError, TimeoutError):
-            if (await ask_ordinary(address))[0]:
-                break
+    await wait_until_served(address)
     watch = Watch(gateway.process.pid)
     watch.start()
     crowd = Crowd(address, site.upstreams[0])
