Test health checks and stage orders with broken answers

Cause: the health checks of broken_answer_test.cc were answered with a Request-Id, which they don't have, so that their answers were discarded whatever their heads said; stage orders were not tested. Change: heads of health checks state the instance only; a test of stage orders.

--- a/tests/gateway/broken_answer_test.cc
+++ b/tests/gateway/broken_answer_test.cc
@@ -85,9 +85,9 @@
   return !upstream->statement->is_unconfirmed;
 }
 
-/// Expects that no part of the system takes answers with these heads for answers.
-void ExpectNoAnswer(const std::vector<std::string>& heads) {
-  for (const std::string& head : heads) {
+/// Expects that no part of the gateway takes answers with the heads of `heads_with` for answers.
+void ExpectNoAnswer(std::vector<std::string> (*heads_with)(const std::string& fields)) {
+  for (const std::string& head : heads_with(kFields)) {
     for (const bool is_closed : {false, true}) {
       for (const RequestKind kind : {RequestKind::kOnce, RequestKind::kRepeatable}) {
         FakeAnswer answer{WithLength(head, "body")};
@@ -112,7 +112,12 @@
       RunStream(decode, PrefillAnswer, Always(events));
       cr_expect_eq(decode.sink.status, 502, "decode: status %d after '%s'", decode.sink.status,
                    head.c_str());
-      FakeAnswer health{WithLength(head + "Instance-Id: a\r\n", "")};
+    }
+  }
+  // Health checks have no Request-Id.
+  for (const std::string& head : heads_with("Instance-Id: a\r\n")) {
+    for (const bool is_closed : {false, true}) {
+      FakeAnswer health{WithLength(head, "")};
       health.close = is_closed;
       cr_expect(!IsConfirmedBy(health), "health check: '%s'", head.c_str());
     }
@@ -124,13 +129,13 @@
 // Guards against an answer with a status that HTTP does not have, or a request that waits for
 // another answer until its deadline.
 Test(broken_answer, status_out_of_range_is_no_answer, .timeout = 300) {
-  ExpectNoAnswer(tests::HeadsWithBadStatus(kFields));
+  ExpectNoAnswer(tests::HeadsWithBadStatus);
 }
 
 // Guards against an answer with a field whose name holds a blank or a control byte: the line would
 // be passed on, or the body end where the server did not end it.
 Test(broken_answer, field_name_that_is_no_token_is_no_answer, .timeout = 300) {
-  ExpectNoAnswer(tests::HeadsWithBadName(kFields));
+  ExpectNoAnswer(tests::HeadsWithBadName);
 }
 
 // Guards against a health check that no answer confirms, so that the tests above show nothing.
--- a/tests/gateway/stage_controller_test.cc
+++ b/tests/gateway/stage_controller_test.cc
@@ -9,6 +9,7 @@
 #include "tests/gateway/exchange_fixture.h"
 #include "tests/gateway/fake_engine.h"
 #include "tests/gateway/fake_table.h"
+#include "tests/support/broken_heads.h"
 
 using namespace rattanramp;
 using core::UpstreamStage;
@@ -192,3 +193,16 @@
   site.Run(Milliseconds(12'000));
   cr_assert_eq(site.orders(), 1);
 }
+
+// Guards against ordering a second engine because the answer of the first has a status that HTTP
+// does not have, which is no refusal.
+Test(stage_controller, order_with_a_broken_answer_stays_pending, .timeout = 60) {
+  for (const std::string& head : tests::HeadsWithBadStatus()) {
+    TestSite site([&](const std::string& /*head*/, int /*number*/) -> FakeAnswer {
+      return {tests::WithLength(head, "{}")};
+    });
+    site.AddGateway("a");
+    site.Run(Milliseconds(12'000));
+    cr_expect_eq(site.orders(), 1, "%zu orders after '%s'", site.orders(), head.c_str());
+  }
+}
