Test delivery timeouts and early sound answers during an upload

Cause: a connection also ends during an upload by the system's delivery timeout, and a sound server may answer early and end its side, at once followed by a reset; neither was tested. Change: connection_end::delivery_timeout_during_the_upload_is_a_failure; orderly ends are also followed by a reset at once; broken_answer::early_answer_with_an_orderly_end_is_taken for the agent.

--- a/tests/agent/broken_answer_test.cc
+++ b/tests/agent/broken_answer_test.cc
@@ -2,8 +2,14 @@
 // being sent.
 #include <criterion/criterion.h>
 
+#include <asio/buffer.hpp>
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/read_until.hpp>
+#include <asio/write.hpp>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "agent/http_engine.h"
@@ -127,3 +133,39 @@
                  reply.body.c_str());
   }
 }
+
+// Guards against a sound answer that is lost because the server sent it before it had read the
+// request and then ended its side in an orderly way.
+Test(broken_answer, early_answer_with_an_orderly_end_is_taken, .timeout = 120) {
+  using asio::ip::tcp;
+  for (const std::string& framing : {std::string(), std::string("Content-Length: 2\r\n")}) {
+    asio::io_context context;
+    tcp::acceptor acceptor(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    std::thread server([&] {
+      tcp::socket socket = acceptor.accept();
+      std::string request;
+      std::error_code error;
+      asio::read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n");
+      asio::write(socket, asio::buffer("HTTP/1.1 200 OK\r\n" + framing + "\r\nok"));
+      socket.shutdown(tcp::socket::shutdown_send);
+      std::vector<char> bytes(64 * 1024);
+      for (std::size_t read = request.size(); read < kUploadBytes && !error;) {
+        read += socket.read_some(asio::buffer(bytes), error);
+      }
+    });
+    const std::unique_ptr<HttpService> service =
+        HttpService::Create("http://127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()))
+            .value();
+    CallRequest request;
+    request.request_id = "c1";
+    request.method = "POST";
+    request.path = "/claims";
+    request.body = std::string(kUploadBytes, 'u');
+    request.timeout = Milliseconds(2'000);
+    RunControl control;
+    const CallReply reply = service->Call(request, control);
+    server.join();
+    cr_expect_eq(reply.status, RunStatus::kDone, "%s", reply.message.c_str());
+    cr_expect_eq(reply.body, std::string("ok"));
+  }
+}
--- a/tests/http/connection_end_test.cc
+++ b/tests/http/connection_end_test.cc
@@ -10,6 +10,7 @@
 #include <asio/post.hpp>
 #include <asio/read_until.hpp>
 #include <asio/write.hpp>
+#include <atomic>
 #include <chrono>
 #include <functional>
 #include <memory>
@@ -31,6 +32,9 @@
 // The system's buffers hold the smaller ones, so that the write ends before the connection does.
 constexpr std::size_t kUploadSizes[] = {64 * 1024, 1024 * 1024, 4 * 1024 * 1024, kUploadBytes};
 
+// The system checks it when it probes a window that stays closed, after 0.2 s and later.
+constexpr Milliseconds kDeliveryTimeout{300};
+
 // Time in which the client reads what the server has sent.
 constexpr Milliseconds kTransferTime{5};
 
@@ -45,6 +49,8 @@
   kReset,
   /// A close with unread bytes, as when a process is killed; the system then sends a reset.
   kCloseUnread,
+  /// The server neither reads nor closes; the client's delivery timeout ends the connection.
+  kStall,
 };
 
 std::string NameOf(End end) {
@@ -58,9 +64,11 @@
     case End::kReset:
       return "reset";
     case End::kCloseUnread:
+      return "close with unread bytes";
+    case End::kStall:
       break;
   }
-  return "close with unread bytes";
+  return "stall";
 }
 
 bool IsOrderly(End end) { return end != End::kReset && end != End::kCloseUnread; }
@@ -86,7 +94,7 @@
   std::optional<http::ExchangeFailure> failure;
 };
 
-void Serve(tcp::socket socket, const Case& plan) {
+void Serve(tcp::socket socket, const Case& plan, const std::atomic<bool>& have_clients_ended) {
   std::string request;
   std::error_code error;
   const std::size_t head = asio::read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n");
@@ -100,9 +108,14 @@
     const std::size_t wanted = std::min(bytes.size(), plan.read_bytes - read);
     read += socket.read_some(asio::buffer(bytes.data(), wanted), error);
   }
+  while (plan.end == End::kStall && !have_clients_ended) {
+    std::this_thread::sleep_for(kTransferTime);
+  }
   if (plan.end == End::kShutdownSend || plan.end == End::kShutdownSendThenReset) {
     socket.shutdown(tcp::socket::shutdown_send, error);
-    std::this_thread::sleep_for(kTransferTime);
+    if (plan.is_response_read_first) {
+      std::this_thread::sleep_for(kTransferTime);
+    }
   }
   if (plan.end == End::kReset || plan.end == End::kShutdownSendThenReset) {
     socket.set_option(asio::socket_base::linger(true, 0), error);
@@ -129,13 +142,14 @@
                                                   std::chrono::microseconds handler_time = {}) {
   asio::io_context context;
   tcp::acceptor acceptor(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+  std::atomic<bool> have_clients_ended = false;
   std::vector<std::thread> servers;
   std::thread accepting([&] {
     for (std::size_t i = 0; i < count; ++i) {
-      servers.emplace_back(
-          [&plan, socket = std::make_shared<tcp::socket>(acceptor.accept())]() mutable {
-            Serve(std::move(*socket), plan);
-          });
+      servers.emplace_back([&plan, &have_clients_ended,
+                            socket = std::make_shared<tcp::socket>(acceptor.accept())]() mutable {
+        Serve(std::move(*socket), plan, have_clients_ended);
+      });
     }
   });
   const std::shared_ptr<const std::string> body =
@@ -145,6 +159,9 @@
     clients.push_back(std::make_unique<Client>());
     clients.back()->connection =
         http::ClientConnection::Create(context, acceptor.local_endpoint(), Milliseconds(1'000));
+    if (plan.end == End::kStall) {
+      clients.back()->connection->SetDeliveryTimeout(kDeliveryTimeout);
+    }
     clients.back()->connection->Send(
         "POST / HTTP/1.1\r\nContent-Length: " + std::to_string(upload_bytes) + "\r\n\r\n", body,
         false, clients.back()->recorder);
@@ -170,6 +187,7 @@
   for (const std::unique_ptr<Client>& client : clients) {
     client->connection->Close();
   }
+  have_clients_ended = true;
   accepting.join();
   for (std::thread& server : servers) {
     server.join();
@@ -229,18 +247,32 @@
   }
 }
 
+// Guards against the same where the system gives the connection up, as after a partition: the write
+// ends with a timeout.
+Test(connection_end, delivery_timeout_during_the_upload_is_a_failure, .timeout = 60) {
+  for (const int handler_us : {0, 100}) {
+    const Case plan{End::kStall, 0, kUnframed + "part"};
+    for (const std::unique_ptr<Client>& client :
+         RunExchanges(plan, kUploadBytes, 4, std::chrono::microseconds(handler_us))) {
+      ExpectOutcome(client->recorder, false, NameOf(End::kStall));
+    }
+  }
+}
+
 // Guards against a whole response that is lost because its server, which has closed the connection
 // in an orderly way, does not read the rest of the upload.
 Test(connection_end, orderly_end_during_the_upload_is_complete, .timeout = 120) {
   for (const End end : {End::kShutdownSend, End::kShutdownSendThenReset}) {
     for (const std::size_t read_bytes : {std::size_t{0}, kUploadBytes / 16}) {
       for (const int handler_us : {0, 100}) {
-        const Case plan{end, read_bytes, kUnframed + "whole"};
-        for (const std::unique_ptr<Client>& client :
-             RunExchanges(plan, kUploadBytes, 8, std::chrono::microseconds(handler_us))) {
-          ExpectOutcome(client->recorder, true,
-                        NameOf(end) + " after " + std::to_string(read_bytes) + " bytes");
-          cr_expect_eq(client->recorder.body, "whole");
+        for (const bool is_response_read_first : {true, false}) {
+          const Case plan{end, read_bytes, kUnframed + "whole", is_response_read_first};
+          for (const std::unique_ptr<Client>& client :
+               RunExchanges(plan, kUploadBytes, 8, std::chrono::microseconds(handler_us))) {
+            ExpectOutcome(client->recorder, true,
+                          NameOf(end) + " after " + std::to_string(read_bytes) + " bytes");
+            cr_expect_eq(client->recorder.body, "whole");
+          }
         }
       }
     }
