--- a/tests/agent/lifecycle_test.cc
+++ b/tests/agent/lifecycle_test.cc
@@ -3,6 +3,7 @@
 #include "agent/epoch.h"
 #include "agent/lock_port.h"
 #include "fixture.h"
+#include "tests/support/free_port.h"
 
 using namespace rattanramp;
 using namespace rattanramp::agent;
@@ -63,13 +64,14 @@
 
 // Guards against two agents that control the same upstream.
 Test(lifecycle, lock_port_is_exclusive) {
-  Result<std::unique_ptr<LockPort>> first = LockPort::Acquire("127.0.0.1:38471");
+  const std::string address = "127.0.0.1:" + std::to_string(testing::FreePort());
+  Result<std::unique_ptr<LockPort>> first = LockPort::Acquire(address);
   cr_assert(first.has_value());
-  const Result<std::unique_ptr<LockPort>> second = LockPort::Acquire("127.0.0.1:38471");
+  const Result<std::unique_ptr<LockPort>> second = LockPort::Acquire(address);
   cr_assert(!second.has_value());
   cr_assert_eq(second.error().kind, ErrorKind::kConflict);
   first.value().reset();
-  cr_assert(LockPort::Acquire("127.0.0.1:38471").has_value());
+  cr_assert(LockPort::Acquire(address).has_value());
 }
 
 // Guards against a shutdown that aborts running work or accepts new work.
