--- a/gateway/program.cc
+++ b/gateway/program.cc
@@ -125,7 +125,14 @@
     FlushBufferedLog();
     return kExitBindFailed;
   }
-  Log(LogLevel::kInfo, "started", {{"failure_domain", settings.value().failure_domain}});
+  Log(LogLevel::kInfo, "started",
+      {{"failure_domain", settings.value().failure_domain},
+       {"memory_limit_bytes", settings.value().memory_limit_bytes},
+       {"max_descriptors", settings.value().max_descriptors},
+       {"key_removal_ms", ToMs(settings.value().key_removal_limit.value_or(Duration::zero()))},
+       {"limit_window_ms", ToMs(settings.value().limit_tolerance.window)},
+       {"limit_overshoot", settings.value().limit_tolerance.overshoot},
+       {"limit_slack", settings.value().limit_tolerance.slack}});
   Program program(context, *gateway.value(), options.settings_path);
   context.run();
   FlushBufferedLog();
--- a/gateway/settings.cc
+++ b/gateway/settings.cc
@@ -4,9 +4,11 @@
 
 #include <asio/ip/address_v4.hpp>
 #include <charconv>
+#include <cstdlib>
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <sstream>
+#include <utility>
 
 namespace rattanramp::gateway {
 namespace {
@@ -81,18 +83,47 @@
                                          : ReadNumber(object, pointer, 0);
 }
 
+// Environment variables of optional settings, and where these stand in the file.
+constexpr std::pair<const char*, const char*> kVariables[] = {
+    {"RATTANRAMP_KEY_REMOVAL_MS", "/workspaces/key_removal_ms"},
+    {"RATTANRAMP_LIMIT_WINDOW_S", "/workspaces/limit_window_s"},
+    {"RATTANRAMP_LIMIT_OVERSHOOT", "/workspaces/limit_overshoot"},
+    {"RATTANRAMP_LIMIT_SLACK", "/workspaces/limit_slack"},
+    {"RATTANRAMP_MEMORY_MB", "/process/memory_mb"},
+    {"RATTANRAMP_MAX_DESCRIPTORS", "/process/max_descriptors"}};
+
+Result<void> AddVariables(json& settings, const Environment& environment) {
+  for (const auto& [name, pointer] : kVariables) {
+    const char* value = environment(name);
+    if (value == nullptr || *value == '\0') {
+      continue;
+    }
+    const json::json_pointer path{std::string(pointer)};
+    json& group = settings[path.parent_pointer()];
+    if (!group.is_null() && !group.is_object()) {
+      return Invalid(path.parent_pointer().to_string(), group, "an object");
+    }
+    settings[path] = value;
+  }
+  return Success();
+}
+
 Duration Seconds(double seconds) {
   return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
 }
 
 }  // namespace
 
-Result<Settings> ParseSettings(std::string_view text) {
-  const json parsed = json::parse(text, nullptr, false);
+Result<Settings> ParseSettings(std::string_view text, const Environment& environment) {
+  json parsed = json::parse(text, nullptr, false);
   if (!parsed.is_object()) {
     return Error{ErrorKind::kInvalidArgument, "settings: the file is not a JSON object",
                  "write one JSON object"};
   }
+  const Result<void> added = AddVariables(parsed, environment);
+  if (!added) {
+    return added.error();
+  }
   Settings settings;
   for (const auto& [pointer, target] :
        {std::pair{"/node", &settings.node}, {"/failure_domain", &settings.failure_domain}}) {
@@ -175,7 +206,7 @@
     return Error{ErrorKind::kIo, "settings file '" + path + "' cannot be read",
                  "check its path and permissions"};
   }
-  return ParseSettings(text.str());
+  return ParseSettings(text.str(), [](const char* name) { return std::getenv(name); });
 }
 
 }  // namespace rattanramp::gateway
--- a/gateway/settings.h
+++ b/gateway/settings.h
@@ -3,6 +3,7 @@
 
 #include <asio/ip/tcp.hpp>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -44,10 +45,17 @@
   bool weighs_cost = true;
 };
 
-/// Errors: kInvalidArgument names the field, its value and what is allowed.
-Result<Settings> ParseSettings(std::string_view text);
+/// Value of an environment variable; null: it is not set.
+using Environment = std::function<const char*(const char* name)>;
 
-/// Errors: as ParseSettings, and kIo when the file cannot be read.
+/// Settings that a platform may lack can also come from the environment (docs/OPERATIONS.md); an
+/// empty variable counts as not set, and others take precedence over the text. Errors:
+/// kInvalidArgument names the field, its value and what is allowed.
+Result<Settings> ParseSettings(
+    std::string_view text, const Environment& environment = [](const char*) { return nullptr; });
+
+/// Uses the environment of the process. Errors: as ParseSettings, and kIo when the file cannot be
+/// read.
 Result<Settings> ReadSettingsFile(const std::string& path);
 
 }  // namespace rattanramp::gateway
--- a/tests/gateway/settings_test.cc
+++ b/tests/gateway/settings_test.cc
@@ -49,3 +49,35 @@
     cr_assert(!settings.error().remedy.empty());
   }
 }
+
+// Guards against settings that a platform lacks: optional ones come from the environment, so that a
+// plain template can be filled in without them. Review case 2 could not start a gateway.
+Test(gateway_settings, optional_settings_come_from_the_environment) {
+  const auto read = [](const std::string& text, const std::string& variable,
+                       const std::string& value) {
+    return gateway::ParseSettings(
+        text, [&](const char* name) { return variable == name ? value.c_str() : nullptr; });
+  };
+  cr_expect_eq(gateway::ParseSettings(kCompleteSettings).value().memory_limit_bytes, 0);
+  cr_expect_eq(read(kCompleteSettings, "RATTANRAMP_MEMORY_MB", "110").value().memory_limit_bytes,
+               110 * 1024 * 1024);
+  cr_expect_eq(
+      read(kCompleteSettings, "RATTANRAMP_MAX_DESCRIPTORS", "4100").value().max_descriptors, 4'100);
+  cr_expect_eq(
+      *read(kCompleteSettings, "RATTANRAMP_KEY_REMOVAL_MS", "1500").value().key_removal_limit,
+      Milliseconds(1'500));
+  cr_expect_eq(read(kCompleteSettings, "RATTANRAMP_LIMIT_SLACK", "7").value().limit_tolerance.slack,
+               7);
+  cr_expect(!read(kCompleteSettings, "RATTANRAMP_KEY_REMOVAL_MS", "").value().key_removal_limit);
+  const Result<gateway::Settings> invalid = read(kCompleteSettings, "RATTANRAMP_MEMORY_MB", "much");
+  cr_assert(!invalid);
+  cr_expect_neq(invalid.error().message.find("/process/memory_mb"), std::string::npos);
+  const std::string in_file = Replace(kCompleteSettings, "\"retry_bound\"",
+                                      "\"process\": {\"memory_mb\": 50}, \"retry_bound\"");
+  cr_expect_eq(read(in_file, "", "").value().memory_limit_bytes, 50 * 1024 * 1024);
+  cr_expect_eq(read(in_file, "RATTANRAMP_MEMORY_MB", "60").value().memory_limit_bytes,
+               60 * 1024 * 1024);
+  const std::string wrong =
+      Replace(kCompleteSettings, "\"retry_bound\"", "\"process\": 3, \"retry_bound\"");
+  cr_expect(!read(wrong, "RATTANRAMP_MEMORY_MB", "60"));
+}
