Group the state of a generation at its engines, and move choices out of the exchange

Change: EngineRun holds them, LoadReservation what is reserved at an upstream. The choice of engines moves to engine_choice, the refusal of long queues and the share of contended capacity to generation_queue, the profile of an ended generation to request_context.

--- a/gateway/generation_exchange.cc
+++ b/gateway/generation_exchange.cc
@@ -1,18 +1,17 @@
 #include "gateway/generation_exchange.h"
 
 #include <spdlog/fmt/fmt.h>
-#include <spdlog/fmt/ranges.h>
 
 #include <algorithm>
 #include <utility>
 #include <vector>
 
-#include "base/hash.h"
 #include "base/log.h"
 #include "core/placement.h"
 #include "gateway/caller_check.h"
 #include "gateway/crash_guard.h"
 #include "gateway/engine_calls.h"
+#include "gateway/engine_choice.h"
 #include "gateway/generation_queue.h"
 #include "gateway/speed_exchange.h"
 
@@ -31,10 +30,6 @@
 // of the KV transfer.
 constexpr Milliseconds kKvHoldMargin{80};
 
-// Time until the start of a generation is recorded at the other gateways: the delay of the report,
-// a few ms on the network, and the event loops.
-constexpr Milliseconds kContendedInterval{12};
-
 // Number of failures without a run after which the request is refused.
 constexpr std::int64_t kMaxFailuresWithoutRun = 4;
 
@@ -85,12 +80,15 @@
   if (queue_id_ != 0) {
     state_.dispatcher.Remove(request_.service->name, queue_id_);
   }
-  attempt_.reset();
-  ReleaseDecode();
-  ReleasePrefill();
+  DropRuns();
   state_.dispatcher.Wake(request_.service->name);
 }
 
+void GenerationExchange::DropRuns() {
+  early_connection_.reset();
+  run_ = {};
+}
+
 void GenerationExchange::OnCallerDisconnected() {
   if (phase_ == Phase::kDone) {
     return;
@@ -98,14 +96,13 @@
   LogRequestEnd(request_, state_, 499, "caller_gone",
                 is_stream_open_ ? "during the stream" : "before the stream started");
   phase_ = Phase::kDone;
-  attempt_.reset();
-  ReleaseDecode();
+  DropRuns();
 }
 
 void GenerationExchange::OnBytesSent() {
-  if (is_paused_ && attempt_ && sink_.unsent_bytes() < sink_.max_unsent_bytes() / 2) {
+  if (is_paused_ && run_.attempt && sink_.unsent_bytes() < sink_.max_unsent_bytes() / 2) {
     is_paused_ = false;
-    attempt_->ResumeReading();
+    run_.attempt->ResumeReading();
   }
 }
 
@@ -118,13 +115,7 @@
   return splitter_.events * request_.service->engine_limits().tokens_per_event;
 }
 
-void GenerationExchange::UpdateReservation() {
-  if (has_reservation_) {
-    const std::int64_t tokens = MemoryTokens();
-    decode_->local_load.reserved_tokens += tokens - reserved_tokens_;
-    reserved_tokens_ = tokens;
-  }
-}
+void GenerationExchange::UpdateReservation() { run_.decode_load.SetTokens(MemoryTokens()); }
 
 std::optional<std::int64_t> GenerationExchange::ResumePoint() const { return splitter_.last_id; }
 
@@ -133,29 +124,9 @@
 }
 
 bool GenerationExchange::HasOtherEngine() const {
-  const TimePoint now = state_.clock.now();
-  std::vector<core::PlacementCandidate> candidates;
-  state_.fleet.FillCandidates(request_.service->name, *request_.service, request_.tried,
-                              request_.facts.prompt_id, now, candidates);
-  if (phase_ == Phase::kDecode) {
-    // Free capacity for which requests of the peers wait cannot be taken at once.
-    const core::WaitingTokens peers = state_.fleet.PeerWaitingTokens(request_.service->name);
-    if (!is_stream_open_ && (peers.on_time > 0 || peers.late > 0)) {
-      return false;
-    }
-    return core::PlaceGeneration(candidates, {request_.facts.prompt_tokens, MemoryTokens()},
-                                 request_.seed)
-        .has_value();
-  }
-  const std::span<const std::shared_ptr<Upstream>> upstreams =
-      state_.fleet.OfService(request_.service->name);
-  for (std::size_t i = 0; i < candidates.size(); ++i) {
-    if (candidates[i].stage == core::UpstreamStage::kPrefill && candidates[i].is_usable &&
-        upstreams[i] != prefill_) {
-      return true;
-    }
-  }
-  return false;
+  return phase_ == Phase::kPrefill
+             ? HasOtherPrefill(request_, state_, run_)
+             : HasOtherDecode(request_, state_, MemoryTokens(), is_stream_open_);
 }
 
 bool GenerationExchange::TakeRetry() {
@@ -180,26 +151,12 @@
   return has_retry_;
 }
 
-TimePoint GenerationExchange::CallerTimeoutAt() const {
-  return request_.arrived +
-         core::FirstEventTimeout(request_.route->target_latency_ms, request_.route->target_gap_ms);
-}
-
 bool GenerationExchange::RefuseIfQueueIsLong() {
-  const core::WaitingTokens waiting = AllWaitingTokens(request_, state_);
-  const std::int64_t ahead = waiting.on_time + (request_.is_sent_again ? waiting.late : 0);
-  if (ahead == 0) {
-    return false;
-  }
-  const double wait_ms = ExpectedWaitMs(request_, state_, ahead);
-  const TimePoint latest_first_event = request_.is_sent_again ? CallerTimeoutAt() : request_.target;
-  if (wait_ms <=
-      ToMs(latest_first_event - state_.clock.now() - PlannedServiceTime(request_, state_))) {
-    return false;
+  const std::string reason = LongQueue(request_, state_);
+  if (!reason.empty()) {
+    Refuse("long_queue", reason);
   }
-  Refuse("long_queue",
-         fmt::format("queue of {} tokens has an expected wait of {:.0f} ms", ahead, wait_ms));
-  return true;
+  return !reason.empty();
 }
 
 void GenerationExchange::Refuse(std::string_view cause, std::string_view reason) {
@@ -219,7 +176,7 @@
 }
 
 void GenerationExchange::OnWaited() {
-  const TimePoint latest_start = CallerTimeoutAt() - PlannedServiceTime(request_, state_);
+  const TimePoint latest_start = CallerTimeoutAt(request_) - PlannedServiceTime(request_, state_);
   if (state_.clock.now() < latest_start) {
     const core::WaitingTokens waiting = AllWaitingTokens(request_, state_);
     if (phase_ != Phase::kWaiting || is_stream_open_ || possible_runs_ > 0 ||
@@ -275,12 +232,10 @@
     return true;
   }
   queue_id_ = queue_id;
-  if (now < next_capacity_try_) {
+  if (now < capacity_share_.next_try) {
     return false;
   }
-  std::vector<core::PlacementCandidate> candidates;
-  state_.fleet.FillCandidates(request_.service->name, *request_.service, request_.tried,
-                              request_.facts.prompt_id, now, candidates);
+  const std::vector<core::PlacementCandidate> candidates = EngineCandidates(request_, state_);
   core::GenerationNeed need;
   need.prompt_tokens = request_.facts.prompt_tokens;
   need.memory_tokens = MemoryTokens();
@@ -291,22 +246,17 @@
   const std::optional<TimePoint> paused_until =
       state_.fleet.PausedUntil(request_.service->name, core::UpstreamStage::kDecode, now);
   if (paused_until && !is_stream_open_ && possible_runs_ == 0 &&
-      *paused_until + kMinServiceTime > CallerTimeoutAt()) {
+      *paused_until + kMinServiceTime > CallerTimeoutAt(request_)) {
     queue_id_ = 0;
     EndWithFailure("all engines have asked for a pause",
                    std::chrono::duration_cast<Milliseconds>(*paused_until - now).count());
     return true;
   }
-  if (!MayTakeCapacity(candidates, need, now)) {
+  if (!is_stream_open_ && !MayTakeCapacity(capacity_share_, request_, state_, candidates, need)) {
     return false;
   }
-  std::optional<core::GenerationPlacement> placement;
-  if (!core::IsHeld(handle_, now)) {
-    placement = core::PlaceGeneration(candidates, need, request_.seed);
-  } else if (const auto decode =
-                 core::PlaceKeptPrompt(candidates, need, IndexOf(prefill_), request_.seed)) {
-    placement = core::GenerationPlacement{*decode, IndexOf(prefill_)};
-  }
+  const std::optional<core::GenerationPlacement> placement =
+      ChooseEngines(request_, state_, run_, candidates, need);
   if (!placement) {
     return false;
   }
@@ -318,7 +268,7 @@
   LogRequestStep(request_, "placed", *upstreams[placement->decode],
                  placement->prefill ? upstreams[*placement->prefill]->info.id : "prefill in place");
   ReserveDecode(upstreams[placement->decode]);
-  const bool needs_prefill = !core::IsHeld(handle_, now) && placement->prefill;
+  const bool needs_prefill = !core::IsHeld(run_.handle, now) && placement->prefill;
   if (needs_prefill &&
       (completed_prefills_ == 0 || TakeExtraArrival(state_, request_.service->name))) {
     StartPrefill(upstreams[*placement->prefill]);
@@ -336,59 +286,27 @@
   return refusal.has_value();
 }
 
-bool GenerationExchange::MayTakeCapacity(std::span<const core::PlacementCandidate> candidates,
-                                         const core::GenerationNeed& need, TimePoint now) {
-  const std::string& service = request_.service->name;
-  core::ContendedCapacity contended;
-  contended.peers = state_.fleet.PeerWaitingTokens(service);
-  if (is_stream_open_ || (contended.peers.on_time == 0 && contended.peers.late == 0)) {
-    return true;
-  }
-  next_capacity_try_ = now + kContendedInterval;
-  contended.is_late = now > LatestStart(request_, state_);
-  contended.local = state_.dispatcher.waiting_tokens(service);
-  contended.fits = core::CountFits(candidates, need);
-  ++capacity_tries_;
-  const double draw = static_cast<double>(Hash64({reinterpret_cast<const char*>(&capacity_tries_),
-                                                  sizeof(capacity_tries_)},
-                                                 request_.seed) %
-                                          10'000) /
-                      10'000.0;
-  return core::MayTakeContendedCapacity(contended, draw);
-}
-
 void GenerationExchange::ReserveDecode(const std::shared_ptr<Upstream>& decode) {
   ReleaseDecode();
-  decode_ = decode;
-  has_reservation_ = true;
-  decode_->local_load.running += 1;
-  reserved_tokens_ = MemoryTokens();
-  reserved_at_ = state_.clock.now();
-  decode_->local_load.reserved_tokens += reserved_tokens_;
-  state_.on_reservation_change();
+  run_.decode = decode;
+  run_.reserved_at = state_.clock.now();
+  run_.decode_load = LoadReservation(decode, {1, MemoryTokens(), 0}, state_.on_reservation_change);
 }
 
 void GenerationExchange::ReleaseDecode() {
   early_connection_.reset();
-  if (std::exchange(has_reservation_, false)) {
-    decode_->local_load.running -= 1;
-    decode_->local_load.reserved_tokens -= reserved_tokens_;
-    state_.on_reservation_change();
-  }
+  run_.decode_load.Release();
 }
 
 void GenerationExchange::ReservePrefill(const std::shared_ptr<Upstream>& prefill) {
-  ReleasePrefill();
-  prefill_ = prefill;
-  prefill_->local_load.reserved_tokens += request_.facts.prompt_tokens;
+  run_.prefill = prefill;
+  run_.prefill_load =
+      LoadReservation(prefill, {0, request_.facts.prompt_tokens, 0}, state_.on_reservation_change);
 }
 
 void GenerationExchange::ReleasePrefill() {
-  if (prefill_) {
-    prefill_->local_load.reserved_tokens -= request_.facts.prompt_tokens;
-    prefill_.reset();
-    state_.on_reservation_change();
-  }
+  run_.prefill.reset();
+  run_.prefill_load.Release();
 }
 
 void GenerationExchange::StartPrefill(const std::shared_ptr<Upstream>& prefill) {
@@ -399,33 +317,34 @@
   const TimePoint now = state_.clock.now();
   answer_body_.clear();
   answer_allowance_.Release();
-  attempt_started_ = now;
-  events_before_attempt_ = splitter_.events;
-  attempt_first_event_.reset();
-  is_proven_ = false;
+  run_.started = now;
+  run_.events_before = splitter_.events;
+  run_.first_event.reset();
+  run_.is_proven = false;
   // When a stream is resumed, it was the answer of an earlier attempt, not of this prefill.
-  is_streaming_ = false;
-  attempt_ = Attempt::Start(state_.context, state_.clock, prefill,
-                            PlanPrefill(request_, *prefill, now), *this);
+  run_.is_streaming = false;
+  run_.attempt = Attempt::Start(state_.context, state_.clock, prefill,
+                                PlanPrefill(request_, *prefill, now), *this);
   ConnectEarly();
 }
 
 void GenerationExchange::StartDecode() {
   phase_ = Phase::kDecode;
-  request_.tried.push_back(decode_->key);
-  request_.tried_ids.push_back(decode_->info.id);
+  request_.tried.push_back(run_.decode->key);
+  request_.tried_ids.push_back(run_.decode->info.id);
   const TimePoint now = state_.clock.now();
-  AttemptPlan plan = PlanDecode(request_, *decode_, core::Offer(handle_, now), ResumePoint(), now);
+  AttemptPlan plan =
+      PlanDecode(request_, *run_.decode, core::Offer(run_.handle, now), ResumePoint(), now);
   answer_body_.clear();
   answer_allowance_.Release();
   early_connection_.reset();
-  is_streaming_ = false;
+  run_.is_streaming = false;
   core::DropPartialEvent(splitter_);
-  attempt_started_ = now;
-  events_before_attempt_ = splitter_.events;
-  attempt_first_event_.reset();
-  is_proven_ = false;
-  attempt_ = Attempt::Start(state_.context, state_.clock, decode_, std::move(plan), *this);
+  run_.started = now;
+  run_.events_before = splitter_.events;
+  run_.first_event.reset();
+  run_.is_proven = false;
+  run_.attempt = Attempt::Start(state_.context, state_.clock, run_.decode, std::move(plan), *this);
 }
 
 void GenerationExchange::OnDeadline() { EndIncomplete(504, "deadline passed", std::nullopt); }
@@ -452,10 +371,9 @@
     return;
   }
   const bool may_have_run =
-      possible_runs_ > 0 || (phase_ == Phase::kDecode && attempt_->has_sent());
+      possible_runs_ > 0 || (phase_ == Phase::kDecode && run_.attempt->has_sent());
   phase_ = Phase::kDone;
-  attempt_.reset();
-  ReleaseDecode();
+  DropRuns();
   if (is_stream_open_) {
     LogRequestEnd(request_, state_, 200, "cut", fmt::format("{} during the stream", cause));
     sink_.Abort();
@@ -470,28 +388,31 @@
 
 void GenerationExchange::OnAnswerHead(const http::ResponseHead& head,
                                       const core::AnswerFacts& facts) {
-  answer_head_ = head;
-  answer_facts_ = facts;
+  run_.answer_head = head;
+  run_.answer_facts = facts;
   if (!facts.wrong_instance) {
-    RecordRunningUpstream(state_, attempt_->upstream(), attempt_started_);
+    RecordRunningUpstream(state_, run_.attempt->upstream(), run_.started);
   }
-  const bool is_stream =
-      head.status == 200 && facts.is_signed && facts.is_event_stream && !facts.is_encoded;
-  if (phase_ != Phase::kDecode || !is_stream) {
+  if (phase_ != Phase::kDecode || !IsStream(head, facts)) {
     return;
   }
-  core::RecordOffer(handle_, core::OfferResult::kTaken);
+  core::RecordOffer(run_.handle, core::OfferResult::kTaken);
   ReleasePrefill();
-  is_streaming_ = true;
+  run_.is_streaming = true;
+  OpenStream();
+}
+
+void GenerationExchange::OpenStream() {
   if (!is_stream_open_) {
     is_stream_open_ = true;
-    stream_end_ = StreamEndOf(head);
-    sink_.StartStream(head.status, platform::CallerFields(head), stream_end_);
+    stream_end_ = StreamEndOf(run_.answer_head);
+    sink_.StartStream(run_.answer_head.status, platform::CallerFields(run_.answer_head),
+                      stream_end_);
   }
 }
 
 BodyProgress GenerationExchange::OnAnswerBody(std::string_view bytes) {
-  if (!is_streaming_) {
+  if (!run_.is_streaming) {
     if (!answer_allowance_.Take(bytes.size())) {
       return BodyProgress::kTooLarge;
     }
@@ -521,15 +442,15 @@
   RecordEvents(splitter_.events - events_before);
   CheckProven(/*is_complete=*/false);
   if (!was_paused_) {
-    RecordContinuedStream(state_, attempt_->upstream(), attempt_started_);
+    RecordContinuedStream(state_, run_.attempt->upstream(), run_.started);
   }
   UpdateReservation();
   sink_.StreamBytes(events);
   const bool goes_on = progress == BodyProgress::kProgress || progress == BodyProgress::kNone;
-  if (goes_on && sink_.unsent_bytes() > sink_.max_unsent_bytes() && attempt_) {
+  if (goes_on && sink_.unsent_bytes() > sink_.max_unsent_bytes() && run_.attempt) {
     is_paused_ = true;
     was_paused_ = true;
-    attempt_->PauseReading();
+    run_.attempt->PauseReading();
   }
   return progress;
 }
@@ -543,29 +464,29 @@
     OnPrefillAnswer();
     return;
   }
-  core::UpstreamHealth& health = decode_->health;
+  core::UpstreamHealth& health = run_.decode->health;
   const TimePoint now = state_.clock.now();
-  if (answer_facts_.wrong_instance) {
-    ExcludeMisdirected(state_, *decode_);
-    core::RecordOffer(handle_, core::OfferResult::kNotReached);
+  if (run_.answer_facts.wrong_instance) {
+    ExcludeMisdirected(state_, *run_.decode);
+    core::RecordOffer(run_.handle, core::OfferResult::kNotReached);
     OnDecodeNotRun("another process answers at the engine's address");
     return;
   }
-  if (answer_facts_.not_run) {
+  if (run_.answer_facts.not_run) {
     core::RecordAnswer(health, core::AnswerResult::kErrorAnswer, now);
-    core::RecordOffer(handle_, core::OfferResult::kRefused);
+    core::RecordOffer(run_.handle, core::OfferResult::kRefused);
     OnDecodeNotRun("the engine refused the request");
     return;
   }
-  if (!is_streaming_) {
+  if (!run_.is_streaming) {
     core::RecordAnswer(health,
-                       answer_head_.status >= 500 ? core::AnswerResult::kErrorAnswer
-                                                  : core::AnswerResult::kSuccess,
+                       run_.answer_head.status >= 500 ? core::AnswerResult::kErrorAnswer
+                                                      : core::AnswerResult::kSuccess,
                        now);
     // A success that is not a stream cannot continue one.
-    const bool is_stray = answer_head_.status == 200 && is_stream_open_;
-    if (answer_head_.status >= 500 || is_stray ||
-        !core::IsAnswerOfRun(answer_facts_, answer_head_.status)) {
+    const bool is_stray = run_.answer_head.status == 200 && is_stream_open_;
+    if (run_.answer_head.status >= 500 || is_stray ||
+        !core::IsAnswerOfRun(run_.answer_facts, run_.answer_head.status)) {
       OnDecodeBroken(AttemptFailure::kConnectionClosed);
       return;
     }
@@ -573,7 +494,7 @@
     return;
   }
   const core::StreamEnding ending =
-      core::JudgeEnding(splitter_, StreamEndOf(answer_head_) == StreamEnd::kStated);
+      core::JudgeEnding(splitter_, StreamEndOf(run_.answer_head) == StreamEnd::kStated);
   // An engine that ends right after its head is lost, but one that was asked to go on may have had
   // nothing to add.
   const bool is_lost = ending == core::StreamEnding::kBroken ||
@@ -592,30 +513,23 @@
   }
   core::RecordAnswer(health, core::AnswerResult::kSuccess, now);
   CheckProven(/*is_complete=*/ending == core::StreamEnding::kWhole);
-  core::RecordOutput(core::CostOf(state_.costs, request_.service->name), generated_tokens(),
-                     request_.facts.expected_output_tokens.value_or(0));
   phase_ = Phase::kDone;
-  core::RecordGeneration(
-      ProfileOf(state_, request_.service->name),
-      {static_cast<double>(request_.facts.prompt_tokens),
-       static_cast<double>(core::ExpectedMemoryTokens(
-           {request_.facts.prompt_tokens, generated_tokens(), generated_tokens(), 0})),
-       ToMs(now - reserved_at_), static_cast<double>(generated_tokens())});
+  RecordGeneration(request_, state_, generated_tokens(), now - run_.reserved_at);
   ReleaseDecode();
   sink_.StreamBytes(splitter_.partial);
   CountIfOnTime(request_, state_, first_event_.value_or(now));
   LogRequestEnd(request_, state_, 200, "answered",
                 fmt::format("{} events, first after {:.0f} ms, framing {}", splitter_.events,
                             ToMs(first_event_.value_or(now) - request_.arrived),
-                            http::FramingName(answer_head_.framing)));
+                            http::FramingName(run_.answer_head.framing)));
   sink_.EndStream();
 }
 
 void GenerationExchange::RecordEvents(std::int64_t events) {
   const TimePoint now = state_.clock.now();
   // Several events at once were delayed on the way or by this process.
-  if (attempt_first_event_ && events == 1 && !is_paused_) {
-    RecordEventGap(request_, state_, *decode_, now - last_event_);
+  if (run_.first_event && events == 1 && !is_paused_) {
+    RecordEventGap(request_, state_, *run_.decode, now - last_event_);
   }
   last_event_ = now;
 }
@@ -624,25 +538,26 @@
   phase_ = Phase::kDone;
   ReleaseDecode();
   if (is_stream_open_) {
-    LogRequestEnd(request_, state_, answer_head_.status, "cut", "the stream could not be resumed");
+    LogRequestEnd(request_, state_, run_.answer_head.status, "cut",
+                  "the stream could not be resumed");
     sink_.Abort();
     return;
   }
-  LogRequestEnd(request_, state_, answer_head_.status, "answered",
-                fmt::format("no stream, framing {}", http::FramingName(answer_head_.framing)));
-  ForwardWholeAnswer(sink_, answer_head_, std::move(answer_body_));
+  LogRequestEnd(request_, state_, run_.answer_head.status, "answered",
+                fmt::format("no stream, framing {}", http::FramingName(run_.answer_head.framing)));
+  ForwardWholeAnswer(sink_, run_.answer_head, std::move(answer_body_));
 }
 
 void GenerationExchange::OnPrefillAnswer() {
-  Upstream& prefill = attempt_->upstream();
+  Upstream& prefill = run_.attempt->upstream();
   const TimePoint now = state_.clock.now();
-  if (answer_head_.status != 200) {
-    if (answer_facts_.wrong_instance) {
+  if (run_.answer_head.status != 200) {
+    if (run_.answer_facts.wrong_instance) {
       ExcludeMisdirected(state_, prefill);
     } else {
       core::RecordAnswer(prefill.health, core::AnswerResult::kErrorAnswer, now);
     }
-    OnPrefillFailure(fmt::format("prefill answered {}", answer_head_.status));
+    OnPrefillFailure(fmt::format("prefill answered {}", run_.answer_head.status));
     return;
   }
   ++completed_prefills_;
@@ -653,14 +568,14 @@
     return;
   }
   core::RecordAnswer(prefill.health, core::AnswerResult::kSuccess, now);
-  RecordPrefillAnswer(request_, state_, prefill, now - attempt_started_, queued_tokens_);
-  core::Hold(handle_,
+  RecordPrefillAnswer(request_, state_, prefill, now - run_.started, queued_tokens_);
+  core::Hold(run_.handle,
              fmt::format("{}:{}/{}", prefill.info.address, prefill.info.port, handle.value()),
              now + Milliseconds(request_.service->engine_limits().prefill_hold_ms) - kKvHoldMargin);
-  attempt_.reset();
+  run_.attempt.reset();
   const bool is_overdue = early_connection_ && early_connection_->IsOverdue(now);
   if (is_overdue) {
-    request_.tried.push_back(decode_->key);
+    request_.tried.push_back(run_.decode->key);
   }
   if (IsTooLateInStop()) {
     EndForStop();
@@ -669,8 +584,8 @@
   if (EndIfItMayNotRun()) {
     return;
   }
-  bool is_confirmed = ConfirmDecode(now);
-  if (!is_confirmed && is_overdue && !IsClosed(*decode_, now)) {
+  bool is_confirmed = ConfirmDecode();
+  if (!is_confirmed && is_overdue && !IsClosed(*run_.decode, now)) {
     // No other engine has room, and the connection may still be made.
     request_.tried.pop_back();
     is_confirmed = true;
@@ -685,77 +600,49 @@
 }
 
 void GenerationExchange::ConnectEarly() {
-  early_connection_ = EarlyConnection::Start(state_.context, state_.clock, decode_, [this] {
+  early_connection_ = EarlyConnection::Start(state_.context, state_.clock, run_.decode, [this] {
     state_.metrics.Count("early_connections_failed_total");
-    request_.tried.push_back(decode_->key);
-    if (ConfirmDecode(state_.clock.now())) {
+    request_.tried.push_back(run_.decode->key);
+    if (ConfirmDecode()) {
       ConnectEarly();
     }
   });
 }
 
-std::optional<std::size_t> GenerationExchange::IndexOf(
-    const std::shared_ptr<Upstream>& upstream) const {
-  const std::span<const std::shared_ptr<Upstream>> upstreams =
-      state_.fleet.OfService(request_.service->name);
-  const auto found = std::find(upstreams.begin(), upstreams.end(), upstream);
-  return found == upstreams.end() ? std::nullopt
-                                  : std::optional<std::size_t>(found - upstreams.begin());
-}
-
-bool GenerationExchange::ConfirmDecode(TimePoint now) {
-  const bool is_lost =
-      IsClosed(*decode_, now) ||
-      std::find(request_.tried.begin(), request_.tried.end(), decode_->key) != request_.tried.end();
-  std::vector<core::PlacementCandidate> candidates;
-  state_.fleet.FillCandidates(request_.service->name, *request_.service, request_.tried,
-                              request_.facts.prompt_id, now, candidates);
-  const core::GenerationNeed need = {request_.facts.prompt_tokens, MemoryTokens()};
-  const std::optional<std::size_t> chosen = IndexOf(decode_);
-  std::optional<std::size_t> other;
-  if (is_lost || IsAvoided(*decode_, now)) {
-    other = core::PlaceKeptPrompt(candidates, need, IndexOf(prefill_), request_.seed);
-  } else if (chosen) {
-    other = core::LessLoadedDecode(candidates, *chosen, need, request_.seed);
-  }
-  if (other && other != chosen) {
-    const std::shared_ptr<Upstream>& engine =
-        state_.fleet.OfService(request_.service->name)[*other];
-    LogRequestStep(request_, "moved", *engine, decode_->info.id);
+bool GenerationExchange::ConfirmDecode() {
+  const std::shared_ptr<Upstream> engine = ChooseDecode(request_, state_, run_, MemoryTokens());
+  if (engine && engine != run_.decode) {
+    LogRequestStep(request_, "moved", *engine, run_.decode->info.id);
     state_.metrics.Count("generations_moved_total");
     ReserveDecode(engine);
   }
-  return other || !is_lost;
+  return engine != nullptr;
 }
 
 std::string GenerationExchange::DescribeLoss(std::string_view cause) const {
-  return fmt::format(
-      "{} after {:.0f} ms and {} events, framing {}, {} bytes of an event, prompt parts {}", cause,
-      ToMs(state_.clock.now() - attempt_started_), splitter_.events - events_before_attempt_,
-      is_streaming_ ? http::FramingName(answer_head_.framing) : "none", splitter_.partial.size(),
-      fmt::join(request_.facts.prompt_parts, " "));
+  return gateway::DescribeLoss(request_, run_, splitter_, state_.clock.now() - run_.started, cause);
 }
 
 void GenerationExchange::CheckProven(bool is_complete) {
   const TimePoint now = state_.clock.now();
-  if (!attempt_first_event_) {
-    attempt_first_event_ = now;
+  if (!run_.first_event) {
+    run_.first_event = now;
   }
-  if (!is_proven_ && (is_complete || now - *attempt_first_event_ >= kProvenTime)) {
-    is_proven_ = true;
-    RecordAnsweredStart(request_, state_, attempt_started_);
+  if (!run_.is_proven && (is_complete || now - *run_.first_event >= kProvenTime)) {
+    run_.is_proven = true;
+    RecordAnsweredStart(request_, state_, run_.started);
   }
 }
 
 void GenerationExchange::RecordLossUnlessProven() {
-  if (!is_proven_) {
-    RecordStartLoss(request_, state_, attempt_->upstream(), attempt_started_);
+  if (!run_.is_proven) {
+    RecordStartLoss(request_, state_, run_.attempt->upstream(), run_.started);
   }
 }
 
 void GenerationExchange::OnPrefillFailure(std::string_view why) {
-  LogRequestStep(request_, "prefill_failed", attempt_->upstream(), why);
-  attempt_.reset();
+  LogRequestStep(request_, "prefill_failed", run_.attempt->upstream(), why);
+  run_.attempt.reset();
   ReleasePrefill();
   if (++failures_without_run_ >= kMaxFailuresWithoutRun || !TakeRetry()) {
     EndWithFailure("prefill failed", kNoCapacityRetryMs);
@@ -766,8 +653,8 @@
 }
 
 void GenerationExchange::OnDecodeNotRun(std::string_view why) {
-  LogRequestStep(request_, "decode_not_run", *decode_, why);
-  attempt_.reset();
+  LogRequestStep(request_, "decode_not_run", *run_.decode, why);
+  run_.attempt.reset();
   ReleaseDecode();
   if (++failures_without_run_ >= kMaxFailuresWithoutRun || !TakeRetry()) {
     EndWithFailure(why, kNoCapacityRetryMs);
@@ -779,7 +666,7 @@
   }
   phase_ = Phase::kWaiting;
   // A prompt that was read is kept for a short time only.
-  if (!core::IsHeld(handle_, state_.clock.now()) || !TryStart()) {
+  if (!core::IsHeld(run_.handle, state_.clock.now()) || !TryStart()) {
     Enqueue();
   }
 }
@@ -799,9 +686,9 @@
 
 void GenerationExchange::OnDecodeBroken(AttemptFailure failure) {
   ++possible_runs_;
-  core::RecordOffer(handle_, core::OfferResult::kBroken);
-  LogRequestStep(request_, "decode_broke", *decode_, DescribeLoss(FailureName(failure)));
-  attempt_.reset();
+  core::RecordOffer(run_.handle, core::OfferResult::kBroken);
+  LogRequestStep(request_, "decode_broke", *run_.decode, DescribeLoss(FailureName(failure)));
+  run_.attempt.reset();
   ReleaseDecode();
   const bool may_continue = core::MayRunAgain(*request_.route) &&
                             possible_runs_ < request_.route->max_upstreams && TakeRetry();
@@ -823,7 +710,7 @@
   state_.dispatcher.Wake(request_.service->name);
   const TimePoint now = state_.clock.now();
   if (failure != AttemptFailure::kTimedOut) {
-    core::RecordAnswer(attempt_->upstream().health,
+    core::RecordAnswer(run_.attempt->upstream().health,
                        failure == AttemptFailure::kNotConnected ? core::AnswerResult::kNoAnswer
                                                                 : core::AnswerResult::kLost,
                        now);
@@ -841,7 +728,7 @@
     return;
   }
   if (failure == AttemptFailure::kNotConnected) {
-    core::RecordOffer(handle_, core::OfferResult::kNotReached);
+    core::RecordOffer(run_.handle, core::OfferResult::kNotReached);
     OnDecodeNotRun("connection to the engine failed");
     return;
   }
--- a/gateway/generation_exchange.h
+++ b/gateway/generation_exchange.h
@@ -16,6 +16,8 @@
 #include "gateway/attempt.h"
 #include "gateway/caller_sink.h"
 #include "gateway/early_connection.h"
+#include "gateway/engine_run.h"
+#include "gateway/generation_queue.h"
 #include "gateway/request_context.h"
 
 namespace rattanramp::gateway {
@@ -37,8 +39,6 @@
   GenerationExchange(RequestContext request, GatewayState& state, CallerSink& sink);
 
   void Enqueue();
-  /// Time at which the caller disconnects if it has received no event.
-  TimePoint CallerTimeoutAt() const;
   /// Refuses the request on arrival when the queue is so long that its first event would be late
   /// (or, for a request that the caller has retried, would miss the caller's timeout).
   bool RefuseIfQueueIsLong();
@@ -53,12 +53,8 @@
   /// Whether the process stops before the request could end, if it were started now. An open stream
   /// is continued as long as possible.
   bool IsTooLateInStop() const;
-  /// Whether to take free capacity in this try. When requests also wait at the peers, the free
-  /// capacity is divided at random, in proportion to the waiting requests.
-  bool MayTakeCapacity(std::span<const core::PlacementCandidate> candidates,
-                       const core::GenerationNeed& need, TimePoint now);
   void StartPrefill(const std::shared_ptr<Upstream>& prefill);
-  /// The decode engine takes the prompt of handle_ if that is held, and reads the prompt itself
+  /// The decode engine takes the prompt of run_ if that is held, and reads the prompt itself
   /// otherwise.
   void StartDecode();
   void OnDeadline();
@@ -71,9 +67,7 @@
   /// Chooses another decode engine if the chosen one has ended or takes no requests, or if several
   /// gateways have chosen it at the same time and it is overloaded. Returns false if the prompt has
   /// no engine to go to.
-  bool ConfirmDecode(TimePoint now);
-  /// Index in the upstreams of the service.
-  std::optional<std::size_t> IndexOf(const std::shared_ptr<Upstream>& upstream) const;
+  bool ConfirmDecode();
   /// Reserves memory of the decode engine, also while another engine prefills the prompt.
   void ReserveDecode(const std::shared_ptr<Upstream>& decode);
   void ReleaseDecode();
@@ -91,11 +85,14 @@
   bool MayMoveLater() const;
   /// Whether an engine other than that of the current attempt could go on with the request at once.
   bool HasOtherEngine() const;
+  /// The engine of run_ has accepted the stream: ends the silent run, and sends the head unless
+  /// this was done before.
+  void OpenStream();
+  /// Ends all attempts and releases what is reserved for them.
+  void DropRuns();
   /// Uses one retry out of the service's bound, unless one was used for this purpose before.
   bool TakeRetry();
 
-  /// Description of an attempt that an upstream has not finished, for the log: which parts the
-  /// prompts of lost requests share shows whether one of them crashes engines.
   std::string DescribeLoss(std::string_view cause) const;
   /// Measures the pace of the stream.
   void RecordEvents(std::int64_t events);
@@ -123,19 +120,10 @@
   asio::steady_timer caller_timeout_timer_;
   std::shared_ptr<bool> lifetime_ = std::make_shared<bool>(true);
   Phase phase_ = Phase::kWaiting;
-  std::unique_ptr<Attempt> attempt_;
+  EngineRun run_;
   std::unique_ptr<EarlyConnection> early_connection_;
-  std::shared_ptr<Upstream> decode_;
-  /// The engine that reads or keeps the prompt; null: none.
-  std::shared_ptr<Upstream> prefill_;
-  bool has_reservation_ = false;
-  std::int64_t reserved_tokens_ = 0;
-  TimePoint reserved_at_;
   std::uint64_t queue_id_ = 0;
-  TimePoint next_capacity_try_;
-  std::uint64_t capacity_tries_ = 0;
-  http::ResponseHead answer_head_;
-  core::AnswerFacts answer_facts_;
+  CapacityShare capacity_share_;
   /// Body of an answer that is not a stream; it is forwarded when it is complete.
   std::string answer_body_;
   core::AnswerAllowance answer_allowance_;
@@ -144,12 +132,8 @@
   bool is_stream_open_ = false;
   /// How the end of that stream is shown to the caller.
   StreamEnd stream_end_ = StreamEnd::kStated;
-  /// The current attempt's answer is a stream of events.
-  bool is_streaming_ = false;
   bool is_paused_ = false;
   bool was_paused_ = false;
-  /// The prompt that a prefill engine has read.
-  core::PrefillHandle handle_;
   /// Number of decode attempts that may have run the request.
   std::int64_t possible_runs_ = 0;
   /// Number of prefills that an engine has completed.
@@ -159,15 +143,9 @@
   /// A retry was taken from the bound and has not been used yet.
   bool has_retry_ = false;
   std::optional<TimePoint> first_event_;
-  /// Start of the current attempt, and the events of the stream that were received before it.
-  TimePoint attempt_started_;
-  std::int64_t events_before_attempt_ = 0;
-  std::optional<TimePoint> attempt_first_event_;
   TimePoint last_event_;
   /// Tokens that the prefill engine had to read before this prompt.
   std::int64_t queued_tokens_ = 0;
-  /// The engine of the current attempt has shown that it can answer the request.
-  bool is_proven_ = false;
 };
 
 }  // namespace rattanramp::gateway
--- a/gateway/request_context.cc
+++ b/gateway/request_context.cc
@@ -76,6 +76,19 @@
   }
 }
 
+void RecordGeneration(const RequestContext& request, GatewayState& state,
+                      std::int64_t generated_tokens, Duration held) {
+  const std::string& service = request.service->name;
+  core::RecordOutput(core::CostOf(state.costs, service), generated_tokens,
+                     request.facts.expected_output_tokens.value_or(0));
+  core::RecordGeneration(
+      ProfileOf(state, service),
+      {static_cast<double>(request.facts.prompt_tokens),
+       static_cast<double>(core::ExpectedMemoryTokens(
+           {request.facts.prompt_tokens, generated_tokens, generated_tokens, 0})),
+       ToMs(held), static_cast<double>(generated_tokens)});
+}
+
 void CountRefusal(const RequestContext& request, GatewayState& state, std::string_view cause) {
   state.metrics.Count(fmt::format("requests_refused_total{{service=\"{}\",cause=\"{}\"}}",
                                   request.service->name, cause));
--- a/gateway/request_context.h
+++ b/gateway/request_context.h
@@ -83,6 +83,11 @@
 /// complete; of a stream: when its first event came.
 void CountIfOnTime(const RequestContext& request, GatewayState& state, TimePoint answered);
 
+/// Records the size and duration of a generation that has ended. held: how long it has occupied its
+/// engine.
+void RecordGeneration(const RequestContext& request, GatewayState& state,
+                      std::int64_t generated_tokens, Duration held);
+
 /// Counts a refusal. cause: for the label of the metric.
 void CountRefusal(const RequestContext& request, GatewayState& state, std::string_view cause);
 
