Keep the run of a silent engine until another engine continues the stream

Cause: an attempt ended before another had taken its place, and one exchange could hold one attempt only.

Change: SilentRun keeps the attempt, its reservations and the partial event while another engine is asked. Whichever sends a whole event first goes on, and the other connection is closed at once. The silent run is taken back when the other engine is full, cannot be reached, resets, fails, answers no stream, or when no prompt can be read for it; it is lost when its own connection ends, and then the other engine goes on alone. Both count as possible runs. A full engine is asked again after 0.3 s and more. The head is sent with the first event of the run that goes on, so that head and events belong together.

--- a/gateway/attempt.cc
+++ b/gateway/attempt.cc
@@ -67,7 +67,7 @@
     : clock_(clock),
       upstream_(std::move(upstream)),
       plan_(std::move(plan)),
-      listener_(listener),
+      listener_(&listener),
       upstream_connection_(AcquireConnection(*upstream_, context, plan_.request_id, clock.now())),
       sent_before_(connection()->requests_sent()),
       timer_(context),
@@ -117,7 +117,7 @@
     RecordLifeSign(*upstream_, clock_.now());
   }
   TimeSilence(plan_.read_timeout);
-  listener_.OnAnswerHead(head, facts);
+  listener_->OnAnswerHead(head, facts);
   return true;
 }
 
@@ -130,7 +130,7 @@
     RecordLifeSign(*upstream_, clock_.now());
   }
   const std::weak_ptr<std::uint64_t> lifetime = timer_sequence_;
-  const BodyProgress progress = listener_.OnAnswerBody(bytes);
+  const BodyProgress progress = listener_->OnAnswerBody(bytes);
   if (lifetime.expired()) {
     return;
   }
@@ -150,7 +150,7 @@
   if (is_reusable) {
     ReleaseConnection(upstream_, std::move(finished), facts_.idle_timeout_ms, clock_.now());
   }
-  listener_.OnAnswerComplete();
+  listener_->OnAnswerComplete();
 }
 
 void Attempt::OnFailure(http::ExchangeFailure failure) {
@@ -165,7 +165,7 @@
   } else if (failure != http::ExchangeFailure::kMalformed) {
     RecordFailureSign(*upstream_, core::FailureSign::kConnectionLost, clock_.now());
   }
-  listener_.OnAttemptFailure(AttemptFailureOf(failure));
+  listener_->OnAttemptFailure(AttemptFailureOf(failure));
 }
 
 void Attempt::TimeSilence(Duration timeout) {
@@ -195,7 +195,7 @@
     core::RecordAnswer(upstream_->health, *plan_.silence_result, clock_.now());
   }
   silent_for_ += waited;
-  if (!listener_.OnSilence(silent_for_)) {
+  if (!listener_->OnSilence(silent_for_)) {
     if (is_first) {
       Log(LogLevel::kInfo, "silent_attempt_continues",
           {{"request", plan_.request_id},
@@ -207,7 +207,7 @@
   }
   connection()->Close();
   ReleaseLoad();
-  listener_.OnAttemptFailure(AttemptFailure::kTimedOut);
+  listener_->OnAttemptFailure(AttemptFailure::kTimedOut);
 }
 
 void Attempt::ReleaseLoad() {
--- a/gateway/attempt.h
+++ b/gateway/attempt.h
@@ -97,6 +97,11 @@
   Upstream& upstream() { return *upstream_; }
   /// Whether sending of the request was started, so that the upstream may have run it.
   bool has_sent() const { return !connection() || connection()->requests_sent() > sent_before_; }
+  /// How long the upstream has been silent, once this is longer than the timeout of the plan; zero
+  /// before.
+  Duration silent_for() const { return silent_for_; }
+  /// The listener that is told of all that follows; may be set in a call of the previous one.
+  void SetListener(AttemptListener& listener) { listener_ = &listener; }
   /// While reading is paused, the upstream's silence is not timed.
   void PauseReading();
   void ResumeReading();
@@ -127,7 +132,7 @@
   const Clock& clock_;
   std::shared_ptr<Upstream> upstream_;
   AttemptPlan plan_;
-  AttemptListener& listener_;
+  AttemptListener* listener_;
   /// Without a connection once the answer is complete.
   UpstreamConnection upstream_connection_;
   /// Requests that were sent on the connection before this one.
--- a/gateway/generation_exchange.cc
+++ b/gateway/generation_exchange.cc
@@ -3,6 +3,7 @@
 #include <spdlog/fmt/fmt.h>
 
 #include <algorithm>
+#include <asio/post.hpp>
 #include <utility>
 #include <vector>
 
@@ -37,6 +38,10 @@
 // the running streams end.
 constexpr std::int64_t kNoCapacityRetryMs = 800;
 
+// Time until another engine is asked again to continue the stream of a silent one, doubled with
+// each refusal.
+constexpr Milliseconds kMoveBackOff{150};
+
 // Retry-After when the engine's connection was lost.
 constexpr std::int64_t kNoUpstreamRetryMs = 500;
 
@@ -85,6 +90,7 @@
 }
 
 void GenerationExchange::DropRuns() {
+  silent_.reset();
   early_connection_.reset();
   run_ = {};
 }
@@ -120,7 +126,8 @@
 std::optional<std::int64_t> GenerationExchange::ResumePoint() const { return splitter_.last_id; }
 
 bool GenerationExchange::MayMoveLater() const {
-  return core::MayRunAgain(*request_.route) && possible_runs_ + 1 < request_.route->max_upstreams;
+  return core::MayRunAgain(*request_.route) &&
+         possible_runs_ + (silent_ ? 2 : 1) < request_.route->max_upstreams;
 }
 
 bool GenerationExchange::HasOtherEngine() const {
@@ -133,22 +140,99 @@
   return std::exchange(has_retry_, false) || TakeExtraArrival(state_, request_.service->name);
 }
 
+bool GenerationExchange::IsSilentTooLong(Duration silent_for) const {
+  return silent_for >=
+         core::FirstEventTimeout(request_.route->target_latency_ms, request_.route->target_gap_ms) +
+             kCallerLimitMargin;
+}
+
 bool GenerationExchange::OnSilence(Duration silent_for) {
-  const Duration caller_limit =
-      core::FirstEventTimeout(request_.route->target_latency_ms, request_.route->target_gap_ms);
-  if (silent_for >= caller_limit + kCallerLimitMargin) {
+  if (IsSilentTooLong(silent_for)) {
     return true;
   }
-  // Ending the attempt is of use only if another engine can go on at once, and to the end; until
-  // then this one may still do so.
-  const bool may_move = phase_ == Phase::kPrefill
-                            ? failures_without_run_ + 1 < kMaxFailuresWithoutRun
-                            : MayMoveLater();
-  const bool has_time =
-      !state_.stop || core::CanEndInTime(*state_.stop, state_.clock.now(), request_.deadline,
-                                         ExpectedDuration(request_, state_));
+  const TimePoint now = state_.clock.now();
+  // An answer that is no stream has begun, and no other engine could go on with it.
+  if (now < next_move_ || (phase_ == Phase::kDecode && !run_.is_streaming && has_answer_head_)) {
+    return false;
+  }
+  // Another engine is of use only if it can go on at once, and to the end.
+  const bool may_move = failures_without_run_ + 1 < kMaxFailuresWithoutRun &&
+                        (phase_ == Phase::kPrefill || MayMoveLater());
+  const bool has_time = !state_.stop || core::CanEndInTime(*state_.stop, now, request_.deadline,
+                                                           ExpectedDuration(request_, state_));
   has_retry_ = may_move && has_time && HasOtherEngine() && TakeRetry();
-  return has_retry_;
+  if (!has_retry_ || phase_ == Phase::kPrefill || silent_) {
+    return has_retry_;
+  }
+  if (!std::exchange(is_move_planned_, true)) {
+    // Not in the call of an attempt, which may have to be ended.
+    asio::post(state_.context, [this, lifetime = std::weak_ptr<bool>(lifetime_)] {
+      if (lifetime.lock()) {
+        AskOtherEngine();
+      }
+    });
+  }
+  return false;
+}
+
+void GenerationExchange::AskOtherEngine() {
+  is_move_planned_ = false;
+  if (phase_ != Phase::kDecode || silent_ || run_.attempt->silent_for() == Duration::zero() ||
+      CheckAttempt(request_, state_)) {
+    return;
+  }
+  LogRequestStep(request_, "silent_run_kept", *run_.decode,
+                 fmt::format("silent for {:.0f} ms", ToMs(run_.attempt->silent_for())));
+  SilentRunOwner& owner = *this;
+  silent_ = std::make_unique<SilentRun>(std::exchange(run_, {}), splitter_, stream_end_, owner);
+  phase_ = Phase::kWaiting;
+  has_retry_ = false;
+  if (!TryStart()) {
+    // Another request took the capacity first, so nothing was sent.
+    has_retry_ = true;
+    TakeBackSilentRun();
+  }
+}
+
+bool GenerationExchange::TakeBackSilentRun() {
+  if (!silent_) {
+    return false;
+  }
+  const TimePoint now = state_.clock.now();
+  if (phase_ == Phase::kDecode && run_.attempt && run_.attempt->has_sent()) {
+    ++possible_runs_;
+  }
+  splitter_ = silent_->splitter();
+  EngineRun run = silent_->Release();
+  silent_.reset();
+  early_connection_.reset();
+  if (core::IsHeld(run_.handle, now) && run.handle.state == core::HandleState::kGone) {
+    // The next engine that is asked can take the prompt.
+    run.handle = run_.handle;
+    run.prefill = run_.prefill;
+    run.prefill_load = std::move(run_.prefill_load);
+  }
+  run_ = std::move(run);
+  has_answer_head_ = run_.is_streaming;
+  phase_ = Phase::kDecode;
+  next_move_ = now + kMoveBackOff * (1 << std::min<std::int64_t>(failures_without_run_, 4));
+  LogRequestStep(request_, "silent_run_taken_back", *run_.decode, "");
+  return true;
+}
+
+void GenerationExchange::OnRunGoesOn() { TakeBackSilentRun(); }
+
+void GenerationExchange::OnRunLost(AttemptFailure failure, bool is_refused) {
+  const EngineRun lost = silent_->Release();
+  silent_.reset();
+  possible_runs_ += is_refused ? 0 : 1;
+  LogRequestStep(request_, "decode_broke", *lost.decode, FailureName(failure));
+  if (failure != AttemptFailure::kTimedOut && !is_refused) {
+    core::RecordAnswer(lost.decode->health, core::AnswerResult::kLost, state_.clock.now());
+  }
+  if (IsConnectionLost(failure) && !lost.is_proven && !is_refused) {
+    RecordStartLoss(request_, state_, *lost.decode, lost.started);
+  }
 }
 
 bool GenerationExchange::RefuseIfQueueIsLong() {
@@ -339,6 +423,7 @@
   answer_allowance_.Release();
   early_connection_.reset();
   run_.is_streaming = false;
+  has_answer_head_ = false;
   core::DropPartialEvent(splitter_);
   run_.started = now;
   run_.events_before = splitter_.events;
@@ -371,7 +456,7 @@
     return;
   }
   const bool may_have_run =
-      possible_runs_ > 0 || (phase_ == Phase::kDecode && run_.attempt->has_sent());
+      possible_runs_ > 0 || silent_ || (phase_ == Phase::kDecode && run_.attempt->has_sent());
   phase_ = Phase::kDone;
   DropRuns();
   if (is_stream_open_) {
@@ -390,6 +475,7 @@
                                       const core::AnswerFacts& facts) {
   run_.answer_head = head;
   run_.answer_facts = facts;
+  has_answer_head_ = true;
   if (!facts.wrong_instance) {
     RecordRunningUpstream(state_, run_.attempt->upstream(), run_.started);
   }
@@ -399,10 +485,17 @@
   core::RecordOffer(run_.handle, core::OfferResult::kTaken);
   ReleasePrefill();
   run_.is_streaming = true;
-  OpenStream();
+  if (!silent_) {
+    OpenStream();
+  }
 }
 
 void GenerationExchange::OpenStream() {
+  if (silent_) {
+    ++possible_runs_;
+    LogRequestStep(request_, "silent_run_left", *silent_->run().decode, run_.decode->info.id);
+    silent_.reset();
+  }
   if (!is_stream_open_) {
     is_stream_open_ = true;
     stream_end_ = StreamEndOf(run_.answer_head);
@@ -431,6 +524,7 @@
   if (events.empty()) {
     return progress;
   }
+  OpenStream();
   if (!first_event_) {
     first_event_ = state_.clock.now();
     state_.metrics.Observe("first_event_ms", ToMs(*first_event_ - request_.arrived));
@@ -483,8 +577,9 @@
                        run_.answer_head.status >= 500 ? core::AnswerResult::kErrorAnswer
                                                       : core::AnswerResult::kSuccess,
                        now);
-    // A success that is not a stream cannot continue one.
-    const bool is_stray = run_.answer_head.status == 200 && is_stream_open_;
+    // A success that is not a stream cannot continue one, and no other answer replaces a stream
+    // that may go on at its silent engine.
+    const bool is_stray = is_stream_open_ && (run_.answer_head.status == 200 || silent_);
     if (run_.answer_head.status >= 500 || is_stray ||
         !core::IsAnswerOfRun(run_.answer_facts, run_.answer_head.status)) {
       OnDecodeBroken(AttemptFailure::kConnectionClosed);
@@ -511,6 +606,7 @@
     OnDecodeBroken(AttemptFailure::kConnectionClosed);
     return;
   }
+  OpenStream();
   core::RecordAnswer(health, core::AnswerResult::kSuccess, now);
   CheckProven(/*is_complete=*/ending == core::StreamEnding::kWhole);
   phase_ = Phase::kDone;
@@ -536,6 +632,7 @@
 
 void GenerationExchange::ForwardAnswer() {
   phase_ = Phase::kDone;
+  silent_.reset();
   ReleaseDecode();
   if (is_stream_open_) {
     LogRequestEnd(request_, state_, run_.answer_head.status, "cut",
@@ -644,7 +741,11 @@
   LogRequestStep(request_, "prefill_failed", run_.attempt->upstream(), why);
   run_.attempt.reset();
   ReleasePrefill();
-  if (++failures_without_run_ >= kMaxFailuresWithoutRun || !TakeRetry()) {
+  ++failures_without_run_;
+  if (TakeBackSilentRun()) {
+    return;
+  }
+  if (failures_without_run_ >= kMaxFailuresWithoutRun || !TakeRetry()) {
     EndWithFailure("prefill failed", kNoCapacityRetryMs);
     return;
   }
@@ -656,7 +757,14 @@
   LogRequestStep(request_, "decode_not_run", *run_.decode, why);
   run_.attempt.reset();
   ReleaseDecode();
-  if (++failures_without_run_ >= kMaxFailuresWithoutRun || !TakeRetry()) {
+  ++failures_without_run_;
+  if (silent_) {
+    // The engine may have free capacity when it is asked again.
+    std::erase(request_.tried, run_.decode->key);
+    TakeBackSilentRun();
+    return;
+  }
+  if (failures_without_run_ >= kMaxFailuresWithoutRun || !TakeRetry()) {
     EndWithFailure(why, kNoCapacityRetryMs);
     return;
   }
@@ -672,6 +780,9 @@
 }
 
 void GenerationExchange::EndWithFailure(std::string_view why, std::int64_t retry_ms) {
+  if (TakeBackSilentRun()) {
+    return;
+  }
   phase_ = Phase::kDone;
   ReleaseDecode();
   if (is_stream_open_) {
@@ -690,17 +801,16 @@
   LogRequestStep(request_, "decode_broke", *run_.decode, DescribeLoss(FailureName(failure)));
   run_.attempt.reset();
   ReleaseDecode();
+  if (TakeBackSilentRun()) {
+    return;
+  }
   const bool may_continue = core::MayRunAgain(*request_.route) &&
                             possible_runs_ < request_.route->max_upstreams && TakeRetry();
   if (!may_continue) {
     EndWithFailure("the engine failed before the answer was complete", kNoUpstreamRetryMs);
     return;
   }
-  phase_ = Phase::kWaiting;
-  // The capacity for which a silent engine was left must not be taken by another request meanwhile.
-  if (failure != AttemptFailure::kTimedOut || !TryStart()) {
-    Enqueue();
-  }
+  Enqueue();
 }
 
 void GenerationExchange::OnAttemptFailure(AttemptFailure failure) {
--- a/gateway/generation_exchange.h
+++ b/gateway/generation_exchange.h
@@ -19,10 +19,11 @@
 #include "gateway/engine_run.h"
 #include "gateway/generation_queue.h"
 #include "gateway/request_context.h"
+#include "gateway/silent_run.h"
 
 namespace rattanramp::gateway {
 
-class GenerationExchange final : public Exchange, private AttemptListener {
+class GenerationExchange final : public Exchange, private SilentRunOwner {
  public:
   static std::unique_ptr<GenerationExchange> Start(RequestContext request, GatewayState& state,
                                                    CallerSink& sink);
@@ -85,6 +86,10 @@
   bool MayMoveLater() const;
   /// Whether an engine other than that of the current attempt could go on with the request at once.
   bool HasOtherEngine() const;
+  /// Sets the silent run aside and asks another engine to continue the stream.
+  void AskOtherEngine();
+  /// Ends what was tried at another engine and goes on with the silent run. False: there is none.
+  bool TakeBackSilentRun();
   /// The engine of run_ has accepted the stream: ends the silent run, and sends the head unless
   /// this was done before.
   void OpenStream();
@@ -111,6 +116,9 @@
   void OnAnswerComplete() override;
   void OnAttemptFailure(AttemptFailure failure) override;
   bool OnSilence(Duration silent_for) override;
+  void OnRunGoesOn() override;
+  void OnRunLost(AttemptFailure failure, bool is_refused) override;
+  bool IsSilentTooLong(Duration silent_for) const override;
 
   RequestContext request_;
   GatewayState& state_;
@@ -121,6 +129,9 @@
   std::shared_ptr<bool> lifetime_ = std::make_shared<bool>(true);
   Phase phase_ = Phase::kWaiting;
   EngineRun run_;
+  /// The run of an engine that has gone silent, while run_ is that of another one that is asked to
+  /// continue the stream. Null: there is none.
+  std::unique_ptr<SilentRun> silent_;
   std::unique_ptr<EarlyConnection> early_connection_;
   std::uint64_t queue_id_ = 0;
   CapacityShare capacity_share_;
@@ -132,6 +143,8 @@
   bool is_stream_open_ = false;
   /// How the end of that stream is shown to the caller.
   StreamEnd stream_end_ = StreamEnd::kStated;
+  /// The head of the current attempt's answer has arrived.
+  bool has_answer_head_ = false;
   bool is_paused_ = false;
   bool was_paused_ = false;
   /// Number of decode attempts that may have run the request.
@@ -146,6 +159,9 @@
   TimePoint last_event_;
   /// Tokens that the prefill engine had to read before this prompt.
   std::int64_t queued_tokens_ = 0;
+  /// Another engine is to be asked to continue the stream, and not before that time.
+  bool is_move_planned_ = false;
+  TimePoint next_move_;
 };
 
 }  // namespace rattanramp::gateway
