Keep the call at a silent plain server until another server answers

Repeatable requests got 502 although their server answered: after 0.7 of the latency target without an answer the gateway closed the call and asked another server, and when that refused, reset, broke off or sent no valid answer, nothing was left (a silent one: 504).

Change: SilentCall keeps the first call while another server is asked. The answer that comes first is taken; when the other server does not answer, the first call is taken back, and another may be asked after 0.1 s and more, within the bound on retries and the servers of the route, of which both count.

--- a/gateway/plain_exchange.cc
+++ b/gateway/plain_exchange.cc
@@ -3,6 +3,7 @@
 #include <spdlog/fmt/fmt.h>
 
 #include <algorithm>
+#include <asio/post.hpp>
 #include <utility>
 #include <vector>
 
@@ -23,6 +24,9 @@
 // all were tried: longer than a sound upstream is silent (about a second, users' documentation).
 constexpr Milliseconds kLostAnswerTime{1'500};
 
+// Time until another server is asked again while one is silent, doubled each time.
+constexpr Milliseconds kMoveBackOff{100};
+
 // Retry-After when a service has no usable upstream. The initial back-off after a failed answer has
 // ended by then.
 constexpr std::int64_t kNoUpstreamRetryMs = 400;
@@ -59,7 +63,8 @@
   if (queue_id_ != 0) {
     state_.dispatcher.Remove(request_.service->name, queue_id_);
   }
-  attempt_.reset();
+  silent_.reset();
+  call_.attempt.reset();
   state_.dispatcher.Wake(request_.service->name);
 }
 
@@ -82,7 +87,7 @@
 }
 
 bool PlainExchange::RefuseIfHopeless() {
-  if (queue_id_ == 0 || attempt_ || possible_runs_ > 0 || is_done_) {
+  if (queue_id_ == 0 || call_.attempt || possible_runs_ > 0 || is_done_) {
     return false;
   }
   const std::optional<Duration> wait = state_.dispatcher.ExpectedLateWait(request_.service->name);
@@ -100,13 +105,14 @@
     return;
   }
   LogRequestEnd(request_, state_, 499, "caller_gone",
-                attempt_ ? "while the request ran" : "while the request was queued");
-  attempt_.reset();
+                call_.attempt ? "while the request ran" : "while the request was queued");
+  silent_.reset();
+  call_.attempt.reset();
 }
 
 void PlainExchange::OnBytesSent() {
-  if (std::exchange(is_paused_, false) && attempt_ && !is_done_) {
-    attempt_->ResumeReading();
+  if (std::exchange(is_paused_, false) && call_.attempt && !is_done_) {
+    call_.attempt->ResumeReading();
   }
 }
 
@@ -173,8 +179,8 @@
   request_.tried.push_back(upstream->key);
   request_.tried_ids.push_back(upstream->info.id);
   RecordFirstStart(request_, state_);
-  attempt_started_ = now;
-  running_before_ = upstream->local_load.running + upstream->peer_load.running;
+  call_.started = now;
+  call_.running_before = upstream->local_load.running + upstream->peer_load.running;
   AttemptPlan plan;
   platform::UpstreamRequest call;
   call.instance = upstream->info.id;
@@ -185,9 +191,7 @@
   plan.request_id = request_.facts.request_id;
   plan.is_head_request = request_.head.method == "HEAD";
   plan.load.running = 1;
-  const bool may_retry_elsewhere = request_.route->kind == core::RequestKind::kRepeatable &&
-                                   possible_runs_ + 1 < request_.route->max_upstreams;
-  if (may_retry_elsewhere) {
+  if (MayMoveLater()) {
     plan.first_byte_timeout = Milliseconds(static_cast<std::int64_t>(
         kFirstByteTimeoutShare * static_cast<double>(request_.route->target_latency_ms)));
     // One slow request is weak evidence of an unhealthy upstream.
@@ -199,22 +203,22 @@
   sink_.KeepAnswer(0);
   is_paused_ = false;
   plan.send_before = request_.deadline;
-  attempt_ = Attempt::Start(state_.context, state_.clock, upstream, std::move(plan), *this);
+  call_.attempt = Attempt::Start(state_.context, state_.clock, upstream, std::move(plan), *this);
   return true;
 }
 
 bool PlainExchange::EndIfItMayNotRun() {
   const std::optional<CrashRefusal> refusal = CheckAttempt(request_, state_);
   if (refusal) {
-    EndUnanswered(502, refusal->reason, refusal->retry_after_ms);
+    EndAfterRefusal(refusal->reason, refusal->retry_after_ms);
   }
   return refusal.has_value();
 }
 
 void PlainExchange::OnDeadline() {
-  EndUnanswered(504,
-                attempt_ ? "deadline passed during an attempt" : "deadline passed in the queue",
-                std::nullopt);
+  EndUnanswered(
+      504, call_.attempt ? "deadline passed during an attempt" : "deadline passed in the queue",
+      std::nullopt);
 }
 
 bool PlainExchange::IsTooLateInStop() const {
@@ -223,15 +227,15 @@
 }
 
 void PlainExchange::OnStopProgress() {
-  if (!attempt_ && IsTooLateInStop()) {
+  if (!call_.attempt && IsTooLateInStop()) {
     EndForStop();
   }
 }
 
 void PlainExchange::EndForStop() {
   EndUnanswered(502,
-                attempt_ ? "the process stops during an attempt"
-                         : "the process stops while the request is queued",
+                call_.attempt ? "the process stops during an attempt"
+                              : "the process stops while the request is queued",
                 core::kStopRetryAfter.count());
 }
 
@@ -240,8 +244,10 @@
   if (std::exchange(is_done_, true)) {
     return;
   }
-  const bool may_have_run = possible_runs_ > 0 || (attempt_ && attempt_->has_sent());
-  attempt_.reset();
+  const bool may_have_run =
+      possible_runs_ > 0 || silent_ || (call_.attempt && call_.attempt->has_sent());
+  silent_.reset();
+  call_.attempt.reset();
   if (may_have_run) {
     AnswerOutcomeUnknown(request_, state_, sink_, unknown_status, reason);
   } else {
@@ -250,11 +256,23 @@
 }
 
 void PlainExchange::EndAfterRefusal(std::string_view reason, std::int64_t retry_after_ms) {
-  attempt_.reset();
+  if (TakeBackSilentCall()) {
+    return;
+  }
+  call_.attempt.reset();
   EndUnanswered(502, reason, retry_after_ms);
 }
 
 bool PlainExchange::Retry(bool may_have_run, std::string_view why) {
+  if (silent_) {
+    LogRequestStep(request_, "try_again", call_.attempt->upstream(), why);
+    if (!may_have_run) {
+      // The server may have free capacity when it is asked again.
+      std::erase(request_.tried, call_.attempt->upstream().key);
+    }
+    call_.attempt.reset();
+    return TakeBackSilentCall();
+  }
   if (may_have_run && (request_.route->kind != core::RequestKind::kRepeatable ||
                        possible_runs_ >= request_.route->max_upstreams)) {
     return false;
@@ -263,8 +281,8 @@
   if (has_sent_attempt && !TakeRetry()) {
     return false;
   }
-  LogRequestStep(request_, "try_again", attempt_->upstream(), why);
-  attempt_.reset();
+  LogRequestStep(request_, "try_again", call_.attempt->upstream(), why);
+  call_.attempt.reset();
   if (state_.fleet.OfService(request_.service->name).size() <= request_.tried.size()) {
     request_.tried.clear();
   }
@@ -276,10 +294,14 @@
   return std::exchange(has_retry_, false) || TakeExtraArrival(state_, request_.service->name);
 }
 
+bool PlainExchange::MayMoveLater() const {
+  return request_.route->kind == core::RequestKind::kRepeatable &&
+         possible_runs_ + (silent_ ? 2 : 1) < request_.route->max_upstreams;
+}
+
 bool PlainExchange::OnSilence(Duration silent_for) {
-  // Ending the attempt is of use only if another upstream can take the request at once; until then
-  // this one may still answer.
-  if (IsTooLateInStop()) {
+  // Another server is of use only if it can take the request at once.
+  if (IsTooLateInStop() || !MayMoveLater() || state_.clock.now() < next_move_) {
     return false;
   }
   std::vector<core::PlacementCandidate> candidates;
@@ -290,14 +312,74 @@
       silent_for >= kLostAnswerTime &&
       state_.fleet.OfService(request_.service->name).size() <= request_.tried.size();
   has_retry_ = (has_other || may_be_lost) && TakeRetry();
-  return has_retry_;
+  if (!has_retry_ || silent_) {
+    return has_retry_;
+  }
+  if (!std::exchange(is_move_planned_, true)) {
+    // Not in the call of an attempt, which may have to be ended.
+    asio::post(state_.context, [this, lifetime = std::weak_ptr<bool>(lifetime_)] {
+      if (lifetime.lock()) {
+        AskOtherServer();
+      }
+    });
+  }
+  return false;
+}
+
+void PlainExchange::AskOtherServer() {
+  is_move_planned_ = false;
+  if (is_done_ || silent_ || !call_.attempt || call_.attempt->silent_for() == Duration::zero()) {
+    return;
+  }
+  LogRequestStep(request_, "try_again", call_.attempt->upstream(), "silent");
+  SilentCallOwner& owner = *this;
+  silent_ = std::make_unique<SilentCall>(std::exchange(call_, {}), owner);
+  if (state_.fleet.OfService(request_.service->name).size() <= request_.tried.size()) {
+    request_.tried.clear();
+  }
+  has_retry_ = false;
+  if (!TryStart()) {
+    // Another request took the capacity first, so nothing was sent.
+    has_retry_ = true;
+    TakeBackSilentCall();
+  }
+}
+
+bool PlainExchange::TakeBackSilentCall() {
+  if (!silent_) {
+    return false;
+  }
+  possible_runs_ += call_.attempt && call_.attempt->has_sent() ? 1 : 0;
+  PlainCall call = silent_->Release();
+  silent_.reset();
+  answer_body_ = {};
+  answer_allowance_.Release();
+  sink_.KeepAnswer(0);
+  is_paused_ = false;
+  call_ = std::move(call);
+  next_move_ = state_.clock.now() + kMoveBackOff * (1 << std::min(taken_back_++, 4));
+  return true;
+}
+
+void PlainExchange::OnCallAnswered() { TakeBackSilentCall(); }
+
+void PlainExchange::OnCallLost(AttemptFailure failure, bool is_refused) {
+  const PlainCall lost = silent_->Release();
+  silent_.reset();
+  possible_runs_ += is_refused ? 0 : 1;
+  core::RecordAnswer(lost.attempt->upstream().health,
+                     is_refused ? core::AnswerResult::kErrorAnswer : core::AnswerResult::kLost,
+                     state_.clock.now());
+  if (IsConnectionLost(failure) && !is_refused) {
+    RecordStartLoss(request_, state_, lost.attempt->upstream(), lost.started);
+  }
 }
 
 void PlainExchange::OnAnswerHead(const http::ResponseHead& head, const core::AnswerFacts& facts) {
   answer_head_ = head;
   answer_facts_ = facts;
   if (!facts.wrong_instance) {
-    RecordRunningUpstream(state_, attempt_->upstream(), attempt_started_);
+    RecordRunningUpstream(state_, call_.attempt->upstream(), call_.started);
   }
 }
 
@@ -308,7 +390,7 @@
   answer_body_.append(bytes);
   if (!sink_.KeepAnswer(answer_body_.size())) {
     is_paused_ = true;
-    attempt_->PauseReading();
+    call_.attempt->PauseReading();
   }
   return BodyProgress::kProgress;
 }
@@ -319,10 +401,10 @@
   }
   const TimePoint now = state_.clock.now();
   const int status = answer_head_.status;
-  core::UpstreamHealth& health = attempt_->upstream().health;
+  core::UpstreamHealth& health = call_.attempt->upstream().health;
   state_.dispatcher.Wake(request_.service->name);
   if (answer_facts_.wrong_instance) {
-    ExcludeMisdirected(state_, attempt_->upstream());
+    ExcludeMisdirected(state_, call_.attempt->upstream());
     if (!Retry(false, "another process answers at the upstream's address")) {
       EndAfterRefusal("the upstream was replaced by another process", kNoCapacityRetryMs);
     }
@@ -349,11 +431,10 @@
   core::RecordAnswer(
       health, status >= 500 ? core::AnswerResult::kErrorAnswer : core::AnswerResult::kSuccess, now);
   if (status < 500) {
-    RecordPlainAnswer(request_, state_, attempt_->upstream(), now - attempt_started_,
-                      running_before_);
-    RecordAnsweredStart(request_, state_, attempt_started_);
-    core::RecordServiceTime(state_.service_times[request_.service->name], now - attempt_started_,
-                            now);
+    RecordPlainAnswer(request_, state_, call_.attempt->upstream(), now - call_.started,
+                      call_.running_before);
+    RecordAnsweredStart(request_, state_, call_.started);
+    core::RecordServiceTime(state_.service_times[request_.service->name], now - call_.started, now);
   }
   if (status >= 500 && Retry(true, "the upstream answered with a server error")) {
     return;
@@ -363,6 +444,7 @@
 
 void PlainExchange::ForwardAnswer() {
   is_done_ = true;
+  silent_.reset();
   if (answer_head_.status < 500) {
     CountIfOnTime(request_, state_, state_.clock.now());
   }
@@ -378,7 +460,7 @@
   const TimePoint now = state_.clock.now();
   state_.dispatcher.Wake(request_.service->name);
   if (failure == AttemptFailure::kNotConnected) {
-    core::RecordAnswer(attempt_->upstream().health, core::AnswerResult::kNoAnswer, now);
+    core::RecordAnswer(call_.attempt->upstream().health, core::AnswerResult::kNoAnswer, now);
     --sent_attempts_;
     if (++failed_connections_ >= kMaxFailedConnections || !Retry(false, "connection failed")) {
       EndAfterRefusal("connections to the upstreams failed", kNoUpstreamRetryMs);
@@ -387,10 +469,10 @@
   }
   ++possible_runs_;
   if (failure != AttemptFailure::kTimedOut) {
-    core::RecordAnswer(attempt_->upstream().health, core::AnswerResult::kLost, now);
+    core::RecordAnswer(call_.attempt->upstream().health, core::AnswerResult::kLost, now);
   }
   if (IsConnectionLost(failure)) {
-    RecordStartLoss(request_, state_, attempt_->upstream(), attempt_started_);
+    RecordStartLoss(request_, state_, call_.attempt->upstream(), call_.started);
   }
   if (!Retry(true, FailureName(failure))) {
     is_done_ = true;
--- a/gateway/plain_exchange.h
+++ b/gateway/plain_exchange.h
@@ -9,10 +9,11 @@
 #include "gateway/attempt.h"
 #include "gateway/caller_sink.h"
 #include "gateway/request_context.h"
+#include "gateway/silent_call.h"
 
 namespace rattanramp::gateway {
 
-class PlainExchange final : public Exchange, private AttemptListener {
+class PlainExchange final : public Exchange, private SilentCallOwner {
  public:
   static std::unique_ptr<PlainExchange> Start(RequestContext request, GatewayState& state,
                                               CallerSink& sink);
@@ -56,13 +57,24 @@
   void OnAnswerComplete() override;
   void OnAttemptFailure(AttemptFailure failure) override;
   bool OnSilence(Duration silent_for) override;
+  void OnCallAnswered() override;
+  void OnCallLost(AttemptFailure failure, bool is_refused) override;
+  /// Whether another server may run the request besides those that may run it already.
+  bool MayMoveLater() const;
+  /// Sets the silent attempt aside and asks another server.
+  void AskOtherServer();
+  /// Ends what was tried at another server and goes on with the silent attempt. False: there is
+  /// none.
+  bool TakeBackSilentCall();
 
   RequestContext request_;
   GatewayState& state_;
   CallerSink& sink_;
   asio::steady_timer deadline_timer_;
   std::shared_ptr<bool> lifetime_ = std::make_shared<bool>(true);
-  std::unique_ptr<Attempt> attempt_;
+  PlainCall call_;
+  /// The attempt at a silent server, while call_ is at another one. Null: there is none.
+  std::unique_ptr<SilentCall> silent_;
   std::uint64_t queue_id_ = 0;
   http::ResponseHead answer_head_;
   core::AnswerFacts answer_facts_;
@@ -70,14 +82,16 @@
   core::AnswerAllowance answer_allowance_;
   /// Reading from the upstream is paused for lack of memory.
   bool is_paused_ = false;
-  TimePoint attempt_started_;
-  /// Requests that its upstream had when the current attempt started.
-  std::int64_t running_before_ = 0;
   /// Number of attempts that may have run the request.
   std::int64_t possible_runs_ = 0;
   bool is_done_ = false;
   /// A retry was taken from the bound and has not been used yet.
   bool has_retry_ = false;
+  /// Another server is to be asked, and not before that time.
+  bool is_move_planned_ = false;
+  TimePoint next_move_;
+  /// Number of times that the silent attempt was taken back.
+  int taken_back_ = 0;
   /// Number of attempts whose connection could not be made.
   std::int64_t failed_connections_ = 0;
   /// Number of attempts, without those whose connection could not be made.
--- a/tests/gateway/plain_exchange_test.cc
+++ b/tests/gateway/plain_exchange_test.cc
@@ -4,6 +4,8 @@
 #include <asio/steady_timer.hpp>
 #include <atomic>
 #include <string>
+#include <tuple>
+#include <utility>
 
 #include "tests/gateway/exchange_fixture.h"
 
@@ -342,3 +344,75 @@
   cr_assert_lt(ToMs(DefaultClock().now() - now), 900);
   cr_assert_eq(server.heads().size(), 0);
 }
+
+// Guards against a repeatable request that fails although its server answers: it was taken from a
+// silent server for another one that does not answer it, whatever the reason.
+Test(plain_exchange, silent_server_is_kept_when_no_other_answers, .timeout = 60) {
+  const auto late = [](const std::string& bytes, int pause_ms) {
+    FakeAnswer answer;
+    answer.later = {bytes};
+    answer.pause = std::chrono::milliseconds(pause_ms);
+    return answer;
+  };
+  const FakeAnswer whole = CompleteAnswer(200, "Response-Seal: s\r\n", "done");
+  const std::pair<const char*, FakeAnswer> others[] = {
+      {"refused", CompleteAnswer(503, "Not-Executed: 1\r\n", "full")},
+      {"reset", {"", true}},
+      {"silent", late("", 4'000)},
+      {"reset after its head", {whole.bytes.substr(0, whole.bytes.size() - 2), true}},
+      {"no answer", {"nonsense\r\n\r\n"}}};
+  for (const auto& [name, other] : others) {
+    std::atomic<int> calls = 0;
+    const Outcome outcome = RunWithTwoServers(
+        RequestKind::kRepeatable, [&](const std::string& /*head*/, int /*number*/) {
+          return calls++ == 0 ? late(whole.bytes, 1'500) : other;
+        });
+    cr_expect_eq(outcome.status, 200, "%s: %d %s", name, outcome.status, outcome.body.c_str());
+  }
+}
+
+// Guards against the rule BUDGET: each server that is asked while the first is silent may run the
+// request, so that no third one is asked on a route for two.
+Test(plain_exchange, silent_server_does_not_add_to_the_servers_of_a_route, .timeout = 30) {
+  std::atomic<int> calls = 0;
+  const FakeEngine::Script script = [&](const std::string& /*head*/, int /*number*/) -> FakeAnswer {
+    if (calls++ > 0) {
+      return {"", true};
+    }
+    FakeAnswer answer;
+    answer.later = {CompleteAnswer(200, "Response-Seal: s\r\n", "done").bytes};
+    answer.pause = std::chrono::milliseconds(1'500);
+    return answer;
+  };
+  FakeEngine first(script);
+  FakeEngine second(script);
+  FakeEngine third(script);
+  ExchangeFixture fixture;
+  fixture.Add("a", UpstreamStage::kPlain, first.port());
+  fixture.Add("b", UpstreamStage::kPlain, second.port());
+  fixture.Add("c", UpstreamStage::kPlain, third.port());
+  fixture.Run(RequestKind::kRepeatable, false);
+  cr_expect_eq(fixture.sink.status, 200, "%d %s", fixture.sink.status, fixture.sink.body.c_str());
+  cr_expect_eq(calls, 2, "%d calls", calls.load());
+}
+
+// Guards against an answer that is taken from neither of two servers, or waits for the slower one.
+Test(plain_exchange, first_answer_of_two_servers_is_taken, .timeout = 30) {
+  for (const auto& [first_ms, second_ms, expected] :
+       {std::tuple{1'500, 200, "second"}, {900, 1'500, "first"}}) {
+    std::atomic<int> calls = 0;
+    const TimePoint started = DefaultClock().now();
+    const Outcome outcome = RunWithTwoServers(
+        RequestKind::kRepeatable, [&](const std::string& /*head*/, int /*number*/) {
+          const bool is_first = calls++ == 0;
+          FakeAnswer answer;
+          answer.later = {
+              CompleteAnswer(200, "Response-Seal: s\r\n", is_first ? "first" : "second").bytes};
+          answer.pause = std::chrono::milliseconds(is_first ? first_ms : second_ms);
+          return answer;
+        });
+    cr_expect_eq(outcome.status, 200);
+    cr_expect_eq(outcome.body, std::string(expected));
+    cr_expect_lt(DefaultClock().now() - started, Milliseconds(1'300));
+  }
+}
