--- a/tests/agent/broken_answer_test.cc
+++ b/tests/agent/broken_answer_test.cc
@@ -91,6 +91,38 @@
   }
 }
 
+/// Uploads to a server that answers at once and never reads the rest of the request. Then it resets
+/// the connection, or ends its side in an orderly way and keeps the other one open for 3 s.
+CallReply UploadUnread(const std::string& answer, bool is_reset) {
+  using asio::ip::tcp;
+  asio::io_context context;
+  tcp::acceptor acceptor(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+  std::thread server([&] {
+    tcp::socket socket = acceptor.accept();
+    std::string request;
+    asio::read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n");
+    asio::write(socket, asio::buffer("HTTP/1.1 200 OK\r\n" + answer));
+    if (!is_reset) {
+      socket.shutdown(tcp::socket::shutdown_send);
+      std::this_thread::sleep_for(std::chrono::milliseconds(3'000));
+    }
+    // With unread bytes, the end of the socket is a reset.
+  });
+  const std::unique_ptr<HttpService> service =
+      HttpService::Create("http://127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()))
+          .value();
+  CallRequest request;
+  request.request_id = "c1";
+  request.method = "POST";
+  request.path = "/claims";
+  request.body = std::string(kUploadBytes, 'u');
+  request.timeout = Milliseconds(2'000);
+  RunControl control;
+  const CallReply reply = service->Call(request, control);
+  server.join();
+  return reply;
+}
+
 }  // namespace
 
 // Guards against a call that is reported as answered with a status that HTTP does not have.
@@ -169,3 +201,26 @@
     cr_expect_eq(reply.body, std::string("ok"));
   }
 }
+
+// Guards against a part of an answer that counts as a whole one, when the server never reads the
+// rest of the request.
+Test(broken_answer, part_of_an_early_answer_is_broken_when_the_request_stays_unread,
+     .timeout = 60) {
+  for (const std::string& answer :
+       {std::string("Content-Length: 9\r\n\r\npart"),
+        std::string("Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n")}) {
+    for (const bool is_reset : {true, false}) {
+      cr_expect_eq(UploadUnread(answer, is_reset).status, RunStatus::kBroken, "'%s'",
+                   answer.c_str());
+    }
+  }
+  cr_expect_eq(UploadUnread("\r\npart", true).status, RunStatus::kBroken);
+}
+
+// Guards against a sound answer that is lost because the server never reads the rest of the
+// request.
+Test(broken_answer, early_answer_is_taken_when_the_request_stays_unread, .timeout = 60) {
+  const CallReply reply = UploadUnread("Content-Length: 2\r\n\r\nok", false);
+  cr_expect_eq(reply.status, RunStatus::kDone);
+  cr_expect_eq(reply.body, std::string("ok"));
+}
