--- a/gateway/attempt.h
+++ b/gateway/attempt.h
@@ -100,7 +100,7 @@
   /// How long the upstream has been silent, once this is longer than the timeout of the plan; zero
   /// before.
   Duration silent_for() const { return silent_for_; }
-  /// The listener that is told of all that follows; may be set in a call of the previous one.
+  /// Replaces the listener for all further calls; may be called from a call of the current one.
   void SetListener(AttemptListener& listener) { listener_ = &listener; }
   /// While reading is paused, the upstream's silence is not timed.
   void PauseReading();
--- a/tests/outages/list_outages.py
+++ b/tests/outages/list_outages.py
@@ -98,10 +98,12 @@
         self.folder = os.path.join(folder, name)
         os.makedirs(self.folder)
         rng = random.Random(name)
-        self.site = Site(program, self.folder, rng, Record(), PORTS, gateways=int(gateways),
+        self.site = Site(program, self.folder, rng, Arrivals(), PORTS, gateways=int(gateways),
                          engines=0, plain=0)
         self.site.store = OutageStore(self.site.host, rng)
         self.site.upstreams = [Server(self.site, f"p{i}", "plain", None, 64) for i in range(5)]
+        for server in self.site.upstreams:
+            server.arrived = []
         for gateway in self.site.gateways:
             gateway.address = f"127.211.{number + 1}.{gateway.number + 1}"
         self.returned = 0.0
@@ -245,18 +247,12 @@
         last = now
 
 
-async def run(program, names, folder):
-    cases = [Case(name, CASES.index(name), program, folder) for name in names]
-    for case in cases:
-        case.site.record = Arrivals()
-        for server in case.site.upstreams:
-            server.arrived = []
-
+async def play_all(cases):
+    """Plays the cases, some at a time. Returns the exit code."""
+    room = asyncio.Semaphore(MAX_CASES_AT_ONCE)
     stalls = []
     watch = asyncio.create_task(watch_stalls(stalls))
 
-    room = asyncio.Semaphore(MAX_CASES_AT_ONCE)
-
     async def play(case):
         async with room:
             try:
@@ -268,11 +264,9 @@
     watch.cancel()
     print(f"stalls of the stand-ins: {sum(e - b for b, e in stalls):.2f} s, longest "
           f"{max((e - b for b, e in stalls), default=0):.2f} s")
-    broken = 0
     for case, faults in zip(cases, outcomes):
-        broken += bool(faults)
         print(f"{case.name}: {'; '.join(faults) if faults else 'held'}")
-    return 1 if broken else 0
+    return 1 if any(outcomes) else 0
 
 
 def keep_busy():
@@ -280,11 +274,12 @@
         pass
 
 
-def main():
-    parser = argparse.ArgumentParser(description=__doc__,
+def main(description, names, make_case):
+    """make_case(name, number, program, folder) returns a case; number differs between the cases."""
+    parser = argparse.ArgumentParser(description=description,
                                      formatter_class=argparse.RawDescriptionHelpFormatter)
     parser.add_argument("program")
-    parser.add_argument("cases", nargs="*", help=", ".join(CASES))
+    parser.add_argument("cases", nargs="*", help=", ".join(names))
     parser.add_argument("--busy", type=int, default=0)
     parser.add_argument("--keep", help="folder for settings and logs")
     options = parser.parse_args()
@@ -293,11 +288,13 @@
         process.start()
     try:
         with tempfile.TemporaryDirectory(prefix="outages-") as folder:
-            return asyncio.run(run(options.program, options.cases or CASES, options.keep or folder))
+            return asyncio.run(play_all([
+                make_case(name, names.index(name), options.program, options.keep or folder)
+                for name in options.cases or names]))
     finally:
         for process in busy:
             process.kill()
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(main(__doc__, CASES, Case))
--- a/tests/outages/silent_engines.py
+++ b/tests/outages/silent_engines.py
@@ -11,21 +11,18 @@
 store is away from then on. Each case has its own gateway, store and engines.
 """
 
-import argparse
 import asyncio
-import multiprocessing
 import os
 import random
 import signal
 import socket
 import sys
-import tempfile
 import time
 import types
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "soak"))
 from http_io import ClientConnection, listen  # noqa: E402
-from list_outages import HOST, PORTS, Arrivals, OutageStore, keep_busy  # noqa: E402
+from list_outages import HOST, PORTS, Arrivals, OutageStore, main  # noqa: E402
 from site_model import STREAM_PREFIX, Site  # noqa: E402
 from stand_ins import Upstream  # noqa: E402
 
@@ -186,41 +183,5 @@
     for beside in ("", "-stop", "-store", "-stop-store"))
 
 
-async def run(program, names, folder):
-    cases = [Case(name, CASES.index(name), program, folder) for name in names]
-
-    async def play(case):
-        try:
-            return await case.play()
-        finally:
-            await case.stop()
-
-    outcomes = await asyncio.gather(*(play(case) for case in cases))
-    broken = 0
-    for case, faults in zip(cases, outcomes):
-        broken += bool(faults)
-        print(f"{case.name}: {'; '.join(faults) if faults else 'held'}")
-    return 1 if broken else 0
-
-
-def main():
-    parser = argparse.ArgumentParser(description=__doc__,
-                                     formatter_class=argparse.RawDescriptionHelpFormatter)
-    parser.add_argument("program")
-    parser.add_argument("cases", nargs="*", help=", ".join(CASES))
-    parser.add_argument("--busy", type=int, default=0)
-    parser.add_argument("--keep", help="folder for settings and logs")
-    options = parser.parse_args()
-    busy = [multiprocessing.Process(target=keep_busy, daemon=True) for _ in range(options.busy)]
-    for process in busy:
-        process.start()
-    try:
-        with tempfile.TemporaryDirectory(prefix="silent-") as folder:
-            return asyncio.run(run(options.program, options.cases or CASES, options.keep or folder))
-    finally:
-        for process in busy:
-            process.kill()
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(main(__doc__, CASES, Case))
