--- a/tests/soak/stand_ins.py
+++ b/tests/soak/stand_ins.py
@@ -35,10 +35,19 @@
     return "seal-" + hashlib.sha1(body).hexdigest()
 
 
+class StoreCopy:
+    """State of a store at one time, from which it may return."""
+
+    def __init__(self, store):
+        self.at = time.monotonic()
+        self.version, self.oldest = store.version, store.oldest
+        self.rows, self.history = dict(store.rows), list(store.history)
+
+
 class Store:
     """Versioned rows.
 
-    Faults delete the change history, or lose, delay or refuse answers.
+    Faults delete the change history, lose, delay or refuse answers, or restore an older copy.
     """
 
     def __init__(self, host, rng):
@@ -54,6 +63,8 @@
         self.lose_share = 0.0
         self.extra_delay_s = 0.0
         self.calls = 0
+        # Number of returns from an older copy, sent with all answers; None: it is not sent.
+        self.era = None
 
     async def start(self):
         _, self.port, _ = await listen(self.host, self.handle)
@@ -71,6 +82,30 @@
         self.history.clear()
         self.oldest = self.version
 
+    def return_from(self, copy):
+        """Continues from an older copy; returns the rows lost by the platform's own writers.
+
+        Versions that were given out since the copy are given out again.
+        """
+        lost = [row for row in self.history
+                if row["ver"] > copy.version and row["table"] in ("op", "servers")]
+        self.version, self.oldest = copy.version, copy.oldest
+        self.rows, self.history = dict(copy.rows), list(copy.history)
+        if self.era is not None:
+            self.era += 1
+        self._notify()
+        return lost
+
+    def write_again(self, lost):
+        """Repeats writes as their writers do after a return.
+
+        The operator repeats all in their order; a server writes what its entry is now.
+        """
+        newest = {row["key"]: row for row in lost if row["table"] == "servers"}
+        for row in [r for r in lost if r["table"] == "op"] + list(newest.values()):
+            value = None if row.get("deleted") else base64.b64decode(row["value"])
+            self._change(row["table"], row["key"], value)
+
     def _change(self, table, key, value):
         if value is None and (table, key) not in self.rows:
             return
@@ -84,6 +119,9 @@
             self.rows[table, key] = row
             self.history.append(row)
         del self.history[:-500]
+        self._notify()
+
+    def _notify(self):
         self.changed.set()
         self.changed = asyncio.Event()
 
@@ -95,14 +133,17 @@
         self.calls += 1
         await asyncio.sleep(STORE_ANSWER_S + self.extra_delay_s)
         if self.rng.random() < self.refuse_share:
-            await connection.answer(503)
+            await connection.answer(503, headers=self._fields())
             return
         status, body = await self._execute(request)
         if self.rng.random() < self.lose_share:
             connection.reset()
             return
         await connection.answer(status, json.dumps(body).encode(),
-                                [("Content-Type", "application/json")])
+                                [("Content-Type", "application/json"), *self._fields()])
+
+    def _fields(self):
+        return [] if self.era is None else [("Store-Era", str(self.era))]
 
     async def _execute(self, request):
         url = urlsplit(request.target)
@@ -115,7 +156,7 @@
             after = int(query["after"])
             deadline = time.monotonic() + int(query["wait_ms"]) / 1000
             while True:
-                if after < self.oldest:
+                if after < self.oldest or after > self.version:
                     return 410, {}
                 rows = [r for r in self.history if r["ver"] > after and r["table"] == query["table"]]
                 left = deadline - time.monotonic()
