Move the reads of the configuration out of StoreWatch

ConfigWatch reads the configuration's table; StorePoller has the schedule and the back-off that it shares with the reads of upstreams and gateways. No behaviour changes.

--- a/gateway/store_watch.cc
+++ b/gateway/store_watch.cc
@@ -54,11 +54,6 @@
 // while more than a second of them is waiting.
 constexpr Milliseconds kOwnRowRetry{1'000};
 
-// Bounds of the exponential back-off after failed calls. The platform charges for refused calls
-// too.
-constexpr Milliseconds kInitialBackOff{100};
-constexpr Milliseconds kMaxBackOff{400};
-
 }  // namespace
 
 PollIntervals PollIntervalsFor(Duration disconnected_after, Duration upstream_drain_limit) {
@@ -79,9 +74,6 @@
   return intervals;
 }
 
-StoreWatch::Poller::Poller(asio::io_context& context, std::unique_ptr<store::AsyncTable> client)
-    : table(std::move(client)), timer(context) {}
-
 StoreWatch::StoreWatch(asio::io_context& context, const Clock& clock, StoreListener& listener,
                        StoreSource source, const PollIntervals& intervals, std::string own_name,
                        std::string own_row)
@@ -91,22 +83,25 @@
       intervals_(intervals),
       own_name_(std::move(own_name)),
       own_row_(std::move(own_row)),
-      config_(context, source_.make_client()),
+      config_(context, clock, listener, source_, intervals.config_wait,
+              [this](const store::TableRows& rows) {
+                core::ObserveStoreClock(store_clock_, rows.clock_ms, clock_.now());
+              }),
       upstreams_(context, source_.make_client()),
       gateways_(context, source_.make_client()),
       probe_(context, source_.make_client()) {}
 
 void StoreWatch::Start() {
-  ReadConfig();
+  config_.Start();
   ReadUpstreams();
   WriteOwnRow();
 }
 
 void StoreWatch::Deregister(std::function<void()> done) {
   is_stopped_ = true;
-  for (Poller* poller : {&config_, &upstreams_, &gateways_, &probe_}) {
-    poller->timer.cancel();
-    poller->table->Cancel();
+  config_.Stop();
+  for (StorePoller* poller : {&upstreams_, &gateways_, &probe_}) {
+    StopPolling(*poller);
   }
   gateways_.table->Remove(
       source_.gateway_table, own_name_, [done = std::move(done)](const Result<void>& removed) {
@@ -118,61 +113,6 @@
       });
 }
 
-void StoreWatch::ReadConfig() {
-  config_call_sent_ = clock_.now();
-  config_.table->ReadAll(source_.config_table, [this](const Result<store::TableRows>& rows) {
-    if (!rows) {
-      ScheduleNext(config_, RecordFailure(config_, "configuration", rows.error()),
-                   &StoreWatch::ReadConfig);
-      return;
-    }
-    RecordSuccess(config_, "configuration");
-    OnConfig(rows.value());
-    WaitForConfig();
-  });
-}
-
-void StoreWatch::WaitForConfig() {
-  config_call_sent_ = clock_.now();
-  config_.table->WaitForChanges(
-      source_.config_table, config_table_version_, intervals_.config_wait,
-      [this](const Result<store::TableRows>& rows) {
-        if (rows) {
-          RecordSuccess(config_, "configuration");
-          OnConfig(rows.value());
-          ScheduleNext(config_, Duration::zero(), &StoreWatch::WaitForConfig);
-          return;
-        }
-        if (rows.error().kind == ErrorKind::kNotFound) {
-          ReadConfig();
-          return;
-        }
-        // Changes may have been missed, because an unresponsive service and one without changes
-        // look the same. All rows are read again.
-        ScheduleNext(config_, RecordFailure(config_, "configuration", rows.error()),
-                     &StoreWatch::ReadConfig);
-      });
-}
-
-void StoreWatch::OnConfig(const store::TableRows& rows) {
-  core::ObserveStoreClock(store_clock_, rows.clock_ms, clock_.now());
-  // A reply that is behind an earlier one shows an old state.
-  const bool is_current = rows.version >= config_table_version_;
-  config_table_version_ = std::max(config_table_version_, rows.version);
-  for (const store::TableRow& row : rows.rows) {
-    if (row.key == source_.config_key && row.version > config_row_version_) {
-      // A configuration that was removed has no successor that could be in force.
-      config_row_version_ = row.version;
-      if (!row.is_removed) {
-        listener_.OnConfigRow(row.value, row.version);
-      }
-    }
-  }
-  if (config_row_version_ > 0 && rows.clock_ms > 0 && is_current) {
-    listener_.OnConfigEvidence({config_row_version_, rows.clock_ms}, config_call_sent_);
-  }
-}
-
 void StoreWatch::ReadUpstreams() {
   upstream_read_started_ = clock_.now();
   StartProbes();
@@ -269,7 +209,7 @@
   }
   is_probe_sent_ = true;
   probe_.table->WaitForChanges(
-      source_.config_table, config_table_version_, Milliseconds(0),
+      source_.config_table, config_.table_version(), Milliseconds(0),
       [this](const Result<store::TableRows>& rows) { OnProbeAnswered(rows); });
   ScheduleProbe();
 }
@@ -405,31 +345,8 @@
   listener_.OnGatewayRows(current_rows);
 }
 
-void StoreWatch::ScheduleNext(Poller& poller, Duration wait, void (StoreWatch::*next)()) {
-  poller.is_waiting = true;
-  poller.timer.expires_after(wait);
-  poller.timer.async_wait([this, &poller, next](const std::error_code& error) {
-    if (!error && !is_stopped_) {
-      poller.is_waiting = false;
-      (this->*next)();
-    }
-  });
-}
-
-Duration StoreWatch::RecordFailure(Poller& poller, const char* what, const Error& error) {
-  if (!std::exchange(poller.is_failing, true)) {
-    Log(LogLevel::kWarning, "dependency_lost", {{"what", what}, {"error", error.message}});
-  }
-  const int doublings = static_cast<int>(std::min<std::int64_t>(poller.failures++, 4));
-  return std::min<Duration>(kMaxBackOff, kInitialBackOff * (1 << doublings));
-}
-
-void StoreWatch::RecordSuccess(Poller& poller, const char* what) {
-  if (std::exchange(poller.is_failing, false)) {
-    Log(LogLevel::kInfo, "dependency_regained",
-        {{"what", what}, {"failed_calls", poller.failures}});
-  }
-  poller.failures = 0;
+void StoreWatch::ScheduleNext(StorePoller& poller, Duration wait, void (StoreWatch::*next)()) {
+  gateway::ScheduleNext(poller, wait, [this, next] { (this->*next)(); });
 }
 
 }  // namespace rattanramp::gateway
--- a/gateway/store_watch.h
+++ b/gateway/store_watch.h
@@ -3,7 +3,6 @@
 #pragma once
 
 #include <asio/io_context.hpp>
-#include <asio/steady_timer.hpp>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -13,23 +12,19 @@
 #include <vector>
 
 #include "base/clock.h"
-#include "core/config_freshness.h"
 #include "core/shared_list.h"
 #include "core/store_contact.h"
 #include "core/upstream_directory.h"
+#include "gateway/config_watch.h"
+#include "gateway/store_poller.h"
 #include "gateway/store_source.h"
 #include "store/async_table.h"
 
 namespace rattanramp::gateway {
 
 /// Receives the rows that StoreWatch has read.
-class StoreListener {
+class StoreListener : public ConfigListener {
  public:
-  virtual ~StoreListener() = default;
-  virtual void OnConfigRow(const std::string& text, std::int64_t row_version) = 0;
-  /// Called after each reply about the configuration, also one without a change, once its rows have
-  /// been passed on. sent: when the call was sent.
-  virtual void OnConfigEvidence(const core::ConfigEvidence& /*evidence*/, TimePoint /*sent*/) {}
   /// interruption: since the previous view of the list. clock_ms: the store's clock at the read; 0:
   /// unknown. read_at: own time at which the list was as in `rows`.
   virtual void OnUpstreamRows(const std::vector<store::TableRow>& rows,
@@ -85,19 +80,6 @@
   void Deregister(std::function<void()> done);
 
  private:
-  struct Poller {
-    Poller(asio::io_context& context, std::unique_ptr<store::AsyncTable> client);
-    std::unique_ptr<store::AsyncTable> table;
-    asio::steady_timer timer;
-    bool is_failing = false;
-    /// The timer runs until the next call; no call is in progress.
-    bool is_waiting = false;
-    std::int64_t failures = 0;
-  };
-
-  void ReadConfig();
-  void WaitForConfig();
-  void OnConfig(const store::TableRows& rows);
   void ReadUpstreams();
   void OnUpstreams(const store::TableRows& rows);
   /// Ends a read that is not answered although the store answers other calls, and repeats it.
@@ -126,10 +108,7 @@
   Duration NextUpstreamRead(std::int64_t read_clock_ms) const;
   /// The same, if no missing upstream is kept.
   Duration UsualWait(std::int64_t read_clock_ms) const;
-  void ScheduleNext(Poller& poller, Duration wait, void (StoreWatch::*next)());
-  /// Counts a failed call and logs the first of a series. Returns the wait before the next call.
-  Duration RecordFailure(Poller& poller, const char* what, const Error& error);
-  void RecordSuccess(Poller& poller, const char* what);
+  void ScheduleNext(StorePoller& poller, Duration wait, void (StoreWatch::*next)());
 
   const Clock& clock_;
   StoreListener& listener_;
@@ -137,13 +116,10 @@
   PollIntervals intervals_;
   std::string own_name_;
   std::string own_row_;
-  Poller config_;
-  Poller upstreams_;
-  Poller gateways_;
-  Poller probe_;
-  std::int64_t config_table_version_ = 0;
-  std::int64_t config_row_version_ = 0;
-  TimePoint config_call_sent_;
+  ConfigWatch config_;
+  StorePoller upstreams_;
+  StorePoller gateways_;
+  StorePoller probe_;
   bool is_stopped_ = false;
   bool has_used_first_interval_ = false;
   core::StoreClock store_clock_;
