--- a/core/config_freshness.cc
+++ b/core/config_freshness.cc
@@ -26,9 +26,9 @@
 /// Keeps the newer of two pieces of evidence for the peers.
 void KeepNewest(ConfigFreshness& freshness, const ConfigEvidence& evidence) {
   ConfigEvidence& newest = freshness.newest;
-  if (evidence.row_version > newest.row_version) {
+  if (evidence.row > newest.row) {
     newest = evidence;
-  } else if (evidence.row_version == newest.row_version) {
+  } else if (evidence.row == newest.row) {
     newest.clock_ms = std::max(newest.clock_ms, evidence.clock_ms);
   }
 }
@@ -61,7 +61,7 @@
                        TimePoint now) {
   ObserveReply(freshness.clock, evidence.clock_ms, sent, now);
   KeepNewest(freshness, evidence);
-  if (evidence.row_version != freshness.own_version) {
+  if (evidence.row != freshness.own_row) {
     return;
   }
   Confirm(freshness, sent);
@@ -73,23 +73,23 @@
 
 void RecordPeerEvidence(ConfigFreshness& freshness, const ConfigEvidence& evidence, TimePoint now) {
   const std::optional<TimePoint> shown = EarliestOwnTimeOf(freshness.clock, evidence.clock_ms);
-  if (evidence.row_version <= 0 || evidence.clock_ms <= 0 || evidence.clock_ms > kMaxClockMs ||
+  if (evidence.row.version <= 0 || evidence.clock_ms <= 0 || evidence.clock_ms > kMaxClockMs ||
       (shown && *shown > now)) {
     return;
   }
   KeepNewest(freshness, evidence);
-  if (shown && evidence.row_version == freshness.own_version) {
+  if (shown && evidence.row == freshness.own_row) {
     Confirm(freshness, *shown);
   }
 }
 
-void RecordVersionInForce(ConfigFreshness& freshness, std::int64_t row_version, TimePoint now) {
-  if (row_version == freshness.own_version) {
+void RecordRowInForce(ConfigFreshness& freshness, const StorePosition& row, TimePoint now) {
+  if (row == freshness.own_row) {
     return;
   }
-  freshness.own_version = row_version;
+  freshness.own_row = row;
   freshness.shown_at.reset();
-  if (freshness.newest.row_version == row_version) {
+  if (freshness.newest.row == row) {
     const std::optional<TimePoint> shown =
         EarliestOwnTimeOf(freshness.clock, freshness.newest.clock_ms);
     if (shown && *shown <= now) {
@@ -113,7 +113,7 @@
                                                          : CallerVerdict::kUncertain;
   }
   // A refusal for good is not repeated by the caller, so it needs fresher evidence.
-  if (limit && (freshness.newest.row_version > freshness.own_version ||
+  if (limit && (freshness.newest.row > freshness.own_row ||
                 !IsFresh(freshness, arrived, *limit / kUncertainDivisor))) {
     return CallerVerdict::kUncertain;
   }
--- a/core/config_freshness.h
+++ b/core/config_freshness.h
@@ -10,12 +10,13 @@
 
 #include "base/clock.h"
 #include "core/caller_keys.h"
+#include "core/store_position.h"
 
 namespace rattanramp::core {
 
-/// The store has shown a row version of the configuration to be the newest.
+/// The store has shown a row of the configuration to be the newest.
 struct ConfigEvidence {
-  std::int64_t row_version = 0;
+  StorePosition row;
   /// The store's clock at that time, in ms; 0: none.
   std::int64_t clock_ms = 0;
 };
@@ -40,9 +41,9 @@
 
 /// What a process knows about the newest configuration.
 struct ConfigFreshness {
-  /// Row version of the configuration that is in force here; 0: none.
-  std::int64_t own_version = 0;
-  /// own_version is known to have been the newest at this time, or later.
+  /// Newest row of the configuration that is in force here, or older than what is; version 0: none.
+  StorePosition own_row;
+  /// own_row is known to have been the newest at this time, or later.
   std::optional<TimePoint> shown_at;
   /// The evidence that peers need: that of the newest version, as late as known.
   ConfigEvidence newest;
@@ -57,8 +58,8 @@
 /// than the own one does not make the own one fresh. Evidence from the future is dropped.
 void RecordPeerEvidence(ConfigFreshness& freshness, const ConfigEvidence& evidence, TimePoint now);
 
-/// Called when a version comes into force.
-void RecordVersionInForce(ConfigFreshness& freshness, std::int64_t row_version, TimePoint now);
+/// Called when a row comes into force.
+void RecordRowInForce(ConfigFreshness& freshness, const StorePosition& row, TimePoint now);
 
 /// Whether a request with a key that arrived at `arrived` may run. `limit`: latest use of a key
 /// after the operator has taken it away.
--- /dev/null
+++ b/core/store_position.h
@@ -0,0 +1,26 @@
+// Order of the versions of a store that may return from an older copy. It then gives the versions
+// since that copy out again, so that a version alone does not tell which of two states is the newer
+// one.
+#pragma once
+
+#include <compare>
+#include <cstdint>
+
+namespace rattanramp::core {
+
+struct StorePosition {
+  /// Number of the store's history, which rises with each return; 0: the store does not state it.
+  std::int64_t era = 0;
+  /// Version within that history; 0: none.
+  std::int64_t version = 0;
+
+  friend auto operator<=>(const StorePosition&, const StorePosition&) = default;
+};
+
+/// The position in an answer of the store. An answer without an era belongs to the era known.
+inline StorePosition PositionOf(std::int64_t era, std::int64_t version,
+                                const StorePosition& known) {
+  return {era > 0 ? era : known.era, version};
+}
+
+}  // namespace rattanramp::core
--- a/gateway/caller_check.cc
+++ b/gateway/caller_check.cc
@@ -52,8 +52,8 @@
        {"cause", cause},
        {"count", pace.unlogged},
        {"config_version", request.table->version()},
-       {"row_version", state.freshness.own_version},
-       {"newest_row_version", state.freshness.newest.row_version},
+       {"row_version", state.freshness.own_row.version},
+       {"newest_row_version", state.freshness.newest.row.version},
        {"evidence_age_ms",
         state.freshness.shown_at ? ToMs(request.arrived - *state.freshness.shown_at) : -1.0}});
   pace = {request.arrived, 0};
@@ -133,8 +133,8 @@
   }
   const auto unknown = state.callers.by_workspace.find("");
   const core::ConfigFreshness& freshness = state.freshness;
-  return {{"row_version", freshness.own_version},
-          {"newest_row_version", freshness.newest.row_version},
+  return {{"row_version", freshness.own_row.version},
+          {"newest_row_version", freshness.newest.row.version},
           {"evidence_age_ms",
            freshness.shown_at ? ToMs(state.clock.now() - *freshness.shown_at) : -1.0},
           {"is_outdated", IsConfigOutdated(state)},
--- a/gateway/config_evidence.cc
+++ b/gateway/config_evidence.cc
@@ -21,24 +21,35 @@
 // Peers that get none ask another gateway or again.
 constexpr std::int64_t kMaxRowBytesPerSecond = 250'000;
 
+/// Position in a message; era 0 in those of gateways that do not know eras.
+template <typename Message>
+core::StorePosition RowOf(const Message& message) {
+  return {message.era, message.row_version};
+}
+
 }  // namespace
 
 ConfigEvidenceSection::ConfigEvidenceSection(GatewayState& state, Send send, RowHandler on_row)
     : state_(state), send_(std::move(send)), on_row_(std::move(on_row)) {}
 
-void ConfigEvidenceSection::SetRow(const std::string& text, std::int64_t row_version) {
-  row_text_ = text;
-  row_version_ = row_version;
+void ConfigEvidenceSection::SetRow(const std::string& text, const core::StorePosition& row) {
+  if (!text.empty()) {
+    row_text_ = text;
+  }
+  row_ = row;
 }
 
 void ConfigEvidenceSection::AddTo(wire::GatewayLoad& report, bool /*is_complete*/) {
   const core::ConfigEvidence& newest = state_.freshness.newest;
-  if (!is_active() || newest.row_version == 0 || newest.clock_ms == 0) {
+  if (!is_active() || newest.row.version == 0 || newest.clock_ms == 0) {
     return;
   }
   wire::GatewayConfigEvidence evidence;
-  evidence.row_version = newest.row_version;
+  evidence.row_version = newest.row.version;
   evidence.clock_ms = newest.clock_ms;
+  if (newest.row.era > 0) {
+    evidence.__set_era(newest.row.era);
+  }
   report.__set_config_evidence(evidence);
 }
 
@@ -49,21 +60,24 @@
   // The row's evidence is in the same report.
   if (report.__isset.config_evidence) {
     core::RecordPeerEvidence(state_.freshness,
-                             {report.config_evidence.row_version, report.config_evidence.clock_ms},
+                             {RowOf(report.config_evidence), report.config_evidence.clock_ms},
                              state_.clock.now());
   }
   const bool is_asked = report.gateway == asked_peer_ && state_.clock.now() < asked_until_;
-  if (is_asked && report.__isset.config_row && report.config_row.row_version > row_version_ &&
-      report.config_row.row_version <= state_.freshness.newest.row_version) {
+  if (is_asked && report.__isset.config_row && RowOf(report.config_row) > row_ &&
+      RowOf(report.config_row) <= state_.freshness.newest.row) {
     state_.metrics.Count("config_rows_from_peers_total");
     Log(LogLevel::kInfo, "configuration_from_peer",
-        {{"peer", report.gateway}, {"row_version", report.config_row.row_version}});
-    on_row_(report.config_row.text, report.config_row.row_version);
+        {{"peer", report.gateway},
+         {"row_version", report.config_row.row_version},
+         {"store_era", report.config_row.era}});
+    on_row_(report.config_row.text, RowOf(report.config_row));
   }
-  if (report.__isset.config_evidence && report.config_evidence.row_version > row_version_) {
+  if (report.__isset.config_evidence && RowOf(report.config_evidence) > row_) {
     RequestRow(report.gateway);
   }
-  if (report.__isset.wanted_config && row_version_ >= report.wanted_config) {
+  if (report.__isset.wanted_config &&
+      row_ >= core::StorePosition{report.wanted_config_era, report.wanted_config}) {
     SendRow(report.gateway);
   }
 }
@@ -78,7 +92,9 @@
   asked_until_ = now + kAnswerTime;
   state_.metrics.Count("config_rows_requested_total");
   send_(peer, [this](wire::GatewayLoad& report) {
-    report.__set_wanted_config(state_.freshness.newest.row_version);
+    const core::StorePosition& newest = state_.freshness.newest.row;
+    report.__set_wanted_config(newest.version);
+    report.__set_wanted_config_era(newest.era);
   });
 }
 
@@ -92,8 +108,9 @@
   state_.metrics.Count("config_rows_sent_total");
   send_(peer, [this](wire::GatewayLoad& report) {
     wire::GatewayConfigRow row;
-    row.row_version = row_version_;
+    row.row_version = row_.version;
     row.text = row_text_;
+    row.__set_era(row_.era);
     report.__set_config_row(row);
     // The receiver needs the evidence, too.
     AddTo(report, /*is_complete=*/false);
--- a/gateway/config_evidence.h
+++ b/gateway/config_evidence.h
@@ -19,14 +19,13 @@
   using Send =
       std::function<void(const std::string& peer, const std::function<void(wire::GatewayLoad&)>&)>;
   /// Applies a row of the configuration that a peer has sent.
-  using RowHandler = std::function<void(const std::string& text, std::int64_t row_version)>;
+  using RowHandler = std::function<void(const std::string& text, const core::StorePosition& row)>;
 
   ConfigEvidenceSection(GatewayState& state, Send send, RowHandler on_row);
 
-  /// Keeps the text of a row for peers that ask for it; called with each row, valid or not.
-  void SetRow(const std::string& text, std::int64_t row_version);
-  /// Row version of the newest row that has arrived, valid or not; 0: none.
-  std::int64_t row_version() const { return row_version_; }
+  /// Keeps the text of a row for peers that ask for it; called with each row, valid or not. An
+  /// empty text: that of the row before is newer and stays.
+  void SetRow(const std::string& text, const core::StorePosition& row);
 
   void AddTo(wire::GatewayLoad& report, bool is_complete) override;
   void Record(const wire::GatewayLoad& report) override;
@@ -40,7 +39,8 @@
   Send send_;
   RowHandler on_row_;
   std::string row_text_;
-  std::int64_t row_version_ = 0;
+  /// Position of the newest row that has arrived, valid or not; version 0: none.
+  core::StorePosition row_;
   /// Not before this time, so that many reports do not make as many requests.
   std::optional<TimePoint> next_request_;
   /// The peer that was asked last for the row, and until when its answer is taken.
--- a/gateway/config_watch.cc
+++ b/gateway/config_watch.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "base/log.h"
+#include "core/config_order.h"
 
 namespace rattanramp::gateway {
 namespace {
@@ -24,6 +25,8 @@
       return "outdated";
     case ConfigAnswer::kOlderRow:
       return "older_row";
+    case ConfigAnswer::kReturned:
+      return "returned";
   }
   return "";
 }
@@ -46,7 +49,7 @@
     }
     RecordSuccess(poller_, kWhat);
     listener_.OnConfigAnswer(ConfigAnswer::kWholeTable);
-    OnReply(rows.value());
+    OnReply(rows.value(), /*is_whole=*/true);
     WaitForChanges();
   });
 }
@@ -56,10 +59,13 @@
   const auto on_answer = [this](const Result<store::TableRows>& rows) {
     if (rows) {
       RecordSuccess(poller_, kWhat);
-      has_lost_history_ = false;
+      history_losses_ = 0;
       listener_.OnConfigAnswer(ConfigAnswer::kChanges);
-      OnReply(rows.value());
-      ScheduleNext(poller_, Duration::zero(), [this] { WaitForChanges(); });
+      if (OnReply(rows.value(), /*is_whole=*/false)) {
+        ScheduleNext(poller_, Duration::zero(), [this] { WaitForChanges(); });
+      } else {
+        ReadAll();
+      }
     } else if (rows.error().kind == ErrorKind::kNotFound) {
       OnHistoryLost();
     } else {
@@ -68,57 +74,100 @@
       OnFailure(rows.error());
     }
   };
-  poller_.table->WaitForChanges(source_.config_table, state_.store_version, wait_, on_answer);
+  poller_.table->WaitForChanges(source_.config_table, state_.store.version, wait_, on_answer);
 }
 
 void ConfigWatch::OnHistoryLost() {
   listener_.OnConfigAnswer(ConfigAnswer::kHistoryLost);
-  if (!std::exchange(has_lost_history_, true)) {
-    Log(LogLevel::kInfo, "configuration_history_lost", {{"store_version", state_.store_version}});
+  const std::int64_t losses = history_losses_++;
+  if (losses == 0) {
+    Log(LogLevel::kInfo, "configuration_history_lost", {{"store_version", state_.store.version}});
+    ReadAll();
+    return;
   }
+  // The store's versions stay behind the position, as those of one that does not state its era may.
+  ScheduleNext(poller_, BackOff(losses), [this] { ReadAll(); });
+}
+
+void ConfigWatch::OnEra(std::int64_t era) {
+  // The first read is in progress while no era is known.
+  if (poller_.is_stopped || era_ == 0 || era <= era_) {
+    return;
+  }
+  RecordReturn(era);
+  // The held call may have been lost with the store's connections.
+  poller_.timer.cancel();
+  poller_.table->Cancel();
   ReadAll();
 }
 
+void ConfigWatch::RecordReturn(std::int64_t era) {
+  if (std::exchange(era_, era) == 0 || era <= 0) {
+    return;
+  }
+  listener_.OnConfigAnswer(ConfigAnswer::kReturned);
+  Log(LogLevel::kWarning, "store_returned",
+      {{"store_era", era},
+       {"store_version_before", state_.store.version},
+       {"row_version_before", state_.row.version}});
+}
+
 void ConfigWatch::OnFailure(const Error& error) {
   ScheduleNext(poller_, RecordFailure(poller_, kWhat, error), [this] { ReadAll(); });
 }
 
-void ConfigWatch::OnReply(const store::TableRows& rows) {
+bool ConfigWatch::OnReply(const store::TableRows& rows, bool is_whole) {
   on_reply_(rows);
   state_.answered = clock_.now();
-  // A reply that is behind an earlier one shows an old state.
-  const bool is_outdated = rows.version < state_.store_version;
+  const core::StorePosition position = core::PositionOf(rows.era, rows.version, state_.store);
+  if (position.era > era_) {
+    RecordReturn(position.era);
+  }
+  const core::ReplyUse use = core::JudgeReply(state_.store, position, is_whole);
+  if (use == core::ReplyUse::kReadWholeTable) {
+    return false;
+  }
+  const bool is_outdated = use == core::ReplyUse::kOutdated;
   if (is_outdated) {
     listener_.OnConfigAnswer(ConfigAnswer::kOutdated);
   }
   if (std::exchange(is_outdated_, is_outdated) != is_outdated && is_outdated) {
     Log(LogLevel::kWarning, "store_answer_outdated",
-        {{"store_version", rows.version}, {"known_version", state_.store_version}});
+        {{"store_era", position.era},
+         {"store_version", position.version},
+         {"known_era", state_.store.era},
+         {"known_version", state_.store.version}});
   }
-  state_.store_version = std::max(state_.store_version, rows.version);
+  state_.store = std::max(state_.store, position);
   for (const store::TableRow& row : rows.rows) {
     if (row.key == source_.config_key) {
-      OnRow(row);
+      OnRow(row, position.era);
     }
   }
-  if (state_.row_version > 0 && rows.clock_ms > 0 && !is_outdated) {
-    listener_.OnConfigEvidence({state_.row_version, rows.clock_ms}, call_sent_);
+  if (state_.row.version > 0 && state_.row.era == state_.store.era && rows.clock_ms > 0 &&
+      !is_outdated) {
+    listener_.OnConfigEvidence({state_.row, rows.clock_ms}, call_sent_);
   }
+  return true;
 }
 
-void ConfigWatch::OnRow(const store::TableRow& row) {
-  if (row.version < state_.row_version) {
+void ConfigWatch::OnRow(const store::TableRow& row, std::int64_t era) {
+  const core::StorePosition position{era, row.version};
+  if (position < state_.row) {
     listener_.OnConfigAnswer(ConfigAnswer::kOlderRow);
     if (std::exchange(logged_row_version_, row.version) != row.version) {
       Log(LogLevel::kWarning, "configuration_row_unused",
-          {{"row_version", row.version}, {"newest_row_version", state_.row_version}});
+          {{"row_version", row.version},
+           {"store_era", era},
+           {"newest_row_version", state_.row.version},
+           {"newest_row_era", state_.row.era}});
     }
   }
-  if (row.version > state_.row_version) {
+  if (position > state_.row) {
     // A configuration that was removed has no successor that could be in force.
-    state_.row_version = row.version;
+    state_.row = position;
     if (!row.is_removed) {
-      listener_.OnConfigRow(row.value, row.version);
+      listener_.OnConfigRow(row.value, position);
     }
   }
 }
--- a/gateway/config_watch.h
+++ b/gateway/config_watch.h
@@ -11,6 +11,7 @@
 
 #include "base/clock.h"
 #include "core/config_freshness.h"
+#include "core/store_position.h"
 #include "gateway/store_poller.h"
 #include "gateway/store_source.h"
 #include "store/async_table.h"
@@ -27,6 +28,8 @@
   kOutdated,
   /// Its row is older than the one before.
   kOlderRow,
+  /// The store has returned from an older copy.
+  kReturned,
 };
 
 /// Name of an answer in the metrics.
@@ -36,7 +39,7 @@
 class ConfigListener {
  public:
   virtual ~ConfigListener() = default;
-  virtual void OnConfigRow(const std::string& text, std::int64_t row_version) = 0;
+  virtual void OnConfigRow(const std::string& text, const core::StorePosition& row) = 0;
   /// Called after each reply about the configuration, also one without a change, once its rows have
   /// been passed on. sent: when the call was sent.
   virtual void OnConfigEvidence(const core::ConfigEvidence& /*evidence*/, TimePoint /*sent*/) {}
@@ -45,10 +48,10 @@
 
 /// What the last answers have shown.
 struct ConfigWatchState {
-  /// Highest version of the store in an answer.
-  std::int64_t store_version = 0;
-  /// Version of the newest row; 0: none has been read.
-  std::int64_t row_version = 0;
+  /// Newest position of the store in an answer.
+  core::StorePosition store;
+  /// Position of the newest row; version 0: none has been read.
+  core::StorePosition row;
   /// When the last answer arrived; empty: none has.
   std::optional<TimePoint> answered;
 };
@@ -65,13 +68,18 @@
   void Start() { ReadAll(); }
   void Stop() { StopPolling(poller_); }
 
+  /// Called with the era in an answer to any other call: the table is read again if it is new.
+  void OnEra(std::int64_t era);
+
   const ConfigWatchState& state() const { return state_; }
 
  private:
   void ReadAll();
   void WaitForChanges();
-  void OnReply(const store::TableRows& rows);
-  void OnRow(const store::TableRow& row);
+  /// Returns false if the whole table must be read instead.
+  bool OnReply(const store::TableRows& rows, bool is_whole);
+  void OnRow(const store::TableRow& row, std::int64_t era);
+  void RecordReturn(std::int64_t era);
   void OnHistoryLost();
   /// Reads all rows again after the back-off.
   void OnFailure(const Error& error);
@@ -84,9 +92,11 @@
   StorePoller poller_;
   ConfigWatchState state_;
   TimePoint call_sent_;
-  /// The last call was answered with kHistoryLost.
-  bool has_lost_history_ = false;
+  /// Number of calls in series that were answered with kHistoryLost.
+  std::int64_t history_losses_ = 0;
   bool is_outdated_ = false;
+  /// Newest era of the store that any answer had.
+  std::int64_t era_ = 0;
   /// Version of the last row that was logged as older; 0: none.
   std::int64_t logged_row_version_ = 0;
 };
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -185,11 +185,12 @@
       state_{context, clock, settings_, fleet_, dispatcher_, metrics_, retry_windows_, {}, {}, 1},
       limiter_(settings_.limit_tolerance, clock),
       return_check_(state_),
+      config_intake_(clock, *this),
       config_evidence_(
           state_,
           [this](const std::string& peer, const auto& fill) { load_exchange_->SendTo(peer, fill); },
-          [this](const std::string& text, std::int64_t row_version) {
-            OnConfigRow(text, row_version);
+          [this](const std::string& text, const core::StorePosition& row) {
+            config_intake_.Take(text, row);
           }),
       speed_exchange_(fleet_, clock),
       suspicion_exchange_(fleet_.suspicions(), clock, settings_.node),
@@ -312,7 +313,8 @@
         {{"request", id},
          {"reason", "no route"},
          {"config_version", table_->version()},
-         {"row_version", config_evidence_.row_version()},
+         {"row_version", config_intake_.newest_row().version},
+         {"store_era", config_intake_.newest_row().era},
          {"config_answer_age_ms", ConfigAnswerAgeMs()},
          {"host", host == nullptr ? "" : *host},
          {"target", head.target}});
@@ -358,39 +360,19 @@
   return PlainExchange::Start(std::move(request), state_, sink);
 }
 
-void Gateway::OnConfigRow(const std::string& text, std::int64_t row_version) {
-  // The store and the peers may both bring a row, in any order.
-  if (row_version <= config_evidence_.row_version()) {
-    return;
-  }
-  config_evidence_.SetRow(text, row_version);
-  Result<core::RoutingRules> rules = platform::DecodeConfig(text);
-  if (!rules) {
-    Log(LogLevel::kError, "configuration_rejected",
-        {{"row_version", row_version},
-         {"error", rules.error().message},
-         {"remedy", rules.error().remedy}});
-    return;
-  }
-  Result<std::shared_ptr<const core::RoutingTable>> table =
-      core::RoutingTable::Create(std::move(rules.value()));
-  if (!table) {
-    Log(LogLevel::kError, "configuration_rejected",
-        {{"row_version", row_version},
-         {"error", table.error().message},
-         {"remedy", table.error().remedy}});
-    return;
-  }
-  table_ = std::move(table.value());
+void Gateway::OnTable(std::shared_ptr<const core::RoutingTable> table) {
+  table_ = std::move(table);
   state_.table = table_;
-  core::RecordVersionInForce(state_.freshness, row_version, clock_.now());
   LogKeyFaults(*table_);
   limiter_.SetRules(table_->workspaces(), clock_.now());
-  Log(LogLevel::kInfo, "configuration_in_force",
-      {{"version", table_->version()},
-       {"row_version", row_version},
-       {"routes", table_->routes().size()},
-       {"workspaces", table_->workspaces().size()}});
+}
+
+void Gateway::OnRowTaken(const core::StorePosition& row, const std::string& text,
+                         bool is_in_force) {
+  config_evidence_.SetRow(text, row);
+  if (is_in_force) {
+    core::RecordRowInForce(state_.freshness, row, clock_.now());
+  }
 }
 
 void Gateway::OnConfigEvidence(const core::ConfigEvidence& evidence, TimePoint sent) {
@@ -406,6 +388,18 @@
   return answered ? ToMs(clock_.now() - *answered) : -1.0;
 }
 
+nlohmann::json Gateway::ConfigState() const {
+  const ConfigWatchState& read = watch_->config_state();
+  const std::optional<std::int64_t> restored = config_intake_.restored_revision();
+  return {{"row_version", config_intake_.newest_row().version},
+          {"row_era", config_intake_.newest_row().era},
+          {"store_row_version", read.row.version},
+          {"store_version", read.store.version},
+          {"store_era", read.store.era},
+          {"restored_version", restored ? nlohmann::json(*restored) : nullptr},
+          {"answer_age_ms", ConfigAnswerAgeMs()}};
+}
+
 void Gateway::OnUpstreamRows(const std::vector<store::TableRow>& rows,
                              const core::ListInterruption& interruption, std::int64_t clock_ms,
                              TimePoint read_at) {
@@ -528,6 +522,7 @@
     stage_controller_->Tick(*table_, load_exchange_->is_first());
     return_check_.Tick(*table_);
   }
+  config_intake_.Tick();
   fleet_.ConfirmReturned(clock_.now());
   UpdateBlockedCauses();
   caller_memory_.Tick();
@@ -687,11 +682,7 @@
       {"ready", is_ready()},
       {"stopping", is_stopping()},
       {"config_version", table_ ? table_->version() : 0},
-      {"configuration",
-       {{"row_version", config_evidence_.row_version()},
-        {"store_row_version", watch_->config_state().row_version},
-        {"store_version", watch_->config_state().store_version},
-        {"answer_age_ms", ConfigAnswerAgeMs()}}},
+      {"configuration", ConfigState()},
       {"upstream_list_age_ms", directory_.has_read ? ToMs(now - directory_.last_read) : -1.0},
       {"gateways", state_.gateways},
       {"live_peers", load_exchange_->live_peers()},
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <set>
 #include <string>
 #include <utility>
@@ -22,6 +23,7 @@
 #include "gateway/caller_connection.h"
 #include "gateway/caller_memory.h"
 #include "gateway/config_evidence.h"
+#include "gateway/config_intake.h"
 #include "gateway/crash_records.h"
 #include "gateway/dispatcher.h"
 #include "gateway/event_loop_delay.h"
@@ -40,7 +42,7 @@
 
 namespace rattanramp::gateway {
 
-class Gateway final : private CallerHost, private StoreListener {
+class Gateway final : private CallerHost, private StoreListener, private ConfigIntake::Listener {
  public:
   /// Binds all ports. Errors: kIo names the address.
   static Result<std::unique_ptr<Gateway>> Create(asio::io_context& context, const Clock& clock,
@@ -80,6 +82,7 @@
   void UpdateBlockedCauses();
   /// Time since the store has last answered a call for the configuration; negative: never.
   double ConfigAnswerAgeMs() const;
+  nlohmann::json ConfigState() const;
   void LogInvalidUpstreams(const std::vector<std::string>& keys);
   /// Applies a list of upstreams to the directory and the fleet, and tells the peers which
   /// upstreams leave.
@@ -93,9 +96,14 @@
   void OnConnectionEnd(const CallerConnection* connection) override;
   CallerMemory* memory() override { return &caller_memory_; }
 
-  void OnConfigRow(const std::string& text, std::int64_t row_version) override;
+  void OnConfigRow(const std::string& text, const core::StorePosition& row) override {
+    config_intake_.Take(text, row);
+  }
   void OnConfigEvidence(const core::ConfigEvidence& evidence, TimePoint sent) override;
   void OnConfigAnswer(ConfigAnswer answer) override;
+  void OnTable(std::shared_ptr<const core::RoutingTable> table) override;
+  void OnRowTaken(const core::StorePosition& row, const std::string& text,
+                  bool is_in_force) override;
   void OnUpstreamRows(const std::vector<store::TableRow>& rows,
                       const core::ListInterruption& interruption, std::int64_t clock_ms,
                       TimePoint read_at) override;
@@ -121,6 +129,7 @@
   /// Latest read of the list that a peer has announced, by the store's clock.
   std::int64_t heard_list_clock_ms_ = 0;
   std::shared_ptr<const core::RoutingTable> table_;
+  ConfigIntake config_intake_;
   ConfigEvidenceSection config_evidence_;
   SpeedExchange speed_exchange_;
   SuspicionExchange suspicion_exchange_;
--- a/gateway/store_watch.cc
+++ b/gateway/store_watch.cc
@@ -129,6 +129,7 @@
 
 void StoreWatch::OnUpstreams(const store::TableRows& rows) {
   RecordSuccess(upstreams_, "upstreams");
+  config_.OnEra(rows.era);
   const TimePoint now = clock_.now();
   core::ObserveStoreClock(store_clock_, rows.clock_ms, now);
   core::RecordStoreAnswer(contact_, now);
@@ -209,7 +210,7 @@
   }
   is_probe_sent_ = true;
   probe_.table->WaitForChanges(
-      source_.config_table, config_.state().store_version, Milliseconds(0),
+      source_.config_table, config_.state().store.version, Milliseconds(0),
       [this](const Result<store::TableRows>& rows) { OnProbeAnswered(rows); });
   ScheduleProbe();
 }
@@ -221,6 +222,9 @@
     core::RecordStoreFailure(contact_);
     return;
   }
+  if (rows) {
+    config_.OnEra(rows.value().era);
+  }
   const bool was_failing = contact_.is_failing;
   core::RecordStoreAnswer(contact_, clock_.now());
   if (IsReadOverdue()) {
@@ -318,6 +322,7 @@
       return;
     }
     RecordSuccess(gateways_, "gateways");
+    config_.OnEra(rows.value().era);
     core::ObserveStoreClock(store_clock_, rows.value().clock_ms, clock_.now());
     OnGateways(rows.value());
     const Duration wait = std::max(Duration::zero(), own_row_renewal_ - clock_.now());
--- a/store/async_table.h
+++ b/store/async_table.h
@@ -26,6 +26,9 @@
   std::int64_t version = 0;
   /// The service's steady clock at the time of the response, in ms; 0 if the response has none.
   std::int64_t clock_ms = 0;
+  /// Number of the service's history. It rises when the service returns from an older copy, after
+  /// which versions are given out again; 0 if the response has none.
+  std::int64_t era = 0;
 };
 
 /// Runs one call at a time. The handler is called once on the event loop, never before the call
--- a/tests/core/config_freshness_test.cc
+++ b/tests/core/config_freshness_test.cc
@@ -19,6 +19,7 @@
 // What the rules leave unused: the margin, and 2 ms of rounding.
 constexpr std::int64_t kUnusedMs = 102;
 constexpr std::int64_t kUnknown = -1;
+constexpr std::int64_t kEra = 3;
 
 TimePoint At(std::int64_t ms) { return TimePoint(Milliseconds(3'600'000 + ms)); }
 
@@ -38,7 +39,7 @@
     return std::upper_bound(written_ms.begin(), written_ms.end(), ms) - written_ms.begin();
   }
   Reply Answer(std::int64_t sent_ms, std::int64_t evaluated_ms) const {
-    return {sent_ms, evaluated_ms, {VersionAt(evaluated_ms), ClockMs(evaluated_ms)}};
+    return {sent_ms, evaluated_ms, {{kEra, VersionAt(evaluated_ms)}, ClockMs(evaluated_ms)}};
   }
 
   double drift = 0;
@@ -66,7 +67,7 @@
     const auto take_own = [&](const Store::Reply& reply) {
       core::RecordOwnEvidence(freshness, reply.evidence, At(reply.sent_ms), At(now_ms));
       given.push_back(reply);
-      if (reply.evidence.row_version == own_version) {
+      if (reply.evidence.row.version == own_version) {
         known_ms = std::max(known_ms, reply.evaluated_ms);
       }
     };
@@ -74,7 +75,7 @@
       if (version > own_version) {
         own_version = version;
         known_ms = kUnknown;
-        core::RecordVersionInForce(freshness, version, At(now_ms));
+        core::RecordRowInForce(freshness, {kEra, version}, At(now_ms));
       }
     };
     for (int step = 0; step < 120; ++step) {
@@ -90,7 +91,7 @@
           now_ms = evaluated_ms + *rc::gen::element<std::int64_t>(0, 3, 700, 6'000);
           const Store::Reply reply = store.Answer(sent_ms, evaluated_ms);
           longest_call_ms = std::max(longest_call_ms, evaluated_ms - sent_ms);
-          take_row(reply.evidence.row_version);
+          take_row(reply.evidence.row.version);
           take_own(reply);
           break;
         }
@@ -104,14 +105,14 @@
           if (!given.empty()) {
             const Store::Reply reply = given[*rc::gen::inRange<std::size_t>(0, given.size())];
             core::RecordPeerEvidence(freshness, reply.evidence, At(now_ms));
-            if (freshness.clock.sent && reply.evidence.row_version == own_version) {
+            if (freshness.clock.sent && reply.evidence.row.version == own_version) {
               known_ms = std::max(known_ms, reply.evaluated_ms);
             }
           }
           break;
         default:
           if (!given.empty()) {  // a row through a peer
-            take_row(given[*rc::gen::inRange<std::size_t>(0, given.size())].evidence.row_version);
+            take_row(given[*rc::gen::inRange<std::size_t>(0, given.size())].evidence.row.version);
           }
           break;
       }
@@ -147,23 +148,23 @@
 // than the one it is about.
 Test(config_freshness, late_and_foreign_evidence_changes_nothing) {
   ConfigFreshness freshness;
-  core::RecordVersionInForce(freshness, 4, At(0));
+  core::RecordRowInForce(freshness, {kEra, 4}, At(0));
   cr_assert_not(core::IsFresh(freshness, At(0), kLimit), "no evidence after a start");
-  core::RecordOwnEvidence(freshness, {4, 1'000}, At(0), At(2));
-  core::RecordPeerEvidence(freshness, {4, 1'000}, At(4'999));
-  core::RecordPeerEvidence(freshness, {3, 9'000}, At(9'000));
-  core::RecordPeerEvidence(freshness, {5, 9'000}, At(9'000));
-  core::RecordPeerEvidence(freshness, {4, 99'000}, At(9'000));
+  core::RecordOwnEvidence(freshness, {{kEra, 4}, 1'000}, At(0), At(2));
+  core::RecordPeerEvidence(freshness, {{kEra, 4}, 1'000}, At(4'999));
+  core::RecordPeerEvidence(freshness, {{kEra, 3}, 9'000}, At(9'000));
+  core::RecordPeerEvidence(freshness, {{kEra, 5}, 9'000}, At(9'000));
+  core::RecordPeerEvidence(freshness, {{kEra, 4}, 99'000}, At(9'000));
   cr_assert(core::IsFresh(freshness, At(4'890), kLimit));
   cr_assert_not(core::IsFresh(freshness, At(4'901), kLimit));
-  cr_assert_eq(freshness.newest.row_version, 5);
-  core::RecordVersionInForce(freshness, 5, At(9'500));
+  cr_assert_eq(freshness.newest.row.version, 5);
+  core::RecordRowInForce(freshness, {kEra, 5}, At(9'500));
   cr_assert(core::IsFresh(freshness, At(12'800), kLimit), "evidence came before the row");
   // The store's clock is set forward and then back.
   for (const std::int64_t clock_ms : {900'000, 500}) {
     const std::int64_t at_ms = 20'000 - clock_ms / 1'000;
-    core::RecordOwnEvidence(freshness, {5, clock_ms}, At(at_ms), At(at_ms + 3));
-    core::RecordPeerEvidence(freshness, {5, clock_ms + 50}, At(at_ms + 55));
+    core::RecordOwnEvidence(freshness, {{kEra, 5}, clock_ms}, At(at_ms), At(at_ms + 3));
+    core::RecordPeerEvidence(freshness, {{kEra, 5}, clock_ms + 50}, At(at_ms + 55));
     cr_assert(core::IsFresh(freshness, At(at_ms + 4'940), kLimit));
     cr_assert_not(core::IsFresh(freshness, At(at_ms + 4'951), kLimit));
   }
@@ -182,11 +183,11 @@
   cr_assert(judge(CallerKind::kOpen, 0, kLimit) == CallerVerdict::kRun);
   cr_assert(judge(CallerKind::kKnown, 0, kLimit) == CallerVerdict::kUncertain);
   cr_assert(judge(CallerKind::kUnknown, 0, kLimit) == CallerVerdict::kUncertain);
-  core::RecordVersionInForce(freshness, 1, At(0));
-  core::RecordOwnEvidence(freshness, {1, 1'000}, At(0), At(1));
+  core::RecordRowInForce(freshness, {kEra, 1}, At(0));
+  core::RecordOwnEvidence(freshness, {{kEra, 1}, 1'000}, At(0), At(1));
   cr_assert(judge(CallerKind::kUnknown, 1'000, kLimit) == CallerVerdict::kUnknownKey);
   cr_assert(judge(CallerKind::kUnknown, 3'000, kLimit) == CallerVerdict::kUncertain);
-  core::RecordPeerEvidence(freshness, {2, 1'500}, At(600));
+  core::RecordPeerEvidence(freshness, {{kEra, 2}, 1'500}, At(600));
   cr_assert(judge(CallerKind::kUnknown, 1'000, kLimit) == CallerVerdict::kUncertain);
   cr_assert(judge(CallerKind::kKnown, 1'000, kLimit) == CallerVerdict::kRun);
 }
--- /dev/null
+++ b/tests/gateway/config_intake_test.cc
@@ -0,0 +1,119 @@
+#include "gateway/config_intake.h"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+using namespace rattanramp;
+using core::StorePosition;
+
+namespace {
+
+std::string Config(int version) {
+  return R"({"version":)" + std::to_string(version) + R"(,"routes":[],"services":[]})";
+}
+
+class Fixture final : private gateway::ConfigIntake::Listener {
+ public:
+  Fixture() : intake(clock, *this) {}
+
+  ManualClock clock;
+  /// The operator's numbers of the configurations in the order in which they came into force.
+  std::vector<std::int64_t> in_force;
+  StorePosition row_in_force;
+  /// Text that is passed on to peers.
+  std::string text;
+  gateway::ConfigIntake intake;
+
+ private:
+  void OnTable(std::shared_ptr<const core::RoutingTable> table) override {
+    in_force.push_back(table->version());
+  }
+  void OnRowTaken(const StorePosition& row, const std::string& row_text,
+                  bool is_in_force) override {
+    if (is_in_force) {
+      row_in_force = row;
+    }
+    if (!row_text.empty()) {
+      text = row_text;
+    }
+  }
+};
+
+using Revisions = std::vector<std::int64_t>;
+
+}  // namespace
+
+// Guards against 404 for a route that was added after the store had returned from an older copy
+// (issue 69), and against the configuration of that copy.
+Test(config_intake, store_that_lost_the_newest_configuration) {
+  Fixture fixture;
+  fixture.intake.Take(Config(17), {1, 70});
+  fixture.intake.Take(Config(36), {1, 100});
+  fixture.intake.Take(Config(17), {2, 70});
+  cr_assert(fixture.in_force == (Revisions{17, 36}), "the copy's configuration came back");
+  cr_assert_eq(fixture.text, Config(36), "peers would get the copy's configuration");
+  cr_assert(fixture.row_in_force == (StorePosition{2, 70}));
+  cr_assert_eq(fixture.intake.restored_revision().value_or(0), 17);
+  // The operator writes again what was lost, in its order, and then a new configuration.
+  fixture.intake.Take(Config(20), {2, 81});
+  fixture.intake.Take(Config(36), {2, 82});
+  cr_assert_not(fixture.intake.restored_revision());
+  fixture.intake.Take(Config(37), {2, 83});
+  cr_assert_eq(fixture.in_force.back(), 37);
+  cr_assert(std::is_sorted(fixture.in_force.begin(), fixture.in_force.end()));
+}
+
+// Guards against a configuration that is read again for nothing after each return, and against one
+// that is no longer known to be the newest because of it.
+Test(config_intake, same_text_in_a_new_era_is_confirmed) {
+  Fixture fixture;
+  fixture.intake.Take(Config(36), {1, 100});
+  fixture.intake.Take(Config(36), {2, 60});
+  cr_assert(fixture.in_force == (Revisions{36}));
+  cr_assert(fixture.row_in_force == (StorePosition{2, 60}));
+}
+
+// Guards against a late row of a process that has not seen the return.
+Test(config_intake, row_of_an_earlier_era_is_not_taken) {
+  Fixture fixture;
+  fixture.intake.Take(Config(36), {2, 60});
+  fixture.intake.Take(Config(99), {1, 100});
+  cr_assert(fixture.in_force == (Revisions{36}));
+  cr_assert(fixture.intake.newest_row() == (StorePosition{2, 60}));
+}
+
+// Guards against gateways that differ forever because the operator doesn't write again what was
+// lost: one that starts takes the store's row.
+Test(config_intake, store_decides_if_nothing_is_written_again) {
+  Fixture fixture;
+  fixture.intake.Take(Config(36), {1, 100});
+  fixture.intake.Take(Config(17), {2, 70});
+  fixture.clock.Advance(Milliseconds(30'000));
+  fixture.intake.Take(Config(18), {2, 90});
+  fixture.intake.Tick();
+  cr_assert(fixture.in_force == (Revisions{36}));
+  fixture.clock.Advance(Milliseconds(30'000));
+  fixture.intake.Tick();
+  fixture.intake.Tick();
+  cr_assert(fixture.in_force == (Revisions{36, 18}));
+  cr_assert_eq(fixture.text, Config(18));
+}
+
+// Guards against an invalid row that replaces the configuration in force, or ends the wait for the
+// one that was lost.
+Test(config_intake, invalid_row_of_a_new_era_changes_nothing) {
+  Fixture fixture;
+  fixture.intake.Take(Config(36), {1, 100});
+  fixture.intake.Take("no JSON", {2, 70});
+  cr_assert(fixture.in_force == (Revisions{36}));
+  cr_assert(fixture.row_in_force == (StorePosition{1, 100}));
+  fixture.intake.Take(Config(20), {2, 71});
+  cr_assert(fixture.in_force == (Revisions{36}));
+  fixture.intake.Take(Config(37), {2, 72});
+  cr_assert(fixture.in_force == (Revisions{36, 37}));
+}
--- a/tests/gateway/fake_table.h
+++ b/tests/gateway/fake_table.h
@@ -18,12 +18,16 @@
 struct FakeTables {
   std::map<std::string, std::map<std::string, store::TableRow>> tables;
   std::int64_t version = 0;
+  /// Number of returns from an older copy; 0: it is not stated.
+  std::int64_t era = 0;
   std::int64_t clock_ms = 1'000;
   int calls = 0;
   /// Reads of all rows of the table "upstreams".
   int upstream_reads = 0;
   /// While set, all calls fail with this error and have no effect.
   std::optional<Error> failure;
+  /// While set, waits for changes fail with kNotFound.
+  bool loses_history = false;
   /// The next write takes effect, but is answered with kReplyLost.
   bool loses_next_reply = false;
   /// Unconditional writes that are refused from now on with kOverloaded.
@@ -75,6 +79,12 @@
       FailLater(std::move(handler), state_.failure_delay, *state_.failure);
       return;
     }
+    if (state_.loses_history) {
+      Post([handler = std::move(handler)] {
+        handler(Error{ErrorKind::kNotFound, "the history is gone", "read the whole table"});
+      });
+      return;
+    }
     store::TableRows rows = NewRows(table, after);
     if (!rows.rows.empty()) {
       Post([handler = std::move(handler), rows = std::move(rows)] { handler(rows); });
@@ -164,6 +174,7 @@
   store::TableRows Rows(std::string_view table) {
     store::TableRows rows;
     rows.version = state_.version;
+    rows.era = state_.era;
     rows.clock_ms = state_.clock_ms;
     for (const auto& [key, row] : state_.tables[std::string(table)]) {
       rows.rows.push_back(row);
--- a/tests/gateway/store_watch_test.cc
+++ b/tests/gateway/store_watch_test.cc
@@ -20,7 +20,7 @@
 namespace {
 
 struct RecordingListener final : gateway::StoreListener {
-  void OnConfigRow(const std::string& text, std::int64_t /*row_version*/) override {
+  void OnConfigRow(const std::string& text, const core::StorePosition& /*row*/) override {
     configs.push_back(text);
   }
   void OnUpstreamRows(const std::vector<store::TableRow>& rows,
@@ -54,10 +54,10 @@
 class Fixture {
  public:
   explicit Fixture(Milliseconds gateway_interval = Milliseconds(150), int refused_writes = 0,
-                   Milliseconds upstream_interval = Milliseconds(50))
+                   Milliseconds upstream_interval = Milliseconds(50),
+                   Milliseconds config_wait = Milliseconds(200))
       : watch_(context_, DefaultClock(), listener, Source(),
-               PollIntervals{Milliseconds(200), upstream_interval, gateway_interval}, "a",
-               "row a") {
+               PollIntervals{config_wait, upstream_interval, gateway_interval}, "a", "row a") {
     WriteRow("config", "c", "one");
     tables.refused_writes = refused_writes;
     watch_.Start();
@@ -132,6 +132,53 @@
   cr_assert_eq(fixture.listener.configs.size(), 4);
 }
 
+// Guards against a configuration that is not read because the store has returned from an older copy
+// and its versions have passed those before by the next call, so that no call fails (issue 69).
+Test(store_watch, changes_lost_in_a_return_are_read_whatever_the_versions, .timeout = 30) {
+  for (const std::int64_t copied : {1, 10, 40}) {
+    Fixture fixture;
+    fixture.tables.era = 1;
+    fixture.tables.version = 20;
+    fixture.WriteRow("config", "c", "before");
+    fixture.Run(Milliseconds(300));
+    cr_assert_eq(fixture.listener.configs.back(), "before");
+    fixture.tables.era = 2;
+    fixture.tables.tables["config"]["c"] = {"c", "after", 5, false};
+    fixture.tables.version = copied;
+    fixture.Run(Milliseconds(400));
+    cr_assert_eq(fixture.listener.configs.back(), "after", "versions from %d on",
+                 static_cast<int>(copied));
+    fixture.WriteRow("config", "c", "later");
+    fixture.Run(Milliseconds(400));
+    cr_assert_eq(fixture.listener.configs.back(), "later");
+  }
+}
+
+// Guards against a held call on a connection that was lost with the store's return: other calls
+// show the return long before it times out.
+Test(store_watch, return_shows_in_any_answer, .timeout = 30) {
+  Fixture fixture(Milliseconds(150), 0, Milliseconds(50), Milliseconds(20'000));
+  fixture.tables.era = 1;
+  fixture.WriteRow("config", "c", "before");
+  fixture.Run(Milliseconds(100));
+  fixture.tables.era = 2;
+  fixture.tables.tables["config"]["c"] = {"c", "after", 1, false};
+  fixture.tables.version = 1;
+  fixture.Run(Milliseconds(200));
+  cr_assert_eq(fixture.listener.configs.back(), "after");
+}
+
+// Guards against hundreds of reads a second while the store's versions stay behind the position, as
+// those of a store that does not state its era do after a return (issue 69).
+Test(store_watch, reads_after_a_lost_history_are_paced, .timeout = 30) {
+  Fixture fixture(Milliseconds(60'000), 0, Milliseconds(60'000));
+  fixture.Run(Milliseconds(100));
+  fixture.tables.loses_history = true;
+  const int calls = fixture.tables.calls;
+  fixture.Run(Milliseconds(2'000));
+  cr_assert_lt(fixture.tables.calls - calls, 25);
+}
+
 // Guards against a failed read being reported as an empty list of upstreams.
 Test(store_watch, failed_read_does_not_report_an_empty_list, .timeout = 30) {
   Fixture fixture;
--- a/wire/gen-cpp/rattanramp_types.cpp
+++ b/wire/gen-cpp/rattanramp_types.cpp
@@ -6931,6 +6931,11 @@
 void GatewayConfigEvidence::__set_clock_ms(const int64_t val) {
   this->clock_ms = val;
 }
+
+void GatewayConfigEvidence::__set_era(const int64_t val) {
+  this->era = val;
+__isset.era = true;
+}
 std::ostream& operator<<(std::ostream& out, const GatewayConfigEvidence& obj)
 {
   obj.printTo(out);
@@ -6977,6 +6982,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->era);
+          this->__isset.era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7006,6 +7019,11 @@
   xfer += oprot->writeI64(this->clock_ms);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.era) {
+    xfer += oprot->writeFieldBegin("era", ::apache::thrift::protocol::T_I64, 3);
+    xfer += oprot->writeI64(this->era);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7015,24 +7033,34 @@
   using ::std::swap;
   swap(a.row_version, b.row_version);
   swap(a.clock_ms, b.clock_ms);
+  swap(a.era, b.era);
+  swap(a.__isset, b.__isset);
 }
 
 GatewayConfigEvidence::GatewayConfigEvidence(const GatewayConfigEvidence& other193) noexcept {
   row_version = other193.row_version;
   clock_ms = other193.clock_ms;
+  era = other193.era;
+  __isset = other193.__isset;
 }
 GatewayConfigEvidence::GatewayConfigEvidence(GatewayConfigEvidence&& other194) noexcept {
   row_version = other194.row_version;
   clock_ms = other194.clock_ms;
+  era = other194.era;
+  __isset = other194.__isset;
 }
 GatewayConfigEvidence& GatewayConfigEvidence::operator=(const GatewayConfigEvidence& other195) noexcept {
   row_version = other195.row_version;
   clock_ms = other195.clock_ms;
+  era = other195.era;
+  __isset = other195.__isset;
   return *this;
 }
 GatewayConfigEvidence& GatewayConfigEvidence::operator=(GatewayConfigEvidence&& other196) noexcept {
   row_version = other196.row_version;
   clock_ms = other196.clock_ms;
+  era = other196.era;
+  __isset = other196.__isset;
   return *this;
 }
 void GatewayConfigEvidence::printTo(std::ostream& out) const {
@@ -7040,6 +7068,7 @@
   out << "GatewayConfigEvidence(";
   out << "row_version=" << to_string(row_version);
   out << ", " << "clock_ms=" << to_string(clock_ms);
+  out << ", " << "era="; (__isset.era ? (out << to_string(era)) : (out << "<null>"));
   out << ")";
 }
 
@@ -7055,6 +7084,11 @@
 void GatewayConfigRow::__set_text(const std::string& val) {
   this->text = val;
 }
+
+void GatewayConfigRow::__set_era(const int64_t val) {
+  this->era = val;
+__isset.era = true;
+}
 std::ostream& operator<<(std::ostream& out, const GatewayConfigRow& obj)
 {
   obj.printTo(out);
@@ -7101,6 +7135,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->era);
+          this->__isset.era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7130,6 +7172,11 @@
   xfer += oprot->writeString(this->text);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.era) {
+    xfer += oprot->writeFieldBegin("era", ::apache::thrift::protocol::T_I64, 3);
+    xfer += oprot->writeI64(this->era);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7139,24 +7186,34 @@
   using ::std::swap;
   swap(a.row_version, b.row_version);
   swap(a.text, b.text);
+  swap(a.era, b.era);
+  swap(a.__isset, b.__isset);
 }
 
 GatewayConfigRow::GatewayConfigRow(const GatewayConfigRow& other197) {
   row_version = other197.row_version;
   text = other197.text;
+  era = other197.era;
+  __isset = other197.__isset;
 }
 GatewayConfigRow::GatewayConfigRow(GatewayConfigRow&& other198) noexcept {
   row_version = other198.row_version;
   text = std::move(other198.text);
+  era = other198.era;
+  __isset = other198.__isset;
 }
 GatewayConfigRow& GatewayConfigRow::operator=(const GatewayConfigRow& other199) {
   row_version = other199.row_version;
   text = other199.text;
+  era = other199.era;
+  __isset = other199.__isset;
   return *this;
 }
 GatewayConfigRow& GatewayConfigRow::operator=(GatewayConfigRow&& other200) noexcept {
   row_version = other200.row_version;
   text = std::move(other200.text);
+  era = other200.era;
+  __isset = other200.__isset;
   return *this;
 }
 void GatewayConfigRow::printTo(std::ostream& out) const {
@@ -7164,6 +7221,7 @@
   out << "GatewayConfigRow(";
   out << "row_version=" << to_string(row_version);
   out << ", " << "text=" << to_string(text);
+  out << ", " << "era="; (__isset.era ? (out << to_string(era)) : (out << "<null>"));
   out << ")";
 }
 
@@ -7758,6 +7816,11 @@
   this->upstream_speeds = val;
 __isset.upstream_speeds = true;
 }
+
+void GatewayLoad::__set_wanted_config_era(const int64_t val) {
+  this->wanted_config_era = val;
+__isset.wanted_config_era = true;
+}
 std::ostream& operator<<(std::ostream& out, const GatewayLoad& obj)
 {
   obj.printTo(out);
@@ -8074,6 +8137,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->wanted_config_era);
+          this->__isset.wanted_config_era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -8277,6 +8348,11 @@
     }
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.wanted_config_era) {
+    xfer += oprot->writeFieldBegin("wanted_config_era", ::apache::thrift::protocol::T_I64, 19);
+    xfer += oprot->writeI64(this->wanted_config_era);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -8302,6 +8378,7 @@
   swap(a.workspace_use, b.workspace_use);
   swap(a.upstream_signs, b.upstream_signs);
   swap(a.upstream_speeds, b.upstream_speeds);
+  swap(a.wanted_config_era, b.wanted_config_era);
   swap(a.__isset, b.__isset);
 }
 
@@ -8324,6 +8401,7 @@
   workspace_use = other284.workspace_use;
   upstream_signs = other284.upstream_signs;
   upstream_speeds = other284.upstream_speeds;
+  wanted_config_era = other284.wanted_config_era;
   __isset = other284.__isset;
 }
 GatewayLoad::GatewayLoad(GatewayLoad&& other285) noexcept {
@@ -8345,6 +8423,7 @@
   workspace_use = std::move(other285.workspace_use);
   upstream_signs = std::move(other285.upstream_signs);
   upstream_speeds = std::move(other285.upstream_speeds);
+  wanted_config_era = other285.wanted_config_era;
   __isset = other285.__isset;
 }
 GatewayLoad& GatewayLoad::operator=(const GatewayLoad& other286) {
@@ -8366,6 +8445,7 @@
   workspace_use = other286.workspace_use;
   upstream_signs = other286.upstream_signs;
   upstream_speeds = other286.upstream_speeds;
+  wanted_config_era = other286.wanted_config_era;
   __isset = other286.__isset;
   return *this;
 }
@@ -8388,6 +8468,7 @@
   workspace_use = std::move(other287.workspace_use);
   upstream_signs = std::move(other287.upstream_signs);
   upstream_speeds = std::move(other287.upstream_speeds);
+  wanted_config_era = other287.wanted_config_era;
   __isset = other287.__isset;
   return *this;
 }
@@ -8412,6 +8493,7 @@
   out << ", " << "workspace_use="; (__isset.workspace_use ? (out << to_string(workspace_use)) : (out << "<null>"));
   out << ", " << "upstream_signs="; (__isset.upstream_signs ? (out << to_string(upstream_signs)) : (out << "<null>"));
   out << ", " << "upstream_speeds="; (__isset.upstream_speeds ? (out << to_string(upstream_speeds)) : (out << "<null>"));
+  out << ", " << "wanted_config_era="; (__isset.wanted_config_era ? (out << to_string(wanted_config_era)) : (out << "<null>"));
   out << ")";
 }
 
--- a/wire/gen-cpp/rattanramp_types.h
+++ b/wire/gen-cpp/rattanramp_types.h
@@ -2735,6 +2735,10 @@
 
 std::ostream& operator<<(std::ostream& out, const GatewayAnsweredPart& obj);
 
+typedef struct _GatewayConfigEvidence__isset {
+  _GatewayConfigEvidence__isset() : era(false) {}
+  bool era :1;
+} _GatewayConfigEvidence__isset;
 
 /**
  * A version of the configuration, and when the store has shown it to be the newest.
@@ -2748,7 +2752,8 @@
   GatewayConfigEvidence& operator=(GatewayConfigEvidence&&) noexcept;
   GatewayConfigEvidence() noexcept
                         : row_version(0),
-                          clock_ms(0) {
+                          clock_ms(0),
+                          era(0) {
   }
 
   virtual ~GatewayConfigEvidence() noexcept;
@@ -2760,17 +2765,29 @@
    * The store's clock at that time.
    */
   int64_t clock_ms;
+  /**
+   * The store's history in which the row has this version; 0 or missing: unknown.
+   */
+  int64_t era;
+
+  _GatewayConfigEvidence__isset __isset;
 
   void __set_row_version(const int64_t val);
 
   void __set_clock_ms(const int64_t val);
 
+  void __set_era(const int64_t val);
+
   bool operator == (const GatewayConfigEvidence & rhs) const
   {
     if (!(row_version == rhs.row_version))
       return false;
     if (!(clock_ms == rhs.clock_ms))
       return false;
+    if (__isset.era != rhs.__isset.era)
+      return false;
+    else if (__isset.era && !(era == rhs.era))
+      return false;
     return true;
   }
   bool operator != (const GatewayConfigEvidence &rhs) const {
@@ -2789,6 +2806,10 @@
 
 std::ostream& operator<<(std::ostream& out, const GatewayConfigEvidence& obj);
 
+typedef struct _GatewayConfigRow__isset {
+  _GatewayConfigRow__isset() : era(false) {}
+  bool era :1;
+} _GatewayConfigRow__isset;
 
 /**
  * The configuration itself, for a gateway that the store does not answer.
@@ -2802,23 +2823,36 @@
   GatewayConfigRow& operator=(GatewayConfigRow&&) noexcept;
   GatewayConfigRow() noexcept
                    : row_version(0),
-                     text() {
+                     text(),
+                     era(0) {
   }
 
   virtual ~GatewayConfigRow() noexcept;
   int64_t row_version;
   std::string text;
+  /**
+   * As in GatewayConfigEvidence.
+   */
+  int64_t era;
+
+  _GatewayConfigRow__isset __isset;
 
   void __set_row_version(const int64_t val);
 
   void __set_text(const std::string& val);
 
+  void __set_era(const int64_t val);
+
   bool operator == (const GatewayConfigRow & rhs) const
   {
     if (!(row_version == rhs.row_version))
       return false;
     if (!(text == rhs.text))
       return false;
+    if (__isset.era != rhs.__isset.era)
+      return false;
+    else if (__isset.era && !(era == rhs.era))
+      return false;
     return true;
   }
   bool operator != (const GatewayConfigRow &rhs) const {
@@ -3042,7 +3076,7 @@
 std::ostream& operator<<(std::ostream& out, const GatewayUpstreamSpeed& obj);
 
 typedef struct _GatewayLoad__isset {
-  _GatewayLoad__isset() : list_news(false), start_losses(false), answered_parts(false), blocked_causes(false), running_upstreams(false), config_evidence(false), wanted_config(false), config_row(false), started_unix_ms(false), workspace_use(false), upstream_signs(false), upstream_speeds(false) {}
+  _GatewayLoad__isset() : list_news(false), start_losses(false), answered_parts(false), blocked_causes(false), running_upstreams(false), config_evidence(false), wanted_config(false), config_row(false), started_unix_ms(false), workspace_use(false), upstream_signs(false), upstream_speeds(false), wanted_config_era(false) {}
   bool list_news :1;
   bool start_losses :1;
   bool answered_parts :1;
@@ -3055,6 +3089,7 @@
   bool workspace_use :1;
   bool upstream_signs :1;
   bool upstream_speeds :1;
+  bool wanted_config_era :1;
 } _GatewayLoad__isset;
 
 /**
@@ -3071,7 +3106,8 @@
               : gateway(),
                 sequence(0),
                 wanted_config(0),
-                started_unix_ms(0) {
+                started_unix_ms(0),
+                wanted_config_era(0) {
   }
 
   virtual ~GatewayLoad() noexcept;
@@ -3126,6 +3162,10 @@
   std::vector<GatewayWorkspaceUse>  workspace_use;
   std::vector<GatewayUpstreamSign>  upstream_signs;
   std::vector<GatewayUpstreamSpeed>  upstream_speeds;
+  /**
+   * The store's history to which wanted_config belongs; 0 or missing: unknown.
+   */
+  int64_t wanted_config_era;
 
   _GatewayLoad__isset __isset;
 
@@ -3165,6 +3205,8 @@
 
   void __set_upstream_speeds(const std::vector<GatewayUpstreamSpeed> & val);
 
+  void __set_wanted_config_era(const int64_t val);
+
   bool operator == (const GatewayLoad & rhs) const
   {
     if (!(gateway == rhs.gateway))
@@ -3227,6 +3269,10 @@
       return false;
     else if (__isset.upstream_speeds && !(upstream_speeds == rhs.upstream_speeds))
       return false;
+    if (__isset.wanted_config_era != rhs.__isset.wanted_config_era)
+      return false;
+    else if (__isset.wanted_config_era && !(wanted_config_era == rhs.wanted_config_era))
+      return false;
     return true;
   }
   bool operator != (const GatewayLoad &rhs) const {
--- a/wire/rattanramp.thrift
+++ b/wire/rattanramp.thrift
@@ -330,12 +330,16 @@
   1: required i64 row_version
   /** The store's clock at that time. */
   2: required i64 clock_ms
+  /** The store's history in which the row has this version; 0 or missing: unknown. */
+  3: optional i64 era
 }
 
 /** The configuration itself, for a gateway that the store does not answer. */
 struct GatewayConfigRow {
   1: required i64 row_version
   2: required string text
+  /** As in GatewayConfigEvidence. */
+  3: optional i64 era
 }
 
 /** What one workspace has used at one gateway. */
@@ -405,4 +409,6 @@
   16: optional list<GatewayWorkspaceUse> workspace_use
   17: optional list<GatewayUpstreamSign> upstream_signs
   18: optional list<GatewayUpstreamSpeed> upstream_speeds
+  /** The store's history to which wanted_config belongs; 0 or missing: unknown. */
+  19: optional i64 wanted_config_era
 }
