Pace unusable answers about the configuration, and drop expired schedules

Held calls whose answers belong to an earlier era were repeated without a pause; from the second one on they wait as after 410. A probe that is answered with 410, which has no rows and so no era, left the held call alone; now it leads to a whole read.

--- a/gateway/config_watch.cc
+++ b/gateway/config_watch.cc
@@ -42,7 +42,9 @@
 
 void ConfigWatch::ReadAll() {
   call_sent_ = clock_.now();
+  is_reading_all_ = true;
   poller_.table->ReadAll(source_.config_table, [this](const Result<store::TableRows>& rows) {
+    is_reading_all_ = false;
     if (!rows) {
       OnFailure(rows.error());
       return;
@@ -59,13 +61,11 @@
   const auto on_answer = [this](const Result<store::TableRows>& rows) {
     if (rows) {
       RecordSuccess(poller_, kWhat);
-      history_losses_ = 0;
       listener_.OnConfigAnswer(ConfigAnswer::kChanges);
-      if (OnReply(rows.value(), /*is_whole=*/false)) {
-        ScheduleNext(poller_, Duration::zero(), [this] { WaitForChanges(); });
-      } else {
-        ReadAll();
-      }
+      const core::ReplyUse use = OnReply(rows.value(), /*is_whole=*/false);
+      const bool reads_all = use == core::ReplyUse::kReadWholeTable;
+      Continue(use == core::ReplyUse::kUse,
+               [this, reads_all] { reads_all ? ReadAll() : WaitForChanges(); });
     } else if (rows.error().kind == ErrorKind::kNotFound) {
       OnHistoryLost();
     } else {
@@ -77,16 +77,19 @@
   poller_.table->WaitForChanges(source_.config_table, state_.store.version, wait_, on_answer);
 }
 
+void ConfigWatch::Continue(bool has_progress, std::function<void()> next) {
+  const std::int64_t before = has_progress ? 0 : unused_answers_;
+  unused_answers_ = has_progress ? 0 : unused_answers_ + 1;
+  ScheduleNext(poller_, before == 0 ? Duration::zero() : BackOff(before), std::move(next));
+}
+
 void ConfigWatch::OnHistoryLost() {
   listener_.OnConfigAnswer(ConfigAnswer::kHistoryLost);
-  const std::int64_t losses = history_losses_++;
-  if (losses == 0) {
+  if (unused_answers_ == 0) {
     Log(LogLevel::kInfo, "configuration_history_lost", {{"store_version", state_.store.version}});
-    ReadAll();
-    return;
   }
-  // The store's versions stay behind the position, as those of one that does not state its era may.
-  ScheduleNext(poller_, BackOff(losses), [this] { ReadAll(); });
+  // In series, the position stays ahead of the store: one without eras has returned from a copy.
+  Continue(/*has_progress=*/false, [this] { ReadAll(); });
 }
 
 void ConfigWatch::OnEra(std::int64_t era) {
@@ -94,14 +97,24 @@
   if (poller_.is_stopped || era_ == 0 || era <= era_) {
     return;
   }
-  RecordReturn(era);
-  // The held call may have been lost with the store's connections.
-  poller_.timer.cancel();
+  RecordEra(era);
+  ReadAllNow();
+}
+
+void ConfigWatch::OnPositionLost() {
+  // A read that is in progress or scheduled brings the position up to date.
+  if (!poller_.is_stopped && !is_reading_all_ && !poller_.is_waiting) {
+    ReadAllNow();
+  }
+}
+
+void ConfigWatch::ReadAllNow() {
+  CancelSchedule(poller_);
   poller_.table->Cancel();
   ReadAll();
 }
 
-void ConfigWatch::RecordReturn(std::int64_t era) {
+void ConfigWatch::RecordEra(std::int64_t era) {
   if (std::exchange(era_, era) == 0 || era <= 0) {
     return;
   }
@@ -116,16 +129,16 @@
   ScheduleNext(poller_, RecordFailure(poller_, kWhat, error), [this] { ReadAll(); });
 }
 
-bool ConfigWatch::OnReply(const store::TableRows& rows, bool is_whole) {
+core::ReplyUse ConfigWatch::OnReply(const store::TableRows& rows, bool is_whole) {
   on_reply_(rows);
   state_.answered = clock_.now();
   const core::StorePosition position = core::PositionOf(rows.era, rows.version, state_.store);
   if (position.era > era_) {
-    RecordReturn(position.era);
+    RecordEra(position.era);
   }
   const core::ReplyUse use = core::JudgeReply(state_.store, position, is_whole);
   if (use == core::ReplyUse::kReadWholeTable) {
-    return false;
+    return use;
   }
   const bool is_outdated = use == core::ReplyUse::kOutdated;
   if (is_outdated) {
@@ -148,7 +161,7 @@
       !is_outdated) {
     listener_.OnConfigEvidence({state_.row, rows.clock_ms}, call_sent_);
   }
-  return true;
+  return use;
 }
 
 void ConfigWatch::OnRow(const store::TableRow& row, std::int64_t era) {
--- a/gateway/config_watch.h
+++ b/gateway/config_watch.h
@@ -11,6 +11,7 @@
 
 #include "base/clock.h"
 #include "core/config_freshness.h"
+#include "core/config_order.h"
 #include "core/store_position.h"
 #include "gateway/store_poller.h"
 #include "gateway/store_source.h"
@@ -70,16 +71,21 @@
 
   /// Called with the era in an answer to any other call: the table is read again if it is new.
   void OnEra(std::int64_t era);
+  /// Called when another call has shown that the store lacks the position: the same.
+  void OnPositionLost();
 
   const ConfigWatchState& state() const { return state_; }
 
  private:
   void ReadAll();
   void WaitForChanges();
-  /// Returns false if the whole table must be read instead.
-  bool OnReply(const store::TableRows& rows, bool is_whole);
+  core::ReplyUse OnReply(const store::TableRows& rows, bool is_whole);
   void OnRow(const store::TableRow& row, std::int64_t era);
-  void RecordReturn(std::int64_t era);
+  void RecordEra(std::int64_t era);
+  /// Reads all rows instead of waiting for an answer that may never come.
+  void ReadAllNow();
+  /// Calls `next` at once after the first answer of a series without progress, later with pauses.
+  void Continue(bool has_progress, std::function<void()> next);
   void OnHistoryLost();
   /// Reads all rows again after the back-off.
   void OnFailure(const Error& error);
@@ -92,8 +98,9 @@
   StorePoller poller_;
   ConfigWatchState state_;
   TimePoint call_sent_;
-  /// Number of calls in series that were answered with kHistoryLost.
-  std::int64_t history_losses_ = 0;
+  /// Held calls in series whose answers could not be used.
+  std::int64_t unused_answers_ = 0;
+  bool is_reading_all_ = false;
   bool is_outdated_ = false;
   /// Newest era of the store that any answer had.
   std::int64_t era_ = 0;
--- a/gateway/store_poller.cc
+++ b/gateway/store_poller.cc
@@ -22,14 +22,21 @@
 void ScheduleNext(StorePoller& poller, Duration wait, std::function<void()> next) {
   poller.is_waiting = true;
   poller.timer.expires_after(wait);
-  poller.timer.async_wait([&poller, next = std::move(next)](const std::error_code& error) {
-    if (!error && !poller.is_stopped) {
+  poller.timer.async_wait([&poller, schedule = ++poller.schedule,
+                           next = std::move(next)](const std::error_code& error) {
+    if (!error && !poller.is_stopped && schedule == poller.schedule) {
       poller.is_waiting = false;
       next();
     }
   });
 }
 
+void CancelSchedule(StorePoller& poller) {
+  ++poller.schedule;
+  poller.is_waiting = false;
+  poller.timer.cancel();
+}
+
 Duration RecordFailure(StorePoller& poller, const char* what, const Error& error) {
   if (!std::exchange(poller.is_failing, true)) {
     Log(LogLevel::kWarning, "dependency_lost", {{"what", what}, {"error", error.message}});
@@ -52,7 +59,7 @@
 
 void StopPolling(StorePoller& poller) {
   poller.is_stopped = true;
-  poller.timer.cancel();
+  CancelSchedule(poller);
   poller.table->Cancel();
 }
 
--- a/gateway/store_poller.h
+++ b/gateway/store_poller.h
@@ -23,6 +23,8 @@
   /// The timer runs until the next call; no call is in progress.
   bool is_waiting = false;
   bool is_stopped = false;
+  /// Raised with each schedule: a timer that has expired can't be cancelled any more.
+  std::uint64_t schedule = 0;
   std::int64_t failures = 0;
 };
 
@@ -30,6 +32,9 @@
 /// schedule.
 void ScheduleNext(StorePoller& poller, Duration wait, std::function<void()> next);
 
+/// Drops the schedule.
+void CancelSchedule(StorePoller& poller);
+
 /// Counts a failed call and logs the first of a series. Returns the wait before the next call.
 Duration RecordFailure(StorePoller& poller, const char* what, const Error& error);
 void RecordSuccess(StorePoller& poller, const char* what);
--- a/gateway/store_watch.cc
+++ b/gateway/store_watch.cc
@@ -224,6 +224,8 @@
   }
   if (rows) {
     config_.OnEra(rows.value().era);
+  } else {
+    config_.OnPositionLost();
   }
   const bool was_failing = contact_.is_failing;
   core::RecordStoreAnswer(contact_, clock_.now());
--- a/tests/gateway/store_watch_test.cc
+++ b/tests/gateway/store_watch_test.cc
@@ -143,7 +143,7 @@
     fixture.Run(Milliseconds(300));
     cr_assert_eq(fixture.listener.configs.back(), "before");
     fixture.tables.era = 2;
-    fixture.tables.tables["config"]["c"] = {"c", "after", 5, false};
+    fixture.tables.tables["config"]["c"] = {"c", "after", 1, false};
     fixture.tables.version = copied;
     fixture.Run(Milliseconds(400));
     cr_assert_eq(fixture.listener.configs.back(), "after", "versions from %d on",
