Keep servers that are missing from the list of a returned store

A store that returns from an older copy between two reads lacks the entries of servers that registered since; they would get no requests, and peers would be told that they had left, until they renew their entries.

Measured: store_watch::list_of_a_new_era_counts_as_after_an_outage fails without the change (no failure reported with the list) and passes with it.

--- a/gateway/store_watch.cc
+++ b/gateway/store_watch.cc
@@ -130,6 +130,11 @@
 void StoreWatch::OnUpstreams(const store::TableRows& rows) {
   RecordSuccess(upstreams_, "upstreams");
   config_.OnEra(rows.era);
+  if (list_era_ > 0 && rows.era > list_era_) {
+    // Entries that were written since the copy are missing until their writers repeat them.
+    core::RecordStoreFailure(contact_);
+  }
+  list_era_ = std::max(list_era_, rows.era);
   const TimePoint now = clock_.now();
   core::ObserveStoreClock(store_clock_, rows.clock_ms, now);
   core::RecordStoreAnswer(contact_, now);
--- a/gateway/store_watch.h
+++ b/gateway/store_watch.h
@@ -126,6 +126,8 @@
   core::StoreClock store_clock_;
   core::StoreContact contact_;
   TimePoint upstream_read_started_;
+  /// The store's era in the last list; 0: unknown.
+  std::int64_t list_era_ = 0;
   /// How long the last answered read of the upstreams took; empty: none was answered.
   std::optional<Duration> usual_read_time_;
   /// No read has been repeated since the last answered one.
--- a/tests/gateway/store_watch_test.cc
+++ b/tests/gateway/store_watch_test.cc
@@ -168,6 +168,21 @@
   cr_assert_eq(fixture.listener.configs.back(), "after");
 }
 
+// Guards against sound servers that are dropped because their entries were written after the copy
+// from which the store has returned, with no failed call in between: missing entries are kept for a
+// time.
+Test(store_watch, list_of_a_new_era_counts_as_after_an_outage, .timeout = 30) {
+  Fixture fixture;
+  fixture.tables.era = 1;
+  fixture.Run(Milliseconds(200));
+  const int before = fixture.listener.reads_after_failure;
+  fixture.Run(Milliseconds(200));
+  cr_assert_eq(fixture.listener.reads_after_failure, before);
+  fixture.tables.era = 2;
+  fixture.Run(Milliseconds(200));
+  cr_assert_eq(fixture.listener.reads_after_failure, before + 1);
+}
+
 // Guards against hundreds of reads a second while the store's versions stay behind the position, as
 // those of a store that does not state its era do after a return (issue 69).
 Test(store_watch, reads_after_a_lost_history_are_paced, .timeout = 30) {
