Read changes from the version of a table's first page

Cause: the version of a table that was read in several pages was that of the last page. A row of an earlier page that changed between two pages was older than that version, so the call that waits for changes after it skipped the change.

The version is that of the first page now, as the era and the clock are. Rows of later pages may be newer, and their changes are then delivered again.

--- a/store/async_table.h
+++ b/store/async_table.h
@@ -22,7 +22,7 @@
 
 struct TableRows {
   std::vector<TableRow> rows;
-  /// Highest version in the service at the time of the response.
+  /// All changes up to this version are in the rows. Some rows may be newer.
   std::int64_t version = 0;
   /// The service's steady clock at the time of the response, in ms; 0 if the response has none.
   std::int64_t clock_ms = 0;
--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -15,6 +15,10 @@
 
 namespace {
 
+tests::FakeAnswer OkAnswer(const std::string& body) {
+  return {"HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body};
+}
+
 /// Result of reading a table from a service.
 std::optional<Result<store::TableRows>> ReadFrom(tests::FakeEngine& service) {
   asio::io_context context;
@@ -33,8 +37,7 @@
 
 /// Result of reading a table from a service that answers with `body`.
 std::optional<Result<store::TableRows>> ReadAnswer(const std::string& body) {
-  return ReadAnswer(tests::FakeAnswer{
-      "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body});
+  return ReadAnswer(OkAnswer(body));
 }
 
 }  // namespace
@@ -84,6 +87,27 @@
   cr_expect_lt(service.endless_bytes(), 32 * 1024 * 1024);
 }
 
+// Guards against a missed change of a row that is written after its page was read.
+Test(store_client, table_has_the_version_of_its_first_page, .timeout = 30) {
+  // Row "a" is written with version 6 after the first page, so changes must be read from 5 on.
+  tests::FakeEngine service([](const std::string& /*head*/, int number) {
+    switch (number) {
+      case 0:
+        return OkAnswer(R"({"ver":5,"has_more":true,"rows":[{"key":"a","ver":1}]})");
+      case 1:
+        return OkAnswer(R"({"ver":6,"has_more":true,"rows":[{"key":"b","ver":2}]})");
+      default:
+        return OkAnswer(R"({"ver":7,"has_more":false,"rows":[{"key":"c","ver":7}]})");
+    }
+  });
+  const std::optional<Result<store::TableRows>> rows = ReadFrom(service);
+  cr_assert(rows && rows->has_value());
+  cr_assert_eq(service.heads().size(), 3);
+  cr_assert_eq(rows->value().rows.size(), 3);
+  cr_assert_eq(rows->value().rows[0].version, 1);
+  cr_assert_eq(rows->value().version, 5, "%ld", static_cast<long>(rows->value().version));
+}
+
 // Guards against a table that lost rows because its answer was cut: without a length, a service
 // that crashes ends its answer like one that has finished.
 Test(store_client, cut_answer_without_a_length_is_an_error, .timeout = 30) {
