--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -108,6 +108,26 @@
   cr_assert_eq(rows->value().version, 5, "%ld", static_cast<long>(rows->value().version));
 }
 
+// Guards against missed changes that were left out of an answer because it has a maximum size.
+Test(store_client, incomplete_changes_have_the_version_of_their_last_row, .timeout = 30) {
+  const auto version_of = [](const std::string& body) {
+    tests::FakeEngine service(
+        [&](const std::string& /*head*/, int /*number*/) { return OkAnswer(body); });
+    asio::io_context context;
+    const std::unique_ptr<platform::StoreClient> client =
+        platform::StoreClient::Create(context, {asio::ip::address_v4::loopback(), service.port()});
+    std::optional<Result<store::TableRows>> rows;
+    client->WaitForChanges("t", 5, Milliseconds(100),
+                           [&](Result<store::TableRows> read) { rows = std::move(read); });
+    tests::RunUntil(context, [&] { return rows.has_value(); });
+    return rows && rows->has_value() ? rows->value().version : -1;
+  };
+  const std::string rows = R"("rows":[{"key":"a","ver":6},{"key":"b","ver":8}])";
+  cr_expect_eq(version_of(R"({"ver":12,"has_more":true,)" + rows + "}"), 8);
+  cr_expect_eq(version_of(R"({"ver":12,"has_more":false,)" + rows + "}"), 12);
+  cr_expect_eq(version_of(R"({"ver":12,)" + rows + "}"), 12);
+}
+
 // Guards against a table that lost rows because its answer was cut: without a length, a service
 // that crashes ends its answer like one that has finished.
 Test(store_client, cut_answer_without_a_length_is_an_error, .timeout = 30) {
