Check that valid configurations are accepted

No test covered the optional parts of the format.

A property builds configurations in the form that the operator's store holds: missing and null fields, whole doubles, unknown fields at each level, shares of weight 0, long names, 0 to 2,000 routes that are removed and added. DecodeConfig and RoutingTable::Create must accept each, and a request for each route must find it.

The decoder is unchanged.

--- a/tests/platform/config_format_test.cc
+++ b/tests/platform/config_format_test.cc
@@ -1,6 +1,13 @@
 #include "platform/config_format.h"
 
 #include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <string>
+#include <vector>
 
 using namespace rattanramp;
 
@@ -176,3 +183,182 @@
   // A second field of the same name, in which the last one counts.
   cr_assert_eq(decode_after_ready(before + R"(ready","seq":5,"slots":7})").upstreams[0].slots, 7);
 }
+
+namespace {
+
+using nlohmann::json;
+
+int In(std::minstd_rand& random, int low, int high) {
+  return std::uniform_int_distribution<int>(low, high)(random);
+}
+
+bool OneIn(std::minstd_rand& random, int cases) { return In(random, 1, cases) == 1; }
+
+json RandomNumber(std::minstd_rand& random, int low, int high) {
+  const int number = In(random, low, high);
+  return OneIn(random, 3) ? json(static_cast<double>(number)) : json(number);
+}
+
+/// A field that may be missing or null.
+void SetOptional(std::minstd_rand& random, json& object, const char* name, json value) {
+  const int choice = In(random, 0, 5);
+  if (choice > 0) {
+    object[name] = choice == 1 ? json() : std::move(value);
+  }
+}
+
+/// Fields that the decoder does not know, with any valid content.
+void AddUnknownFields(std::minstd_rand& random, json& object) {
+  const std::vector<json> values = {
+      nullptr,
+      true,
+      -4,
+      0.25,
+      1e300,
+      18'446'744'073'709'551'615U,
+      "",
+      "a\"\\\n\x01 \xe2\x82\xac \xf0\x9f\x90\xa6",
+      json::array(),
+      json::object(),
+      {{"name", 5}, {"weight", "x"}, {"list", {1, {{"a", nullptr}}}}}};
+  for (const char* name : {"protocol", "tls", "",
+                           "gr\xc3\xb6\xc3\x9f"
+                           "e",
+                           "\xe5\x90\x8d\xe5\x89\x8d", "with \"quotes\"", "models"}) {
+    if (OneIn(random, 6)) {
+      object[name] = values[static_cast<std::size_t>(In(random, 0, 10))];
+    }
+  }
+}
+
+std::string LongName(std::minstd_rand& random, const std::string& begin, int longest) {
+  return begin + std::string(OneIn(random, 8) ? static_cast<std::size_t>(longest) : 0, 'n');
+}
+
+json RandomRoute(std::minstd_rand& random, int number, int services) {
+  const auto service = [&] { return "svc-" + std::to_string(In(random, 0, services - 1)); };
+  json route = {{"name", LongName(random, "r-" + std::to_string(number), 4'000)},
+                {"host", LongName(random, "host" + std::to_string(number % 3) + ".", 240)},
+                {"prefix", LongName(random, "/p" + std::to_string(number), 2'000) + "/"},
+                {"timeout_ms", RandomNumber(random, 1, 600'000)}};
+  const char* const kinds[] = {"idempotent", "non_idempotent", "streaming"};
+  route["kind"] = kinds[In(random, 0, 2)];
+  if (OneIn(random, 2)) {
+    route["service"] = service();
+    if (OneIn(random, 4)) {
+      route["traffic_split"] = nullptr;
+    }
+  } else {
+    const int shares = In(random, 1, 4);
+    const int positive = In(random, 0, shares - 1);
+    for (int i = 0; i < shares; ++i) {
+      json share = {
+          {"service", service()},
+          {"weight", RandomNumber(random, i == positive ? 1 : 0, OneIn(random, 3) ? 1 : 100)}};
+      AddUnknownFields(random, share);
+      route["traffic_split"].push_back(std::move(share));
+    }
+    if (OneIn(random, 4)) {
+      route["service"] = nullptr;
+    }
+  }
+  for (const char* name : {"target_latency_ms", "target_gap_ms", "priority", "max_attempts"}) {
+    SetOptional(random, route, name, RandomNumber(random, 0, 60'000));
+  }
+  for (const char* name : {"sticky", "resumable", "public"}) {
+    SetOptional(random, route, name, OneIn(random, 2));
+  }
+  AddUnknownFields(random, route);
+  return route;
+}
+
+json RandomService(std::minstd_rand& random, int number) {
+  json service = {{"name", "svc-" + std::to_string(number)}};
+  SetOptional(random, service, "health_path", LongName(random, "/healthz", 2'000));
+  SetOptional(random, service, "max_conns", RandomNumber(random, 1, 100'000));
+  json engine = json::object();
+  for (const char* name : {"slots", "kv_tokens", "stride", "most", "kv_token_bytes", "pin_ms"}) {
+    SetOptional(random, engine, name, RandomNumber(random, 1, 1'000'000));
+  }
+  SetOptional(random, engine, "kv_hold_s", 0.5 * In(random, 0, 20));
+  SetOptional(random, engine, "switch_s", RandomNumber(random, 0, 60));
+  SetOptional(random, engine, "link_mbps", 4'400'000.0);
+  SetOptional(random, engine, "models", {{{"name", "m"}}});
+  AddUnknownFields(random, engine);
+  SetOptional(random, service, "engine", std::move(engine));
+  AddUnknownFields(random, service);
+  return service;
+}
+
+json RandomConfig(std::minstd_rand& random, std::int64_t version, const std::vector<json>& routes,
+                  int services) {
+  json config = {{"version", version}, {"routes", routes}, {"services", json::array()}};
+  if (version <= 1'000'000 && OneIn(random, 3)) {
+    config["version"] = static_cast<double>(version);
+  }
+  for (int i = 0; i < services; ++i) {
+    config["services"].push_back(RandomService(random, i));
+  }
+  json limits = json::object();
+  for (const char* name :
+       {"max_header_bytes", "max_body_bytes", "header_timeout_ms", "idle_timeout_ms"}) {
+    SetOptional(random, limits, name, RandomNumber(random, 1'000, 64'000'000));
+  }
+  AddUnknownFields(random, limits);
+  SetOptional(random, config, "limits", std::move(limits));
+  if (OneIn(random, 3)) {
+    config["tenants"] = OneIn(random, 2) ? json() : json::array();
+  }
+  AddUnknownFields(random, config);
+  return config;
+}
+
+/// Whether the configuration is accepted and a request for each of its routes finds that route.
+void ExpectAccepted(const json& config, bool is_ascii) {
+  const Result<core::RoutingRules> rules = platform::DecodeConfig(config.dump(-1, ' ', is_ascii));
+  if (!rules) {
+    RC_FAIL(rules.error().message);
+  }
+  RC_ASSERT(rules.value().version == config["version"].get<std::int64_t>());
+  const Result<std::shared_ptr<const core::RoutingTable>> table =
+      core::RoutingTable::Create(rules.value());
+  if (!table) {
+    RC_FAIL(table.error().message);
+  }
+  RC_ASSERT(table.value()->routes().size() == config["routes"].size());
+  for (const json& route : config["routes"]) {
+    const core::RouteRule* const match = table.value()->Match(
+        route["host"].get<std::string>(), route["prefix"].get<std::string>() + "2f");
+    RC_ASSERT(match != nullptr);
+    RC_ASSERT(match->name == route["name"].get<std::string>());
+    RC_ASSERT(match->timeout_ms == route["timeout_ms"].get<std::int64_t>());
+  }
+}
+
+}  // namespace
+
+// Guards against 404 for routes of a configuration that the store has accepted, because one of its
+// versions is rejected and the one before stays in force.
+Test(config_format, valid_configurations_are_accepted, .timeout = 60) {
+  cr_assert(rc::check("valid configurations", [] {
+    const int count =
+        *rc::gen::weightedElement<int>({{4, 0}, {10, 1}, {40, 7}, {20, 60}, {8, 400}, {3, 2'000}});
+    std::minstd_rand random(*rc::gen::inRange<std::uint32_t>(1, 2'000'000'000));
+    const int services = In(random, 1, 6);
+    std::int64_t version = OneIn(random, 4) ? 1'796'675'000'000 : In(random, 1, 100);
+    std::vector<json> routes;
+    int number = 0;
+    for (; number < count; ++number) {
+      routes.push_back(RandomRoute(random, number, services));
+    }
+    for (int change = 0; change < 3; ++change) {
+      ExpectAccepted(RandomConfig(random, version, routes, services), OneIn(random, 2));
+      version += In(random, 1, 40);
+      if (!routes.empty()) {
+        routes.erase(routes.begin() + In(random, 0, static_cast<int>(routes.size()) - 1));
+      }
+      routes.insert(routes.begin() + In(random, 0, static_cast<int>(routes.size())),
+                    RandomRoute(random, number++, services));
+    }
+  }));
+}
