--- a/tests/core/config_freshness_test.cc
+++ b/tests/core/config_freshness_test.cc
@@ -144,6 +144,129 @@
   cr_assert(ok);
 }
 
+namespace {
+
+/// A store that may return from an older copy: its era rises, and the versions since that copy are
+/// given out again for other rows.
+struct ReturningStore {
+  struct Row {
+    core::StorePosition position;
+    std::int64_t since_ms = 0;
+  };
+
+  void Write(std::int64_t now_ms) {
+    rows.push_back({{rows.back().position.era, rows.back().position.version + 1}, now_ms});
+  }
+  void ReturnFrom(std::int64_t version, std::int64_t now_ms) {
+    rows.push_back({{rows.back().position.era + 1, version}, now_ms});
+  }
+  ConfigEvidence Answer(std::int64_t now_ms) const {
+    return {rows.back().position, 77'000 + now_ms};
+  }
+  /// When a newer row replaced this one; empty: it is the newest.
+  std::optional<std::int64_t> ReplacedAt(const core::StorePosition& position) const {
+    for (const Row& row : rows) {
+      if (row.position > position) {
+        return row.since_ms;
+      }
+    }
+    return std::nullopt;
+  }
+
+  /// In the order of their positions.
+  std::vector<Row> rows = {{{1, 1}, 0}};
+};
+
+}  // namespace
+
+// Guards against evidence of another era that confirms the own row, and so a key that is used later
+// than the bound after it was taken away, and against evidence of the own row that doesn't count
+// because of one: over random orders of new rows, returns of the store from any version, own
+// replies, evidence of peers (late, doubled, of any era), and rows of peers.
+Test(config_freshness, evidence_of_another_era_prolongs_no_key) {
+  const bool ok = rc::check("bound across eras", [] {
+    ReturningStore store;
+    ConfigFreshness freshness;
+    std::vector<ConfigEvidence> given;
+    core::StorePosition own_row;
+    std::int64_t known_ms = kUnknown;
+    std::int64_t now_ms = 10;
+    const auto take_row = [&](const core::StorePosition& row) {
+      if (row > own_row) {
+        own_row = row;
+        known_ms = kUnknown;
+        core::RecordRowInForce(freshness, row, At(now_ms));
+      }
+    };
+    const auto note = [&](const ConfigEvidence& evidence) {
+      if (evidence.row == own_row) {
+        known_ms = std::max(known_ms, evidence.clock_ms - 77'000);
+      }
+    };
+    for (int step = 0; step < 120; ++step) {
+      now_ms += *rc::gen::element<std::int64_t>(0, 1, 7, 150, 900, 4'000);
+      switch (*rc::gen::inRange(0, 7)) {
+        case 0:
+          store.Write(now_ms);
+          break;
+        case 1: {  // no further back than all versions
+          const std::int64_t version = store.rows.back().position.version;
+          store.ReturnFrom(
+              *rc::gen::inRange<std::int64_t>(std::max<std::int64_t>(1, version - 3), version + 1),
+              now_ms);
+          break;
+        }
+        case 2:
+        case 3: {  // an own call; the row that it shows may be refused, so that the own one stays
+          const ConfigEvidence evidence = store.Answer(now_ms);
+          if (*rc::gen::inRange(0, 4) > 0) {
+            take_row(evidence.row);
+          }
+          core::RecordOwnEvidence(freshness, evidence, At(now_ms), At(now_ms));
+          note(evidence);
+          given.push_back(evidence);
+          break;
+        }
+        case 4:  // a peer's call
+          given.push_back(store.Answer(now_ms));
+          break;
+        case 5:
+          if (!given.empty()) {
+            const ConfigEvidence& evidence = given[*rc::gen::inRange<std::size_t>(0, given.size())];
+            core::RecordPeerEvidence(freshness, evidence, At(now_ms));
+            if (freshness.clock.sent) {
+              note(evidence);
+            }
+          }
+          break;
+        default:
+          if (!given.empty()) {
+            take_row(given[*rc::gen::inRange<std::size_t>(0, given.size())].row);
+          }
+          break;
+      }
+      if (own_row.version == 0) {
+        continue;
+      }
+      const CallerVerdict known =
+          core::JudgeCaller(CallerKind::kKnown, freshness, At(now_ms), kLimit);
+      const CallerVerdict unknown =
+          core::JudgeCaller(CallerKind::kUnknown, freshness, At(now_ms), kLimit);
+      const std::optional<std::int64_t> replaced_ms = store.ReplacedAt(own_row);
+      if (replaced_ms) {
+        RC_ASSERT(known != CallerVerdict::kRun || now_ms <= *replaced_ms + kLimit.count());
+        RC_ASSERT(unknown != CallerVerdict::kUnknownKey ||
+                  now_ms <= *replaced_ms + kLimit.count() / 2);
+      }
+      const std::int64_t drifted_ms = 1 + now_ms / 2'500;
+      if (known_ms != kUnknown && now_ms <= known_ms + kLimit.count() - kUnusedMs - drifted_ms) {
+        RC_ASSERT(known == CallerVerdict::kRun);
+      }
+    }
+  });
+  cr_assert(ok);
+}
+
 // Guards against evidence that makes itself younger on the way, or that makes another version fresh
 // than the one it is about.
 Test(config_freshness, late_and_foreign_evidence_changes_nothing) {
--- a/tests/gateway/callers_test.cc
+++ b/tests/gateway/callers_test.cc
@@ -6,6 +6,7 @@
 #include <asio/ip/udp.hpp>
 #include <asio/write.hpp>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -100,6 +101,13 @@
     return std::chrono::duration_cast<Milliseconds>(clock.now().time_since_epoch()).count();
   }
 
+  /// Puts the store back to a copy, as its next history.
+  void ReturnFrom(const tests::FakeTables& copy) {
+    tables.tables = copy.tables;
+    tables.version = copy.version;
+    ++tables.era;
+  }
+
   /// From now on the store refuses all calls; returns when the held call has ended, too.
   void TurnAway() {
     tables.failure = Error{ErrorKind::kUnavailable, "503", "later"};
@@ -162,14 +170,31 @@
                  {settings.address, settings.peer_port});
     RunFor(Milliseconds(30));
   }
-  void ReportEvidence(std::int64_t row_version, std::int64_t clock_ms) {
+  /// era: empty: the report has none, as those of earlier versions of the program.
+  void ReportEvidence(std::int64_t row_version, std::int64_t clock_ms,
+                      std::optional<std::int64_t> era = std::nullopt) {
     Report([&](wire::GatewayLoad& report) {
       wire::GatewayConfigEvidence evidence;
       evidence.row_version = row_version;
       evidence.clock_ms = clock_ms;
+      if (era) {
+        evidence.__set_era(*era);
+      }
       report.__set_config_evidence(evidence);
     });
   }
+  void ReportRow(std::int64_t row_version, const std::string& text,
+                 std::optional<std::int64_t> era) {
+    Report([&](wire::GatewayLoad& report) {
+      wire::GatewayConfigRow row;
+      row.row_version = row_version;
+      row.text = text;
+      if (era) {
+        row.__set_era(*era);
+      }
+      report.__set_config_row(row);
+    });
+  }
   /// Reports of the gateway that have arrived at the peer since the last call.
   std::vector<wire::GatewayLoad> ReceivedByPeer() {
     std::vector<wire::GatewayLoad> reports;
@@ -184,6 +209,35 @@
     return reports;
   }
 
+  /// The position of each row that the gateway has asked the peer for since the last call.
+  std::vector<core::StorePosition> RowsWanted() {
+    std::vector<core::StorePosition> wanted;
+    for (const wire::GatewayLoad& report : ReceivedByPeer()) {
+      if (report.__isset.wanted_config) {
+        wanted.push_back({report.wanted_config_era, report.wanted_config});
+      }
+    }
+    return wanted;
+  }
+  /// The row that the gateway sends when the peer asks for this one; empty: none.
+  std::optional<wire::GatewayConfigRow> RowSentFor(std::int64_t row_version,
+                                                   std::optional<std::int64_t> era) {
+    ReceivedByPeer();
+    Report([&](wire::GatewayLoad& report) {
+      report.__set_wanted_config(row_version);
+      if (era) {
+        report.__set_wanted_config_era(*era);
+      }
+    });
+    std::optional<wire::GatewayConfigRow> row;
+    for (const wire::GatewayLoad& report : ReceivedByPeer()) {
+      if (report.__isset.config_row) {
+        row = report.config_row;
+      }
+    }
+    return row;
+  }
+
   void Put(const std::string& table, const std::string& key, const std::string& value) {
     tables.tables[table][key] = {key, value, ++tables.version, false};
   }
@@ -351,6 +405,140 @@
   cr_assert(is_sent, "the gateway has not sent its row");
 }
 
+// Guards against a key of the newer configuration that is refused, and a removed one that is
+// served again, after the store has returned from a copy with an older configuration; also where a
+// peer that has not seen the return reports a higher version of the era before.
+Test(callers, store_return_neither_restores_removed_keys_nor_refuses_new_ones, .timeout = 60) {
+  CallersFixture fixture(R"(["key-of-w1","key-2-of-w1"])");
+  fixture.tables.era = 1;
+  fixture.StartReady();
+  const tests::FakeTables copy = fixture.tables;
+  fixture.tables.version += 100;
+  fixture.SetConfig(2, R"(["key-2-of-w1","key-3-of-w1"])");
+  const std::int64_t lost_row = fixture.config_row();
+  cr_assert(fixture.Until([&] { return Is(fixture.AskWith("key-3-of-w1"), 200); }));
+  fixture.ReturnFrom(copy);
+  fixture.RunFor(Milliseconds(1'000));
+  cr_assert(Is(fixture.AskWith("key-3-of-w1"), 200), "the newer configuration was dropped");
+  cr_assert(Is(fixture.AskWith("key-of-w1"), 401), "the copy's configuration came back");
+  // The gateway's own reads are evidence for the configuration that it keeps.
+  fixture.clock.offset += kLimit;
+  fixture.RunFor(Milliseconds(1'000));
+  cr_assert(Is(fixture.AskWith("key-3-of-w1"), 200), "no evidence of the new era counts");
+  fixture.ReceivedByPeer();
+  for (const std::int64_t row : {lost_row, lost_row + 100}) {
+    fixture.ReportEvidence(row, fixture.store_clock_ms() - 50, /*era=*/1);
+    cr_assert(Is(fixture.AskWith("key-3-of-w1"), 200));
+    cr_assert(Is(fixture.AskWith("key-2-of-w1"), 200));
+    const std::string answer = fixture.AskWith("key-of-w1");
+    cr_assert(Is(answer, 401), "evidence of the era before counted: %s", answer.c_str());
+  }
+  cr_assert(fixture.RowsWanted().empty(), "the gateway asked for a row of the era before");
+}
+
+// Guards against a key that is served on because the row that removes it has a smaller version than
+// the row in force had before the store's return.
+Test(callers, key_removed_after_a_store_return_is_refused, .timeout = 60) {
+  CallersFixture fixture(R"(["key-of-w1","key-2-of-w1"])");
+  fixture.tables.era = 1;
+  fixture.StartReady();
+  const tests::FakeTables copy = fixture.tables;
+  fixture.tables.version += 100;
+  const std::string lost = R"(["key-2-of-w1","key-3-of-w1"])";
+  fixture.SetConfig(2, lost);
+  cr_assert(fixture.Until([&] { return Is(fixture.AskWith("key-3-of-w1"), 200); }));
+  fixture.ReturnFrom(copy);
+  fixture.RunFor(Milliseconds(700));
+  fixture.SetConfig(2, lost);
+  fixture.RunFor(Milliseconds(700));
+  cr_assert(Is(fixture.AskWith("key-3-of-w1"), 200));
+  cr_assert(Is(fixture.AskWith("key-of-w1"), 401));
+  fixture.SetConfig(3, R"(["key-3-of-w1","key-4-of-w1"])");
+  fixture.RunFor(Milliseconds(700));
+  cr_assert(Is(fixture.AskWith("key-4-of-w1"), 200), "a key that was added is refused");
+  cr_assert(Is(fixture.AskWith("key-2-of-w1"), 401), "a key that was removed is served");
+  cr_assert(Is(fixture.AskWith("key-3-of-w1"), 200));
+}
+
+// Guards against a gateway that the store turns away and that passes over a peer's newer row
+// because the store has returned since, and against an asked peer's row of the era before.
+Test(callers, gateway_that_is_turned_away_takes_a_row_of_a_new_era_only, .timeout = 60) {
+  CallersFixture fixture(R"(["key-of-w1"])");
+  fixture.tables.era = 1;
+  fixture.tables.version += 100;
+  fixture.SetConfig(2, R"(["key-of-w1","key-2-of-w1"])");
+  fixture.StartReady();
+  fixture.TurnAway();
+  fixture.ReceivedByPeer();
+  fixture.ReportEvidence(40, fixture.store_clock_ms() - 50, /*era=*/2);
+  cr_assert(fixture.RowsWanted() == (std::vector<core::StorePosition>{{2, 40}}),
+            "the gateway has not asked for the row of the new era");
+  cr_assert(Is(fixture.AskWith("key-3-of-w1"), 503), "the newer row may have this key");
+  fixture.ReportRow(40, Config(3, R"(["key-2-of-w1","key-3-of-w1"])"), /*era=*/2);
+  cr_assert(Is(fixture.AskWith("key-3-of-w1"), 200));
+  cr_assert(Is(fixture.AskWith("key-2-of-w1"), 200));
+  cr_assert(Is(fixture.AskWith("key-of-w1"), 401), "a removed key is served");
+  // A read of the table that lags, from before the return.
+  fixture.tables.failure.reset();
+  fixture.RunFor(Milliseconds(700));
+  cr_assert(Is(fixture.AskWith("key-of-w1"), 401), "a read of the era before replaced the row");
+  fixture.TurnAway();
+  fixture.ReceivedByPeer();
+  fixture.ReportEvidence(60, fixture.store_clock_ms() - 50, /*era=*/2);
+  cr_assert(fixture.RowsWanted() == (std::vector<core::StorePosition>{{2, 60}}));
+  fixture.ReportRow(50, Config(4, R"(["key-of-w1"])"), /*era=*/1);
+  cr_assert(Is(fixture.AskWith("key-of-w1"), 503), "a row of the era before was taken");
+  fixture.ReportRow(60, Config(4, R"(["key-3-of-w1","key-4-of-w1"])"), /*era=*/2);
+  cr_assert(Is(fixture.AskWith("key-4-of-w1"), 200));
+  cr_assert(Is(fixture.AskWith("key-2-of-w1"), 401));
+}
+
+// Guards against reports of an earlier version of the program, which have no era, that confirm or
+// replace a configuration of a store that states one, and against requests of it that are ignored.
+Test(callers, report_without_an_era_is_answered_and_changes_nothing, .timeout = 60) {
+  CallersFixture fixture(R"(["key-of-w1","key-2-of-w1"])");
+  fixture.tables.era = 1;
+  fixture.StartReady();
+  const std::int64_t row = fixture.config_row();
+  fixture.TurnAway();
+  fixture.ReceivedByPeer();
+  fixture.ReportEvidence(row + 100, fixture.store_clock_ms() - 50);
+  fixture.ReportRow(row + 100, Config(2, R"(["key-3-of-w1"])"), std::nullopt);
+  cr_assert(fixture.RowsWanted().empty(), "the gateway asked for a row without an era");
+  cr_assert(Is(fixture.AskWith("key-of-w1"), 200));
+  cr_assert(Is(fixture.AskWith("key-3-of-w1"), 401), "a report without an era counted");
+  const std::optional<wire::GatewayConfigRow> sent = fixture.RowSentFor(row, std::nullopt);
+  cr_assert(sent, "a request without an era was ignored");
+  cr_assert_eq(sent->text, Config(1, R"(["key-of-w1","key-2-of-w1"])"));
+  // It does not hide the evidence of a peer that states the era, nor replaces it.
+  fixture.clock.offset += kLimit;
+  fixture.ReportEvidence(row, fixture.store_clock_ms() - 50);
+  cr_assert(Is(fixture.AskWith("key-of-w1"), 503), "evidence without an era confirmed the row");
+  fixture.ReportEvidence(row, fixture.store_clock_ms() - 50, /*era=*/1);
+  cr_assert(Is(fixture.AskWith("key-of-w1"), 200));
+}
+
+// Guards against a peer that gets the configuration of the store's copy from a gateway that keeps a
+// newer one.
+Test(callers, peer_gets_the_newer_configuration_after_a_store_return, .timeout = 60) {
+  CallersFixture fixture(R"(["key-of-w1","key-2-of-w1"])");
+  fixture.tables.era = 1;
+  fixture.StartReady();
+  const tests::FakeTables copy = fixture.tables;
+  fixture.tables.version += 100;
+  const std::string newer = R"(["key-2-of-w1","key-3-of-w1"])";
+  fixture.SetConfig(2, newer);
+  cr_assert(fixture.Until([&] { return Is(fixture.AskWith("key-3-of-w1"), 200); }));
+  fixture.ReturnFrom(copy);
+  fixture.RunFor(Milliseconds(700));
+  const std::optional<wire::GatewayConfigRow> row =
+      fixture.RowSentFor(fixture.config_row(), /*era=*/2);
+  cr_assert(row, "the gateway has not sent its row");
+  cr_assert_eq(row->era, 2);
+  cr_assert_eq(row->row_version, fixture.config_row());
+  cr_assert_eq(row->text, Config(2, newer), "the peer got the copy's configuration");
+}
+
 // Guards against a key that was taken away while its request waited in the queue, and against a
 // request that is cut because its key goes while it runs.
 Test(callers, key_that_goes_while_a_request_is_queued, .timeout = 60) {
