Test evidence of an equal version of another era

Cause: a return of the store gives versions out again, so that evidence about another row may have the version of the own one; no test had equal versions. Change: config_freshness::evidence_of_an_equal_version_of_another_era_confirms_nothing, with own and peers' evidence, before and after the row; a test of callers also checks a key that the newer row may have. No change of product code.

--- a/tests/core/config_freshness_test.cc
+++ b/tests/core/config_freshness_test.cc
@@ -280,6 +280,28 @@
   cr_assert(ok);
 }
 
+// Guards against evidence of another era that confirms the own row because their versions are
+// equal.
+Test(config_freshness, evidence_of_an_equal_version_of_another_era_confirms_nothing) {
+  ConfigFreshness freshness;
+  core::RecordRowInForce(freshness, {1, 4}, At(0));
+  core::RecordOwnEvidence(freshness, {{1, 4}, 1'000}, At(0), At(2));
+  core::RecordPeerEvidence(freshness, {{2, 4}, 9'000}, At(9'000));
+  cr_assert(core::IsFresh(freshness, At(4'890), kLimit));
+  cr_assert_not(core::IsFresh(freshness, At(4'901), kLimit), "a peer's evidence");
+  core::RecordOwnEvidence(freshness, {{2, 4}, 10'000}, At(9'000), At(9'002));
+  cr_assert_not(core::IsFresh(freshness, At(4'901), kLimit), "own evidence");
+  cr_assert(core::JudgeCaller(CallerKind::kUnknown, freshness, At(1'000), kLimit) ==
+            CallerVerdict::kUncertain);
+  core::RecordRowInForce(freshness, {2, 4}, At(9'100));
+  cr_assert(core::IsFresh(freshness, At(13'890), kLimit), "evidence came before the row");
+  core::RecordPeerEvidence(freshness, {{1, 4}, 18'000}, At(17'500));
+  cr_assert_not(core::IsFresh(freshness, At(13'901), kLimit), "evidence of the era before");
+  core::RecordPeerEvidence(freshness, {{3, 5}, 18'000}, At(17'500));
+  core::RecordRowInForce(freshness, {2, 5}, At(17'600));
+  cr_assert_not(core::IsFresh(freshness, At(17'600), kLimit), "evidence before the row");
+}
+
 // Guards against evidence that makes itself younger on the way, or that makes another version fresh
 // than the one it is about.
 Test(config_freshness, late_and_foreign_evidence_changes_nothing) {
--- a/tests/gateway/callers_test.cc
+++ b/tests/gateway/callers_test.cc
@@ -487,7 +487,8 @@
   fixture.ReportEvidence(60, fixture.store_clock_ms() - 50, /*era=*/2);
   cr_assert(fixture.RowsWanted() == (std::vector<core::StorePosition>{{2, 60}}));
   fixture.ReportRow(50, Config(4, R"(["key-of-w1"])"), /*era=*/1);
-  cr_assert(Is(fixture.AskWith("key-of-w1"), 503), "a row of the era before was taken");
+  cr_assert(Is(fixture.AskWith("key-3-of-w1"), 200), "a row of the era before was taken");
+  cr_assert(Is(fixture.AskWith("key-of-w1"), 503), "the newer row may have this key");
   fixture.ReportRow(60, Config(4, R"(["key-3-of-w1","key-4-of-w1"])"), /*era=*/2);
   cr_assert(Is(fixture.AskWith("key-4-of-w1"), 200));
   cr_assert(Is(fixture.AskWith("key-2-of-w1"), 401));
