Let the store return from an older copy in the soak

Change: the fault store_return, the era in all answers, and the check CONFIG for a process that goes back to an older configuration.

--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -136,6 +136,8 @@
             raise
         return
     sent.answer, sent.end = answer, time.monotonic()
+    if sent.process is not sent.gateway.process:
+        sent.process = None
     site.record.check_answer(sent)
 
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -7,6 +7,7 @@
 
 from clients import BurstCaller, CrashingCaller
 from site_model import DRAIN_S, STOP_GRACE_S
+from stand_ins import HEARTBEAT_S, OUTAGES
 
 # Provisional length of the span of a fault that has not ended yet.
 OPEN_SPAN_S = 1e9
@@ -14,6 +15,10 @@
 CRASHING_CALLERS = 3
 # Longer than the time after which sound requests must begin again, so that this can be seen.
 CRASHING_PART_S = (9, 12)
+# Share of the returns of the store that are followed by another one within SECOND_RETURN_S.
+SECOND_RETURN_SHARE, SECOND_RETURN_S = 0.4, 5
+# Time in which the operator repeats the writes that the store has lost.
+REPEAT_S = 1.0
 
 
 async def finish(tasks):
@@ -27,11 +32,14 @@
     def __init__(self, site, rng, only=None):
         self.site, self.rng = site, rng
         self.kinds = [self.kill, self.freeze, self.term, self.hup, self.store_link,
-                      self.caller_link, self.upstream_link, self.store, self.crash, self.leave,
+                      self.caller_link, self.upstream_link, self.store, self.store_return,
+                      self.crash, self.leave,
                       self.grey, self.config, self.config, self.waves, self.crashing_part]
         if only:
             self.kinds = [kind for kind in self.kinds if kind.__name__ in only]
         self.log = []
+        # (begin, end, kind of outage, age of the copy) of each return of the store.
+        self.returns = []
 
     async def run(self, until):
         tasks = []
@@ -191,6 +199,50 @@
         store.refuse_share = store.lose_share = store.extra_delay_s = 0.0
         end()
 
+    async def store_return(self):
+        """The store is away and returns from an older copy, in some cases twice."""
+        returns = [asyncio.create_task(self._return_store())]
+        if self.rng.random() < SECOND_RETURN_SHARE:
+            await asyncio.sleep(self.rng.uniform(0.2, SECOND_RETURN_S))
+            returns.append(asyncio.create_task(self._return_store()))
+        await finish(returns)
+
+    async def _return_store(self):
+        site = self.site
+        end = self._begin(site.store_faults)
+        outage = self.rng.choice(OUTAGES)
+        site.store.outages.append(outage)
+        if outage == "reset":
+            for gateway in site.gateways:
+                gateway.store_link.reset_all()
+        begin = time.monotonic()
+        await asyncio.sleep(self.rng.uniform(0.2, 3))
+        age_s = site.return_store()
+        site.store.outages.remove(outage)
+        self.returns.append((begin, time.monotonic(), outage, age_s))
+        await finish([asyncio.create_task(self._repeat_configs()),
+                      asyncio.create_task(self._repeat_entries())])
+        end()
+
+    async def _repeat_configs(self):
+        site = self.site
+        lost = len(site.operator_configs) - site.written_configs
+        while site.written_configs < len(site.operator_configs):
+            await asyncio.sleep(self.rng.uniform(0, REPEAT_S / max(lost, 1)))
+            if site.written_configs < len(site.operator_configs):
+                site.write_next_config()
+
+    async def _repeat_entries(self):
+        """Servers write their entries, and the platform removes those of servers that are gone."""
+        await asyncio.sleep(self.rng.choice((0.0, self.rng.uniform(0, HEARTBEAT_S))))
+        for upstream in self.site.upstreams:
+            if upstream.is_up:
+                upstream.write_again()
+        store = self.site.store
+        for instance in [key for table, key in store.rows
+                         if table == "servers" and key in store.removed]:
+            store.remove("servers", instance)
+
     async def crash(self):
         upstream = self.rng.choice(self.site.upstreams)
         if not upstream.is_up or upstream.left_at is not None:
--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -20,6 +20,9 @@
 GONE_S, MAX_GONE = 0.5, 3
 # An answer may come this late after the timeout of the route.
 TIMEOUT_S = 0.5
+# Time after which no request may be handled by an older configuration than one before it, and where
+# a fault affected the gateway.
+ROLLBACK_SLACK_S, AFFECTED_ROLLBACK_SLACK_S = 0.25, 2.0
 # Crashes by one part after which requests with it must stop reaching servers, and how many of them
 # may do so later than DISCONNECTED_AFTER_S after that.
 MAX_PART_CRASHES, MAX_LATE_PART_ARRIVALS = 5, 3
@@ -47,6 +50,8 @@
                  deadline_s=ROUTE_TIMEOUT_S, part=None):
         self.id, self.gateway, self.method, self.target, self.kind, self.body = \
             request_id, gateway, method, target, kind, body
+        # None once it is not known which process of the gateway has answered.
+        self.process = gateway.process
         self.deadline_s = deadline_s
         # The part of the prompt that crashes engines.
         self.part = part
@@ -167,6 +172,7 @@
                                    f"to {[s.name for s, _ in sent.arrivals]}, status "
                                    f"{sent.answer.status}, {sent.end - sent.begin:.2f} s")
         self._check_configs(site)
+        self._check_rollbacks(site)
         self._check_crashing_parts()
         after_recovery = [s for s in self.sent.values() if s.answer is not None
                           and s.begin >= recovered_from and not s.abandoned_by_client
@@ -280,6 +286,32 @@
             if sent.answer.status == 200 and not any(prefix in allowed for allowed in candidates):
                 self.add_violation("CONFIG", f"{sent.id}: served on a route that was removed")
 
+    def _check_rollbacks(self, site):
+        """Checks that no process returns to a configuration older than one that it has shown."""
+        # (time, index) of the oldest configurations that answers of each process can stem from.
+        shown = {}
+        probes = [s for s in self.sent.values() if s.kind == "probe" and s.answer is not None
+                  and s.process is not None and s.answer.is_complete
+                  and s.answer.status in (200, 404)]
+        for sent in sorted(probes, key=lambda s: s.end):
+            prefix = "/" + sent.target.split("/")[1] + "/"
+            fitting = [i for i, (acknowledged, allowed) in enumerate(site.configs)
+                       if acknowledged <= sent.end
+                       and (prefix in allowed) == (sent.answer.status == 200)]
+            is_affected_gateway = overlaps(sent.gateway.faults,
+                                           sent.begin - DISCONNECTED_AFTER_S, sent.end)
+            slack_s = AFFECTED_ROLLBACK_SLACK_S if is_affected_gateway else ROLLBACK_SLACK_S
+            effects = shown.setdefault(sent.process, [])
+            at, newest = max((effect for effect in effects if effect[0] + slack_s < sent.begin),
+                             key=lambda effect: effect[1], default=(0.0, 0))
+            if any(i >= newest for i in fitting):
+                effects.append((sent.end, min(i for i in fitting if i >= newest)))
+            elif fitting:
+                self.add_violation(
+                    "CONFIG", f"{sent.id}: {sent.answer.status} for {prefix} at {sent.gateway.name} "
+                    f"as in version {fitting[-1]}, {sent.begin - at:.2f} s after it had shown "
+                    f"version {newest}")
+
 
 def overlaps(faults, begin, end):
     return any(b < end and e > begin for b, e in faults)
--- a/tests/soak/site_model.py
+++ b/tests/soak/site_model.py
@@ -1,6 +1,7 @@
 """A small deployment of stand-ins, proxies and gateway processes with their configuration."""
 
 import asyncio
+import base64
 import json
 import math
 import os
@@ -8,7 +9,7 @@
 import time
 
 from proxy import Proxy
-from stand_ins import HEARTBEAT_S, LONG_PREFIX, Store, Upstream
+from stand_ins import HEARTBEAT_S, LONG_PREFIX, Store, StoreCopy, Upstream
 
 DISCONNECTED_AFTER_S = 3.0
 DRAIN_S = 2.0
@@ -18,6 +19,7 @@
 LONG_TIMEOUT_S = 15
 RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW_S = 0.2, 58, 10
 LEASE_S = 3.0
+COPY_INTERVAL_S, MIN_COPY_AGE_S, MAX_COPY_AGE_S = 0.5, 1.0, 10.0
 
 STREAM_PREFIX, ONCE_PREFIX, READ_PREFIX = "/stream/", "/once/", "/read/"
 
@@ -126,8 +128,13 @@
         # Parts of prompts that crash each engine which begins to answer a request with them.
         self.crashing_parts = set()
         self.config_version = 0
-        # (time of the acknowledgement, set of route prefixes) of each configuration version.
+        # (time of the first acknowledgement, set of route prefixes) of each configuration version.
         self.configs = []
+        # The text and prefixes of all versions, and how many of them the store has been given
+        # since its last return; the others are written in their order.
+        self.operator_configs = []
+        self.written_configs = 0
+        self.copies = []
         self.extra_prefixes = []
 
     async def start(self):
@@ -169,8 +176,36 @@
                             "switch_s": 1.0, "models": [{"name": "m"}]}},
                 {"name": "plain", "health_path": "/healthz", "max_conns": 200}],
             "limits": self.caller_limits}
+        self.operator_configs.append((config, {r["prefix"] for r in routes}))
+        # While lost versions are still to be written again, this one waits for its turn.
+        if self.written_configs == len(self.operator_configs) - 1:
+            self.write_next_config()
+
+    def write_next_config(self):
+        config, prefixes = self.operator_configs[self.written_configs]
         acknowledged = self.store.put("op", "config", config)
-        self.configs.append((acknowledged, {r["prefix"] for r in routes}))
+        if self.written_configs == len(self.configs):
+            self.configs.append((acknowledged, prefixes))
+        self.written_configs += 1
+
+    async def keep_copies(self):
+        while True:
+            self.copies = [copy for copy in self.copies
+                           if copy.at > time.monotonic() - MAX_COPY_AGE_S - 1]
+            self.copies.append(StoreCopy(self.store))
+            await asyncio.sleep(COPY_INTERVAL_S)
+
+    def return_store(self):
+        """Lets the store return from a copy; later copies are of a history that has ended."""
+        now = time.monotonic()
+        copy = self.rng.choice([c for c in self.copies if
+                                MIN_COPY_AGE_S <= now - c.at <= MAX_COPY_AGE_S] or self.copies[-1:])
+        self.copies = [c for c in self.copies if c.at <= copy.at]
+        self.store.return_from(copy)
+        version = json.loads(base64.b64decode(copy.rows["op", "config"]["value"]))["version"]
+        self.written_configs = 1 + next(i for i, (config, _) in enumerate(self.operator_configs)
+                                        if config["version"] == version)
+        return now - copy.at
 
     def crashing_part(self, request):
         """Part of the request's prompt, never the last one, that crashes engines; None without."""
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -69,7 +69,9 @@
 
 async def run_site(site, seed, seconds, rng, only):
     record = site.record
+    site.store.era = 1
     await site.start()
+    asyncio.create_task(site.keep_copies())
     for gateway in site.gateways:
         asyncio.create_task(watch_readiness(site, gateway))
     await asyncio.sleep(START_S)
@@ -100,6 +102,9 @@
         print(f"  {rule}: {text}")
     if record.violations:
         print("  faults:", " ".join(f"{at - begin:.1f}:{kind}" for at, kind in faults.log))
+        for away, back, outage, age_s in faults.returns:
+            print(f"  store {outage} from {away - begin:.1f} to {back - begin:.1f} s, then "
+                  f"{age_s:.1f} s older")
     return not record.violations
 
 
--- a/tests/soak/stand_ins.py
+++ b/tests/soak/stand_ins.py
@@ -35,6 +35,10 @@
     return "seal-" + hashlib.sha1(body).hexdigest()
 
 
+# What calls get while the store is away: 503, a reset, or nothing.
+OUTAGES = ("busy", "reset", "silent")
+
+
 class StoreCopy:
     """State of a store at one time, from which it may return."""
 
@@ -65,6 +69,10 @@
         self.calls = 0
         # Number of returns from an older copy, sent with all answers; None: it is not sent.
         self.era = None
+        # One of OUTAGES for each outage that lasts.
+        self.outages = []
+        # Instances whose rows were removed; a return may bring them back.
+        self.removed = set()
 
     async def start(self):
         _, self.port, _ = await listen(self.host, self.handle)
@@ -75,6 +83,8 @@
         return time.monotonic()
 
     def remove(self, table, key):
+        if table == "servers":
+            self.removed.add(key)
         self._change(table, key, None)
         return time.monotonic()
 
@@ -132,7 +142,13 @@
     async def handle(self, connection, request):
         self.calls += 1
         await asyncio.sleep(STORE_ANSWER_S + self.extra_delay_s)
-        if self.rng.random() < self.refuse_share:
+        outage = self.outages[-1] if self.outages else None
+        if outage == "reset":
+            connection.reset()
+            return
+        if outage == "silent":
+            await asyncio.sleep(3600)
+        if outage == "busy" or self.rng.random() < self.refuse_share:
             await connection.answer(503, headers=self._fields())
             return
         status, body = await self._execute(request)
@@ -231,6 +247,18 @@
         self.state = "draining"
         self.left_at = self.announce()
 
+    def write_again(self):
+        """Repeats what the store has lost; a leaving is then acknowledged by the second write."""
+        store, key = self.site.store, ("servers", self.instance)
+        if self.left_at is None:
+            self.announce()
+        elif self.state != "draining":
+            if key in store.rows:
+                self.left_at = store.remove(*key)
+        elif key not in store.rows or \
+                json.loads(base64.b64decode(store.rows[key]["value"]))["state"] != "draining":
+            self.announce_leaving()
+
     def announce(self):
         self.heartbeat_count += 1
         entry = {"service": self.service, "addr": f"{self.site.host}:{self.proxy.port}",
