Change the configuration once more when all faults of the soak are over

Change: when all faults are over, one route is replaced by another, and the checks of CONFIG watch both.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -309,9 +309,23 @@
         """Adds or removes a route."""
         site = self.site
         if site.extra_prefixes and self.rng.random() < 0.5:
-            site.extra_prefixes.remove(self.rng.choice(site.extra_prefixes))
+            self._remove_route()
         else:
-            prefix = f"/more{len(site.all_prefixes)}/"
-            site.extra_prefixes.append(prefix)
-            site.all_prefixes.add(prefix)
+            self._add_route()
         site.put_config()
+
+    def replace_route(self):
+        """Removes a route, if any was added, and adds another one."""
+        if self.site.extra_prefixes:
+            self._remove_route()
+        self._add_route()
+        self.site.put_config()
+
+    def _add_route(self):
+        site = self.site
+        prefix = f"/more{len(site.all_prefixes)}/"
+        site.extra_prefixes.append(prefix)
+        site.all_prefixes.add(prefix)
+
+    def _remove_route(self):
+        self.site.extra_prefixes.remove(self.rng.choice(self.site.extra_prefixes))
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -84,6 +84,8 @@
     faults = Faults(site, rng, only)
     await faults.run(begin + seconds)
     faults_ended = time.monotonic()
+    # A change in calm: it must come into force whatever the store has lost before.
+    faults.replace_route()
     await asyncio.sleep(RECOVERY_S + FAULT_FREE_S)
     for client in clients:
         client.cancel()
