Answer health checks in the soak's servers

Cause: gateways check a server whose row comes back with GET on its service's health path. Change: the stand-in servers answer the health path of their service, which the configuration and the stand-ins now take from one constant.

--- a/tests/soak/site_model.py
+++ b/tests/soak/site_model.py
@@ -9,7 +9,7 @@
 import time
 
 from proxy import Proxy
-from stand_ins import HEARTBEAT_S, LONG_PREFIX, Store, StoreCopy, Upstream
+from stand_ins import HEALTH_PATH, HEARTBEAT_S, LONG_PREFIX, Store, StoreCopy, Upstream
 
 DISCONNECTED_AFTER_S = 3.0
 DRAIN_S = 2.0
@@ -171,10 +171,10 @@
         config = {
             "version": self.config_version, "routes": routes,
             "services": [
-                {"name": "engines", "health_path": "/healthz", "max_conns": 200,
+                {"name": "engines", "health_path": HEALTH_PATH, "max_conns": 200,
                  "engine": {"slots": self.engine_slots, "kv_tokens": 65000, "stride": 72, "kv_hold_s": 0.5,
                             "switch_s": 1.0, "models": [{"name": "m"}]}},
-                {"name": "plain", "health_path": "/healthz", "max_conns": 200}],
+                {"name": "plain", "health_path": HEALTH_PATH, "max_conns": 200}],
             "limits": self.caller_limits}
         self.operator_configs.append((config, {r["prefix"] for r in routes}))
         # While lost versions are still to be written again, this one waits for its turn.
--- a/tests/soak/stand_ins.py
+++ b/tests/soak/stand_ins.py
@@ -17,6 +17,7 @@
 PREFILL_S = 0.02
 PREFILL_HOLD_S = 0.5
 STAGE_CHANGE_S = 1.0
+HEALTH_PATH = "/healthz"
 # Share of the streams that have neither a length nor chunks and end with their connection.
 UNFRAMED_SHARE = 0.3
 # Routes whose work takes one of LONG_WORK_S while site.is_slow is set. The longest outlasts the
@@ -280,6 +281,11 @@
         if request.target == "/rattanramp/order":
             await self.handle_order(connection, json.loads(request.body), now)
             return
+        if (request.method, request.target) == ("GET", HEALTH_PATH):
+            is_healthy = self.state != "draining" and self.running < self.slots
+            await connection.answer(200 if is_healthy else 503,
+                                    headers=[*echo[1:], ("Instance-Id", self.instance)])
+            return
         self.site.record.add_arrival(self, request, now)
         if self.running >= self.slots:
             await connection.answer(503, headers=not_run)
