--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -69,7 +69,9 @@
 
 async def run_site(site, seed, seconds, rng, only):
     record = site.record
+    site.store.era = 1
     await site.start()
+    asyncio.create_task(site.keep_copies())
     for gateway in site.gateways:
         asyncio.create_task(watch_readiness(site, gateway))
     await asyncio.sleep(START_S)
@@ -82,6 +84,8 @@
     faults = Faults(site, rng, only)
     await faults.run(begin + seconds)
     faults_ended = time.monotonic()
+    # A change in calm: it must come into force whatever the store has lost before.
+    faults.replace_route()
     await asyncio.sleep(RECOVERY_S + FAULT_FREE_S)
     for client in clients:
         client.cancel()
@@ -100,6 +104,9 @@
         print(f"  {rule}: {text}")
     if record.violations:
         print("  faults:", " ".join(f"{at - begin:.1f}:{kind}" for at, kind in faults.log))
+        for away, back, outage, age_s in faults.returns:
+            print(f"  store {outage} from {away - begin:.1f} to {back - begin:.1f} s, then "
+                  f"{age_s:.1f} s older")
     return not record.violations
 
 
--- a/tests/soak/stand_ins.py
+++ b/tests/soak/stand_ins.py
@@ -17,6 +17,7 @@
 PREFILL_S = 0.02
 PREFILL_HOLD_S = 0.5
 STAGE_CHANGE_S = 1.0
+HEALTH_PATH = "/healthz"
 # Share of the streams that have neither a length nor chunks and end with their connection.
 UNFRAMED_SHARE = 0.3
 # Routes whose work takes one of LONG_WORK_S while site.is_slow is set. The longest outlasts the
@@ -35,6 +36,10 @@
     return "seal-" + hashlib.sha1(body).hexdigest()
 
 
+# What calls get while the store is away: 503, a reset, or nothing.
+OUTAGES = ("busy", "reset", "silent")
+
+
 class StoreCopy:
     """State of a store at one time, from which it may return."""
 
@@ -65,6 +70,10 @@
         self.calls = 0
         # Number of returns from an older copy, sent with all answers; None: it is not sent.
         self.era = None
+        # One of OUTAGES for each outage that lasts.
+        self.outages = []
+        # Instances whose rows were removed; a return may bring them back.
+        self.removed = set()
 
     async def start(self):
         _, self.port, _ = await listen(self.host, self.handle)
@@ -75,6 +84,8 @@
         return time.monotonic()
 
     def remove(self, table, key):
+        if table == "servers":
+            self.removed.add(key)
         self._change(table, key, None)
         return time.monotonic()
 
@@ -132,7 +143,13 @@
     async def handle(self, connection, request):
         self.calls += 1
         await asyncio.sleep(STORE_ANSWER_S + self.extra_delay_s)
-        if self.rng.random() < self.refuse_share:
+        outage = self.outages[-1] if self.outages else None
+        if outage == "reset":
+            connection.reset()
+            return
+        if outage == "silent":
+            await asyncio.sleep(3600)
+        if outage == "busy" or self.rng.random() < self.refuse_share:
             await connection.answer(503, headers=self._fields())
             return
         status, body = await self._execute(request)
@@ -231,6 +248,18 @@
         self.state = "draining"
         self.left_at = self.announce()
 
+    def write_again(self):
+        """Repeats what the store has lost; a leaving is then acknowledged by the second write."""
+        store, key = self.site.store, ("servers", self.instance)
+        if self.left_at is None:
+            self.announce()
+        elif self.state != "draining":
+            if key in store.rows:
+                self.left_at = store.remove(*key)
+        elif key not in store.rows or \
+                json.loads(base64.b64decode(store.rows[key]["value"]))["state"] != "draining":
+            self.announce_leaving()
+
     def announce(self):
         self.heartbeat_count += 1
         entry = {"service": self.service, "addr": f"{self.site.host}:{self.proxy.port}",
@@ -252,6 +281,11 @@
         if request.target == "/rattanramp/order":
             await self.handle_order(connection, json.loads(request.body), now)
             return
+        if (request.method, request.target) == ("GET", HEALTH_PATH):
+            is_healthy = self.state != "draining" and self.running < self.slots
+            await connection.answer(200 if is_healthy else 503,
+                                    headers=[*echo[1:], ("Instance-Id", self.instance)])
+            return
         self.site.record.add_arrival(self, request, now)
         if self.running >= self.slots:
             await connection.answer(503, headers=not_run)
