--- a/tests/outages/store_returns.py
+++ b/tests/outages/store_returns.py
@@ -25,10 +25,14 @@
 
 
 async def come_back(case, copy, away_s=0.5, mode="reset"):
-    """The store is away and returns from the copy. Returns what its writers have lost."""
-    case.store.mode = mode
-    case.reset_store_links()
-    await asyncio.sleep(away_s)
+    """The store is away and returns from the copy. Returns what its writers have lost.
+
+    mode: what calls get meanwhile; None: the store answers all the while.
+    """
+    if mode is not None:
+        case.store.mode = mode
+        case.reset_store_links()
+        await asyncio.sleep(away_s)
     lost = case.store.return_from(copy)
     case.store.mode = None
     case.store_returned()
@@ -161,6 +165,7 @@
     "lost-5-silent": (returns(5.0, mode="silent"), 3),
     "lost-5-late": (returns(5.0, mode="late"), 3),
     "lost-5-brief": (returns(5.0, away_s=0.05), 3),
+    "lost-5-unseen": (returns(5.0, mode=None), 3),
     "kept-5": (returns(5.0, lost=False), 3),
     "twice": (returns_twice, 3),
     "beside-kill": (returns_beside_kill, 3),
