--- a/core/store_position.h
+++ b/core/store_position.h
@@ -3,8 +3,8 @@
 // one.
 #pragma once
 
-#include <compare>
 #include <cstdint>
+#include <tuple>
 
 namespace rattanramp::core {
 
@@ -14,7 +14,15 @@
   /// Version within that history; 0: none.
   std::int64_t version = 0;
 
-  friend auto operator<=>(const StorePosition&, const StorePosition&) = default;
+  friend bool operator==(const StorePosition& a, const StorePosition& b) {
+    return a.era == b.era && a.version == b.version;
+  }
+  friend bool operator<(const StorePosition& a, const StorePosition& b) {
+    return std::tie(a.era, a.version) < std::tie(b.era, b.version);
+  }
+  friend bool operator>(const StorePosition& a, const StorePosition& b) { return b < a; }
+  friend bool operator<=(const StorePosition& a, const StorePosition& b) { return !(b < a); }
+  friend bool operator>=(const StorePosition& a, const StorePosition& b) { return !(a < b); }
 };
 
 /// The position in an answer of the store. An answer without an era belongs to the era known.
--- a/gateway/config_intake.cc
+++ b/gateway/config_intake.cc
@@ -57,7 +57,7 @@
     HoldBack(text, version);
     return;
   }
-  PutInForce(text, row, std::move(table.value()));
+  PutInForce(text, row, table.value());
 }
 
 void ConfigIntake::HoldBack(const std::string& text, const core::ConfigVersion& restored) {
@@ -71,7 +71,7 @@
 }
 
 void ConfigIntake::PutInForce(const std::string& text, const core::StorePosition& row,
-                              std::shared_ptr<const core::RoutingTable> table) {
+                              const std::shared_ptr<const core::RoutingTable>& table) {
   in_force_ = core::ConfigVersion{row, table->version()};
   in_force_hash_ = Hash64(text);
   held_back_.reset();
@@ -94,7 +94,7 @@
       {{"version", held_back.version.revision}, {"version_in_force", in_force_->revision}});
   Result<std::shared_ptr<const core::RoutingTable>> table = MakeTable(held_back.text);
   if (table) {
-    PutInForce(held_back.text, row, std::move(table.value()));
+    PutInForce(held_back.text, row, table.value());
   }
 }
 
--- a/gateway/config_intake.h
+++ b/gateway/config_intake.h
@@ -54,7 +54,7 @@
   };
 
   void PutInForce(const std::string& text, const core::StorePosition& row,
-                  std::shared_ptr<const core::RoutingTable> table);
+                  const std::shared_ptr<const core::RoutingTable>& table);
   void HoldBack(const std::string& text, const core::ConfigVersion& restored);
 
   const Clock& clock_;
