Notice the first return of a store that counts its returns from 0

Cause: era 0 stood for "not stated" as well, so that the step from 0 to 1 was neither logged nor followed from answers to other calls, and the first list after it did not count as one after an outage. A held call that was lost with the return would have been found only at its timeout.

Whether an answer has arrived before decides now, not whether an era was known. The stand-in store of the outage tests counts from 0.

--- a/core/store_position.h
+++ b/core/store_position.h
@@ -9,7 +9,7 @@
 namespace rattanramp::core {
 
 struct StorePosition {
-  /// Number of the store's history, which rises with each return; 0: the store does not state it.
+  /// Number of the store's history, which rises with each return; 0 also if it is not stated.
   std::int64_t era = 0;
   /// Version within that history; 0: none.
   std::int64_t version = 0;
--- a/gateway/config_watch.cc
+++ b/gateway/config_watch.cc
@@ -93,11 +93,11 @@
 }
 
 void ConfigWatch::OnEra(std::int64_t era) {
-  // The first read is in progress while no era is known.
-  if (poller_.is_stopped || era_ == 0 || era <= era_) {
+  // Until the first answer, a whole read is in progress or scheduled anyway.
+  if (poller_.is_stopped || !state_.answered || era <= era_) {
     return;
   }
-  RecordEra(era);
+  RecordReturn(era);
   ReadAllNow();
 }
 
@@ -114,10 +114,8 @@
   ReadAll();
 }
 
-void ConfigWatch::RecordEra(std::int64_t era) {
-  if (std::exchange(era_, era) == 0 || era <= 0) {
-    return;
-  }
+void ConfigWatch::RecordReturn(std::int64_t era) {
+  era_ = era;
   listener_.OnConfigAnswer(ConfigAnswer::kReturned);
   Log(LogLevel::kWarning, "store_returned",
       {{"store_era", era},
@@ -131,11 +129,13 @@
 
 core::ReplyUse ConfigWatch::OnReply(const store::TableRows& rows, bool is_whole) {
   on_reply_(rows);
-  state_.answered = clock_.now();
   const core::StorePosition position = core::PositionOf(rows.era, rows.version, state_.store);
-  if (position.era > era_) {
-    RecordEra(position.era);
+  if (!state_.answered) {
+    era_ = position.era;
+  } else if (position.era > era_) {
+    RecordReturn(position.era);
   }
+  state_.answered = clock_.now();
   const core::ReplyUse use = core::JudgeReply(state_.store, position, is_whole);
   if (use == core::ReplyUse::kReadWholeTable) {
     return use;
--- a/gateway/config_watch.h
+++ b/gateway/config_watch.h
@@ -81,7 +81,7 @@
   void WaitForChanges();
   core::ReplyUse OnReply(const store::TableRows& rows, bool is_whole);
   void OnRow(const store::TableRow& row, std::int64_t era);
-  void RecordEra(std::int64_t era);
+  void RecordReturn(std::int64_t era);
   /// Reads all rows instead of waiting for an answer that may never come.
   void ReadAllNow();
   /// Calls `next` at once after the first answer of a series without progress, later with pauses.
--- a/gateway/store_watch.cc
+++ b/gateway/store_watch.cc
@@ -130,7 +130,7 @@
 void StoreWatch::OnUpstreams(const store::TableRows& rows) {
   RecordSuccess(upstreams_, "upstreams");
   config_.OnEra(rows.era);
-  if (list_era_ > 0 && rows.era > list_era_) {
+  if (usual_read_time_ && rows.era > list_era_) {
     // Entries that were written since the copy are missing until their writers repeat them.
     core::RecordStoreFailure(contact_);
   }
--- a/gateway/store_watch.h
+++ b/gateway/store_watch.h
@@ -126,7 +126,7 @@
   core::StoreClock store_clock_;
   core::StoreContact contact_;
   TimePoint upstream_read_started_;
-  /// The store's era in the last list; 0: unknown.
+  /// Newest era of the store in a list.
   std::int64_t list_era_ = 0;
   /// How long the last answered read of the upstreams took; empty: none was answered.
   std::optional<Duration> usual_read_time_;
--- a/store/async_table.h
+++ b/store/async_table.h
@@ -27,7 +27,7 @@
   /// The service's steady clock at the time of the response, in ms; 0 if the response has none.
   std::int64_t clock_ms = 0;
   /// Number of the service's history. It rises when the service returns from an older copy, after
-  /// which versions are given out again; 0 if the response has none.
+  /// which versions are given out again; 0 also if the response has none.
   std::int64_t era = 0;
 };
 
--- a/tests/gateway/store_watch_test.cc
+++ b/tests/gateway/store_watch_test.cc
@@ -137,12 +137,12 @@
 Test(store_watch, changes_lost_in_a_return_are_read_whatever_the_versions, .timeout = 30) {
   for (const std::int64_t copied : {1, 10, 40}) {
     Fixture fixture;
-    fixture.tables.era = 1;
     fixture.tables.version = 20;
     fixture.WriteRow("config", "c", "before");
     fixture.Run(Milliseconds(300));
     cr_assert_eq(fixture.listener.configs.back(), "before");
-    fixture.tables.era = 2;
+    // The store's first return, also of one that counts from 0.
+    fixture.tables.era = 1;
     fixture.tables.tables["config"]["c"] = {"c", "after", 1, false};
     fixture.tables.version = copied;
     fixture.Run(Milliseconds(400));
@@ -158,10 +158,9 @@
 // show the return long before it times out.
 Test(store_watch, return_shows_in_any_answer, .timeout = 30) {
   Fixture fixture(Milliseconds(150), 0, Milliseconds(50), Milliseconds(20'000));
-  fixture.tables.era = 1;
   fixture.WriteRow("config", "c", "before");
   fixture.Run(Milliseconds(100));
-  fixture.tables.era = 2;
+  fixture.tables.era = 1;
   fixture.tables.tables["config"]["c"] = {"c", "after", 1, false};
   fixture.tables.version = 1;
   fixture.Run(Milliseconds(200));
@@ -173,14 +172,15 @@
 // time.
 Test(store_watch, list_of_a_new_era_counts_as_after_an_outage, .timeout = 30) {
   Fixture fixture;
-  fixture.tables.era = 1;
   fixture.Run(Milliseconds(200));
   const int before = fixture.listener.reads_after_failure;
   fixture.Run(Milliseconds(200));
   cr_assert_eq(fixture.listener.reads_after_failure, before);
-  fixture.tables.era = 2;
-  fixture.Run(Milliseconds(200));
-  cr_assert_eq(fixture.listener.reads_after_failure, before + 1);
+  for (const int era : {1, 2}) {
+    fixture.tables.era = era;
+    fixture.Run(Milliseconds(200));
+    cr_assert_eq(fixture.listener.reads_after_failure, before + era);
+  }
 }
 
 // Guards against hundreds of reads a second while the store's versions stay behind the position, as
--- a/tests/outages/config_outages.py
+++ b/tests/outages/config_outages.py
@@ -89,7 +89,7 @@
         self.site = Site(program, self.folder, rng, Arrivals(), PORTS, gateways=gateways,
                          engines=0, plain=0)
         self.site.store = FeedStore(self.site.host, rng)
-        self.site.store.era = 1
+        self.site.store.era = 0
         server = Server(self.site, "p0", "plain", None, 64)
         server.arrived = []
         self.site.upstreams = [server]
