--- a/tests/outages/config_outages.py
+++ b/tests/outages/config_outages.py
@@ -383,7 +383,7 @@
 }
 
 
-def play_scenarios(description, scenarios, subnet=212):
+def play_scenarios(description, scenarios, subnet=214):
     """scenarios: name -> (coroutine function of a case, number of gateways)."""
     def make_case(name, number, program, folder):
         return Case(name, f"127.{subnet}.{number + 1}", program, folder, *scenarios[name])
