Test that answers of an older state are counted and logged

Change: store_watch::older_state_is_counted_and_not_used plays a store that doesn't state its era and shows an older row: the answers are counted by kind, the row stays unused, and a newer one is used. No change of product code.

--- a/tests/gateway/store_watch_test.cc
+++ b/tests/gateway/store_watch_test.cc
@@ -3,6 +3,7 @@
 #include <criterion/criterion.h>
 
 #include <algorithm>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -23,6 +24,7 @@
   void OnConfigRow(const std::string& text, const core::StorePosition& /*row*/) override {
     configs.push_back(text);
   }
+  void OnConfigAnswer(gateway::ConfigAnswer answer) override { ++answers[answer]; }
   void OnUpstreamRows(const std::vector<store::TableRow>& rows,
                       const core::ListInterruption& interruption, std::int64_t /*clock_ms*/,
                       TimePoint read_at) override {
@@ -40,6 +42,7 @@
   void OnGatewayRows(const std::map<std::string, std::string>& rows) override { gateways = rows; }
 
   std::vector<std::string> configs;
+  std::map<gateway::ConfigAnswer, int> answers;
   int upstream_reads = 0;
   int reads_after_failure = 0;
   std::size_t upstreams = 0;
@@ -194,6 +197,31 @@
   cr_assert_lt(fixture.tables.calls - calls, 25);
 }
 
+// Guards against answers that are dropped without a trace: a store that does not state its era
+// shows an older state, and nothing told why its row was not in force (issue 69). What is newer is
+// used.
+Test(store_watch, older_state_is_counted_and_not_used, .timeout = 30) {
+  Fixture fixture(Milliseconds(60'000), 0, Milliseconds(60'000));
+  fixture.tables.version = 20;
+  fixture.WriteRow("config", "c", "before");
+  fixture.Run(Milliseconds(300));
+  cr_assert_eq(fixture.listener.answers[gateway::ConfigAnswer::kOutdated], 0);
+  cr_assert_eq(fixture.listener.answers[gateway::ConfigAnswer::kOlderRow], 0);
+  fixture.tables.tables["config"]["c"] = {"c", "copy", 5, false};
+  fixture.tables.version = 8;
+  fixture.tables.loses_history = true;
+  fixture.Run(Milliseconds(600));
+  cr_assert_gt(fixture.listener.answers[gateway::ConfigAnswer::kHistoryLost], 0);
+  cr_assert_gt(fixture.listener.answers[gateway::ConfigAnswer::kOutdated], 0);
+  cr_assert_gt(fixture.listener.answers[gateway::ConfigAnswer::kOlderRow], 0);
+  cr_assert_eq(fixture.listener.configs.back(), "before");
+  fixture.tables.loses_history = false;
+  fixture.tables.version = 21;
+  fixture.WriteRow("config", "c", "after");
+  fixture.Run(Milliseconds(600));
+  cr_assert_eq(fixture.listener.configs.back(), "after");
+}
+
 // Guards against a failed read being reported as an empty list of upstreams.
 Test(store_watch, failed_read_does_not_report_an_empty_list, .timeout = 30) {
   Fixture fixture;
