Count only time in contact with the store as time for rewriting

Cause: the 60 s were time on the clock, although the design says that time without contact doesn't count. Now the answered calls for the configuration add up to it, each with at most 5 s, as a process may have been frozen while its call was held.

Tests: config_intake::outage_after_a_return_does_not_count failed before, and second_return_begins_the_time_anew is new. store_decides_if_nothing_is_written_again let 30 s pass without any call; it now plays a call each second, and checks also that the last call within the 60 s puts nothing in force.

--- a/gateway/config_intake.cc
+++ b/gateway/config_intake.cc
@@ -1,5 +1,6 @@
 #include "gateway/config_intake.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "base/hash.h"
@@ -13,6 +14,9 @@
 // row goes into force, so that gateways that started since do not serve another configuration.
 constexpr Milliseconds kRewriteTime{60'000};
 
+// Most of it that one call counts for: the process may have been frozen while the call was held.
+constexpr Milliseconds kMaxCallTime{5'000};
+
 Result<std::shared_ptr<const core::RoutingTable>> MakeTable(const std::string& text) {
   Result<core::RoutingRules> rules = platform::DecodeConfig(text);
   if (!rules) {
@@ -27,10 +31,9 @@
   if (row <= newest_row_) {
     return;
   }
-  const TimePoint now = clock_.now();
   const bool is_new_era = row.era != std::exchange(newest_row_, row).era;
   if (is_new_era && in_force_) {
-    rewriting_until_ = now + kRewriteTime;
+    rewriting_left_ = kRewriteTime;
   }
   if (in_force_ && row.era != in_force_->row.era && Hash64(text) == in_force_hash_) {
     in_force_->row = row;
@@ -51,7 +54,7 @@
     return;
   }
   const core::ConfigVersion version{row, table.value()->version()};
-  const bool is_rewriting = rewriting_until_ && now < *rewriting_until_;
+  const bool is_rewriting = rewriting_left_ > Duration::zero();
   if (in_force_ &&
       core::CompareRow(*in_force_, version, is_rewriting) == core::RowOrder::kRestored) {
     HoldBack(text, version);
@@ -86,7 +89,11 @@
 }
 
 void ConfigIntake::ConfirmNewest(const core::StorePosition& row, TimePoint sent) {
-  if (!held_back_ || held_back_->version.row != row || sent < *rewriting_until_) {
+  if (rewriting_left_ > Duration::zero()) {
+    rewriting_left_ -= std::min<Duration>(clock_.now() - sent, kMaxCallTime);
+    return;
+  }
+  if (!held_back_ || held_back_->version.row != row) {
     return;
   }
   const HeldBack held_back = *std::exchange(held_back_, std::nullopt);
--- a/gateway/config_intake.h
+++ b/gateway/config_intake.h
@@ -3,7 +3,6 @@
 #pragma once
 
 #include <cstdint>
-#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -62,8 +61,9 @@
   core::StorePosition newest_row_;
   std::optional<core::ConfigVersion> in_force_;
   std::uint64_t in_force_hash_ = 0;
-  /// Until when the operator may be writing again what the last return has lost.
-  std::optional<TimePoint> rewriting_until_;
+  /// Time in contact with the store for which the operator may still be writing again what the last
+  /// return has lost.
+  Duration rewriting_left_{};
   std::optional<HeldBack> held_back_;
 };
 
--- a/tests/gateway/config_intake_test.cc
+++ b/tests/gateway/config_intake_test.cc
@@ -21,6 +21,16 @@
  public:
   Fixture() : intake(clock, *this) {}
 
+  /// Lets held calls of a second each show for `time` that the row is the newest one in the store.
+  void Confirm(const StorePosition& row, Milliseconds time) {
+    constexpr Milliseconds kHeld{1'000};
+    for (Milliseconds passed{0}; passed < time; passed += kHeld) {
+      const TimePoint sent = clock.now();
+      clock.Advance(kHeld);
+      intake.ConfirmNewest(row, sent);
+    }
+  }
+
   ManualClock clock;
   /// The operator's numbers of the configurations in the order in which they came into force.
   std::vector<std::int64_t> in_force;
@@ -107,14 +117,13 @@
   Fixture fixture;
   fixture.intake.Take(Config(36), {1, 100});
   fixture.intake.Take(Config(17), {2, 70});
-  fixture.clock.Advance(Milliseconds(30'000));
+  fixture.Confirm({2, 70}, Milliseconds(30'000));
   fixture.intake.Take(Config(18), {2, 90});
-  fixture.intake.ConfirmNewest({2, 90}, fixture.clock.now());
+  fixture.Confirm({2, 90}, Milliseconds(30'000));
+  cr_assert(fixture.in_force == (Revisions{36}), "only a call after the 60 s puts it in force");
+  fixture.Confirm({2, 70}, Milliseconds(1'000));
   cr_assert(fixture.in_force == (Revisions{36}));
-  fixture.clock.Advance(Milliseconds(30'000));
-  fixture.intake.ConfirmNewest({2, 70}, fixture.clock.now());
-  cr_assert(fixture.in_force == (Revisions{36}));
-  fixture.intake.ConfirmNewest({2, 90}, fixture.clock.now());
+  fixture.Confirm({2, 90}, Milliseconds(1'000));
   cr_assert(fixture.in_force == (Revisions{36, 18}));
   cr_assert_eq(fixture.text, Config(18));
 }
@@ -133,6 +142,37 @@
   cr_assert(fixture.in_force == (Revisions{36}));
 }
 
+// Guards against the copy's configuration after an outage that follows the return: the operator
+// could not write again what was lost either.
+Test(config_intake, outage_after_a_return_does_not_count) {
+  Fixture fixture;
+  fixture.intake.Take(Config(36), {1, 100});
+  fixture.intake.Take(Config(17), {2, 70});
+  fixture.clock.Advance(Milliseconds(65'000));
+  fixture.Confirm({2, 70}, Milliseconds(3'000));
+  cr_assert(fixture.in_force == (Revisions{36}));
+  fixture.clock.Advance(Milliseconds(65'000));
+  fixture.intake.Take(Config(35), {2, 71});
+  cr_assert(fixture.in_force == (Revisions{36}), "the first of two that are written again");
+  fixture.intake.Take(Config(36), {2, 72});
+  cr_assert(fixture.in_force == (Revisions{36}));
+  cr_assert_not(fixture.intake.held_back_revision());
+}
+
+// Guards against the copy's configuration when a second return follows before the time for the
+// first one has passed.
+Test(config_intake, second_return_begins_the_time_anew) {
+  Fixture fixture;
+  fixture.intake.Take(Config(36), {1, 100});
+  fixture.intake.Take(Config(17), {2, 70});
+  fixture.Confirm({2, 70}, Milliseconds(59'000));
+  fixture.intake.Take(Config(17), {3, 65});
+  fixture.Confirm({3, 65}, Milliseconds(60'000));
+  cr_assert(fixture.in_force == (Revisions{36}));
+  fixture.Confirm({3, 65}, Milliseconds(1'000));
+  cr_assert(fixture.in_force == (Revisions{36, 17}));
+}
+
 // Guards against an invalid row that replaces the configuration in force, or ends the wait for the
 // one that was lost.
 Test(config_intake, invalid_row_of_a_new_era_changes_nothing) {
