Hold back older configurations also at a gateway that starts after a return

Gateways that saw the return hold the older ones back; one that started since took them, and answered routes with 404 that it had served.

Cause: the time for rewriting began only where a configuration was in force before the first row of an era. Now it begins with the first row of a stated era. The operator's numbers rise, so nothing else changes at a start; a store that states no era is served by versions alone, as before.

Test: config_intake::process_that_starts_while_lost_rows_are_written failed before. Measured: config_intake::*, store_watch::* and test_gateway_callers pass.

--- a/gateway/config_intake.cc
+++ b/gateway/config_intake.cc
@@ -31,8 +31,8 @@
   if (row <= newest_row_) {
     return;
   }
-  const bool is_new_era = row.era != std::exchange(newest_row_, row).era;
-  if (is_new_era && in_force_) {
+  // Also at the start: the operator may still be writing again what an earlier return has lost.
+  if (row.era != std::exchange(newest_row_, row).era) {
     rewriting_left_ = kRewriteTime;
   }
   if (in_force_ && row.era != in_force_->row.era && Hash64(text) == in_force_hash_) {
--- a/tests/gateway/config_intake_test.cc
+++ b/tests/gateway/config_intake_test.cc
@@ -173,6 +173,18 @@
   cr_assert(fixture.in_force == (Revisions{36, 17}));
 }
 
+// Guards against going back at a process that has started after the return, when the operator has
+// written a newer configuration before all that was lost: the others hold the older ones back.
+Test(config_intake, process_that_starts_while_lost_rows_are_written) {
+  Fixture fixture;
+  fixture.intake.Take(Config(37), {2, 101});
+  fixture.intake.Take(Config(35), {2, 102});
+  fixture.intake.Take(Config(36), {2, 103});
+  cr_assert(fixture.in_force == (Revisions{37}));
+  fixture.intake.Take(Config(38), {2, 104});
+  cr_assert(fixture.in_force == (Revisions{37, 38}));
+}
+
 // Guards against an invalid row that replaces the configuration in force, or ends the wait for the
 // one that was lost.
 Test(config_intake, invalid_row_of_a_new_era_changes_nothing) {
