Test probes and pauses after a return of the store

A probe that had expired when probing ended could still run, as it was not dropped like other schedules. Change: store_watch::probe_without_history_leads_to_a_whole_read and store_watch::reads_of_an_earlier_era_are_paced; StopProbes drops the schedule. The dropped schedule of a probe has no test of its own.

--- a/gateway/store_watch.cc
+++ b/gateway/store_watch.cc
@@ -191,7 +191,7 @@
 void StoreWatch::StopProbes() {
   is_probing_ = false;
   is_probe_sent_ = false;
-  probe_.timer.cancel();
+  CancelSchedule(probe_);
   probe_.table->Cancel();
 }
 
--- a/tests/gateway/store_watch_test.cc
+++ b/tests/gateway/store_watch_test.cc
@@ -197,6 +197,38 @@
   cr_assert_lt(fixture.tables.calls - calls, 25);
 }
 
+// Guards against reads without a pause while each held call is answered at once by a store, or a
+// part of it, that has not seen the return; its rows are not used.
+Test(store_watch, reads_of_an_earlier_era_are_paced, .timeout = 30) {
+  Fixture fixture(Milliseconds(60'000), 0, Milliseconds(60'000));
+  fixture.tables.era = 2;
+  fixture.Run(Milliseconds(100));
+  fixture.tables.era = 1;
+  fixture.WriteRow("config", "c", "earlier");
+  const int calls = fixture.tables.calls;
+  fixture.Run(Milliseconds(2'000));
+  cr_assert_gt(fixture.listener.answers[gateway::ConfigAnswer::kOutdated], 2);
+  cr_assert_lt(fixture.tables.calls - calls, 25);
+  cr_assert_eq(fixture.listener.configs.back(), "one");
+}
+
+// Guards against waiting for the end of a held call, which may hang on a dead connection, when a
+// probe is answered with 410: that answer has no era.
+Test(store_watch, probe_without_history_leads_to_a_whole_read, .timeout = 30) {
+  Fixture fixture(Milliseconds(60'000), 0, Milliseconds(60'000), Milliseconds(60'000));
+  fixture.Run(Milliseconds(100));
+  fixture.tables.loses_history = true;
+  fixture.tables.era = 1;
+  fixture.tables.tables["config"]["c"] = {"c", "after", 1, false};
+  fixture.Run(Milliseconds(300));
+  cr_assert_eq(fixture.listener.configs.back(), "one", "the held call has not ended");
+  // Probes run while an upstream is missing.
+  fixture.listener.removal = DefaultClock().now() + Milliseconds(20'000);
+  fixture.watch().PostponeRead(0);
+  fixture.Run(Milliseconds(1'000));
+  cr_assert_eq(fixture.listener.configs.back(), "after");
+}
+
 // Guards against answers that are dropped without a trace: a store that does not state its era
 // shows an older state, and nothing told why its row was not in force (issue 69). What is newer is
 // used.
