Wait for the epoch of an agent that has started again

Cause: the test is wrong. An agent serves before its epoch is acquired (lifecycle::serves_without_epoch_but_sends_no_orders), but the test read the epoch once, as soon as the agent was READY. The log of the failed run: READY at 46.321, the check at 46.32, epoch_taken with epoch 3 at 46.713. Change: the test waits up to 5 s, as for its other states, for exactly epoch 3.

--- a/tests/agent/process_test.cc
+++ b/tests/agent/process_test.cc
@@ -166,7 +166,9 @@
   const Process successor = setup.StartAgent();
   entry = setup.Entry();
   cr_assert_eq(GetJson(setup.engine, "/v1/truth").value("held_pieces", -1), 0);
-  cr_assert_eq(GetJson(setup.operator_port, "/state").value("epoch", 0), 3);
+  // An agent serves before its epoch is acquired.
+  cr_assert(
+      WaitUntil([&] { return GetJson(setup.operator_port, "/state").value("epoch", 0) == 3; }));
 
   entry->Submit(Generation("a3", wire::WorkKind::GENERATE, 3000));
   cr_assert(WaitUntil([&] { return entry->RepliesTo("a3").output.size() > 40; }));
