--- a/tests/gateway/store_watch_test.cc
+++ b/tests/gateway/store_watch_test.cc
@@ -230,8 +230,8 @@
 }
 
 // Guards against answers that are dropped without a trace: a store that does not state its era
-// shows an older state, and nothing told why its row was not in force (issue 69). What is newer is
-// used.
+// shows an older state, and nothing showed why its row was not in force (issue 69). What is newer
+// is used.
 Test(store_watch, older_state_is_counted_and_not_used, .timeout = 30) {
   Fixture fixture(Milliseconds(60'000), 0, Milliseconds(60'000));
   fixture.tables.version = 20;
