--- a/tests/core/config_freshness_test.cc
+++ b/tests/core/config_freshness_test.cc
@@ -216,7 +216,7 @@
         case 1: {  // a return from a copy
           const std::int64_t version = store.rows.back().position.version;
           store.ReturnFrom(
-              *rc::gen::inRange<std::int64_t>(std::max<std::int64_t>(1, version - 2), version + 1),
+              *rc::gen::inRange<std::int64_t>(std::max<std::int64_t>(1, version - 3), version + 1),
               now_ms);
           break;
         }
